--- /dev/null
+++ b/dunefield/interface.py
@@ -0,0 +1,415 @@
+"""The balancer's settings, events and actions. All times are whole nanoseconds on one clock.
+
+`Settings.parse` reads the settings object as handed over at start; every absent optional key has a
+default here, so the decisions in `rules.py` never meet a missing one.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+SECOND = 1_000_000_000
+
+
+class How(enum.IntEnum):
+    """Outcome of an attempt."""
+
+    OK = 100
+    ERROR = 301
+    FULL = 302
+    TIMEOUT = 303
+    CONNECT_FAILED = 304
+    RESET = 305
+    CANCELLED = 306
+    MOOT = 307
+
+
+NEVER_RAN = frozenset({How.FULL, How.CONNECT_FAILED, How.MOOT})
+"""Outcomes that prove the attempt had no effect."""
+
+
+class SettingsError(ValueError):
+    """The settings object cannot be used; the message names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One class of request: what an answer is worth, by when, and how it may be repeated."""
+
+    name: str
+    aim_ns: int
+    deadline_ns: int
+    worth: float = 1.0
+    late_worth: float = 0.0
+    repeat: str = "single_shot"
+    group: str = "all"
+    window_ns: int = 0
+    stream: bool = False
+    aim_stretch: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the site permits."""
+
+    max_attempts: int = 1
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after_ns: int = 0
+    streams_per_conn: int = 1
+    conn_idle_ns: int = 15 * SECOND
+    connect_timeout_ns: int = SECOND // 4
+    cancel: bool = False
+    may_probe: bool = False
+    peers: bool = False
+    cpu_us_per_request: float = 0.0
+    cpu_us_per_s: float = 0.0
+    open_cap: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Invariants:
+    """Figures of the four rules."""
+
+    cold_from: float = 0.1
+    cold_ns: int = 30 * SECOND
+    fall_multiple: float = 2.0
+    fall_ns: int = SECOND
+    drain_grace_ns: int = 0
+    must_ask_in_ns: int = 10 * SECOND
+    answer_grace_ns: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A tenant and its share of the service."""
+
+    name: str
+    share: float = 1.0
+    allowance_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All that an instance is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    zones: tuple[str, ...] = ()
+    zone: int = 0
+    kinds: tuple[str, ...] = ()
+    index: int = 0
+    replicas: int = 1
+    period_ns: int = 1_000_000
+    must_ask: bool = False
+    marks_retry: bool = False
+    warm_keys: bool = False
+    passes_deadline: bool = False
+    workload: str = ""
+    tier: int = 0
+    layers: tuple[str, ...] = ()
+    value_by: str = "request"
+    weights: str = "none"
+    goal: Mapping[str, float] = field(default_factory=dict)
+    over_share_worth: float = 1.0
+    reports: str = "none"
+    columns: tuple[str, ...] = ()
+    limits: Limits = field(default_factory=Limits)
+    invariants: Invariants = field(default_factory=Invariants)
+    prices: Mapping[str, float] = field(default_factory=dict)
+    tenants: tuple[Tenant, ...] = ()
+
+    @classmethod
+    def parse(cls, raw: Any) -> Settings:
+        """Build settings from the decoded settings object; raise SettingsError on what is unusable."""
+        root = _Reader(raw, "settings")
+        classes = tuple(_request_class(item) for item in root.items("classes"))
+        if not classes:
+            raise SettingsError("settings.classes is empty or absent")
+        return cls(
+            classes=classes,
+            zones=tuple(str(z) for z in root.list("failureDomains")),
+            zone=root.int("zone", 0),
+            kinds=tuple(str(k) for k in root.list("kinds")),
+            index=root.int("index", 0),
+            replicas=max(1, root.int("replicasOfMe", 1)),
+            period_ns=max(1, root.int("periodNs", 1_000_000)),
+            must_ask=root.text("discovery", "automatic") == "subscribe",
+            marks_retry=root.sub("clients").flag("marksRetry"),
+            warm_keys=root.sub("familyInfo").flag("warmKeys"),
+            passes_deadline=root.sub("familyInfo").flag("passesDeadline"),
+            workload=root.text("workload", ""),
+            tier=root.int("tier", 0),
+            layers=tuple(str(name) for name in root.list("layers")),
+            value_by=root.text("valueBy", "request"),
+            weights=root.text("weights", "none"),
+            goal=root.sub("goal").numbers(),
+            over_share_worth=root.number("overShareWorth", 1.0),
+            reports=root.sub("reporting").text("how", "none"),
+            columns=tuple(str(name) for name in root.sub("reporting").list("columns")),
+            limits=_limits(root.sub("limits")),
+            invariants=_invariants(root.sub("invariants")),
+            prices=root.sub("prices").numbers(),
+            tenants=tuple(
+                Tenant(t.text("name", ""), t.number("share", 1.0), t.number("allowancePerS", 0.0))
+                for t in root.items("projects")
+            ),
+        )
+
+
+class _Reader:
+    """Typed access to one JSON object, with its path for messages."""
+
+    def __init__(self, raw: Any, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise SettingsError(f"{path} is not an object")
+        self._raw, self._path = raw, path
+
+    def _get(self, key: str, kinds: tuple[type, ...], default: Any) -> Any:
+        value = self._raw.get(key)
+        if value is None:
+            return default
+        if isinstance(value, float) and not math.isfinite(value):
+            raise SettingsError(f"{self._path}.{key} is not a finite number: {value!r}")
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise SettingsError(f"{self._path}.{key} has a value of the wrong type: {value!r}")
+        return value
+
+    def int(self, key: str, default: int) -> int:
+        return int(self._get(key, (int, float), default))
+
+    def number(self, key: str, default: float) -> float:
+        return float(self._get(key, (int, float), default))
+
+    def text(self, key: str, default: str) -> str:
+        return str(self._get(key, (str,), default))
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        return bool(self._get(key, (bool, int), default))
+
+    def list(self, key: str) -> list[Any]:
+        return list(self._get(key, (list,), []))
+
+    def sub(self, key: str) -> _Reader:
+        return _Reader(self._get(key, (dict,), {}), f"{self._path}.{key}")
+
+    def items(self, key: str) -> Iterable[_Reader]:
+        return [_Reader(item, f"{self._path}.{key}[{i}]") for i, item in enumerate(self.list(key))]
+
+    def numbers(self) -> dict[str, float]:
+        return {key: self.number(key, 0.0) for key in self._raw}
+
+
+def _request_class(item: _Reader) -> RequestClass:
+    deadline = item.int("hardLimitNs", 0)
+    if deadline <= 0:
+        raise SettingsError(f"{item._path}.hardLimitNs must be above 0")
+    return RequestClass(
+        name=item.text("name", ""),
+        aim_ns=min(item.int("onTimeNs", deadline) or deadline, deadline),
+        deadline_ns=deadline,
+        worth=item.number("credit", 1.0),
+        late_worth=item.number("lateWorth", 0.0),
+        repeat=item.text("repeat", "single_shot"),
+        group=item.text("group", "all"),
+        window_ns=item.int("windowNs", 0),
+        stream=item.flag("stream"),
+        aim_stretch=item.number("aimStretch", 0.0),
+    )
+
+
+def _limits(item: _Reader) -> Limits:
+    return Limits(
+        max_attempts=max(1, item.int("maxAttempts", 1)),
+        second_copies=item.flag("secondCopies"),
+        retry_after=item.flag("retryAfter"),
+        max_retry_after_ns=item.int("maxRetryAfterNs", 0),
+        streams_per_conn=max(1, item.int("streamsPerConn", 1)),
+        conn_idle_ns=item.int("connIdleNs", 15 * SECOND),
+        connect_timeout_ns=item.int("connectTimeoutNs", SECOND // 4),
+        cancel=item.flag("cancel"),
+        may_probe=item.flag("mayProbe"),
+        peers=item.flag("peers"),
+        cpu_us_per_request=item.number("cpuUsPerRequest", 0.0),
+        cpu_us_per_s=item.number("cpuUsPerS", 0.0),
+        open_cap=item.int("openCap", 0),
+    )
+
+
+def _invariants(item: _Reader) -> Invariants:
+    return Invariants(
+        cold_from=min(1.0, max(0.01, item.number("coldFrom", 0.1))),
+        cold_ns=max(1, item.int("coldNs", 30 * SECOND)),
+        fall_multiple=max(1.0, item.number("fallMultiple", 2.0)),
+        fall_ns=item.int("fallNs", SECOND),
+        drain_grace_ns=item.int("drainGraceNs", 0),
+        must_ask_in_ns=max(SECOND, item.int("mustAskInNs", 10 * SECOND)),
+        answer_grace_ns=item.int("graceToAnswerNs", 0),
+    )
+
+
+# --- Events: what the instance sees -------------------------------------------------------------
+
+
+class Entry(NamedTuple):
+    """One line of a server list."""
+
+    server: str
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    lifecycle: str = "up"
+    weight: float = 1.0
+    started_ns: int = 0
+
+
+class Directory(NamedTuple):
+    """News of the server list. `scope` is INCREMENTAL, FULL, SAVED or FAILED."""
+
+    scope: str
+    entries: tuple[Entry, ...] = ()
+    gen: int = 0
+
+
+class Accept(NamedTuple):
+    """A client's request; exactly one final answer is owed."""
+
+    tid: str
+    cls: int
+    ttl_ns: int
+    cost_ns: int = 0
+    tenant: int = 0
+    key: str = ""
+    retry: bool = False
+    write: bool = False
+
+
+class Response(NamedTuple):
+    """The one outcome of an attempt. `load` is the server's report, empty if none came."""
+
+    tid: str
+    how: int
+    lag_ns: int
+    server: str
+    attempt: int
+    closed: bool
+    load: Mapping[str, float] = {}
+
+
+class Begun(NamedTuple):
+    """A streamed answer has started: the attempt now belongs to the client."""
+
+    tid: str
+    server: str = ""
+    attempt: int = 0
+    lag_ns: int = 0
+
+
+class Hangup(NamedTuple):
+    """The client left; nothing more is owed."""
+
+    tid: str
+
+
+class Alarm(NamedTuple):
+    """A timer asked for by `Defer` has come due."""
+
+    tag: int
+
+
+class Echo(NamedTuple):
+    """The result of one `Probe`. `load` is the server's report, empty if none came."""
+
+    server: str
+    how: int
+    lag_ns: int
+    load: Mapping[str, float] = {}
+
+
+class Heard(NamedTuple):
+    """Bytes that this peer sent by `Tell`."""
+
+    peer: int
+    data: bytes
+
+
+Event = Directory | Accept | Response | Begun | Hangup | Alarm | Echo | Heard
+
+
+# --- Actions: what the instance wants done ------------------------------------------------------
+
+
+class Submit(NamedTuple):
+    """Start the next attempt for a request, given up at `abandon_ns`."""
+
+    tid: str
+    server: str
+    abandon_ns: int
+
+
+class Refuse(NamedTuple):
+    """Final answer: declined, and trying again is harmless."""
+
+    tid: str
+    hold_off_ns: int
+
+
+class Fail(NamedTuple):
+    """Final answer: failed, with no promise about effects."""
+
+    tid: str
+
+
+class Retract(NamedTuple):
+    """Stop waiting for one attempt."""
+
+    tid: str
+    attempt: int
+
+
+class Subscribe(NamedTuple):
+    """Ask discovery for the list and its changes from now on, or end that."""
+
+    want: bool = True
+
+
+class Fetch(NamedTuple):
+    """Ask discovery for the whole list once."""
+
+
+class Probe(NamedTuple):
+    """Check a server; an `Echo` follows."""
+
+    server: str
+
+
+class CloseIdle(NamedTuple):
+    """Close the idle connections to a server."""
+
+    server: str
+
+
+class Tell(NamedTuple):
+    """Send bytes to the peer with this index, or to every peer if it is -1."""
+
+    peer: int
+    data: bytes
+
+
+class Note(NamedTuple):
+    """A line for the log."""
+
+    text: str
+
+
+class Defer(NamedTuple):
+    """Ask for an `Alarm` after `in_ns`."""
+
+    in_ns: int
+    tag: int
+
+
+Action = Submit | Refuse | Fail | Retract | Subscribe | Fetch | Probe | CloseIdle | Tell | Note | Defer
--- /dev/null
+++ b/dunefield/rules.py
@@ -0,0 +1,721 @@
+"""The decisions of one sidecar. Settings, events and actions are defined in `dunefield/interface.py`.
+
+The ordinary path is the design's: each server has an in-flight budget of k steps times a learned
+concurrency figure; a call goes to the less loaded of two random servers by own calls in flight, ties by
+expected time to answer; servers at budget are redrawn; calls wait in order when all are full; a waiting
+call may pass as the server's one trial, under a backoff shared by all trials there. Each departure is
+marked "Exception" and listed in docs/design.md with the condition under which it acts.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from zlib import crc32
+
+from dunefield.interface import (
+    NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
+    How, Probe, Refuse, RequestClass, Response, Settings, Submit, Subscribe,
+)
+
+UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
+TICK = 1  # tag of the timer for held calls; 0 is the one for the server list
+STEPS = 10  # the clamp on k: A105's default for max_connections_per_subchannel
+FIGURE = 2.0  # concurrency figure of a server nothing is known of, and its ceiling: each step admits so many
+PROBES = 4  # servers asked at a time: two pairs to choose from
+UNTOLD = 2.0  # requests that a server is supposed to hold where its report is missing
+PROBE_SPEND = 0.01  # share of the worth that asking before each send may cost
+ROUNDS = 2  # times to ask other servers before a busy one is taken
+DRAWS = 12  # draws before a pick falls back on the set of servers under budget
+SUBSET = 8  # servers that a sidecar with few calls can know by its own answers; half where connections cost
+GAIN = 0.3  # weight of one new observation against what was known
+CROWDED = 0.4  # crowding (share of slow answers) from which calls are shed
+SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
+JAMMED = 2.25  # crowding that one echo counts for at most, at one and a half for each waiting request
+HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
+RETRY_RATIO = 0.2  # further attempts earned by one request
+
+
+class Server:
+    """What this sidecar knows of one server."""
+
+    __slots__ = (
+        "name", "zone", "cell", "heft", "up", "started", "inflight", "k", "figure", "trial", "backoff",
+        "retry_at", "stretch", "seen", "peak", "used", "idle", "slot", "mute", "load", "mute_until",
+        "askers", "credit", "credit_at",
+    )
+
+    def __init__(self, entry: Entry) -> None:
+        self.name = entry.server
+        self.zone, self.cell, self.heft = entry.zone, entry.cell, entry.weight
+        self.inflight = 0
+        self.peak = 0  # connections open, as far as own calls in flight tell
+        self.used = 0  # when a connection was last used
+        self.idle = 0  # how long it had been idle before that
+        self.slot = -1  # place in the list of servers under budget, -1 when not in it
+        self.askers: deque[Call] = deque()  # calls whose probe of this server is out
+        self.up = False
+        self.started = -1
+        self.reset()
+
+    def reset(self) -> None:
+        """A new process: nothing learned of the old one holds."""
+        self.k, self.figure = 1, FIGURE
+        self.trial = False
+        self.backoff = self.retry_at = 0
+        self.stretch = 0.0
+        self.seen = 0  # 0: never heard of, so the fleet's mean stands in
+        self.load = 0.0  # requests held, by the last echo and own sends since
+        self.mute_until = 0  # no probes before this: the last one failed
+        self.mute: dict[int, tuple[int, int]] = {}  # classes left unanswered: until when, for how long
+        self.credit = 0.0  # calls that a server which may be cold may be sent, as of when
+        self.credit_at = 0
+
+    @property
+    def budget(self) -> int:
+        return max(1, int(self.k * self.figure)) if self.k else 0
+
+
+class Call:
+    """A request this sidecar owes an answer."""
+
+    __slots__ = (
+        "tid", "number", "cls", "deadline", "aim_at", "size", "tried", "out", "attempts", "ran_on", "ran_at",
+        "begun", "give_up", "pending", "rounds", "best", "hint",
+    )
+
+    def __init__(
+        self, tid: str, number: int, cls: RequestClass, deadline: int, aim_at: int, hint: float, size: float
+    ) -> None:
+        self.tid, self.number, self.cls = tid, number, cls
+        self.deadline, self.aim_at = deadline, aim_at
+        self.hint = hint  # work as told, 0 where nothing is
+        self.size = size  # expected time to answer of an idle server
+        self.tried: list[Server] = []
+        self.out = 0  # attempts without an outcome
+        self.attempts = 0
+        self.ran_on: Server | None = None  # first server that may have run it
+        self.ran_at = 0
+        self.begun = False
+        self.give_up = deadline
+        self.pending = self.rounds = 0  # probes whose echo is due; rounds of probes asked for
+        self.best: Server | None = None  # the least loaded of the servers that echoed
+
+
+class Attempt:
+    """One attempt whose outcome is due; it outlives its call."""
+
+    __slots__ = ("server", "trial", "sent", "size", "cls", "hint", "idle")
+
+    def __init__(self, server: Server, trial: bool, sent: int, call: Call) -> None:
+        self.server, self.trial, self.sent, self.idle = server, trial, sent, server.idle
+        self.size, self.cls, self.hint = call.size, call.number, call.hint
+
+
+def _pulse(rate: float, gap: int, span: int) -> float:
+    """A rate of events, smoothed over about `span`, after one more event `gap` after the last."""
+    return rate + (1.0 - rate * gap) / span if gap < span else 1.0 / gap
+
+
+class Balancer:
+    """One sidecar's balancer: clock, seed and events in, actions out."""
+
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        self._set = settings
+        self._random = random.Random(seed).random
+        self._acts: list[Action] = []
+        self._servers: dict[str, Server] = {}
+        self._up: list[Server] = []
+        self._room: list[Server] = []  # servers under budget; swap-removal keeps the order free of hashing
+        self._live = 0  # servers up with k above 0
+        self._subset: list[Server] = []
+        self._groups: dict[int, list[Server]] = {}
+        self._calls: dict[str, Call] = {}
+        self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._held: dict[str, Call] = {}  # in arrival order: full everywhere, or echoes due
+        self._armed = False  # a tick for the held calls is due
+        self._horizon = max(c.deadline_ns for c in settings.classes)
+        unknown = RequestClass("", self._horizon, self._horizon)
+        self._classes = classes = (*settings.classes, unknown)
+        self._pace = max(1, min(c.aim_ns for c in classes) // 16)  # how often held calls are looked at
+        # Mean time to answer by class when uncrowded, beyond what a call's hint tells; its samples; the last.
+        self._extra = [(c.aim_ns / 4, 0, now) for c in classes]
+        self._stretch = 1.0  # service time over size, all servers
+        self._tokens = 1.0 / RETRY_RATIO
+        self._rate = 0.0  # requests of late, for each nanosecond
+        self._served = 0.0  # answers of late, likewise
+        self._heard_at = self._served_at = self._begun_at = now
+        self._reach = 1  # servers that draws go over
+        self._heaviest = 1.0  # the largest weight listed
+        self._share = [1.0 / len(classes)] * len(classes)  # of each class in the requests of late
+        self._cheapest = sorted(range(len(classes)), key=lambda i: (classes[i].worth, i))
+        self._crowd = 0.0  # share of slow ones in the latest answers
+        self._crowd_at = now
+        self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
+        self._idle_doubt = 0  # until when a shorter one than the settings' is believed
+        self._shut_until = self._asked_at = 0  # before these no server can be tried, no list asked for
+        self._ask_pause = settings.invariants.must_ask_in_ns // 4
+        self._watching = False
+        dear = PROBES * settings.prices.get("probe", 0.0) > PROBE_SPEND
+        self._probing = settings.reports != "none" and settings.limits.may_probe and not dear
+        # How many servers a silent sidecar draws from: all where probes tell of each of them.
+        priced = settings.prices.get("connection", 0.0) > 0
+        self._subset_size = 10**9 if self._probing and not priced else SUBSET // (1 + priced)
+
+    # --- events ---------------------------------------------------------------------------------
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take one event at clock time `now`; return the actions to carry out, in order."""
+        self._acts = []
+        if isinstance(event, Accept):
+            self._on_accept(now, event)
+        elif isinstance(event, Response):
+            self._on_response(now, event)
+        elif isinstance(event, Alarm):
+            self._on_alarm(now, event)
+        elif isinstance(event, Directory):
+            self._on_directory(now, event)
+        elif isinstance(event, Hangup):
+            self._drop(event.tid)
+        elif isinstance(event, Echo):
+            self._on_echo(now, event)
+        elif isinstance(event, Begun) and event.tid in self._calls:
+            self._calls[event.tid].begun = True
+        return self._acts
+
+    def _on_accept(self, now: int, event: Accept) -> None:
+        # A class that the settings do not name may be one that must never run twice.
+        number = event.cls if 0 <= event.cls < len(self._classes) else len(self._classes) - 1
+        cls = self._classes[number]
+        # An answer is worth nothing to a client that has left, however far the aim: patience may be short.
+        aim_at = now + min(cls.aim_ns + int(cls.aim_stretch * event.cost_ns), cls.deadline_ns, event.ttl_ns)
+        size = event.cost_ns + self._extra[number][0]
+        call = Call(event.tid, number, cls, now + event.ttl_ns, aim_at, event.cost_ns, max(1.0, size))
+        call.give_up = self._give_up(call)
+        self._calls[event.tid] = call
+        self._count(now, number)
+        if now >= call.give_up or self._shed(now, number, call.size):
+            self._end(now, call, call.cls.aim_ns // 8)
+        elif self._probing:
+            self._ask(now, call)
+        elif self._held:
+            self._hold(now, call)  # arrival order: nobody overtakes a waiting call
+            self._pump(now)
+        elif not self._try(now, call):
+            self._hold(now, call)
+
+    def _count(self, now: int, number: int) -> None:
+        """Rate of requests and share of each class, over about one horizon."""
+        span = min(self._horizon, now - self._begun_at + self._pace)
+        self._rate = _pulse(self._rate, now - self._heard_at, span)
+        self._heard_at = now
+        for i, share in enumerate(self._share):
+            self._share[i] = share + ((i == number) - share) * GAIN / 8
+        self._tokens = min(self._tokens + RETRY_RATIO, 2.0 / RETRY_RATIO)
+
+    def _shed(self, now: int, number: int, size: float) -> bool:
+        """Exception "shedding": the fleet answers slower than when uncrowded, so part of the calls must not
+        reach it, those of least worth first. Each sidecar draws for itself, so the fleet sheds smoothly."""
+        idle = now - self._crowd_at
+        crowd = self._crowd * self._horizon / (self._horizon + idle)
+        # Calls in flight tell of a jam before its answers come: more than Little's law and chance explain.
+        flow = (self._served + self._rate) / 2 * size
+        crowd = max(crowd, 2.0 * math.log((1 + len(self._attempts)) / (2.0 + flow + 2.0 * math.sqrt(flow))))
+        shed = (crowd - CROWDED) / (1.0 - CROWDED)
+        if shed <= 0.0:
+            return False
+        for i in self._cheapest:
+            if i == number:
+                return self._random() < min(0.99, shed / max(self._share[i], 0.01))
+            shed -= self._share[i]
+        return False
+
+    def _on_alarm(self, now: int, event: Alarm) -> None:
+        if self._set.must_ask and not self._watching and now >= self._asked_at:
+            # Should no answer ever come, ask again: silence is no excuse for an old list.
+            pause = self._set.invariants.must_ask_in_ns // 2
+            self._asked_at = now + pause
+            self._acts += [Subscribe(), Defer(pause, 0)]
+        if event.tag == TICK:
+            # Told by its tag and not by the clock: another event of the same instant must not swallow the
+            # tick, or the held calls whose time is up would be lost.
+            self._armed = False
+            self._pump(now, True)
+
+    def _on_response(self, now: int, event: Response) -> None:
+        attempt = self._attempts.pop((event.tid, event.attempt), None)
+        if attempt is None:
+            return
+        server = attempt.server
+        server.inflight -= 1
+        server.used = now
+        stale = event.how == How.RESET and self._stale(now, attempt.idle, event.lag_ns)
+        if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
+            server.trial = server.trial and not attempt.trial
+            if not stale:
+                self._learn(now, attempt, event)
+                self._feel(now, attempt, event)
+                self._judge(now, attempt, event.how)
+        self._refresh(server)
+        call = self._calls.get(event.tid)
+        if call is not None:
+            call.out -= 1
+            if event.closed:
+                self._drop(event.tid)
+            elif event.how not in NEVER_RAN and call.ran_on is None:
+                call.ran_on, call.ran_at = server, attempt.sent
+            if not event.closed and not call.out and not call.begun:
+                self._tokens += stale  # a broken connection is no sign of load, so its repeat is free
+                self._again(now, call)
+        self._pump(now)
+
+    def _stale(self, now: int, idle: int, lag: int) -> bool:
+        """Exception "stale connection": a reset that comes sooner after the send than the connection had been
+        idle before says that something dropped the idle connection; of the server it says nothing. Idle
+        connections are then closed before use from half that idle time on. Covers crashes seen late, too;
+        it harms where every connection must be new and handshakes are dear."""
+        if idle <= lag:
+            return False
+        self._idle_max = min(self._idle_max, idle // 2)
+        self._idle_doubt = now + 8 * self._horizon
+        return True
+
+    def _touch(self, now: int, server: Server) -> None:
+        """Note the use of a connection; one that has been idle for too long is closed first."""
+        if now >= self._idle_doubt:
+            self._idle_max = self._set.limits.conn_idle_ns
+        server.idle = 0 if server.inflight or not server.used else now - server.used
+        if server.idle > self._idle_max:
+            if self._idle_max < self._set.limits.conn_idle_ns:
+                self._acts.append(CloseIdle(server.name))
+            server.idle = server.peak = 0
+        server.used = now
+
+    def _drop(self, tid: str) -> None:
+        self._calls.pop(tid, None)
+        self._held.pop(tid, None)
+
+    # --- the server list ------------------------------------------------------------------------
+
+    def _on_directory(self, now: int, event: Directory) -> None:
+        inv = self._set.invariants
+        if event.scope == "FAILED":
+            # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out.
+            self._watching = False
+            self._ask_pause = min(self._ask_pause * 2, inv.must_ask_in_ns)
+            self._ask_later(now)
+            return
+        if event.scope == "SAVED":
+            # The first chance to act: a timer asked for before any event would be lost, and with it the list.
+            if self._set.must_ask:
+                self._ask_later(now)
+        else:
+            self._watching = self._set.must_ask
+            self._ask_pause = inv.must_ask_in_ns // 4
+        if event.scope != "INCREMENTAL":
+            listed = {entry.server for entry in event.entries}
+            for name, server in self._servers.items():
+                if name not in listed:
+                    server.up = False
+                    self._refresh(server)
+        for entry in event.entries:
+            self._enter(now, entry)
+        self._relist(now)
+        self._pump(now)
+
+    def _enter(self, now: int, entry: Entry) -> None:
+        server = self._servers.get(entry.server)
+        if server is None:
+            server = self._servers[entry.server] = Server(entry)
+        server.zone, server.cell, server.heft = entry.zone, entry.cell, entry.weight
+        if server.started >= 0 and entry.started_ns > server.started:
+            server.reset()  # a restart: verdicts on the old process say nothing of the new one
+        if entry.started_ns > server.started:
+            # Where in its first credit each sidecar stands is drawn, so that not all send at once.
+            server.started = entry.started_ns
+            server.credit, server.credit_at = self._random(), now
+        server.up = entry.lifecycle == "up"
+        self._refresh(server)
+
+    def _relist(self, now: int) -> None:
+        """Rebuild what is derived from the list. Happens on list news only, never for a request."""
+        self._up = sorted((s for s in self._servers.values() if s.up), key=lambda s: s.name)
+        self._groups = {}
+        for server in self._up:
+            self._groups.setdefault(-1 - server.zone, []).append(server)
+            self._groups.setdefault(server.cell, []).append(server)
+        self._heaviest = max((s.heft for s in self._up), default=1.0)
+        self._subset = sorted(self._up, key=lambda s: (crc32(f"{self._set.index}/{s.name}".encode()), s.name))
+        self._live = sum(1 for s in self._up if s.k)
+        self._shut_until = 0
+
+    def _ask_later(self, now: int) -> None:
+        pause = 1 + int(self._ask_pause * 2 * self._random())
+        self._asked_at = now + pause
+        self._acts.append(Defer(pause, 0))
+
+    def _refresh(self, server: Server) -> None:
+        """Keep the list of servers under budget true after any change to a server."""
+        fits = server.up and server.inflight < server.budget
+        if fits and server.slot < 0:
+            server.slot = len(self._room)
+            self._room.append(server)
+        elif not fits and server.slot >= 0:
+            last = self._room.pop()
+            if last is not server:
+                self._room[server.slot] = last
+                last.slot = server.slot
+            server.slot = -1
+
+    # --- learning -------------------------------------------------------------------------------
+
+    def _learn(self, now: int, attempt: Attempt, event: Response) -> None:
+        if event.how == How.OK and event.lag_ns > 0:
+            server = attempt.server
+            span = min(self._horizon, now - self._begun_at + self._pace)
+            self._served, self._served_at = _pulse(self._served, now - self._served_at, span), now
+            service = event.lag_ns * self._ramp(server, now)  # being cold is no fault, and passes
+            sample = service / attempt.size
+            known = server.stretch if server.seen else self._stretch
+            server.stretch, server.seen = known + (sample - known) * GAIN, now
+            self._stretch += (sample - self._stretch) * GAIN / 8
+            extra, count, at = self._extra[attempt.cls]
+            error = min(service - attempt.hint - extra, 2 * attempt.size)  # a few cost many times the usual
+            # By time and both ways alike: a jam hardly moves it, and a figure set too low does not last.
+            first = count < 2 or (count < 32 and self._crowd < CROWDED)
+            gain = max(1.0 / (count + 1) if first else 0.0, (now - at) / (64 * self._horizon))
+            self._extra[attempt.cls] = (max(0.0, extra + error * min(gain, 1.0)), count + 1, now)
+
+    def _feel(self, now: int, attempt: Attempt, event: Response) -> None:
+        """How crowded the fleet is, from own answers alone. Only whether an answer was slow counts, not how
+        slow: a server that stands still or keeps silent says nothing of the rest."""
+        silent = event.how == How.TIMEOUT and attempt.server.seen < attempt.sent  # to every call, as in a jam
+        if self._probing or not (silent or event.how in (How.OK, How.FULL)):
+            return  # echoes tell it better
+        slow = event.how != How.OK or event.lag_ns > SLOW * attempt.size
+        self._crowd += (slow - self._crowd) * GAIN
+        self._crowd_at = now
+
+    def _judge(self, now: int, attempt: Attempt, how: int) -> None:
+        """Budget, trial and conviction after an outcome."""
+        server = attempt.server
+        if how in (How.CANCELLED, How.MOOT):
+            return  # withdrawn or never sent: no verdict on the server
+        failed = how != How.OK
+        before = server.k
+        if attempt.trial:
+            if failed:
+                server.backoff = min(max(2 * server.backoff, self._horizon), 8 * self._horizon)
+                server.retry_at = now + int(server.backoff * (0.75 + 0.5 * self._random()))
+            else:
+                server.k = min(server.k + 1, STEPS)
+                server.backoff = server.retry_at = 0
+        elif how in (How.CONNECT_FAILED, How.RESET) and server.k:
+            server.k //= 2
+        if how == How.FULL:
+            server.figure = max(1.0 / STEPS, server.figure * 0.7)
+        elif how == How.TIMEOUT:
+            pause = min(max(2 * server.mute.get(attempt.cls, UNMUTED)[1], self._horizon), 8 * self._horizon)
+            server.mute[attempt.cls] = (now + pause, pause)
+        elif not failed:
+            server.mute.pop(attempt.cls, None)
+            server.figure = min(FIGURE, server.figure + GAIN / 8)
+        if how == How.ERROR and self._may_convict():
+            # Exception "conviction": failing servers answer fast, look idle and would draw all traffic.
+            server.k = 0
+        if before and not server.k:
+            self._live -= server.up
+            if not attempt.trial:
+                server.backoff = max(server.backoff, self._horizon)
+                server.retry_at = now + int(server.backoff * (0.75 + 0.5 * self._random()))
+        elif server.k and not before:
+            self._live += server.up
+
+    def _may_convict(self) -> bool:
+        """When most servers look bad the cause is shared, and convicting more only costs capacity."""
+        return 2 * self._live > len(self._up)
+
+    # --- the pick -------------------------------------------------------------------------------
+
+    def _ramp(self, server: Server, now: int) -> float:
+        """The share of its capacity that a server has at worst, being cold."""
+        inv = self._set.invariants
+        age = now - server.started
+        if server.started <= 0 or age >= inv.cold_ns:
+            return 1.0
+        return inv.cold_from + (1.0 - inv.cold_from) * max(age, 0) / inv.cold_ns
+
+    def _warm(self, server: Server, now: int) -> bool:
+        """Exception "cold ramp": a server that may be cold gets its worst warmth's share of what own servers
+        answer, in credit for one call at a time. Answers and not demand, which a storm multiplies; a floor
+        of the demand, lest a fleet that is cold throughout gets nothing."""
+        ramp = self._ramp(server, now)
+        if ramp >= 1.0:
+            return True
+        served = min(self._served, 1.0 / max(1, now - self._served_at))
+        rate = ramp * max(served, self._set.invariants.cold_from * self._rate) / self._reach
+        server.credit = min(1.0, server.credit + rate * (now - server.credit_at))
+        server.credit_at = now
+        return server.credit >= 1.0
+
+    def _fits(self, now: int, server: Server) -> bool:
+        """Under budget or due for a trial, and warm enough."""
+        free = server.slot >= 0 or (not server.k and self._trial_due(server, now))
+        return server.up and free and self._warm(server, now)
+
+    def _expect(self, server: Server, call: Call, now: int) -> float:
+        """Expected time to answer, with prices put into time. What is old fades to the mean."""
+        stretch = self._stretch
+        if server.seen:
+            age = now - server.seen
+            stretch += (server.stretch - stretch) * 8 * self._horizon / (8 * self._horizon + age)
+        aim, prices = call.cls.aim_ns, self._set.prices
+        expect = call.size * stretch
+        if server.zone != self._set.zone:
+            expect += prices.get("crossZone", 0.0) * aim
+        if server.inflight >= server.peak or now - server.used > self._set.limits.conn_idle_ns:
+            expect += prices.get("handshake", 0.0) * aim
+        return expect
+
+    def _draw(self, call: Call, turn: int) -> Server | None:
+        """One server from the source of draws: the group a repeat is bound to, or all that may be drawn."""
+        if call.ran_on is not None and call.cls.repeat == "guarded" and call.cls.group != "all":
+            bound = call.ran_on
+            members = self._groups.get(bound.cell if call.cls.group == "cell" else -1 - bound.zone)
+            return members[int(self._random() * len(members))] if members else None
+        # Exception "own subset": a sidecar learns nothing of a fleet it meets once a minute; hundreds of them
+        # fill the servers' connection tables, and handshakes take capacity. One server more for every two
+        # calls in flight keeps a busy sidecar off its few.
+        need = 0.5 * self._rate * call.size
+        size = min(len(self._subset), self._subset_size + int(need) + turn // 4)
+        self._reach = max(1, size)
+        return self._subset[int(self._random() * size)] if size else None
+
+    def _pick(self, now: int, call: Call) -> tuple[Server | None, bool, float]:
+        """The less loaded of two random servers; (server, is a trial, expected time)."""
+        best: Server | None = None
+        best_time = 0.0
+        drawn = 0
+        for turn in range(DRAWS):
+            server = self._draw(call, turn)
+            if server is None:
+                return None, False, 0.0
+            if server is best or server in call.tried:
+                continue
+            if server.heft < self._heaviest * self._random():
+                continue  # Exception "listed weight": servers of unlike size are drawn by the weight listed
+            if turn < DRAWS - 2 and now < server.mute.get(call.number, UNMUTED)[0]:
+                # Exception "unanswered class": a server may fail one class and serve the rest, which k cannot
+                # tell. Drawn all the same at the end, lest a shared cause leave the class no server.
+                continue
+            if not self._fits(now, server):
+                continue
+            if not server.k:
+                return server, True, 0.0
+            time = self._expect(server, call, now)
+            drawn += 1
+            if best is None or (server.inflight, time) < (best.inflight, best_time):
+                best, best_time = server, time
+            if drawn == 2:
+                break
+        if best is None and not self._room and self._up:
+            server = self._up[int(self._random() * len(self._up))]
+            grows = 0 < server.k < STEPS and self._trial_due(server, now) and self._warm(server, now)
+            if grows and self._may_go(now, call, server):
+                return server, True, 0.0  # growth: calls wait at full budgets, so one passes as a trial
+        return best, False, best_time
+
+    def _trial_due(self, server: Server, now: int) -> bool:
+        return not server.trial and now >= server.retry_at
+
+    # --- rules one and two: the only place that sends, refuses or fails ---------------------------
+
+    def _may_go(self, now: int, call: Call, server: Server) -> bool:
+        """Whether the class and the limits allow a further attempt on this server."""
+        cls = call.cls
+        if not server.up or call.begun or now >= call.deadline:
+            return False
+        limits = self._set.limits
+        if call.attempts >= limits.max_attempts or (call.out and not limits.second_copies):
+            return False
+        if cls.repeat == "free":
+            return True
+        if call.out and cls.repeat != "guarded":
+            return False
+        ran_on, ran_at = call.ran_on, call.ran_at
+        if ran_on is None:
+            return not call.out  # no second copy of what is not free before the first is known to have run
+        if cls.repeat != "guarded" or now >= ran_at + cls.window_ns:
+            return False
+        if cls.group == "zone":
+            return server.zone == ran_on.zone
+        return cls.group == "all" or (cls.group == "cell" and server.cell == ran_on.cell)
+
+    def _may_refuse(self, call: Call) -> bool:
+        """Whether telling the client that a retry is harmless would be true."""
+        if call.cls.repeat == "free" or (call.ran_on is None and not call.out):
+            return True
+        return call.cls.repeat == "guarded" and call.cls.group == "all"
+
+    def _send(self, now: int, call: Call, server: Server, trial: bool) -> bool:
+        """Start an attempt if the rules allow it there; every send passes here."""
+        if not self._may_go(now, call, server):
+            return False
+        self._touch(now, server)
+        server.peak = max(server.peak, server.inflight + 1)
+        self._attempts[call.tid, call.attempts] = Attempt(server, trial, now, call)
+        call.attempts += 1
+        call.out += 1
+        call.tried.append(server)
+        server.inflight += 1
+        server.credit -= 1.0
+        server.trial = server.trial or trial
+        server.load += 1.0
+        self._held.pop(call.tid, None)
+        self._refresh(server)
+        self._acts.append(Submit(call.tid, server.name, call.deadline))
+        return True
+
+    def _end(self, now: int, call: Call, hold_off: int) -> None:
+        """Give the final answer: a refusal where that promise is true, else a failure."""
+        self._drop(call.tid)
+        if self._may_refuse(call):
+            limits = self._set.limits
+            self._acts.append(Refuse(call.tid, min(hold_off, limits.max_retry_after_ns) * limits.retry_after))
+        else:
+            self._acts.append(Fail(call.tid))
+
+    # --- a call's way ---------------------------------------------------------------------------
+
+    def _give_up(self, call: Call) -> int:
+        """When holding a call further earns nothing; always before its client's time is up."""
+        last = call.deadline - 2 * self._set.period_ns
+        if call.cls.late_worth > 0:
+            return last
+        return min(last, call.aim_at - int(call.size * self._stretch / 2))
+
+    def _try(self, now: int, call: Call) -> bool:
+        """Send the call or end it; False if it has to wait."""
+        scan = self._up and not self._live and now >= self._shut_until
+        if scan and not any(self._trial_due(s, now) for s in self._up):
+            self._shut_until = max(now + self._pace, min(s.retry_at for s in self._up))
+        if now < self._shut_until and not self._live:
+            # Every server is at k = 0 in trial or backoff: nothing can take it soon.
+            self._end(now, call, self._shut_until - now)
+            return True
+        server, trial, expect = self._pick(now, call)
+        if server is None:
+            return False
+        if not trial and self._hopeless(now, call, expect):
+            self._end(now, call, call.cls.aim_ns // 8)
+        elif not self._send(now, call, server, trial):
+            self._end(now, call, 0)
+        return True
+
+    def _hopeless(self, now: int, call: Call, expect: float) -> bool:
+        """Exception "shedding": the best server found would answer after the aim, which earns little.
+        Random, so that a thousand sidecars with the same old news don't all stop and start together."""
+        ratio = expect / max(1, call.aim_at - now)
+        return self._random() < min(0.9, (ratio - HOPEFUL + self._crowd) * 1.5) * (1.0 - call.cls.late_worth)
+
+    def _again(self, now: int, call: Call) -> None:
+        """After a failed attempt: another one if class, time and retry budget allow, else the end."""
+        limit = call.deadline if call.cls.late_worth > 0 else call.aim_at
+        if self._tokens >= 1.0 and now + call.size * self._stretch / 2 < limit:
+            if self._probing and (call.ran_on is None or call.cls.repeat == "free"):
+                self._tokens -= 1.0
+                self._ask(now, call)
+                return
+            server, trial, _ = self._pick(now, call)
+            if server is not None and self._send(now, call, server, trial):
+                self._tokens -= 1.0
+                return
+        self._end(now, call, 0)
+
+    # --- probes ---------------------------------------------------------------------------------
+
+    def _ask(self, now: int, call: Call) -> None:
+        """Exception "probed pick": where probes bring reports cheaply, the candidates are asked first."""
+        call.rounds += 1
+        call.best = None
+        call.pending = 0
+        for _ in range(2 * PROBES):
+            server = self._draw(call, 0)
+            if server is None or call.pending == PROBES:
+                break
+            if server.mute_until > now or server in call.tried or call in server.askers:
+                continue
+            if not self._fits(now, server):
+                continue
+            call.pending += 1
+            server.askers.append(call)
+            self._acts.append(Probe(server.name))
+        self._hold(now, call)  # an echo may come too late, or never
+
+    def _on_echo(self, now: int, event: Echo) -> None:
+        server = self._servers.get(event.server)
+        if server is None:
+            return
+        call = server.askers.popleft() if server.askers else None
+        if event.how == How.OK:
+            # A server that answers without a report is taken for busy, as its machine may be: never for idle.
+            server.load = event.load.get("inflight", event.load.get("queue", max(server.load, UNTOLD)))
+            if "queue" in event.load:
+                self._crowd += (min(1.5 * event.load["queue"], JAMMED) - self._crowd) * GAIN / PROBES
+                self._crowd_at = now
+        else:
+            server.mute_until = now + self._horizon  # down, cut off or standing still: ask others meanwhile
+        if call is None or not call.pending or call.tid not in self._calls:
+            return
+        call.pending -= 1
+        if event.how == How.OK and self._fits(now, server):
+            best = call.best
+            if best is None or (server.load, server.stretch) < (best.load, best.stretch):
+                call.best = server
+        if call.pending <= 1 or (call.best is not None and call.best.load < 1.0):
+            call.pending = 0
+            self._settle(now, call)
+
+    def _settle(self, now: int, call: Call) -> None:
+        """Send to the least loaded server that echoed, if it can answer in time; else ask on or hold."""
+        server = call.best
+        if server is not None and server.load >= 1.0 and call.rounds % ROUNDS:
+            self._ask(now, call)
+            return
+        if server is not None:
+            expect = (server.load + 1.0) * call.size * max(self._stretch, server.stretch)
+            free = server.load < 1.0 and self._crowd < CROWDED  # nothing to lose: the hint may be too high
+            if (free or now + expect <= call.aim_at) and self._send(now, call, server, not server.k):
+                return
+        self._hold(now, call)
+
+    # --- ordered hold ---------------------------------------------------------------------------
+
+    def _hold(self, now: int, call: Call) -> None:
+        if now + self._pace >= call.give_up:
+            self._end(now, call, call.cls.aim_ns // 8)
+            return
+        self._held[call.tid] = call
+        self._arm()
+
+    def _arm(self) -> None:
+        if self._held and not self._armed:
+            self._armed = True
+            self._acts.append(Defer(self._pace, TICK))
+
+    def _pump(self, now: int, ticked: bool = False) -> None:
+        """Let held calls go in arrival order; end those whose time has run out."""
+        held = self._held
+        if not held:
+            return
+        if ticked:
+            for call in [c for c in held.values() if now + self._pace >= c.give_up]:
+                self._end(now, call, call.cls.aim_ns // 8)
+        if not self._probing:
+            while held and self._try(now, next(iter(held.values()))):
+                pass
+        elif ticked:
+            for call in [c for c in held.values() if not c.pending]:
+                self._ask(now, call)
+        self._arm()
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,301 @@
+"""One small test for each failure found, and for each defence: that it acts, and that it lets go."""
+
+import pathlib
+import re
+
+from build import MS, SECOND, accept, balancer, fleet, only, outcome
+
+from dunefield import (
+    Accept,
+    Alarm,
+    CloseIdle,
+    Defer,
+    Directory,
+    Echo,
+    Entry,
+    Fail,
+    How,
+    Probe,
+    Refuse,
+    Submit,
+)
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def serve(b, now, count, lag_ns, step=20 * MS, how=How.OK, prefix="s", cls=0, **load):
+    """Offer calls one after the other, each answered after lag_ns; return the refused, and the time."""
+    refused = 0
+    for i in range(count):
+        now += step
+        sends = only(b.handle(now, accept(f"{prefix}{i}", cls)), Submit)
+        if sends:
+            b.handle(now + lag_ns, outcome(sends[0], how, lag_ns, load=load))
+        else:
+            refused += 1
+        now += lag_ns
+    return refused, now
+
+
+def test_exceptions_in_code_and_docs_match():
+    code = set(re.findall(r'Exception "([^"]+)"', (ROOT / "dunefield/rules.py").read_text(encoding="utf-8")))
+    rows = set(re.findall(r'^\| "([^"]+)" \|', (ROOT / "docs/design.md").read_text(encoding="utf-8"), re.M))
+    assert code == rows
+
+
+def test_module_size_and_pointer():
+    text = (ROOT / "dunefield/rules.py").read_text(encoding="utf-8")
+    lines = [line for line in text.splitlines() if line.strip()]
+    assert len(lines) <= 650 and max(map(len, lines)) <= 110
+    assert "interface.py" in lines[0]
+
+
+def test_shedding_acts_least_worth_first_and_lets_go():
+    b = balancer(servers=4)
+    calm, now = serve(b, 0, 10, 20 * MS, prefix="dear", cls=2)
+    calm, now = serve(b, now, 60, 20 * MS)
+    assert calm == 0
+    refused = {0: 0, 2: 0}
+    for i in range(120):  # two of three answers are slow, for both classes alike
+        cls = 2 * (i % 2)
+        lost, now = serve(b, now, 1, 50 * MS if i % 3 else 20 * MS, prefix=f"jam{i}-", cls=cls)
+        refused[cls] += lost
+    assert refused[0] > refused[2]
+    late, now = serve(b, now + 30 * SECOND, 60, 20 * MS, prefix="calm")
+    assert late <= 6
+    assert serve(b, now, 30, 20 * MS, prefix="after")[0] == 0
+
+
+def test_a_jam_from_the_start_is_not_taken_for_normal():
+    b = balancer(servers=4)
+    _, now = serve(b, 0, 4, 20 * MS)
+    serve(b, now, 60, 300 * MS, prefix="jam")
+    assert b._extra[0][0] < 150 * MS  # so that an answer after 300 ms is still a slow one
+
+
+def test_an_uncrowded_time_set_too_low_does_not_last():
+    b = balancer(servers=4)
+    _, now = serve(b, 0, 40, 10 * MS)
+    refused, now = serve(b, now, 2000, 30 * MS, prefix="slower")
+    assert serve(b, now, 100, 30 * MS, prefix="later")[0] < 50
+
+
+def test_single_costly_calls_do_not_shed():
+    b = balancer(servers=4)
+    refused = 0
+    now = 0
+    for i in range(20):
+        _, now = serve(b, now, 10, 20 * MS, prefix=f"n{i}-")
+        lost, now = serve(b, now, 1, 350 * MS, prefix=f"heavy{i}-")
+        refused += lost
+    assert refused <= 2
+
+
+def probing(**more):
+    return balancer(servers=6, reporting={"how": "probe"}, limits={"mayProbe": True}, **more)
+
+
+def test_a_class_left_unanswered_is_kept_off_while_others_go_on():
+    b = balancer(servers=2)
+    send = only(b.handle(0, accept("x", cls=0)), Submit)[0]
+    b.handle(SECOND, outcome(send, How.TIMEOUT, lag_ns=SECOND))
+    used = {0: set(), 2: set()}
+    now = SECOND + MS
+    for i in range(40):
+        for cls in used:
+            for again in only(b.handle(now, accept(f"c{cls}-{i}", cls)), Submit):
+                used[cls].add(again.server)
+                b.handle(now, outcome(again, lag_ns=MS))
+            now += MS
+    assert send.server not in used[0] and send.server in used[2]
+
+
+def test_time_outs_of_silent_servers_shed():
+    b = balancer(servers=4)
+    refused, now = serve(b, 0, 60, 20 * MS)
+    assert refused == 0
+    for i in range(20):
+        done = b.handle(now, accept(f"lost{i}"))
+        refused += len(only(done, Refuse))
+        for send in only(done, Submit):
+            b.handle(now + SECOND, outcome(send, How.TIMEOUT, lag_ns=SECOND))
+        now += SECOND
+    assert 2 <= refused <= 18
+
+
+def test_calls_whose_client_leaves_too_soon_are_not_sent():
+    b = balancer(servers=4)
+    _, now = serve(b, 0, 30, 100 * MS)
+    sent = sum(len(only(b.handle(now + i, accept(f"short{i}", ttl_ns=60 * MS)), Submit)) for i in range(40))
+    assert sent < 12
+
+
+def test_probed_pick_takes_the_least_loaded():
+    b = probing()
+    probes = only(b.handle(0, accept("a")), Probe)
+    assert len({p.server for p in probes}) == 4
+    b.handle(1, Echo(probes[0].server, How.OK, 1, {"inflight": 2.0}))
+    done = b.handle(1, Echo(probes[1].server, How.OK, 1, {"inflight": 0.0}))
+    assert [s.server for s in only(done, Submit)] == [probes[1].server]
+
+
+def test_a_server_without_its_report_is_not_taken_for_idle():
+    b = probing()
+    probes = only(b.handle(0, accept("a")), Probe)
+    done = b.handle(1, Echo(probes[0].server, How.OK, 1, {}))
+    for probe in probes[1:]:
+        done += b.handle(1, Echo(probe.server, How.OK, 1, {"inflight": 1.0}))
+    assert all(send.server != probes[0].server for send in only(done, Submit))
+
+
+def test_a_call_too_large_for_its_aim_still_goes_to_an_idle_server():
+    b = probing()
+    probes = only(b.handle(0, Accept("a", 0, SECOND, cost_ns=450 * MS)), Probe)
+    assert only(b.handle(1, Echo(probes[0].server, How.OK, 1, {"inflight": 0.0})), Submit)
+
+
+def test_probed_pick_survives_silence():
+    b = probing()
+    done = b.handle(0, accept("a"))
+    now, ended = 0, []
+    while not ended and now < 2 * SECOND:
+        tick = only(done, Defer)[0]
+        now += tick.in_ns
+        done = b.handle(now, Alarm(tick.tag))
+        ended = [a for a in done if isinstance(a, Refuse | Fail)]
+    assert ended and now < SECOND
+
+
+def test_no_probes_where_they_are_dear():
+    b = probing(prices={"probe": 0.01})
+    done = b.handle(0, accept("a"))
+    assert only(done, Submit) and not only(done, Probe)
+
+
+def test_idle_connections_that_reset_are_closed_before_use_and_do_not_lower_k():
+    b = balancer(servers=1)
+    first = only(b.handle(0, accept("a")), Submit)[0]
+    b.handle(20 * MS, outcome(first, lag_ns=20 * MS))
+    second = only(b.handle(5 * SECOND, accept("b")), Submit)[0]
+    b.handle(5 * SECOND + MS, outcome(second, How.RESET, lag_ns=MS))
+    assert b._servers[first.server].k == 1
+    done = b.handle(10 * SECOND, accept("c"))
+    assert [type(a) for a in done[:2]] == [CloseIdle, Submit]
+
+
+def test_reset_in_the_middle_of_work_lowers_k():
+    b = balancer(servers=1)
+    first = only(b.handle(0, accept("a")), Submit)[0]
+    b.handle(20 * MS, outcome(first, How.RESET, lag_ns=20 * MS))
+    assert b._servers[first.server].k == 0
+
+
+def test_unknown_class_never_repeats():
+    b = balancer()
+    send = only(b.handle(0, Accept("x", 77, SECOND)), Submit)[0]
+    done = b.handle(10 * MS, outcome(send, How.RESET))
+    assert only(done, Fail) and not only(done, Submit) and not only(done, Refuse)
+
+
+def test_outcome_of_an_old_process_does_not_judge_the_new_one():
+    b = balancer(servers=1)
+    send = only(b.handle(SECOND, accept("x")), Submit)[0]
+    entry = Entry(send.server, started_ns=2 * SECOND)
+    b.handle(3 * SECOND, Directory("INCREMENTAL", (entry,)))
+    b.handle(4 * SECOND, outcome(send, How.RESET))
+    assert b._servers[send.server].k == 1
+
+
+def test_own_subset_is_small_where_connections_cost():
+    used = set()
+    b = balancer(servers=40, prices={"connection": 0.05})
+    for i in range(60):
+        for send in only(b.handle(i * SECOND, accept(f"c{i}")), Submit):
+            used.add(send.server)
+            b.handle(i * SECOND + 20 * MS, outcome(send, lag_ns=20 * MS))
+    assert len(used) <= 6
+
+
+def cold_share(age_ns):
+    """Share of calls, none of them answered yet, that go to the one cold server of four."""
+    sent = {"cold": 0, "warm": 0}
+    for seed in range(200):
+        b = balancer(servers=0, seed=seed)
+        entries = [*fleet(3).entries, Entry("10.0.0.9:80", started_ns=SECOND)]
+        b.handle(SECOND + age_ns, Directory("FULL", tuple(entries)))
+        for send in only(b.handle(SECOND + age_ns, accept("c")), Submit):
+            sent["cold" if send.server == "10.0.0.9:80" else "warm"] += 1
+    return sent["cold"] / sum(sent.values())
+
+
+def test_cold_server_gets_less_and_then_its_share():
+    assert cold_share(0) < 0.15
+    assert cold_share(6 * SECOND) > 0.18
+
+
+def test_a_storm_does_not_reach_a_cold_server():
+    b = balancer(servers=3, invariants={"coldFrom": 0.12, "coldNs": 20 * SECOND})
+    _, now = serve(b, SECOND, 50, 20 * MS, step=80 * MS)
+    b.handle(now, Directory("INCREMENTAL", (Entry("cold:1", started_ns=now - MS),)))
+    sent = []
+    for i in range(2000):  # twenty times the demand, answered by nobody
+        sent += only(b.handle(now + i * MS, accept(f"storm{i}")), Submit)
+    assert len(sent) > 4 and sum(send.server == "cold:1" for send in sent) <= 2
+
+
+def test_refused_as_full_lowers_the_figure_and_answers_raise_it():
+    b = balancer(servers=1)
+    send = only(b.handle(0, accept("x")), Submit)[0]
+    b.handle(MS, outcome(send, How.FULL, lag_ns=MS))
+    server = next(iter(b._servers.values()))
+    low = server.figure
+    assert low < 2.0
+    serve(b, SECOND, 30, 20 * MS, prefix="calm")
+    assert server.figure > low
+
+
+def test_a_server_out_of_service_gets_its_trial_where_probes_decide():
+    b = balancer(servers=1, reporting={"how": "probe"}, limits={"mayProbe": True})
+    name = only(b.handle(0, accept("a")), Probe)[0].server
+    send = only(b.handle(1, Echo(name, How.OK, 1, {"inflight": 0.0})), Submit)[0]
+    b.handle(2, outcome(send, How.CONNECT_FAILED, lag_ns=1))
+    assert b._servers[name].k == 0
+    probes = only(b.handle(20 * SECOND, accept("b")), Probe)
+    again = only(b.handle(20 * SECOND + 1, Echo(probes[0].server, How.OK, 1, {"inflight": 0.0})), Submit)
+    b.handle(20 * SECOND + 2, outcome(again[0], lag_ns=1))
+    assert b._servers[name].k == 1
+
+
+def test_listed_weight_draws_more():
+    sent = {"light": 0, "heavy": 0}
+    for seed in range(200):
+        b = balancer(servers=0, seed=seed)
+        b.handle(0, Directory("FULL", (Entry("light", weight=0.5), Entry("heavy", weight=1.5))))
+        sent[only(b.handle(1, accept("c")), Submit)[0].server] += 1
+    assert sent["heavy"] > 1.3 * sent["light"]
+
+
+def test_failing_server_is_left_and_tried_again():
+    b = balancer(servers=4)
+    send = only(b.handle(0, accept("x")), Submit)[0]
+    b.handle(MS, outcome(send, How.ERROR, lag_ns=MS))
+    bad = b._servers[send.server]
+    assert bad.k == 0
+    sent, now = False, 20 * SECOND
+    for i in range(200):
+        for again in only(b.handle(now, accept(f"r{i}")), Submit):
+            sent = sent or again.server == send.server
+            b.handle(now, outcome(again, lag_ns=20 * MS))
+        now += 10 * MS
+    assert sent and bad.k == 1
+
+
+def test_all_servers_out_is_refused_with_a_time():
+    b = balancer(servers=2)
+    now = 0
+    for i in range(40):
+        for send in only(b.handle(now, accept(f"x{i}", cls=1)), Submit):
+            b.handle(now, outcome(send, How.CONNECT_FAILED, lag_ns=MS))
+            b.handle(now, outcome(send, How.CONNECT_FAILED, lag_ns=MS, attempt=1))
+    done = b.handle(now + MS, accept("late", cls=1))
+    assert [a.hold_off_ns > 0 for a in only(done, Refuse)] == [True]
--- /dev/null
+++ b/tests/test_odd.py
@@ -0,0 +1,135 @@
+"""Legal but odd: no exception, and every call still gets its one answer in time."""
+
+import io
+import json
+import subprocess
+import sys
+
+import pytest
+from build import MS, SECOND, accept, balancer, fleet, only, outcome
+
+from dunefield import (
+    Accept,
+    Alarm,
+    Defer,
+    Directory,
+    Echo,
+    Entry,
+    Fail,
+    Hangup,
+    How,
+    Refuse,
+    Response,
+    Submit,
+)
+from dunefield.adapter import Host
+
+
+def finals(actions):
+    return [a for a in actions if isinstance(a, Refuse | Fail)]
+
+
+def play_out(b, done, now=0, until=3 * SECOND):
+    """Serve the balancer's timers; return all final answers with their times."""
+    timers, ends = [], [(now, a) for a in finals(done)]
+    timers += [(now + d.in_ns, d.tag) for d in only(done, Defer)]
+    while timers:
+        timers.sort()
+        at, tag = timers.pop(0)
+        if at > until:
+            break
+        done = b.handle(at, Alarm(tag))
+        ends += [(at, a) for a in finals(done)]
+        timers += [(at + d.in_ns, d.tag) for d in only(done, Defer)]
+    return ends
+
+
+@pytest.mark.parametrize("call", [
+    Accept("x", -1, SECOND), Accept("x", 99, SECOND), Accept("x", 0, SECOND, tenant=-5),
+    Accept("x", 0, SECOND, tenant=99), Accept("x", 0, SECOND, cost_ns=0), Accept("x", 0, SECOND, key="k"),
+])
+def test_odd_numbers_in_a_request(call):
+    assert only(balancer().handle(0, call), Submit)
+
+
+@pytest.mark.parametrize("ttl", [0, -1, 1])
+def test_no_time_left_is_answered_at_once(ttl):
+    done = balancer().handle(0, accept("x", ttl_ns=ttl))
+    assert len(finals(done)) == 1 and not only(done, Submit)
+
+
+def test_a_zone_out_of_range():
+    b = balancer(servers=0, zone=77)
+    b.handle(0, Directory("FULL", (Entry("a", zone=-3), Entry("b", zone=99))))
+    assert only(b.handle(0, accept("x")), Submit)
+
+
+@pytest.mark.parametrize("servers", [(), fleet(2).entries + fleet(2).entries])
+def test_empty_and_repeated_lists(servers):
+    b = balancer(servers=0)
+    done = b.handle(0, Directory("FULL", servers))
+    done = b.handle(0, accept("x"))
+    assert len(only(done, Submit)) == (1 if servers else 0)
+    assert servers or len(play_out(b, done)) == 1
+
+
+def test_a_list_that_never_comes():
+    b = balancer(servers=0)
+    ends = play_out(b, b.handle(0, accept("x")))
+    assert len(ends) == 1 and ends[0][0] < SECOND
+
+
+def test_late_outcome_hangup_and_echo_after_the_end():
+    b = balancer(servers=1)
+    send = only(b.handle(0, accept("x")), Submit)[0]
+    b.handle(MS, Hangup("x"))
+    assert not finals(b.handle(2 * MS, outcome(send, How.TIMEOUT)))
+    assert not b.handle(3 * MS, Hangup("x"))
+    b.handle(3 * MS, Directory("FULL"))
+    assert not b.handle(4 * MS, Echo(send.server, How.OK, 1, {"queue": 1.0}))
+    assert not b.handle(4 * MS, Echo("never:1", How.OK, 1, {"queue": 1.0}))
+    assert not b.handle(5 * MS, Response("y", 999, 1, "never:1", 7, True))
+
+
+def test_thousands_of_events_after_a_long_silence():
+    b = balancer(servers=6)
+    now, ends, sends = 600 * SECOND, 0, 0
+    for i in range(5000):
+        done = b.handle(now, accept(f"x{i}"))
+        sends += len(only(done, Submit))
+        ends += len(finals(done))
+    assert sends > 0 and ends + sends + len(b._held) == 5000
+    done = b.handle(now + SECOND, Alarm(1))
+    assert len(finals(done)) + len(only(done, Submit)) == 5000 - ends - sends
+
+
+def test_aims_of_nanoseconds():
+    b = balancer(servers=1, classes=[{"onTimeNs": 1, "hardLimitNs": 2}])
+    for i in range(5):
+        done = b.handle(0, accept(f"x{i}", ttl_ns=2))
+        assert len(finals(done)) + len(only(done, Submit)) == 1
+
+
+def test_crash_and_reopening_in_one_batch():
+    env = {"classes": [{"hardLimitNs": SECOND, "repeat": "free"}], "limits": {"maxAttempts": 2}}
+    opened = f"open_instance who=0 prng=7 env={json.dumps(env)}"
+    listed = ["roster slot=0 nodesList=1", "server server=a:1", "directory_update who=0 scope=SAVED slot=0"]
+    lines = ["clock wallNs=1", opened, *listed, "accept who=0 tid=aa ttlNs=900000000", "crash_now who=0",
+             opened, *listed, "accept who=0 tid=bb ttlNs=900000000",
+             "response who=0 tid=aa how=100 server=a:1 go=0 closed=1", "eob"]
+    out = io.StringIO()
+    assert Host(io.StringIO("\n".join(lines) + "\n"), out).run() == 0
+    sent = [line for line in out.getvalue().splitlines() if line.startswith("submit_to")]
+    assert [line.split()[2] for line in sent] == ["tid=aa", "tid=bb"]
+
+
+def test_the_number_of_a_line_that_is_not_text():
+    made = subprocess.run([sys.executable, "-m", "dunefield.adapter"], capture_output=True,
+                          input=b"clock wallNs=1\neob\nclock wallNs=2\neob\nclock wallNs=3\n\xff\neob\n")
+    assert made.returncode == 2 and made.stdout == b"next\nnext\n"
+    assert made.stderr.startswith(b"line 6: ") and made.stderr.count(b"\n") == 1
+
+
+def test_settings_nested_without_end():
+    text = f"clock wallNs=1\nopen_instance who=0 prng=7 env={'[' * 100000}\neob\n"
+    assert Host(io.StringIO(text), io.StringIO()).run() == 2
