A sidecar on real sockets carries the module's decisions

Seen: the inherited tree decides but has no program for real traffic. Open: 2,414 connections to servers for 476 requests; they are not reused.

--- /dev/null
+++ b/hollyport/sidecar.py
@@ -0,0 +1,401 @@
+"""One sidecar: the module's clock, timers, events and actions, and the table of requests and attempts.
+
+Nothing is decided here. What happens on sockets becomes an event for `dunefield.rules`, and what that
+answers is carried out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import sys
+import time
+import traceback
+from collections import deque
+
+from dunefield.interface import (
+    NEVER_RAN,
+    Accept,
+    Action,
+    Alarm,
+    CloseIdle,
+    Defer,
+    Directory,
+    Echo,
+    Event,
+    Fail,
+    Fetch,
+    Hangup,
+    How,
+    Note,
+    Probe,
+    Refuse,
+    Response,
+    Retract,
+    Submit,
+    Subscribe,
+    Tell,
+)
+from dunefield.rules import Balancer
+from hollyport.config import Config
+from hollyport.discovery import Discovery, Listing, read_listing
+from hollyport.listener import HOP_BY_HOP, Listener, Message
+from hollyport.upstream import Exchange, Reply, Upstream
+
+MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
+GUARD_NS = 5_000_000  # and the last guard between the two
+KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
+LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
+RESERVE = 24  # descriptors for the program itself
+NOT_FORWARDED = HOP_BY_HOP | {b"content-length", b"expect", b"x-timeout"}
+NOT_RETURNED = HOP_BY_HOP | {b"content-length", b"x-server-load", b"date", b"server"}
+
+
+class Clock:
+    """Unix time in nanoseconds, anchored once: servers' starts are told in it, and it must not jump."""
+
+    def __init__(self) -> None:
+        self._anchor = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return self._anchor + time.monotonic_ns()
+
+
+class Request:
+    """A request taken from the application, until it is over and no attempt is out."""
+
+    __slots__ = ("tid", "message", "cls", "head", "attempts", "out", "maybe_ran", "over", "guard", "last")
+
+    def __init__(self, tid: str, message: Message, cls: int) -> None:
+        self.tid, self.message, self.cls = tid, message, cls
+        self.head = b""
+        self.attempts = 0
+        self.out: dict[int, Exchange] = {}
+        self.maybe_ran = False
+        self.over = False  # answered, or the client has left
+        self.guard: asyncio.TimerHandle | None = None
+        self.last: How | None = None
+
+
+class Sidecar:
+    """Wires listener, servers and discovery to one balancer of the decision module."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self._config, self._loop = config, loop
+        self._settings = settings = config.settings
+        self._clock = Clock()
+        self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
+        self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
+        self._requests: dict[str, Request] = {}
+        self._count = 0
+        self._inbox: deque[Event] = deque()
+        self._handling = False
+        # A probe that takes so long tells of a server that stands still, whatever it would have said.
+        self._probe_limit_s = min(c.aim_ns for c in settings.classes) / 6e9
+        probed = b"/-/load" if settings.reports != "none" else b"/-/healthy"
+        self._probe_request = b"GET %s HTTP/1.1\r\nHost: sidecar\r\n\r\n" % probed
+        limits = settings.limits
+        clients = config.sockets // 4
+        self._upstream = Upstream(
+            loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE
+        )
+        self._listener = Listener(self, clients)
+        known = read_listing(config.known, settings)
+        self._discovery = Discovery(loop, config.discovery, settings, known.version, self._told)
+        self._module = Balancer(settings, config.seed, self._clock())
+        self._take_list(known, "SAVED")
+        self._pushed = None if settings.must_ask else loop.create_task(self._discovery.follow())
+
+    # --- life
+
+    async def start(self) -> int:
+        """Listen for the application; return the port."""
+        listen = self._config.listen
+        return await self._listener.start(self._loop, listen.host, listen.port)
+
+    async def stop(self) -> None:
+        """Take requests for as long as they may come, answer all of them, and close what is idle.
+
+        Protects requests in the listen queue: the machine has accepted those connections, so the loop must
+        have read them before the socket closes.
+        """
+        self._listener.last_requests()
+        await asyncio.sleep(KEEP_ACCEPTING_S)
+        while True:
+            self._listener.close()
+            if not self._listener.busy():
+                return
+            await asyncio.sleep(LOOK_S)
+
+    # --- events in
+
+    def deliver(self, event: Event) -> None:
+        """Hand an event to the module; those that its actions bring about wait until these are done."""
+        self._inbox.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._inbox:
+                self._handle(self._inbox.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: Event) -> None:
+        try:
+            actions = self._module.handle(self._clock(), event)
+        except Exception:
+            self._broken(getattr(event, "tid", ""))
+            return
+        for action in actions:
+            try:
+                self._perform(action)
+            except Exception:
+                self._broken(getattr(action, "tid", ""))
+
+    def _broken(self, tid: str) -> None:
+        """An exception costs the request it came from, and nothing else."""
+        traceback.print_exc(file=sys.stderr)
+        request = self._requests.get(tid)
+        if request is not None:
+            self._give_up(request, 500)
+
+    # --- Listener's Service
+
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self._upstream.any_up() and not self._listener.stopping
+
+    def request(self, message: Message) -> None:
+        """Take a request."""
+        if message.header(b"x-request-id") is None:
+            message.answer(400)  # servers take none without
+            return
+        self._count += 1
+        message.tid = tid = str(self._count)
+        cls = self._class_of(message)
+        limit = self._deadline_ns(cls)
+        told = _number(message.header(b"x-timeout"))
+        wait = limit if told is None else min(int(min(max(told, 0.0), 1e6) * 1e9), limit)
+        request = self._requests[tid] = Request(tid, message, cls)
+        request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
+        tenant = self._tenants.get(message.header(b"x-tenant-id") or b"", -1 if self._tenants else 0)
+        cost = _number(message.header(b"x-cost"))
+        self.deliver(Accept(
+            tid,
+            cls,
+            wait - MARGIN_NS,
+            int(min(max(cost or 0.0, 0.0), 1e9) * 1e3),
+            tenant,
+            _cookie(message.header(b"cookie"), b"key"),
+            message.header(b"x-retried") == b"1",
+            _attrs(message.header(b"x-attrs")).get("write") == "1",
+        ))
+
+    def hangup(self, message: Message) -> None:
+        """The client left; what its attempts come to is still told to the module."""
+        request = self._requests.get(message.tid)
+        if request is not None and not request.over:
+            self._finish(request)
+            self.deliver(Hangup(request.tid))
+
+    def _class_of(self, message: Message) -> int:
+        """The class's number; -1, which the module reads with the most care, for one that is unknown or
+        whose method contradicts what the settings say of repeats."""
+        path = message.target.partition(b"?")[0]
+        number = self._classes.get(path.split(b"/", 2)[1] if b"/" in path else b"", -1)
+        if number >= 0 and self._settings.classes[number].repeat != "single_shot":
+            unsafe = message.method == b"POST" and message.header(b"idempotency-key") is None
+            return -1 if unsafe else number
+        return number
+
+    def _deadline_ns(self, cls: int) -> int:
+        classes = self._settings.classes
+        return classes[cls].deadline_ns if cls >= 0 else max(c.deadline_ns for c in classes)
+
+    # --- actions out
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Submit(tid, server, abandon_ns):
+                self._submit(tid, server, abandon_ns)
+            case Probe(server):
+                self._probe(server)
+            case Defer(in_ns, tag):
+                self._defer(self._clock() + in_ns, tag)
+            case Refuse(tid, hold_off_ns):
+                headers = [(b"Retry-After", b"%.3f" % (hold_off_ns / 1e9))] if hold_off_ns > 0 else []
+                self._answer(tid, 503, b"refused\n", headers)
+            case Fail(tid):
+                request = self._requests.get(tid)
+                late = request is not None and request.last is How.TIMEOUT
+                self._answer(tid, 504 if late else 502, b"failed\n", [])
+            case Retract(tid, attempt):
+                request = self._requests.get(tid)
+                if request is not None and attempt in request.out:
+                    request.out[attempt].cancel()
+            case CloseIdle(server):
+                self._upstream.close_idle(server)
+            case Subscribe(want):
+                self._discovery.subscribe(want)
+            case Fetch():
+                self._discovery.fetch()
+            case Note(text):
+                print(f"note: {text}", file=sys.stderr, flush=True)
+            case Tell():
+                raise NotImplementedError("this deployment has no peers")
+
+    def _submit(self, tid: str, server: str, abandon_ns: int) -> None:
+        request = self._requests[tid]
+        number, request.attempts = request.attempts, request.attempts + 1
+        sent = self._clock()
+        abandon = abandon_ns or sent + self._deadline_ns(request.cls)
+
+        def ended(how: How, reply: Reply | None) -> None:
+            request.out.pop(number, None)
+            self._outcome(request, how, reply, sent, server, number)
+
+        exchange = None
+        if not request.over:
+            exchange = self._upstream.exchange(
+                server, lambda: self._wire(request, abandon), (abandon - sent) / 1e9, ended
+            )
+        if exchange is None:
+            ended(How.MOOT, None)
+        else:
+            request.out[number] = exchange
+            exchange.start()
+
+    def _wire(self, request: Request, abandon_ns: int) -> bytes:
+        """The request as it goes to a server; how long we wait depends on when it is written."""
+        message = request.message
+        if not request.head:
+            parts = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
+            parts += [b"%s: %s\r\n" % pair for pair in message.headers if pair[0] not in NOT_FORWARDED]
+            if message.body or message.method == b"POST":
+                parts.append(b"Content-Length: %d\r\n" % len(message.body))
+            request.head = b"".join(parts)
+        left = max(0.001, (abandon_ns - self._clock()) / 1e9)
+        return b"%sX-Timeout: %.4f\r\n\r\n%s" % (request.head, left, message.body)
+
+    def _outcome(
+        self, request: Request, how: How, reply: Reply | None, sent: int, server: str, number: int
+    ) -> None:
+        request.maybe_ran = request.maybe_ran or how not in NEVER_RAN
+        request.last = how
+        if how is How.OK and reply is not None and not request.over:
+            headers = [pair for pair in reply.headers if pair[0].lower() not in NOT_RETURNED]
+            message = request.message
+            self._finish(request)
+            message.answer(200, reply.body, headers)
+        lag = self._clock() - sent
+        load = _load(reply.header(b"x-server-load") if reply is not None else None)
+        self.deliver(Response(request.tid, how, lag, server, number, request.over, load))
+        self._forget(request)
+
+    def _probe(self, server: str) -> None:
+        sent = self._clock()
+
+        def ended(how: How, reply: Reply | None) -> None:
+            load = _load(reply.body if reply is not None else None)
+            self.deliver(Echo(server, how, self._clock() - sent, load))
+
+        exchange = self._upstream.exchange(server, lambda: self._probe_request, self._probe_limit_s, ended)
+        if exchange is None:
+            ended(How.CONNECT_FAILED, None)
+        else:
+            exchange.start()
+
+    def _defer(self, due_ns: int, tag: int) -> None:
+        self._loop.call_later(max(0.0, (due_ns - self._clock()) / 1e9), self._alarm, due_ns, tag)
+
+    def _alarm(self, due_ns: int, tag: int) -> None:
+        if self._clock() < due_ns:
+            # The loop's timers count whole milliseconds and may come early; the module compares with its
+            # clock and would let an early alarm pass for good.
+            self._loop.call_later(0.001, self._alarm, due_ns, tag)
+        else:
+            self.deliver(Alarm(tag))
+
+    # --- ends of requests
+
+    def _answer(self, tid: str, status: int, body: bytes, headers: list[tuple[bytes, bytes]]) -> None:
+        request = self._requests.get(tid)
+        if request is not None and not request.over:
+            self._finish(request)
+            request.message.answer(status, body, headers)
+            self._forget(request)
+
+    def _finish(self, request: Request) -> None:
+        request.over = True
+        if request.guard is not None:
+            request.guard.cancel()
+
+    def _forget(self, request: Request) -> None:
+        if request.over and not request.out:
+            self._requests.pop(request.tid, None)
+
+    def _guard(self, request: Request) -> None:
+        """The client's time is nearly up and nothing has answered: no path may leave a request open."""
+        if not request.over:
+            print(f"guard: request {request.tid} had no answer in time", file=sys.stderr, flush=True)
+            self._give_up(request, 504)
+
+    def _give_up(self, request: Request, status: int) -> None:
+        """Answer without the module, truthfully: a refusal only if no attempt can have run."""
+        free = 0 <= request.cls and self._settings.classes[request.cls].repeat == "free"
+        ran = request.maybe_ran or bool(request.out)
+        self._answer(request.tid, status if ran and not free else 503, b"failed\n", [])
+        self.deliver(Hangup(request.tid))  # for the module it is over, too
+
+    # --- the list
+
+    def _told(self, listing: Listing | None) -> None:
+        if listing is None:
+            self.deliver(Directory("FAILED"))
+        else:
+            self._take_list(listing, "FULL" if listing.whole else "INCREMENTAL")
+
+    def _take_list(self, listing: Listing, scope: str) -> None:
+        for entry, address in listing.lines:
+            self._upstream.update(entry.server, address, entry.started_ns, entry.lifecycle == "up")
+        if scope != "INCREMENTAL":
+            self._upstream.keep_only({line.entry.server for line in listing.lines})
+        self.deliver(Directory(scope, tuple(line.entry for line in listing.lines), listing.version))
+
+
+def _number(text: bytes | None) -> float | None:
+    """A finite number, or None."""
+    try:
+        value = float(text or b"")
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
+
+
+def _cookie(header: bytes | None, name: bytes) -> str:
+    for part in (header or b"").split(b";"):
+        key, _, value = part.strip().partition(b"=")
+        if key == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def _attrs(header: bytes | None) -> dict[str, str]:
+    pairs = (part.partition("=") for part in (header or b"").decode("latin-1").split(","))
+    return {name.strip(): value.strip() for name, _, value in pairs}
+
+
+def _load(text: bytes | None) -> dict[str, float]:
+    """A load report; what is no finite number in it is left out."""
+    if not text:
+        return {}
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError):
+        return {}
+    if not isinstance(raw, dict):
+        return {}
+    numbers = {k: float(v) for k, v in raw.items() if isinstance(v, int | float) and abs(v) < 1e18}
+    return {name: value for name, value in numbers.items() if math.isfinite(value)}
