Reuse connections to servers

Checked: a probe against a small server showed each connection closed by us right after its answer; ruled out: idle limits and the server closing (the server saw our end). To blame: Connection.data_received asked should_keep_alive() after feed_data, when the parser has already reset the framing and says no.

--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -75,9 +75,7 @@
             self._finish(None)
             return
         if self._complete:
-            status = self._parser.get_status_code()
-            self.reusable = self.reusable and self._parser.should_keep_alive()
-            self._finish(Reply(status, self._headers, b"".join(self._body)))
+            self._finish(Reply(self._parser.get_status_code(), self._headers, b"".join(self._body)))
         elif self._size > MAX_REPLY:
             self.abort()
             self._finish(None)
@@ -108,7 +106,12 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
-        self._complete = self._complete or self._parser.get_status_code() >= 200  # 1xx comes before the answer
+        if self._parser.get_status_code() < 200:
+            return  # 1xx: the answer is still to come
+        # Asked here and not after feed_data: the parser forgets the message's framing when it ends, and then
+        # says that no connection can be kept.
+        self.reusable = self.reusable and not self._complete and self._parser.should_keep_alive()
+        self._complete = True
 
     # --- for the owner
 
