--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -24,7 +24,7 @@
     sidecar = Sidecar(config, loop)
     await sidecar.start()
     gc.freeze()  # what is loaded by now stays: no collection needs to walk through it again
-    print(f"{config.name}: listening on {config.listen.host}:{config.listen.port}", file=sys.stderr, flush=True)
+    print(f"{config.name}: listening on {':'.join(map(str, config.listen))}", file=sys.stderr, flush=True)
     await stop.wait()
     await sidecar.stop()
 
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 from collections import deque
+from functools import partial
 from typing import Protocol, cast
 
 import httptools
@@ -67,7 +68,8 @@
 
     async def start(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
         """Listen; return the port."""
-        self._server = await loop.create_server(lambda: ClientConnection(self, loop), host, port, backlog=1024)
+        make = partial(ClientConnection, self, loop)
+        self._server = await loop.create_server(make, host, port, backlog=1024)
         return int(self._server.sockets[0].getsockname()[1])
 
     def last_requests(self) -> None:
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -344,7 +344,7 @@
 
     def _give_up(self, request: Request, status: int) -> None:
         """Answer without the module, truthfully: a refusal only if no attempt can have run."""
-        free = 0 <= request.cls and self._settings.classes[request.cls].repeat == "free"
+        free = request.cls >= 0 and self._settings.classes[request.cls].repeat == "free"
         ran = request.maybe_ran or bool(request.out)
         self._answer(request.tid, status if ran and not free else 503, b"failed\n", [])
         self.deliver(Hangup(request.tid))  # for the module it is over, too
