--- a/hollyport/discovery.py
+++ b/hollyport/discovery.py
@@ -6,6 +6,7 @@
 import json
 import math
 import sys
+import traceback
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -123,6 +124,10 @@
             await self._go_on(caller)
         except (OSError, ListingError):
             self._tell(None)
+        except Exception:
+            # Whatever went wrong, the module must learn that its watch is over, or it would never ask again.
+            traceback.print_exc(file=sys.stderr)
+            self._tell(None)
         finally:
             caller.close()
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -122,11 +122,12 @@
         """
         self._listener.last_requests()
         await asyncio.sleep(KEEP_ACCEPTING_S)
-        while True:
-            self._listener.close()
-            if not self._listener.busy():
-                return
+        # All that was taken is answered by its deadline; a request that never comes in whole was not taken.
+        latest = self._loop.time() + self._deadline_ns(-1) / 1e9
+        self._listener.close()
+        while self._listener.busy() and self._loop.time() < latest:
             await asyncio.sleep(LOOK_S)
+            self._listener.close()
 
     # --- events in
 
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -126,6 +126,11 @@
         self._done, self._complete, self._size = done, False, 0
         self._headers, self._body = [], []
         self._written = False
+        if self._transport.is_closing():
+            # A server at its limit accepts and closes: the end may be known before the first send, and a
+            # write would then raise and leave the attempt without an outcome.
+            self._finish(None)
+            return
         self._transport.write(data)
         self._written = not self._blocked and not self._transport.is_closing()
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 from backend import Call, Conversation, Server, line, ok, play, sidecar
 
+from dunefield import Hangup, How, Response
+from hollyport.config import Address
+from hollyport.upstream import Connection, Upstream
+
 
 async def reset(talk: Conversation, call: Call) -> None:
     talk.reset()
@@ -90,6 +95,108 @@
     play(scene)
 
 
+def test_a_connection_that_ended_before_the_first_send_has_not_run():
+    """A server at its limit accepts and closes; a write then raised, and the attempt had no outcome."""
+    async def scene():
+        async with Server(ok) as server:
+            loop = asyncio.get_running_loop()
+            lost, ended = asyncio.Event(), []
+            _, connection = await loop.create_connection(
+                lambda: Connection(lambda _: lost.set()), "127.0.0.1", server.port)
+            connection.close()
+            await lost.wait()
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", ended.append)
+            assert ended == [None] and not connection.written
+    play(scene)
+
+
+def test_a_request_cut_off_before_its_last_byte_has_not_run():
+    async def scene():
+        begun, ended = asyncio.Event(), asyncio.Event()
+        outcomes = []
+
+        async def deaf(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await begun.wait()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1)
+        port = server.sockets[0].getsockname()[1]
+        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10)
+        upstream.update("s1", Address("127.0.0.1", port), 0, True)
+        size = 64 * 1024 * 1024  # more than the kernel takes in at once
+
+        def made() -> bytes:
+            asyncio.get_running_loop().call_soon(begun.set)
+            return b"x" * size
+
+        exchange = upstream.exchange("s1", made, 10.0, lambda how, _: (outcomes.append(how), ended.set()))
+        exchange.start()
+        await ended.wait()
+        assert outcomes == [How.CONNECT_FAILED]
+        server.close()
+    play(scene)
+
+
+def test_idle_connections_give_way_when_descriptors_run_out():
+    async def scene():
+        async with contextlib.AsyncExitStack() as stack:
+            servers = [await stack.enter_async_context(Server(ok)) for _ in range(4)]
+            upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 2)
+            for number, server in enumerate(servers * 2):
+                name = f"s{number % 4}"
+                upstream.update(name, Address("127.0.0.1", server.port), 0, True)
+                done: asyncio.Future[How] = asyncio.get_running_loop().create_future()
+                request = b"GET / HTTP/1.1\r\nHost: s\r\n\r\n"
+                upstream.exchange(name, lambda r=request: r, 10.0, lambda how, _, d=done: d.set_result(how)
+                                  ).start()
+                assert await done is How.OK
+            assert sum(server.connections for server in servers) == 8
+    play(scene)
+
+
+def test_a_client_that_hangs_up_still_leaves_the_module_its_outcome():
+    async def scene():
+        came, go, told = asyncio.Event(), asyncio.Event(), asyncio.Queue()
+
+        async def slow(talk: Conversation, call: Call) -> None:
+            came.set()
+            await go.wait()
+            await ok(talk, call)
+
+        async with Server(slow) as server, sidecar(line("s1", server.port)) as world:
+            handle = world.sidecar._module.handle
+            world.sidecar._module.handle = lambda now, e: (told.put_nowait(e), handle(now, e))[1]
+            client = await world.client()
+            asking = asyncio.ensure_future(client.ask("single_shot"))
+            await came.wait()
+            asking.cancel()
+            client.writer.close()
+            while not isinstance(await told.get(), Hangup):
+                pass
+            go.set()
+            outcome = await told.get()
+            assert isinstance(outcome, Response) and outcome.how == How.OK and outcome.closed
+            assert not world.sidecar._requests
+    play(scene)
+
+
+def test_alarms_never_come_early():
+    """The loop counts whole milliseconds; the module lets an alarm that is early by its clock pass."""
+    async def scene():
+        async with sidecar() as world:
+            told = asyncio.Queue()
+            clock = world.sidecar._clock
+            world.sidecar._module.handle = lambda now, e: told.put_nowait((clock(), e)) or []
+            due = {}
+            for tag in range(100):
+                due[tag] = clock() + 1_000_000 + tag * 70_000
+                world.sidecar._defer(due[tag], tag)
+            while due:
+                at, alarm = await told.get()
+                assert at >= due.pop(alarm.tag)
+    play(scene)
+
+
 def test_a_silent_server_costs_one_answer_in_time():
     async def silent(talk: Conversation, call: Call) -> None:
         await asyncio.sleep(60)
