Lack of descriptors is no verdict on a server; a pushed list is followed for good

Exchange.start told the module 'could not connect' when our own descriptors had run out, which halves a healthy server's budget: now 'never sent'. Discovery.follow ended for good on an unforeseen exception: now both kinds of watch share one path that ends in a retry or a FAILED. Checked: tests for both, for every action, and for the guard's answers.

--- a/hollyport/discovery.py
+++ b/hollyport/discovery.py
@@ -110,24 +110,22 @@
     async def follow(self) -> None:
         """Where lists are pushed to an agent on this machine: watch it for good, and tell no failures."""
         while True:
-            caller = _Caller(self._loop, self._address)
-            try:
-                await self._go_on(caller)
-            except (OSError, ListingError):
-                await asyncio.sleep(PAUSE_S)
-            finally:
-                caller.close()
+            await self._until_broken()
+            await asyncio.sleep(PAUSE_S)
 
     async def _watching(self) -> None:
+        await self._until_broken()
+        self._tell(None)
+
+    async def _until_broken(self) -> None:
         caller = _Caller(self._loop, self._address)
         try:
             await self._go_on(caller)
         except (OSError, ListingError):
-            self._tell(None)
+            pass  # discovery is down, silent or confused: an ordinary failure
         except Exception:
-            # Whatever went wrong, the module must learn that its watch is over, or it would never ask again.
+            # Whatever went wrong, the watch is over and must be told so, or nobody would ask again.
             traceback.print_exc(file=sys.stderr)
-            self._tell(None)
         finally:
             caller.close()
 
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -15,7 +15,7 @@
 LINGER_S = 1.0  # how long what a client still sends is read after it got an error
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error",
     502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
 HOP_BY_HOP = frozenset({
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -47,7 +47,7 @@
 GUARD_NS = 5_000_000  # and the last guard between the two
 KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
-RESERVE = 24  # descriptors for the program itself
+RESERVE = 16  # descriptors for the program itself: loop, signals, log, discovery
 NOT_FORWARDED = HOP_BY_HOP | {b"content-length", b"expect", b"x-timeout"}
 NOT_RETURNED = HOP_BY_HOP | {b"content-length", b"x-server-load", b"date", b"server"}
 
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -205,7 +205,7 @@
         if connection is not None:
             self._write(connection)
         elif not self._upstream.make_room():
-            self._end(How.CONNECT_FAILED)
+            self._end(How.MOOT)  # our own want of descriptors is no verdict on the server
         else:
             # A connection that comes up after its call has run out still goes to the pool: it is paid for.
             self._timer = self._loop.call_later(self._give_up - self._loop.time(), self._end, How.MOOT)
@@ -307,7 +307,7 @@
         else:
             target.up = up
             if not up:
-                self.close_idle(name)
+                self._retire(target)
 
     def keep_only(self, names: set[str]) -> None:
         """After a whole list: servers that are not in it are gone."""
@@ -321,6 +321,10 @@
 
     def _retire(self, target: Target) -> None:
         target.up = False
+        self._close_idle(target)
+
+    @staticmethod
+    def _close_idle(target: Target) -> None:
         while target.idle:
             target.idle.pop().close()
 
@@ -334,8 +338,8 @@
     def close_idle(self, name: str) -> None:
         """Close the idle connections to a server."""
         target = self._targets.get(name)
-        while target is not None and target.idle:
-            target.idle.pop().close()
+        if target is not None:
+            self._close_idle(target)
 
     # --- connections
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -6,9 +6,22 @@
 import contextlib
 
 import pytest
-from backend import Call, Conversation, Server, line, ok, play, sidecar
-
-from dunefield import Hangup, How, Response
+from backend import Call, Conversation, Server, dump, line, listing, ok, play, settings, sidecar
+
+from dunefield import (
+    Accept,
+    CloseIdle,
+    Fail,
+    Fetch,
+    Hangup,
+    How,
+    Note,
+    Probe,
+    Refuse,
+    Response,
+    Retract,
+    Submit,
+)
 from hollyport.config import Address
 from hollyport.upstream import Connection, Upstream
 
@@ -180,6 +193,65 @@
     play(scene)
 
 
+def test_every_action_is_carried_out(capfd):
+    async def scene():
+        came, told = asyncio.Event(), asyncio.Queue()
+
+        async def script(talk: Conversation, call: Call) -> None:
+            if call.target == "/-/load":
+                await talk.answer(200, b'{"inflight": 3, "queue": 1e999, "odd": "x"}')
+            elif call.target.startswith("/api/targets"):
+                await talk.answer(200, dump(listing(line("s1", server.port), index=5)))
+            else:
+                came.set()
+                await asyncio.sleep(60)
+
+        async with Server(script) as server:
+            raw = settings(discovery="subscribe", reporting={"how": "probe"}, limits={"mayProbe": True})
+            async with sidecar(line("s1", server.port), discovery=server.port, raw=raw) as world:
+                acts = [Probe("s1"), Probe("nobody"), Note("a word"), Fetch()]
+
+                def handle(now, event):
+                    told.put_nowait(event)
+                    if isinstance(event, Accept):
+                        return [Submit(event.tid, "s1", now + 5 * 10**9), *acts]
+                    return []
+
+                world.sidecar._module.handle = handle
+                asking = asyncio.ensure_future((await world.client()).ask("single_shot"))
+                events = {}
+                while len(events) < 4:
+                    event = await told.get()
+                    events[type(event).__name__, getattr(event, "server", "")] = event
+                assert events["Echo", "s1"].load == {"inflight": 3.0} and events["Echo", "s1"].how == How.OK
+                assert events["Echo", "nobody"].how == How.CONNECT_FAILED
+                assert events["Directory", ""].scope == "FULL" and events["Directory", ""].gen == 5
+                await came.wait()
+                tid = events["Accept", ""].tid
+                idle = len(world.sidecar._upstream._targets["s1"].idle)
+                for action in (Retract(tid, 0), CloseIdle("s1"), Refuse(tid, 250_000_000), Fail(tid)):
+                    world.sidecar._perform(action)
+                assert (await told.get()).how == How.CANCELLED
+                assert idle and not world.sidecar._upstream._targets["s1"].idle
+                status, headers, _ = await asking  # one answer: the first
+                assert status == 503 and headers["retry-after"] == "0.250"
+    play(scene)
+    assert "a word" in capfd.readouterr().err
+
+
+def test_the_guard_answers_what_the_module_forgets():
+    async def scene():
+        async with Server(reset) as server, sidecar(line("s1", server.port)) as world:
+            client = await world.client()
+            world.sidecar._module.handle = lambda now, event: []
+            assert (await client.ask("single_shot", timeout="0.2"))[0] == 503  # never sent
+            world.sidecar._module.handle = lambda now, event: (
+                [Submit(event.tid, "s1", now + 10**9)] if isinstance(event, Accept) else [])
+            assert (await client.ask("single_shot", timeout="0.2"))[0] == 504  # may have run
+            assert (await client.ask("free", timeout="0.2"))[0] == 503
+    play(scene)
+
+
 def test_alarms_never_come_early():
     """The loop counts whole milliseconds; the module lets an alarm that is early by its clock pass."""
     async def scene():
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -101,3 +101,32 @@
                 await registry.asked.get()
                 assert (await client.ask("single_shot", "4"))[0] == 200 and len(new.calls) == 1
     play(scene)
+
+
+def test_a_pushed_list_is_followed_without_being_asked_for_and_survives_failures():
+    async def scene():
+        async with Server(ok) as server:
+            registry = Registry(503, listing(line("s1", server.port), index=2))
+            raw = settings(discovery="automatic")
+            async with Server(registry) as agent, sidecar(discovery=agent.port, raw=raw) as world:
+                told = []
+                handle = world.sidecar._module.handle
+                world.sidecar._module.handle = lambda now, event: (told.append(event), handle(now, event))[1]
+                for _ in range(3):
+                    await registry.asked.get()
+                assert [event.scope for event in told] == ["FULL"]
+                assert (await (await world.client()).ask())[0] == 200
+    play(scene)
+
+
+def test_a_watch_that_breaks_in_an_unforeseen_way_is_told_as_failed(monkeypatch, capfd):
+    async def scene():
+        registry = Registry(listing(), listing())
+        async with Server(registry) as place, sidecar(discovery=place.port, raw=ASKS) as world:
+            with monkeypatch.context() as patch:
+                patch.setattr("hollyport.discovery.read_listing", lambda raw, settings: 1 // 0)
+                for _ in range(2):  # the second call proves that the module asked again
+                    await registry.asked.get()
+            assert world.sidecar.ready() is False
+    play(scene)
+    assert "ZeroDivisionError" in capfd.readouterr().err
