Forget held requests whose client leaves, and servers that are gone

A request held without an attempt kept its table entry for good when its client hung up (Sidecar.hangup called no _forget), and servers that a deploy replaced stayed in the table of targets (Upstream.keep_only, Sidecar._take_list). A request sent ahead on a busy connection had its time counted from its turn and not from its last byte, and a fault while one is taken passed for bad HTTP without a trace. Checked: a test for each; the one for the table fails without the mend.

--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import select
+import sys
+import traceback
 from collections import deque
 from functools import partial
 from typing import Protocol, cast
@@ -28,13 +30,14 @@
 class Message:
     """One request as it came, and where its one answer goes."""
 
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "tid")
+    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "tid")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
         self.method = self.target = self.body = b""
         self.headers: Headers = []
         self.keep_alive = True
+        self.came = 0.0  # when its last byte was read, by the loop's clock
         self.tid = ""  # for the owner: which request this became
 
     def header(self, name: bytes) -> bytes | None:
@@ -174,6 +177,7 @@
         message.method = self._parser.get_method()
         message.body = b"".join(self._body)
         message.keep_alive = self._parser.should_keep_alive()
+        message.came = self._loop.time()
         if self._active is None:
             self._begin(message)
         else:
@@ -198,7 +202,12 @@
         elif message.method not in (b"GET", b"POST"):
             message.answer(405, headers=[(b"Allow", b"GET, POST")])
         else:
-            self._listener.service.request(message)
+            try:
+                self._listener.service.request(message)
+            except Exception:
+                # Raised through the parser it would pass for bad HTTP, and leave no trace.
+                traceback.print_exc(file=sys.stderr)
+                message.answer(500)
 
     def answer(self, message: Message, status: int, body: bytes, headers: Headers) -> None:
         """See Message.answer."""
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -179,6 +179,7 @@
         limit = self._deadline_ns(cls)
         told = _number(message.header(b"x-timeout"))
         wait = limit if told is None else min(int(min(max(told, 0.0), 1e6) * 1e9), limit)
+        wait -= int((self._loop.time() - message.came) * 1e9)  # it may have waited behind another
         request = self._requests[tid] = Request(tid, message, cls)
         request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
         tenant = self._tenants.get(message.header(b"x-tenant-id") or b"", -1 if self._tenants else 0)
@@ -200,6 +201,7 @@
         if request is not None and not request.over:
             self._finish(request)
             self.deliver(Hangup(request.tid))
+            self._forget(request)
 
     def _class_of(self, message: Message) -> int:
         """The class's number; -1, which the module reads with the most care, for one that is unknown or
@@ -360,7 +362,10 @@
 
     def _take_list(self, listing: Listing, scope: str) -> None:
         for entry, address in listing.lines:
-            self._upstream.update(entry.server, address, entry.started_ns, entry.lifecycle == "up")
+            if entry.lifecycle == "removed":
+                self._upstream.remove(entry.server)
+            else:
+                self._upstream.update(entry.server, address, entry.started_ns, entry.lifecycle == "up")
         if scope != "INCREMENTAL":
             self._upstream.keep_only({line.entry.server for line in listing.lines})
         self.deliver(Directory(scope, tuple(line.entry for line in listing.lines), listing.version))
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -311,9 +311,14 @@
 
     def keep_only(self, names: set[str]) -> None:
         """After a whole list: servers that are not in it are gone."""
-        for name, target in self._targets.items():
-            if name not in names:
-                self._retire(target)
+        for name in self._targets.keys() - names:
+            self.remove(name)
+
+    def remove(self, name: str) -> None:
+        """A server is gone; deploys bring new names all the time, so nothing of it is kept."""
+        target = self._targets.pop(name, None)
+        if target is not None:
+            self._retire(target)
 
     def any_up(self) -> bool:
         """Whether the list has a server that takes requests."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -192,6 +192,54 @@
     play(scene)
 
 
+def test_a_held_request_whose_client_leaves_is_forgotten():
+    """Found on reading: its entry stayed in the table for good."""
+    async def scene():
+        told = asyncio.Queue()
+        async with sidecar() as world:
+            handle = world.sidecar._module.handle
+            world.sidecar._module.handle = lambda now, e: (told.put_nowait(e), handle(now, e))[1]
+            client = await world.client()
+            asking = asyncio.ensure_future(client.ask("single_shot"))
+            assert isinstance(await told.get(), Accept)
+            assert len(world.sidecar._requests) == 1
+            asking.cancel()
+            client.writer.close()
+            while not isinstance(await told.get(), Hangup):
+                pass
+            assert not world.sidecar._requests
+    play(scene)
+
+
+def test_requests_sent_ahead_are_answered_in_order_and_their_time_runs():
+    async def scene():
+        async def slow(talk: Conversation, call: Call) -> None:
+            if len(server.calls) == 1:
+                await asyncio.sleep(0.3)  # time passes for those behind
+            await ok(talk, call)
+
+        async with Server(slow) as server, sidecar(line("s1", server.port)) as world:
+            client = await world.client()
+            for rid in ("a", "b", "c"):
+                head = f"GET /free HTTP/1.1\r\nX-Request-ID: {rid}\r\nX-Timeout: 5\r\n\r\n"
+                await client.send(head.encode())
+            assert [(await client.answer())[2] for _ in range(3)] == [b"a", b"b", b"c"]
+            assert float(server.calls[1].headers["X-Timeout"]) < 4.8
+    play(scene)
+
+
+def test_a_fault_while_a_request_is_taken_is_logged_and_answered(monkeypatch, capfd):
+    async def scene():
+        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+            client = await world.client()
+            with monkeypatch.context() as patch:
+                patch.setattr(world.sidecar, "_class_of", lambda message: 1 // 0)
+                assert (await client.ask())[0] == 500
+            assert (await client.ask())[0] == 200
+    play(scene)
+    assert "ZeroDivisionError" in capfd.readouterr().err
+
+
 def test_every_action_is_carried_out(capfd):
     async def scene():
         came, told = asyncio.Event(), asyncio.Queue()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -100,6 +100,11 @@
                     listing(line("s1", new.port, since_ms=1000), index=5, snapshot=False))
                 await registry.asked.get()
                 assert (await client.ask("single_shot", "4"))[0] == 200 and len(new.calls) == 1
+                registry.answers.put_nowait(
+                    listing(line("s1", new.port, status="DELETED"), index=6, snapshot=False))
+                await registry.asked.get()
+                assert (await client.ask("single_shot", "5", timeout="1"))[0] == 503 and len(new.calls) == 1
+                assert not world.sidecar._upstream._targets
     play(scene)
 
 
