--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -610,7 +610,7 @@
         if not trial and self._hopeless(now, call, expect):
             self._end(now, call, call.cls.aim_ns // 8)
         elif not self._send(now, call, server, trial):
-            self._end(now, call, 0)
+            self._end(now, call, call.cls.aim_ns // 8)
         return True
 
     def _hopeless(self, now: int, call: Call, expect: float) -> bool:
@@ -631,7 +631,7 @@
             if server is not None and self._send(now, call, server, trial):
                 self._tokens -= 1.0
                 return
-        self._end(now, call, 0)
+        self._end(now, call, call.cls.aim_ns // 8)
 
     # --- probes ---------------------------------------------------------------------------------
 
