Count the time that the process stood still against the client's time

Guess measured by logging how late a 20 ms beat comes: each sidecar stood still once for 0.44 to 0.50 s right after its start, which had used up its share of CPU (0.14 s). Ruled out: descriptors and memory (same loss without those limits), guard (no line), GC (12 MB, frozen). To blame: Sidecar.request counted X-Timeout from the read, so all that came during a standstill was answered late by its length; now the beat bounds that. Imports were looked at too: 0.08 s, two thirds of it asyncio.

--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -47,6 +47,8 @@
 GUARD_NS = 5_000_000  # and the last guard between the two
 KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
+BEAT_S = 0.02  # how often the loop shows that it runs
+STALL_S = 0.1  # from when on a standstill is worth a line in the log
 RESERVE = 16  # descriptors for the program itself: loop, signals, log, discovery
 NOT_FORWARDED = HOP_BY_HOP | {b"content-length", b"expect", b"x-timeout"}
 NOT_RETURNED = HOP_BY_HOP | {b"content-length", b"x-server-load", b"date", b"server"}
@@ -89,6 +91,8 @@
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
         self._requests: dict[str, Request] = {}
         self._count = 0
+        self._beat_due = 0.0
+        self._beat()
         self._inbox: deque[Event] = deque()
         self._handling = False
         # A probe that takes so long tells of a server that stands still, whatever it would have said.
@@ -179,7 +183,8 @@
         limit = self._deadline_ns(cls)
         told = _number(message.header(b"x-timeout"))
         wait = limit if told is None else min(int(min(max(told, 0.0), 1e6) * 1e9), limit)
-        wait -= int((self._loop.time() - message.came) * 1e9)  # it may have waited behind another
+        # It may have waited behind another, or unread while this process stood still for want of CPU.
+        wait -= int((self._loop.time() - message.came + self._stalled()) * 1e9)
         request = self._requests[tid] = Request(tid, message, cls)
         request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
         tenant = self._tenants.get(message.header(b"x-tenant-id") or b"", -1 if self._tenants else 0)
@@ -195,6 +200,21 @@
             _attrs(message.header(b"x-attrs")).get("write") == "1",
         ))
 
+    def _beat(self) -> None:
+        stalled = self._stalled()
+        if stalled > STALL_S:
+            print(f"loop: stood still for {stalled:.3f} s", file=sys.stderr, flush=True)
+        self._beat_due = time.monotonic() + BEAT_S
+        self._loop.call_later(BEAT_S, self._beat)
+
+    def _stalled(self) -> float:
+        """For how long this process may have stood still: what comes in now may have come that much earlier.
+
+        Protects the client's deadline, which counts from its sending: a process short of CPU reads late and
+        would count from there.
+        """
+        return max(0.0, time.monotonic() - self._beat_due) if self._beat_due else 0.0
+
     def hangup(self, message: Message) -> None:
         """The client left; what its attempts come to is still told to the module."""
         request = self._requests.get(message.tid)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 from backend import Call, Conversation, Server, dump, line, listing, ok, play, settings, sidecar
@@ -228,6 +229,22 @@
     play(scene)
 
 
+def test_time_that_the_process_stood_still_counts_for_the_client(capfd):
+    """Found with a third of a core: a request read late was answered after its client's time."""
+    async def scene():
+        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+            client = await world.client()
+            assert (await client.ask())[0] == 200
+            asking = asyncio.ensure_future(client.ask(rid="2"))
+            await asyncio.sleep(0)  # written, and not read yet
+            time.sleep(0.5)
+            assert (await asking)[0] == 200
+            assert float(server.calls[0].headers["X-Timeout"]) > 4.8
+            assert float(server.calls[1].headers["X-Timeout"]) < 4.6
+    play(scene)
+    assert "stood still" in capfd.readouterr().err
+
+
 def test_a_fault_while_a_request_is_taken_is_logged_and_answered(monkeypatch, capfd):
     async def scene():
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
