--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -607,7 +607,7 @@
         server, trial, expect = self._pick(now, call)
         if server is None:
             return False
-        if not trial and self._hopeless(now, call, expect) or not self._send(now, call, server, trial):
+        if (not trial and self._hopeless(now, call, expect)) or not self._send(now, call, server, trial):
             self._end(now, call, call.cls.aim_ns // 8)
         return True
 
