Drop a field nothing reads; assert TCP_NODELAY

Seen: a search for unused names found Target.name alone (upstream.py); the rest were callbacks of asyncio and httptools. TCP_NODELAY is set by uvloop itself, as the test now shows, so nothing sets it again here. Conclusion: no change of behaviour.

--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -172,10 +172,10 @@
 class Target:
     """One process of one server, and the idle connections to it."""
 
-    __slots__ = ("name", "address", "started_ns", "up", "idle")
+    __slots__ = ("address", "started_ns", "up", "idle")
 
-    def __init__(self, name: str, address: Address, started_ns: int, up: bool) -> None:
-        self.name, self.address, self.started_ns, self.up = name, address, started_ns, up
+    def __init__(self, address: Address, started_ns: int, up: bool) -> None:
+        self.address, self.started_ns, self.up = address, started_ns, up
         self.idle: list[Connection] = []  # the last used at the end: the rest may grow old
 
 
@@ -300,10 +300,10 @@
         """Take over one line of the list. A new process or address starts a pool of its own."""
         target = self._targets.get(name)
         if target is None:
-            self._targets[name] = Target(name, address, started_ns, up)
+            self._targets[name] = Target(address, started_ns, up)
         elif target.address != address or target.started_ns != started_ns:
             self._retire(target)
-            self._targets[name] = Target(name, address, started_ns, up)
+            self._targets[name] = Target(address, started_ns, up)
         else:
             target.up = up
             if not up:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import pytest
@@ -117,6 +118,8 @@
             lost, ended = asyncio.Event(), []
             _, connection = await loop.create_connection(
                 lambda: Connection(lambda _: lost.set()), "127.0.0.1", server.port)
+            sock = connection._transport.get_extra_info("socket")
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)  # the loop's doing
             connection.close()
             await lost.wait()
             connection.send(b"GET / HTTP/1.1\r\n\r\n", ended.append)
