Crowding is scaled by the slack that the aim leaves over the work

Checked with prints in the module: nearly all refusals come from _shed, at a crowding of 0.4 to 1.0, that is a mean queue of a third of a request; work takes 8 ms, so the aim leaves room for several. Ruled out: budgets, holds, and the convicted server (it answers every trial with 500). To blame: rules.py _shed and _on_echo, whose weight of a waiting request suits an aim of four times the work only. A 503 to a probe mutes again: prints show it comes from servers that drain before the list says so.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -32,6 +32,9 @@
 CROWDED = 0.4  # crowding (share of slow answers) from which calls are shed
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
 JAMMED = 2.25  # crowding that one echo counts for at most, at one and a half for each waiting request
+OWN = 2.0  # times its mean work that a call may take itself; what the aim leaves beyond may go on waiting
+PATIENT = 4.5  # that rest over the work from which on each request that waits counts for less
+SLACK = 3.0  # by how much at most: servers that hold many for long jam, however short the work
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
 RETRY_RATIO = 0.2  # further attempts earned by one request
 
@@ -75,6 +78,7 @@
         self._cheapest = sorted(range(len(classes)), key=lambda i: (classes[i].worth, i))
         self._crowd = 0.0  # share of slow ones in the latest answers
         self._crowd_at = now
+        self._slack = 1.0  # how much more than usual calls may wait, their aim being long for their work
         self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
         self._idle_doubt = 0  # until when a shorter one than the settings' is believed
         self._shut_until = self._asked_at = 0  # before these no server can be tried, no list asked for
@@ -144,7 +148,8 @@
         crowd = self._crowd * self._horizon / (self._horizon + idle)
         # Calls in flight tell of a jam before its answers come: more than Little's law and chance explain.
         flow = (self._served + self._rate) / 2 * size
-        crowd = max(crowd, 2.0 * math.log((1 + len(self._attempts)) / (2.0 + flow + 2.0 * math.sqrt(flow))))
+        usual = self._slack * (2.0 + flow + 2.0 * math.sqrt(flow))
+        crowd = max(crowd, 2.0 * math.log((1 + len(self._attempts)) / usual))
         shed = (crowd - CROWDED) / (1.0 - CROWDED)
         if shed <= 0.0:
             return False
@@ -312,6 +317,8 @@
             first = count < 2 or (count < 32 and self._crowd < CROWDED)
             gain = max(1.0 / (count + 1) if first else 0.0, (now - at) / (64 * self._horizon))
             self._extra[attempt.cls] = (max(0.0, extra + error * min(gain, 1.0)), count + 1, now)
+            spare = self._classes[attempt.cls].aim_ns / max(1.0, attempt.hint + extra) - OWN
+            self._slack += (min(SLACK, max(1.0, spare / PATIENT)) - self._slack) * GAIN / 8
 
     def _feel(self, now: int, attempt: Attempt, event: Response) -> None:
         """How crowded the fleet is, from own answers alone. Only whether an answer was slow counts, not how
@@ -564,8 +571,8 @@
         call.rounds += 1
         call.best = None
         call.pending = 0
-        # Muted ones too when hardly any other is left: a cause that all share is no reason to ask nobody.
-        muted = sum(1 for s in self._up if s.mute_until > now) * 2 >= len(self._up)
+        # Muted ones too when no other is left: a cause that all share is no reason to ask nobody.
+        muted = all(s.mute_until > now for s in self._up)
         for _ in range(2 * PROBES):
             server = self._draw(call, 0)
             if server is None or call.pending == PROBES:
@@ -590,12 +597,13 @@
             server.load = event.load.get("inflight", event.load.get("queue", max(server.load, UNTOLD)))
             if "queue" in event.load:
                 for _ in askers or (0,):
-                    self._crowd += (min(1.5 * event.load["queue"], JAMMED) - self._crowd) * GAIN / PROBES
+                    waiting = min(1.5 * event.load["queue"] / self._slack, JAMMED)
+                    self._crowd += (waiting - self._crowd) * GAIN / PROBES
                 self._crowd_at = now
-        elif event.how in (How.TIMEOUT, How.CONNECT_FAILED):
-            server.mute_until = now + self._horizon  # down, cut off or standing still: ask others meanwhile
-        # All else tells of the probe, not of the server: it was one too many there, its connection was old,
-        # its answer unreadable, or this sidecar had no descriptor for it.
+        elif event.how in (How.TIMEOUT, How.CONNECT_FAILED, How.ERROR):
+            server.mute_until = now + self._horizon  # down, cut off, standing still or draining: ask others
+        # All else tells of the probe, not of the server: its connection was old, its answer unreadable, or
+        # this sidecar had no descriptor for it.
         for call in askers:
             if not call.pending or call.tid not in self._calls:
                 continue
