--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -596,9 +596,10 @@
             # A server that answers without a report is taken for busy, as its machine may be: never for idle.
             server.load = event.load.get("inflight", event.load.get("queue", max(server.load, UNTOLD)))
             if "queue" in event.load:
-                for _ in askers or (0,):
-                    waiting = min(1.5 * event.load["queue"] / self._slack, JAMMED)
-                    self._crowd += (waiting - self._crowd) * GAIN / PROBES
+                # Over a time, not so many echoes: where many come, a queue of some milliseconds is chance.
+                gain = min(GAIN / PROBES, 1.0 / (1.0 + self._rate * PROBES * self._horizon))
+                waiting = min(1.5 * event.load["queue"] / self._slack, JAMMED)
+                self._crowd += (waiting - self._crowd) * gain * max(1, len(askers))
                 self._crowd_at = now
         elif event.how in (How.TIMEOUT, How.CONNECT_FAILED, How.ERROR):
             server.mute_until = now + self._horizon  # down, cut off, standing still or draining: ask others
