A broken connection does not convict a server that has answered since

Seen with prints on churn: 3 of 5 servers live, two to four resets a second, each taking k from 1 to 0 and with it a server for 0.4 s. Checked: the same servers go on answering probes and other calls meanwhile. To blame: rules.py _judge.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -178,6 +178,8 @@
         server = attempt.server
         server.inflight -= 1
         server.used = now
+        if event.how == How.OK:
+            server.heard = now
         stale = event.how == How.RESET and self._stale(now, attempt.idle, event.lag_ns)
         if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
             server.trial = server.trial and not attempt.trial
@@ -344,7 +346,9 @@
             else:
                 server.k = min(server.k + 1, STEPS)
                 server.backoff = server.retry_at = 0
-        elif how in (How.CONNECT_FAILED, How.RESET) and server.k:
+        elif how in (How.CONNECT_FAILED, How.RESET) and server.k and server.heard <= attempt.sent:
+            # Exception "broken connection": a server heard of since the send is up. What broke was one
+            # connection, as clients and peers break them all day; a process that dies breaks all of them.
             server.k //= 2
         if how == How.FULL:
             server.figure = max(1.0 / STEPS, server.figure * 0.7)
@@ -593,6 +597,7 @@
             return
         askers, server.askers = server.askers, []
         if event.how == How.OK:
+            server.heard = now
             # A server that answers without a report is taken for busy, as its machine may be: never for idle.
             server.load = event.load.get("inflight", event.load.get("queue", max(server.load, UNTOLD)))
             if "queue" in event.load:
