--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -408,8 +408,10 @@
         return server.credit >= 1.0
 
     def _fits(self, now: int, server: Server) -> bool:
-        """Under budget or due for a trial, and warm enough."""
-        free = server.slot >= 0 or (not server.k and self._trial_due(server, now))
+        """Under budget or due for a trial, and warm enough. Growth: where all are at their budgets, one more
+        call may pass as a trial; without probes that is for _pick to say."""
+        grows = self._probing and not self._room and server.k < STEPS
+        free = server.slot >= 0 or ((not server.k or grows) and self._trial_due(server, now))
         return server.up and free and self._warm(server, now)
 
     def _expect(self, server: Server, call: Call, now: int) -> float:
@@ -644,7 +646,8 @@
         if server is not None:
             expect = (server.load + 1.0) * call.size * max(self._stretch, server.stretch)
             free = server.load < 1.0 and self._crowd < CROWDED  # nothing to lose: the hint may be too high
-            if (free or now + expect <= call.aim_at) and self._send(now, call, server, not server.k):
+            trial = server.slot < 0 and self._trial_due(server, now)
+            if (free or now + expect <= call.aim_at) and self._send(now, call, server, trial):
                 return
         self._hold(now, call)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -361,3 +361,16 @@
                     done += b.handle(now + 2 * MS, outcome(action, lag_ns=lag))
         shed[lag] = refused
     assert shed[20 * MS] < shed[80 * MS] / 2
+
+
+def test_budgets_grow_where_probes_decide():
+    """Found: two calls a server for good; a few that hung on silent connections left no room for the rest."""
+    b = balancer(servers=1, reporting={"how": "probe"}, limits={"mayProbe": True})
+    out, now = [], 0
+    for number in range(12):
+        now += 10 * MS
+        for probe in only(b.handle(now, accept(f"x{number}")), Probe):
+            out += only(b.handle(now + 1, Echo(probe.server, How.OK, 1, {"inflight": 0.0})), Submit)
+        if number % 2 and out:
+            b.handle(now + 2, outcome(out.pop(), lag_ns=2 * MS))
+    assert next(iter(b._servers.values())).k > 1
