Those that only look in go first, and answers close their connections where very many are kept

Checked with prints: hardly a request reaches the module; 171 of 176 client connections stand between requests, later exactly 128, a third of the descriptors, which is all that clients may hold. To blame: listener.py _make_room (idle ones from 2 s on were all it had) and client.py answer (every connection kept).

--- a/hollyport/client.py
+++ b/hollyport/client.py
@@ -82,6 +82,7 @@
         self._active: Message | None = None  # owed an answer
         self._waiting: deque[Message] = deque()  # sent ahead of the answer before
         self._spoke = False  # a whole request has come
+        self._asked = False  # one that was more than a look at readiness
         self._error = 0
         self._deaf = False  # nothing more is read from here
         self._drained = 0
@@ -118,7 +119,7 @@
             at += PIECE
             self._parse(piece)
         if self._active is None and not self._deaf:
-            self._listener.move(self, self._listener.partial if self.reading() else self._listener.kept)
+            self._listener.move(self, self._place())
 
     def _parse(self, piece: bytes) -> None:
         assert self._parser is not None
@@ -234,6 +235,7 @@
         elif message.method not in (b"GET", b"POST"):
             message.answer(405, headers=[(b"Allow", b"GET, POST")])
         else:
+            self._asked = True
             try:
                 self._listener.service.request(message)
             except Exception:
@@ -249,16 +251,28 @@
         self._active = None
         last = self._listener.stopping and not self._waiting and not self._rest
         keep = message.keep_alive and not last and status not in CLOSING
+        # Clients have only so many connections: where many ask once and stay, kept ones would use them up.
+        keep = keep and not (self._listener.crowded() and not self._waiting and not self._rest)
         transport.write(head(status, len(body), headers, keep) + body)
-        if not keep:
+        if not keep and status not in CLOSING and not self._error:
+            self._deaf = True
+            self._listener.move(self, self._listener.leaving)  # ends it where the client does not read
+            transport.close()
+        elif not keep:
             self._leave()
         elif self._error:
             self._reject()
         else:
-            self._listener.move(self, self._listener.partial if self.reading() else self._listener.kept)
+            self._listener.move(self, self._place())
             if self._waiting or self._rest:
                 self._loop.call_soon(self._next)
 
+    def _place(self) -> dict[ClientConnection, float]:
+        """The queue to stand in while no answer is owed."""
+        if self.reading():
+            return self._listener.partial
+        return self._listener.kept if self._asked else self._listener.visitors
+
     def _next(self) -> None:
         """Begin what was sent ahead, and parse on what was read ahead."""
         if self._active is not None or self._full or self._transport is None or self._transport.is_closing():
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -21,6 +21,7 @@
 # Where there is no room, a connection that has said nothing is closed much sooner: the usual client
 # sends as soon as it is connected, and its bytes would be in the kernel by now.
 HUSH_S = 0.1
+HURRY_S = 0.5  # so is one between requests, when it is the last resort
 SLOW_S = 1.0  # and so is one that has been sending a request for so long
 
 
@@ -40,14 +41,16 @@
     A connection stands in at most one queue, the longest there first; in none while an answer is owed.
     """
 
-    def __init__(self, service: Service, most: int) -> None:
+    def __init__(self, service: Service, most: int, crowd: int) -> None:
         self.service = service
         self.most = most
+        self._crowd = crowd
         self.stopping = False
         self.connections: set[ClientConnection] = set()
         self.silent: dict[ClientConnection, float] = {}  # nothing has come yet
         self.partial: dict[ClientConnection, float] = {}  # part of a request has come
         self.kept: dict[ClientConnection, float] = {}  # between requests
+        self.visitors: dict[ClientConnection, float] = {}  # have asked for readiness and nothing else
         self.leaving: dict[ClientConnection, float] = {}  # had its last answer
         self._opening: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
@@ -75,7 +78,7 @@
             self._loop.remove_reader(self._socket.fileno())
             self._socket.close()
             self._socket = None
-        for connection in [*self.silent, *self.kept]:
+        for connection in [*self.silent, *self.visitors, *self.kept]:
             if connection.quiet():
                 connection.close()
 
@@ -132,10 +135,15 @@
             self._accept()
 
     def _make_room(self) -> bool:
-        """End the connection that is missed least: its answer read, then idle for longest, then mute."""
+        """End the connection that is missed least. Protects the usual client, which else waits in the listen
+        queue behind hundreds that look in once, or say nothing, and stay: those go first. Idle clients go
+        from 2 s on, and sooner only where nothing else is left to end."""
         assert self._loop is not None
         now = self._loop.time()
-        for queue, age in ((self.leaving, HUSH_S), (self.kept, SPARE_S), (self.silent, HUSH_S)):
+        for queue, age in (
+            (self.leaving, HUSH_S), (self.visitors, HUSH_S), (self.silent, HUSH_S), (self.kept, SPARE_S),
+            (self.kept, HURRY_S),
+        ):
             for connection, since in list(queue.items()) if queue else ():
                 if now - since < age:
                     break
@@ -155,6 +163,10 @@
 
     # --- for the connections
 
+    def crowded(self) -> bool:
+        """Whether connections are better closed after their answer than kept."""
+        return len(self.connections) > self._crowd
+
     def made(self, connection: ClientConnection) -> None:
         """A connection is up."""
         self.connections.add(connection)
@@ -183,7 +195,8 @@
     def _sweep(self) -> None:
         assert self._loop is not None
         now = self._loop.time()
-        for queue, age in ((self.silent, SILENT_S), (self.kept, KEEP_S)):
+        limits = ((self.silent, SILENT_S), (self.kept, KEEP_S), (self.visitors, KEEP_S))
+        for queue, age in limits:
             for connection in _older(queue, now - age):
                 if connection.quiet():
                     connection.close()
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -110,12 +110,13 @@
         self._probe_request = b"GET %s HTTP/1.1\r\nHost: sidecar\r\n\r\n" % probed
         limits = settings.limits
         # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
-        clients = (config.sockets - RESERVE) // 2
+        # Clients may hold a third of all for requests; as many again are left to those that send none.
+        clients = (config.sockets - RESERVE) * 2 // 3
         self._upstream = Upstream(
             loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE,
             min(c.aim_ns for c in settings.classes) / 2e9,
         )
-        self._listener = Listener(self, clients)
+        self._listener = Listener(self, clients, config.sockets // 4)
         known = read_listing(config.known, settings)
         self._discovery = Discovery(loop, config.discovery, settings, known.version, self._told)
         self._module = Balancer(settings, config.seed, self._clock())
