Budgets grow only where calls hang on silent connections

To blame: rules.py _fits, growth also where servers are merely busy. Now only where the last echo tells of fewer calls than are out from here.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -409,8 +409,10 @@
 
     def _fits(self, now: int, server: Server) -> bool:
         """Under budget or due for a trial, and warm enough. Growth: where all are at their budgets, one more
-        call may pass as a trial; without probes that is for _pick to say."""
-        grows = self._probing and not self._room and server.k < STEPS
+        call may pass as a trial; with probes only where the server tells of fewer than are out from here, as
+        then some hang on silent connections; without, that is for _pick to say."""
+        hang = server.load + 0.5 < server.inflight
+        grows = self._probing and hang and not self._room and server.k < STEPS
         free = server.slot >= 0 or ((not server.k or grows) and self._trial_due(server, now))
         return server.up and free and self._warm(server, now)
 
