--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -324,10 +324,10 @@
 
     def _meet(self, now: int, call: Call) -> None:
         """How crowded the fleet is for a call that asked: the shortest queue it found, for there it goes. A
-        mean over all that were asked sheds while some stand idle, as soon as one is slow, one reports too much
-        or the fleet is small. What a request that waits costs is measured on own answers: the more of the aim
-        they take, the sooner the next are late. It harms where those tell of better times, as at the start of
-        a jam, and where most reports are too low."""
+        mean over all that were asked sheds while some stand idle, where one is slow or reports too much and
+        where the fleet is small. What a request that waits costs is measured on own answers: the more of the
+        aim they take, the sooner the next are late. It harms where those tell of better times, as at the
+        start of a jam, and where most reports are too low."""
         if call.queue < math.inf:
             # Over a time, not so many calls: where many come, a queue of some milliseconds is chance.
             gain = min(GAIN, 1.0 / (1.0 + self._rate * self._horizon))
