Crowding is averaged over time, not over calls offered

Ruled out: servers left out (none muted but the one that had crashed), k (1 to 3, all under budget), calls in flight (0). At fault: _meet, and _on_echo before it, weighed a finding by 1 / (rate offered x deadline). Shed calls and their retries raise the rate and find nothing, so the belief froze just when it was wrong.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -32,6 +32,7 @@
 CROWDED = 0.4  # crowding (share of slow answers) from which calls are shed
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
 JAMMED = 4.0  # crowding that one call's finding counts for at most
+MOST = 1.5  # crowding at most: from 1 on all are shed, and what goes beyond only makes that last
 SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
 SLACK = 3.0  # how much more may wait at most where they take less: servers that hold many for long jam
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
@@ -329,9 +330,11 @@
         aim they take, the sooner the next are late. It harms where those tell of better times, as at the
         start of a jam, and where most reports are too low."""
         if call.queue < math.inf:
-            # Over a time, not so many calls: where many come, a queue of some milliseconds is chance.
-            gain = min(GAIN, 1.0 / (1.0 + self._rate * self._horizon))
-            self._crowd += (min(call.queue * (self._long / SHORT) ** 2, JAMMED) - self._crowd) * gain
+            # Over a time, not so many calls: where many come, a queue of some milliseconds is chance, and where
+            # nearly all are shed, those that still ask are all there is to learn from.
+            gain = min(GAIN, (now - self._crowd_at) / self._horizon)
+            found = min(call.queue * (self._long / SHORT) ** 2, JAMMED)
+            self._crowd = min(MOST, self._crowd + (found - self._crowd) * gain)
             self._crowd_at = now
 
     def _feel(self, now: int, attempt: Attempt, event: Response) -> None:
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -11,7 +11,7 @@
     """A server that serves as told and reports so many waiting requests, true or not."""
     async def script(talk: Conversation, call: Call) -> None:
         if call.target == "/-/load":
-            await talk.answer(200, dump({"inflight": queue + (queue > 0), "queue": queue}))
+            await talk.answer(200, dump({"inflight": queue, "queue": queue}))
         else:
             await serve(talk, call)
     return script
@@ -19,8 +19,7 @@
 
 def pass_time(world: World, seconds: float) -> None:
     """Let the module's clock run ahead: it averages over seconds, which no test should wait for."""
-    clock = world.sidecar._clock
-    world.sidecar._clock = lambda: clock() + int(seconds * 1e9)
+    world.sidecar._clock._anchor += int(seconds * 1e9)
 
 
 PROBED = settings(discovery="subscribe", reporting={"how": "probe", "columns": ["inflight", "queue"]},
@@ -39,3 +38,36 @@
                     pass_time(world, 0.05)
                     assert (await client.ask())[0] == 200
     play(scene)
+
+
+def test_shedding_ends_soon_after_the_crowd_though_clients_storm():
+    """Found: crowding was averaged over calls offered. Where nearly all are shed and come again, the few that
+    still ask weighed nothing, and idle servers were spared for seconds."""
+    async def scene():
+        queue = [1]
+
+        async def slow(talk: Conversation, call: Call) -> None:
+            pass_time(world, 1.0)
+            await ok(talk, call)
+
+        async def script(talk: Conversation, call: Call) -> None:
+            await reporting(queue[0], slow if queue[0] else ok)(talk, call)
+
+        async with contextlib.AsyncExitStack() as stack:
+            servers = [await stack.enter_async_context(Server(script)) for _ in range(4)]
+            lines = [line(f"s{i}", server.port) for i, server in enumerate(servers)]
+            async with sidecar(*lines, raw=PROBED) as world:
+                client = await world.client()
+
+                async def refused(calls: int, gap: float) -> int:
+                    found = 0
+                    for _ in range(calls):
+                        pass_time(world, gap)
+                        found += (await client.ask())[0] == 503
+                    return found
+
+                assert await refused(100, 0.5) > 50
+                queue[0] = 0
+                await refused(1000, 0.02)  # three deadlines long
+                assert await refused(100, 0.02) < 20
+    play(scene)
