--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -330,7 +330,7 @@
         aim they take, the sooner the next are late. It harms where those tell of better times, as at the
         start of a jam, and where most reports are too low."""
         if call.queue < math.inf:
-            # Over a time, not so many calls: where many come, a queue of some milliseconds is chance, and where
+            # Over a time, not so many calls: where many come, a queue of some milliseconds is chance; where
             # nearly all are shed, those that still ask are all there is to learn from.
             gain = min(GAIN, (now - self._crowd_at) / self._horizon)
             found = min(call.queue * (self._long / SHORT) ** 2, JAMMED)
