A server that holds nothing is tried again, whatever its last answers took

Ruled out: mute (0), budget (k 2, own 0), the list (up), its echoes (0.6 to 1.4 ms, true). At fault: _settle expected (load + 1) x size x stretch with a stretch of 4.0 that one answer had raised, which does not age there as it does in _expect, and let an idle server through only where crowding was low. What is not sent to is not learned of. Nor did a speed count in which server is the best, but for ties. Now: speeds fade to the mean in both places, the best is the one of least expected wait, an idle one is always tried.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -431,14 +431,18 @@
         free = server.slot >= 0 or ((not server.k or grows) and self._trial_due(server, now))
         return server.up and free and self._warm(server, now)
 
+    def _speed(self, now: int, server: Server) -> float:
+        """A server's time to answer over size. What is old fades to the mean: one that is passed over tells
+        nothing new."""
+        if not server.seen:
+            return self._stretch
+        fade = 8 * self._horizon / (8 * self._horizon + now - server.seen)
+        return self._stretch + (server.stretch - self._stretch) * fade
+
     def _expect(self, server: Server, call: Call, now: int) -> float:
-        """Expected time to answer, with prices put into time. What is old fades to the mean."""
-        stretch = self._stretch
-        if server.seen:
-            age = now - server.seen
-            stretch += (server.stretch - stretch) * 8 * self._horizon / (8 * self._horizon + age)
+        """Expected time to answer, with prices put into time."""
         aim, prices = call.cls.aim_ns, self._set.prices
-        expect = call.size * stretch
+        expect = call.size * self._speed(now, server)
         if server.zone != self._set.zone:
             expect += prices.get("crossZone", 0.0) * aim
         if server.inflight >= server.peak or now - server.used > self._set.limits.conn_idle_ns:
@@ -645,8 +649,9 @@
                 call.queue = min(call.queue, event.load.get("queue", call.queue))
             if event.how == How.OK and self._fits(now, server):
                 best = call.best
-                if best is None or (server.load, server.stretch) < (best.load, best.stretch):
-                    call.best = server
+                wait = (server.load + 1.0) * self._speed(now, server)
+                if best is None or wait < call.best_wait:
+                    call.best, call.best_wait = server, wait
             if call.pending <= 1 or (call.best is not None and call.best.load < 1.0):
                 call.pending = 0
                 self._settle(now, call)
@@ -659,8 +664,10 @@
             return
         self._meet(now, call)
         if server is not None:
-            expect = (server.load + 1.0) * call.size * max(self._stretch, server.stretch)
-            free = server.load < 1.0 and self._crowd < CROWDED  # nothing to lose: the hint may be too high
+            expect = (server.load + 1.0) * call.size * max(self._stretch, self._speed(now, server))
+            # Nothing to lose, and the only way to learn better of a server that slow answers spoke against.
+            # It harms where a server that stands still reports that it holds nothing.
+            free = server.load < 1.0
             trial = server.slot < 0 and self._trial_due(server, now)
             if (free or now + expect <= call.aim_at) and self._send(now, call, server, trial):
                 return
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -56,7 +56,7 @@
 
     __slots__ = (
         "tid", "number", "cls", "deadline", "aim_at", "size", "tried", "out", "attempts", "ran_on", "ran_at",
-        "begun", "give_up", "pending", "rounds", "best", "hint", "queue",
+        "begun", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait",
     )
 
     def __init__(
@@ -75,7 +75,8 @@
         self.give_up = deadline
         self.pending = self.rounds = 0  # probes whose echo is due; rounds of probes asked for
         self.queue = math.inf  # the shortest queue among those that echoed in this round
-        self.best: Server | None = None  # the least loaded of the servers that echoed
+        self.best: Server | None = None  # the server that echoed and answers soonest
+        self.best_wait = 0.0  # in how many times the call's size
 
 
 class Attempt:
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -71,3 +71,17 @@
                 await refused(1000, 0.02)  # three deadlines long
                 assert await refused(100, 0.02) < 20
     play(scene)
+
+
+def test_an_idle_server_is_asked_again_after_slow_answers():
+    """Found: one slow answer and some crowding elsewhere, and a server stood idle for seconds. As nothing was
+    sent to it, nothing better was learned, and the calls that had found it idle were held and refused."""
+    async def scene():
+        async with Server(reporting(0)) as server, sidecar(line("s1", server.port), raw=PROBED) as world:
+            module = world.sidecar._module
+            known = module._servers["s1"]
+            known.stretch, known.seen, module._crowd = 9.0, world.sidecar._clock(), 0.7
+            client = await world.client()
+            assert (await client.ask("guarded", Idempotency_Key="k"))[0] == 200
+            assert known.stretch < 9.0
+    play(scene)
