A watch that falls silent is noticed in a quarter of the time a list may be old

Traced: the watch of one sidecar was silent from 2.1 to 14.1 s (its call waited 10 s and 2 more), the failure told then more than doubled the module's pause, and the next list came at 21.2 s. By then a release had replaced five of the six servers it knew; probes said so (refused, 503), and none of the new ones could be known. Ruled out: crowding out of date (it falls as soon as servers come), the cold ramp (no cold server was listed), false mutes (those muted were gone). At fault: discovery.py let a call wait for all of must_ask_in_ns; rules.py began its pauses at a quarter of that, doubled before the first use and drawn up to twice. It harms where discovery has few lines for very many sidecars.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -83,7 +83,7 @@
         self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
         self._idle_doubt = 0  # until when a shorter one than the settings' is believed
         self._shut_until = self._asked_at = 0  # before these no server can be tried, no list asked for
-        self._ask_pause = settings.invariants.must_ask_in_ns // 4
+        self._ask_pause = settings.invariants.must_ask_in_ns // 16
         self._watching = False
         dear = PROBES * settings.prices.get("probe", 0.0) > PROBE_SPEND
         self._probing = settings.reports != "none" and settings.limits.may_probe and not dear
@@ -243,7 +243,7 @@
                 self._ask_later(now)
         else:
             self._watching = self._set.must_ask
-            self._ask_pause = inv.must_ask_in_ns // 4
+            self._ask_pause = inv.must_ask_in_ns // 16
         if event.scope != "INCREMENTAL":
             listed = {entry.server for entry in event.entries}
             for name, server in self._servers.items():
--- a/hollyport/discovery.py
+++ b/hollyport/discovery.py
@@ -91,8 +91,9 @@
         self._loop, self._address, self._settings, self._tell = loop, address, settings, tell
         self._version = version  # None until this discovery has told its own
         self._host = f"{address.host}:{address.port}".encode()
-        # A call that waits must come back well before the list would count as too old.
-        self._wait_ms = min(settings.invariants.must_ask_in_ns, LONGEST_WAIT_NS) // 1_000_000
+        # A call that waits must come back well before the list would count as too old; and while it waits, a
+        # connection that has fallen silent looks like a list without news.
+        self._wait_ms = min(settings.invariants.must_ask_in_ns // 4, LONGEST_WAIT_NS) // 1_000_000
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -135,3 +135,31 @@
             assert world.sidecar.ready() is False
     play(scene)
     assert "ZeroDivisionError" in capfd.readouterr().err
+
+
+def test_a_silent_or_broken_watch_costs_a_part_of_the_time_a_list_may_be_old():
+    """Found: a watch waited for all of that time and two seconds more, its connection being silent, and one
+    failure more than doubled it: through a release a sidecar knew none of the new servers for 19 s."""
+    async def scene():
+        may_be_old = 60.0
+        raw = settings(discovery="subscribe", invariants={"mustAskInNs": int(may_be_old * 1e9)})
+        registry = Registry()
+        async with Server(registry) as place, sidecar(discovery=place.port, raw=raw) as world:
+            module = world.sidecar._module
+            failed, handle = asyncio.Event(), module.handle
+
+            def watch(now, event):
+                done = handle(now, event)
+                if getattr(event, "scope", "") == "FAILED":
+                    failed.set()
+                return done
+
+            module.handle = watch
+            registry.answers.put_nowait(listing())
+            for _ in range(2):
+                _, query, _ = await registry.asked.get()
+            assert 0 < int(query["wait_ms"][0]) / 1e3 <= may_be_old / 4
+            registry.answers.put_nowait(None)
+            await failed.wait()
+            assert (module._asked_at - world.sidecar._clock()) / 1e9 <= may_be_old / 4
+    play(scene)
