One error costs no server: two in a row do

Ruled out: that failing servers would draw more without it (they answer the second call as they did the first). At fault: _judge convicted on the first error.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -374,8 +374,10 @@
         elif not failed:
             server.mute.pop(attempt.cls, None)
             server.figure = min(FIGURE, server.figure + GAIN / 8)
-        if how == How.ERROR and self._may_convict():
-            # Exception "conviction": failing servers answer fast, look idle and would draw all traffic.
+        again, server.erred = server.erred, how == How.ERROR
+        if server.erred and again and self._may_convict():
+            # Exception "conviction": failing servers answer fast, look idle and would draw all calls. Not at
+            # a first error: healthy ones have those, too, and a small fleet would lack them for nothing.
             server.k = 0
         if before and not server.k:
             self._live -= server.up
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -15,7 +15,7 @@
     __slots__ = (
         "name", "zone", "cell", "heft", "up", "gone", "started", "inflight", "k", "figure", "trial",
         "backoff", "retry_at", "stretch", "seen", "peak", "used", "idle", "slot", "mute", "load",
-        "mute_until", "heard", "struck", "askers", "credit", "credit_at",
+        "mute_until", "heard", "struck", "erred", "askers", "credit", "credit_at",
     )
 
     def __init__(self, entry: Entry) -> None:
@@ -40,6 +40,7 @@
         self.seen = 0  # 0: never heard of, so the fleet's mean stands in
         self.heard = 0  # when it last answered anything at all
         self.struck = 0  # when something last broke or fell silent there
+        self.erred = False  # whether its last verdict was an error
         self.load = 0.0  # requests held, by the last echo and own sends since
         self.mute_until = 0  # no probes before this: the last one failed
         self.mute: dict[int, tuple[int, int]] = {}  # classes left unanswered: until when, for how long
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -85,3 +85,25 @@
             assert (await client.ask("guarded", Idempotency_Key="k"))[0] == 200
             assert known.stretch < 9.0
     play(scene)
+
+
+def test_one_error_costs_no_server():
+    """Found: a single 500 put one of six servers out of service for half a second and longer."""
+    async def scene():
+        fails = [True]
+
+        async def script(talk: Conversation, call: Call) -> None:
+            if fails and call.target != "/-/load":
+                fails.pop()
+                await talk.answer(500)
+            else:
+                await reporting(0)(talk, call)
+
+        async with Server(script) as server, Server(reporting(0)) as other:
+            lines = [line("s1", server.port), line("s2", other.port)]
+            async with sidecar(*lines, raw=PROBED) as world:
+                client = await world.client()
+                while fails:
+                    assert (await client.ask())[0] == 200
+                assert world.sidecar._module._servers["s1"].k > 0
+    play(scene)
