--- /dev/null
+++ b/dunefield/crowding.py
@@ -0,0 +1,73 @@
+"""How crowded the fleet is, as one sidecar can tell, and which calls are shed for it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from dunefield.interface import RequestClass
+from dunefield.state import GAIN
+
+CROWDED = 0.4  # crowding from which calls are shed
+JAMMED = 4.0  # crowding that one call's finding counts for at most
+MOST = 1.5  # crowding at most: from 1 on all are shed, and what goes beyond only makes that last
+SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
+SLACK = 3.0  # how much more may wait at most where they take less: servers that hold many for long jam
+
+
+class Crowding:
+    """What probes and own answers tell of the fleet as a whole."""
+
+    def __init__(self, classes: Sequence[RequestClass], horizon: int, now: int) -> None:
+        self._horizon = horizon
+        self._share = [1.0 / len(classes)] * len(classes)  # of each class in the requests of late
+        self._cheapest = sorted(range(len(classes)), key=lambda i: (classes[i].worth, i))
+        self._at = now
+        self._long = 0.25  # part of their aim that own answers take
+        self._slack = 1.0  # how much more than usual calls may wait, answers being short for their aim
+        self.level = 0.0
+
+    def count(self, number: int) -> None:
+        """Take note of a request's class."""
+        for i, share in enumerate(self._share):
+            self._share[i] = share + ((i == number) - share) * GAIN / 8
+
+    def answered(self, part: float) -> None:
+        """Take note of an own answer that took this part of its aim."""
+        self._long += (part - self._long) * GAIN / 8
+        self._slack = min(SLACK, max(1.0, (SHORT / self._long) ** 2))
+
+    def found(self, now: int, queue: float) -> None:
+        """A call that asked found this queue, the shortest of all: there it goes. A mean over all that were
+        asked sheds while some stand idle, where one is slow or reports too much and where the fleet is small.
+        What a request that waits costs is measured on own answers: the more of the aim they take, the sooner
+        the next are late. It harms where those tell of better times, as at the start of a jam, and where most
+        reports are too low."""
+        # Over a time, not so many calls: where many come, a queue of some milliseconds is chance; where
+        # nearly all are shed, those that still ask are all there is to learn from.
+        gain = min(GAIN, (now - self._at) / self._horizon)
+        found = min(queue * (self._long / SHORT) ** 2, JAMMED)
+        self.level = min(MOST, self.level + (found - self.level) * gain)
+        self._at = now
+
+    def felt(self, now: int, slow: bool) -> None:
+        """An own answer was slow or was not, where nothing else tells. Only whether, not how much: a server
+        that stands still or keeps silent says nothing of the rest."""
+        self.level += (slow - self.level) * GAIN
+        self._at = now
+
+    def sheds(self, now: int, number: int, out: int, flow: float, draw: float) -> bool:
+        """Whether a call of this class must not reach the fleet. `flow` is how many calls are in flight by
+        Little's law while nothing waits, `out` how many are; `draw` is a random number."""
+        crowd = self.level * self._horizon / (self._horizon + now - self._at)
+        # Calls in flight tell of a jam before its answers come: more than Little's law and chance explain.
+        usual = self._slack * (2.0 + flow + 2.0 * math.sqrt(flow))
+        crowd = max(crowd, 2.0 * math.log((1 + out) / usual))
+        shed = (crowd - CROWDED) / (1.0 - CROWDED)
+        if shed <= 0.0:
+            return False
+        for i in self._cheapest:
+            if i == number:
+                return draw < min(0.99, shed / max(self._share[i], 0.01))
+            shed -= self._share[i]
+        return False
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -13,11 +13,12 @@
 import random
 from zlib import crc32
 
+from dunefield.crowding import CROWDED, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
     How, Probe, Refuse, RequestClass, Response, Settings, Submit, Subscribe,
 )
-from dunefield.state import FIGURE, Attempt, Call, Server
+from dunefield.state import FIGURE, GAIN, Attempt, Call, Server
 
 UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
 TICK = 1  # tag of the timer for held calls; 0 is the one for the server list
@@ -28,13 +29,7 @@
 ROUNDS = 2  # times to ask other servers before a busy one is taken
 DRAWS = 12  # draws before a pick falls back on the set of servers under budget
 SUBSET = 8  # servers that a sidecar with few calls can know by its own answers; half where connections cost
-GAIN = 0.3  # weight of one new observation against what was known
-CROWDED = 0.4  # crowding (share of slow answers) from which calls are shed
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
-JAMMED = 4.0  # crowding that one call's finding counts for at most
-MOST = 1.5  # crowding at most: from 1 on all are shed, and what goes beyond only makes that last
-SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
-SLACK = 3.0  # how much more may wait at most where they take less: servers that hold many for long jam
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
 RETRY_RATIO = 0.2  # further attempts earned by one request
 
@@ -74,12 +69,7 @@
         self._heard_at = self._served_at = self._begun_at = now
         self._reach = 1  # servers that draws go over
         self._heaviest = 1.0  # the largest weight listed
-        self._share = [1.0 / len(classes)] * len(classes)  # of each class in the requests of late
-        self._cheapest = sorted(range(len(classes)), key=lambda i: (classes[i].worth, i))
-        self._crowd = 0.0  # share of slow ones in the latest answers
-        self._crowd_at = now
-        self._long = 0.25  # part of their aim that own answers take
-        self._slack = 1.0  # how much more than usual calls may wait, answers being short for their aim
+        self._crowding = Crowding(classes, self._horizon, now)
         self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
         self._idle_doubt = 0  # until when a shorter one than the settings' is believed
         self._shut_until = self._asked_at = 0  # before these no server can be tried, no list asked for
@@ -138,27 +128,14 @@
         span = min(self._horizon, now - self._begun_at + self._pace)
         self._rate = _pulse(self._rate, now - self._heard_at, span)
         self._heard_at = now
-        for i, share in enumerate(self._share):
-            self._share[i] = share + ((i == number) - share) * GAIN / 8
+        self._crowding.count(number)
         self._tokens = min(self._tokens + RETRY_RATIO, 2.0 / RETRY_RATIO)
 
     def _shed(self, now: int, number: int, size: float) -> bool:
         """Exception "shedding": the fleet answers slower than when uncrowded, so part of the calls must not
         reach it, those of least worth first. Each sidecar draws for itself, so the fleet sheds smoothly."""
-        idle = now - self._crowd_at
-        crowd = self._crowd * self._horizon / (self._horizon + idle)
-        # Calls in flight tell of a jam before its answers come: more than Little's law and chance explain.
         flow = (self._served + self._rate) / 2 * size
-        usual = self._slack * (2.0 + flow + 2.0 * math.sqrt(flow))
-        crowd = max(crowd, 2.0 * math.log((1 + len(self._attempts)) / usual))
-        shed = (crowd - CROWDED) / (1.0 - CROWDED)
-        if shed <= 0.0:
-            return False
-        for i in self._cheapest:
-            if i == number:
-                return self._random() < min(0.99, shed / max(self._share[i], 0.01))
-            shed -= self._share[i]
-        return False
+        return self._crowding.sheds(now, number, len(self._attempts), flow, self._random())
 
     def _on_alarm(self, now: int, event: Alarm) -> None:
         if self._set.must_ask and not self._watching and now >= self._asked_at:
@@ -317,35 +294,18 @@
             extra, count, at = self._extra[attempt.cls]
             error = min(service - attempt.hint - extra, 2 * attempt.size)  # a few cost many times the usual
             # By time and both ways alike: a jam hardly moves it, and a figure set too low does not last.
-            first = count < 2 or (count < 32 and self._crowd < CROWDED)
+            first = count < 2 or (count < 32 and self._crowding.level < CROWDED)
             gain = max(1.0 / (count + 1) if first else 0.0, (now - at) / (64 * self._horizon))
             self._extra[attempt.cls] = (max(0.0, extra + error * min(gain, 1.0)), count + 1, now)
-            self._long += (event.lag_ns / self._classes[attempt.cls].aim_ns - self._long) * GAIN / 8
-            self._slack = min(SLACK, max(1.0, (SHORT / self._long) ** 2))
-
-    def _meet(self, now: int, call: Call) -> None:
-        """How crowded the fleet is for a call that asked: the shortest queue it found, for there it goes. A
-        mean over all that were asked sheds while some stand idle, where one is slow or reports too much and
-        where the fleet is small. What a request that waits costs is measured on own answers: the more of the
-        aim they take, the sooner the next are late. It harms where those tell of better times, as at the
-        start of a jam, and where most reports are too low."""
-        if call.queue < math.inf:
-            # Over a time, not so many calls: where many come, a queue of some milliseconds is chance; where
-            # nearly all are shed, those that still ask are all there is to learn from.
-            gain = min(GAIN, (now - self._crowd_at) / self._horizon)
-            found = min(call.queue * (self._long / SHORT) ** 2, JAMMED)
-            self._crowd = min(MOST, self._crowd + (found - self._crowd) * gain)
-            self._crowd_at = now
+            self._crowding.answered(event.lag_ns / self._classes[attempt.cls].aim_ns)
 
     def _feel(self, now: int, attempt: Attempt, event: Response) -> None:
-        """How crowded the fleet is, from own answers alone. Only whether an answer was slow counts, not how
-        slow: a server that stands still or keeps silent says nothing of the rest."""
+        """How crowded the fleet is, from own answers alone."""
         silent = event.how == How.TIMEOUT and attempt.server.seen < attempt.sent  # to every call, as in a jam
         if self._probing or not (silent or event.how in (How.OK, How.FULL)):
             return  # echoes tell it better
         slow = event.how != How.OK or event.lag_ns > SLOW * attempt.size
-        self._crowd += (slow - self._crowd) * GAIN
-        self._crowd_at = now
+        self._crowding.felt(now, slow)
 
     def _judge(self, now: int, attempt: Attempt, how: int) -> None:
         """Budget, trial and conviction after an outcome."""
@@ -588,7 +548,8 @@
         """Exception "shedding": the best server found would answer after the aim, which earns little.
         Random, so that a thousand sidecars with the same old news don't all stop and start together."""
         ratio = expect / max(1, call.aim_at - now)
-        return self._random() < min(0.9, (ratio - HOPEFUL + self._crowd) * 1.5) * (1.0 - call.cls.late_worth)
+        doubt = min(0.9, (ratio - HOPEFUL + self._crowding.level) * 1.5)
+        return self._random() < doubt * (1.0 - call.cls.late_worth)
 
     def _again(self, now: int, call: Call) -> None:
         """After a failed attempt: another one if class, time and retry budget allow, else the end."""
@@ -664,7 +625,8 @@
         if server is not None and server.load >= 1.0 and call.rounds % ROUNDS:
             self._ask(now, call)
             return
-        self._meet(now, call)
+        if call.queue < math.inf:
+            self._crowding.found(now, call.queue)
         if server is not None:
             expect = (server.load + 1.0) * call.size * max(self._stretch, self._speed(now, server))
             # Nothing to lose, and the only way to learn better of a server that slow answers spoke against.
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -6,6 +6,7 @@
 
 from dunefield.interface import Entry, RequestClass
 
+GAIN = 0.3  # weight of one new observation against what was known
 FIGURE = 2.0  # concurrency figure of a server nothing is known of, and its ceiling: each step admits so many
 
 
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -80,7 +80,7 @@
         async with Server(reporting(0)) as server, sidecar(line("s1", server.port), raw=PROBED) as world:
             module = world.sidecar._module
             known = module._servers["s1"]
-            known.stretch, known.seen, module._crowd = 9.0, world.sidecar._clock(), 0.7
+            known.stretch, known.seen, module._crowding.level = 9.0, world.sidecar._clock(), 0.7
             client = await world.client()
             assert (await client.ask("guarded", Idempotency_Key="k"))[0] == 200
             assert known.stretch < 9.0
