A request that later ones overtake is withdrawn and goes to another server

Ruled out: slow servers (a server takes calls in order, and the later ones were answered), spoilt answers (108, known after half an aim), want of retries (the budget was full). At fault: nothing in the module looked at an attempt between send and deadline. Now two later answers of the same server withdraw an attempt whose class may run twice; the retry budget bounds it.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -16,7 +16,7 @@
 from dunefield.crowding import CROWDED, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
-    How, Probe, Refuse, RequestClass, Response, Settings, Submit, Subscribe,
+    How, Probe, Refuse, RequestClass, Response, Retract, Settings, Submit, Subscribe,
 )
 from dunefield.state import FIGURE, GAIN, Attempt, Call, Server
 
@@ -31,6 +31,7 @@
 SUBSET = 8  # servers that a sidecar with few calls can know by its own answers; half where connections cost
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
+OVERTAKEN = 2  # later calls that are answered first while one hangs: a single one may be chance
 RETRY_RATIO = 0.2  # further attempts earned by one request
 
 
@@ -158,6 +159,7 @@
         server.used = now
         if event.how == How.OK:
             server.heard = now
+            self._overtake(now, attempt)
         stale = event.how == How.RESET and self._stale(now, attempt.idle, event.lag_ns)
         if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
             server.trial = server.trial and not attempt.trial
@@ -178,6 +180,22 @@
                 self._again(now, call)
         self._pump(now)
 
+    def _overtake(self, now: int, answered: Attempt) -> None:
+        """Exception "overtaken": an attempt whose server has answered calls that it was sent later hangs on a
+        silent connection, most likely. Where it may run twice and time is left, it is withdrawn and goes to
+        another server. Covers answers lost on the way, too, and calls that a server forgot. It harms where
+        servers serve many at a time and calls differ widely: some work is then done twice."""
+        for (tid, number), attempt in self._attempts.items():
+            if attempt.server is answered.server and attempt.sent < answered.sent:
+                attempt.passed += 1
+                call = self._calls.get(tid)
+                if (
+                    attempt.passed == OVERTAKEN and call is not None and call.cls.repeat == "free"
+                    and self._set.limits.cancel and self._tokens >= 1.0
+                    and now + self._pace < call.give_up
+                ):
+                    self._acts.append(Retract(tid, number))
+
     def _stale(self, now: int, idle: int, lag: int) -> bool:
         """Exception "stale connection": a reset that comes sooner after the send than the connection had been
         idle before says that something dropped the idle connection; of the server it says nothing. Idle
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -84,8 +84,9 @@
 class Attempt:
     """One attempt whose outcome is due; it outlives its call."""
 
-    __slots__ = ("server", "trial", "sent", "size", "cls", "hint", "idle")
+    __slots__ = ("server", "trial", "sent", "size", "cls", "hint", "idle", "passed")
 
     def __init__(self, server: Server, trial: bool, sent: int, call: Call) -> None:
         self.server, self.trial, self.sent, self.idle = server, trial, sent, server.idle
         self.size, self.cls, self.hint = call.size, call.number, call.hint
+        self.passed = 0  # later calls that the server has answered before this one
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 
 from backend import Call, Conversation, Script, Server, World, dump, line, ok, play, settings, sidecar
@@ -23,7 +24,7 @@
 
 
 PROBED = settings(discovery="subscribe", reporting={"how": "probe", "columns": ["inflight", "queue"]},
-                  limits={"mayProbe": True})
+                  limits={"mayProbe": True, "cancel": True})
 
 
 def test_queues_at_some_servers_refuse_nobody_while_others_stand_idle():
@@ -107,3 +108,26 @@
                     assert (await client.ask())[0] == 200
                 assert world.sidecar._module._servers["s1"].k > 0
     play(scene)
+
+
+def test_a_request_on_a_silent_connection_goes_elsewhere_once_others_overtake_it():
+    """Found: it waited for its client's time to run out, while its server answered all that came later."""
+    async def scene():
+        hung = asyncio.Event()
+
+        async def script(talk: Conversation, call: Call) -> None:
+            if call.target != "/-/load" and not hung.is_set():
+                hung.set()
+                await asyncio.sleep(60)
+            await reporting(0)(talk, call)
+
+        async with Server(script) as server, Server(script) as other:
+            lines = [line("s1", server.port), line("s2", other.port)]
+            async with sidecar(*lines, raw=PROBED) as world:
+                first = asyncio.ensure_future((await world.client()).ask())
+                await hung.wait()
+                client = await world.client()
+                while not first.done():
+                    assert (await client.ask())[0] == 200
+                assert first.result()[0] == 200
+    play(scene)
