What follows an error in the same read gets no second one

No usual client is hurt; a bad one may lose its error to the reset. Found beside the main cause and not part of it.

--- a/hollyport/client.py
+++ b/hollyport/client.py
@@ -131,7 +131,8 @@
         # Counted raw: a header that never ends would only grow inside the parser.
         if self._in_head and self._raw > MAX_HEAD:
             self._error = self._error or 431
-        if self._error:
+        # Where a request in this piece was answered with an error, what follows it gets no second one.
+        if self._error and not self._deaf:
             self._deaf = True
             self._parser = None
             if self._active is None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -246,3 +246,16 @@
                 await asyncio.sleep(0.005)
             assert "connection" not in (await clients[1].ask())[1]
     play(scene)
+
+
+def test_what_follows_an_error_in_the_same_read_gets_no_second_one():
+    """Found: the second error was written behind the end of the stream, which broke the connection off."""
+    async def scene():
+        broken = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: broken.append(context))
+        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+            client = await world.client()
+            await client.send(HEAD.replace(b"free", b"nosuch") % b"c" + b"\r\n\x16\x03\x01 nonsense\r\n\r\n")
+            assert (await client.answer())[0] == 404
+            assert await ended(client) == b"" and not broken
+    play(scene)
