A class that a server leaves unanswered is heeded where probes decide

Ruled out: silent connections (they would strike all classes), budgets (free), probes (true and quick). At fault: _ask looked at mute_until alone; what _judge notes of single classes was read by _pick only, which is not asked where probes decide. A withdrawn attempt was not noted at all. Now _ask passes over such servers while others are left; the first time is only noted, as one connection may be silent.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -194,6 +194,7 @@
                     and self._set.limits.cancel and self._tokens >= 1.0
                     and now + self._pace < call.give_up
                 ):
+                    self._unanswered(now, attempt)
                     self._acts.append(Retract(tid, number))
 
     def _stale(self, now: int, idle: int, lag: int) -> bool:
@@ -347,8 +348,7 @@
         if how == How.FULL:
             server.figure = max(1.0 / STEPS, server.figure * 0.7)
         elif how == How.TIMEOUT:
-            pause = min(max(2 * server.mute.get(attempt.cls, UNMUTED)[1], self._horizon), 8 * self._horizon)
-            server.mute[attempt.cls] = (now + pause, pause)
+            self._unanswered(now, attempt)
         elif not failed:
             server.mute.pop(attempt.cls, None)
             server.figure = min(FIGURE, server.figure + GAIN / 8)
@@ -365,6 +365,14 @@
         elif server.k and not before:
             self._live += server.up
 
+    def _unanswered(self, now: int, attempt: Attempt) -> None:
+        """A server let a class go unanswered: pass over it for that class. Where probes decide, a first time
+        since it last answered the class is only noted, as a single connection may have fallen silent."""
+        mute = attempt.server.mute
+        noted = attempt.cls in mute or not self._probing
+        pause = min(max(2 * mute.get(attempt.cls, UNMUTED)[1], self._horizon), 8 * self._horizon)
+        mute[attempt.cls] = (now + pause if noted else 0, pause)
+
     def _struck(self, now: int, server: Server, sent: int) -> bool:
         """Exception "broken connection": whether what broke or fell silent tells of the server. A connection
         may do so at a healthy one, all day; a process that died or stands still does it again, unheard of
@@ -593,10 +601,12 @@
         call.pending = 0
         # Muted ones too when no other is left: a cause that all share is no reason to ask nobody.
         muted = all(s.mute_until > now for s in self._up)
-        for _ in range(2 * PROBES):
+        for turn in range(2 * PROBES):
             server = self._draw(call, 0)
             if server is None or call.pending == PROBES:
                 break
+            if now < server.mute.get(call.number, UNMUTED)[0] and (turn < 2 * PROBES - 2 or call.pending):
+                continue  # Exception "unanswered class": a probe does not tell of it
             if (server.mute_until > now and not muted) or server in call.tried or call in server.askers:
                 continue
             if not self._fits(now, server):
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -131,3 +131,27 @@
                     assert (await client.ask())[0] == 200
                 assert first.result()[0] == 200
     play(scene)
+
+
+def test_a_class_that_a_server_leaves_unanswered_goes_elsewhere():
+    """Found: half the servers never answered one class and looked well; probes went on choosing them."""
+    async def scene():
+        hung = []
+
+        async def script(talk: Conversation, call: Call) -> None:
+            if call.target.startswith("/free"):
+                hung.append(call)
+                await asyncio.sleep(60)
+            await reporting(0)(talk, call)
+
+        async with Server(script) as bad, Server(reporting(0)) as good:
+            async with sidecar(line("s1", bad.port), line("s2", good.port), raw=PROBED) as world:
+                client, guarded = await world.client(), await world.client()
+                while len(hung) < 2:
+                    asking = asyncio.ensure_future(client.ask())
+                    while not asking.done():
+                        assert (await guarded.ask("guarded", Idempotency_Key="k"))[0] == 200
+                    assert asking.result()[0] == 200
+                assert [(await client.ask())[0] for _ in range(20)] == [200] * 20
+                assert len(hung) == 2
+    play(scene)
