--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -145,7 +145,8 @@
             await reporting(0)(talk, call)
 
         async with Server(script) as bad, Server(reporting(0)) as good:
-            async with sidecar(line("s1", bad.port), line("s2", good.port), raw=PROBED) as world:
+            lines = [line("s1", bad.port), line("s2", good.port)]
+            async with sidecar(*lines, raw=PROBED) as world:
                 client, guarded = await world.client(), await world.client()
                 while len(hung) < 2:
                     asking = asyncio.ensure_future(client.ask())
