A server that leaves a class unanswered is not drawn by chance while others are left

Six draws of eight may all fall on such servers, and the last two took one. Now none is drawn while any other is left.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -600,14 +600,13 @@
         call.queue = math.inf
         call.pending = 0
         # Muted ones too when no other is left: a cause that all share is no reason to ask nobody.
-        muted = all(s.mute_until > now for s in self._up)
-        for turn in range(2 * PROBES):
+        muted = all(self._shunned(now, s, call) for s in self._up)
+        for _ in range(2 * PROBES):
             server = self._draw(call, 0)
             if server is None or call.pending == PROBES:
                 break
-            if now < server.mute.get(call.number, UNMUTED)[0] and (turn < 2 * PROBES - 2 or call.pending):
-                continue  # Exception "unanswered class": a probe does not tell of it
-            if (server.mute_until > now and not muted) or server in call.tried or call in server.askers:
+            shunned = self._shunned(now, server, call) and not muted
+            if shunned or server in call.tried or call in server.askers:
                 continue
             if not self._fits(now, server):
                 continue
@@ -617,6 +616,11 @@
             server.askers.append(call)
         self._hold(now, call)  # an echo may come too late, or never
 
+    def _shunned(self, now: int, server: Server, call: Call) -> bool:
+        """Whether a server's probes failed, or, Exception "unanswered class", it left the call's class
+        unanswered, which no probe tells."""
+        return now < max(server.mute_until, server.mute.get(call.number, UNMUTED)[0])
+
     def _on_echo(self, now: int, event: Echo) -> None:
         server = self._servers.get(event.server)
         if server is None:
