--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -7,16 +7,21 @@
 # SIGHUP asks for a fresh look at the file, which is yet to be read: until the loop listens, it must not kill.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import argparse
 import asyncio
 import gc
 import os
 import sys
+from collections.abc import Sequence
 
 import uvloop
 
+from hollyport import options
 from hollyport.config import Config, ConfigError, load
 from hollyport.sidecar import Sidecar
 
+OPTIONS = "HOLLYPORT_OPTIONS"  # names the operators' file where no flag does
+
 
 async def serve(sidecar_env: dict[str, str]) -> None:
     """Run one sidecar until SIGTERM or SIGINT."""
@@ -58,8 +63,21 @@
         config = new
 
 
-def main() -> int:
+def main(arguments: Sequence[str] | None = None) -> int:
     """Entry point of `python -m hollyport`."""
+    parser = argparse.ArgumentParser(prog="hollyport", description="A sidecar load balancer; see README.md.")
+    parser.add_argument("--options", metavar="FILE", default=os.environ.get(OPTIONS),
+                        help=f"the operators' file; also by the variable {OPTIONS}")
+    parser.add_argument("--check", metavar="FILE", help="check an operators' file, and do nothing else")
+    told = parser.parse_args(arguments)
+    try:
+        found = options.load(told.check or told.options)
+    except options.OptionsError as error:
+        print(f"hollyport: options: {error}", file=sys.stderr)
+        return 2
+    if told.check:
+        print(f"{told.check}: good; switched on: {', '.join(found.sections) or 'nothing'}")
+        return 0
     try:
         uvloop.run(serve(dict(os.environ)))
     except ConfigError as error:
