--- a/hollyport/options.py
+++ b/hollyport/options.py
@@ -93,8 +93,9 @@
     return Options(path, sections)
 
 
-_KEY = re.compile(r"""\s*((?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*')(?:\s*\.\s*(?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*'))*)\s*""")
-_PART = re.compile(r"""[A-Za-z0-9_-]+|"[^"]*"|'[^']*'""")
+_NAME = r"""(?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*')"""
+_KEY = re.compile(rf"\s*({_NAME}(?:\s*\.\s*{_NAME})*)\s*")
+_PART = re.compile(_NAME)
 
 
 def line_of(text: str, keys: tuple[str | int, ...]) -> int:
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -66,7 +66,8 @@
 
 def test_the_program_refuses_a_bad_file_and_checks_a_good_one(tmp_path):
     def run(*words):
-        return subprocess.run([sys.executable, "-m", "hollyport", *words], cwd=ROOT, capture_output=True, text=True)
+        return subprocess.run([sys.executable, "-m", "hollyport", *words], cwd=ROOT, capture_output=True,
+                              text=True)
 
     bad = run("--options", written(tmp_path, "[nothing]\n"))
     assert bad.returncode == 2 and re.search(r"hollyport\.toml:1: nothing: no such key", bad.stderr)
