Rehearsal kit: scenarios, plan, nodes, list, clients, judge and report on loopback

Operators rehearse by hand and each rehearsal differs. The kit draws a plan from scenario, scale and seed (the same to the byte), starts real daemons as processes, stands in for nodes, node list and clients in processes of its own that share one clock, and judges what both ends recorded.

--- /dev/null
+++ b/rehearsal/clients/__init__.py
@@ -0,0 +1,2 @@
+"""Stand-ins for the applications: when they try again (`policy`, pure), how they speak (`caller`,
+`flood`)."""
--- /dev/null
+++ b/rehearsal/daemon.py
@@ -0,0 +1,204 @@
+"""The program under rehearsal, as processes: started, watched, signalled, and ended whatever comes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from rehearsal.judge import Life, Sample
+from rehearsal.worker import Clock
+
+LEASH = Path(__file__).parent / "leash.py"
+ROOT = Path(__file__).parent.parent
+LOG_LINES = 12
+LOOK_S = 0.02
+
+
+def default_command() -> list[str]:
+    """The daemon as the platform starts it, by the interpreter that runs the kit."""
+    return [sys.executable, "-m", "hollyport"]
+
+
+def environment() -> dict[str, str]:
+    """What the kit's processes inherit; the packages are found wherever the kit is called from."""
+    paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
+    kept = {k: v for k, v in os.environ.items() if not k.startswith(("NODE_", "HOLLYPORT_"))}
+    return {**kept, "PYTHONPATH": os.pathsep.join(paths)}
+
+
+def own_address(draw: random.Random) -> str:
+    """A loopback address and port that nobody else is likely to pick: a daemon keeps its address over
+    restarts, so the port cannot be held open for it in between."""
+    host = f"127.{draw.randrange(1, 255)}.{draw.randrange(256)}.{draw.randrange(1, 255)}"
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
+
+
+class Daemon:
+    """One daemon, over all its lives."""
+
+    def __init__(self, number: int, command: list[str], folder: Path, clock: Clock, sockets: int) -> None:
+        self.number, self._command, self._folder, self._clock = number, command, folder, clock
+        self._sockets = sockets
+        self.address = own_address(random.SystemRandom())
+        self.life = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self._watched: psutil.Process | None = None
+        self._ending = False  # its end is wanted
+        self._cpu_before = 0.0
+        self._cpu_s = 0.0
+        self.lives: list[Life] = []
+        self.samples: list[Sample] = []
+        self.troubles: list[str] = []
+
+    @property
+    def name(self) -> str:
+        return f"d{self.number}"
+
+    @property
+    def config(self) -> Path:
+        return self._folder / f"{self.name}.json"
+
+    @property
+    def log(self) -> Path:
+        return self._folder / f"{self.name}.log"
+
+    def write(self, config: dict[str, Any]) -> None:
+        """Put the configuration in place, whole or not at all."""
+        fresh = self.config.with_suffix(".new")
+        fresh.write_text(json.dumps(config), encoding="utf-8")
+        fresh.replace(self.config)
+
+    async def start(self) -> None:
+        """Start a process."""
+        self.life += 1
+        self._ending = False
+        self._cpu_before += self._cpu_s
+        self._cpu_s = 0.0
+        environ = {**environment(), "NODE_CONFIG": str(self.config)}
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-S",
+                "-E",
+                str(LEASH),
+                str(os.getpid()),
+                str(self._sockets),
+                *self._command,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environ,
+            )
+        with contextlib.suppress(psutil.Error):
+            self._watched = psutil.Process(self.process.pid)
+        self._note("start")
+
+    async def ready(self, limit_s: float) -> bool:
+        """Wait until it says that it can serve; False, and a trouble, if it does not."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        until = loop.time() + limit_s
+        process = self.process
+        assert process is not None
+        while loop.time() < until and process.returncode is None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                    try:
+                        writer.write(b"GET /-/ready HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+                        if b" 200 " in await reader.readuntil(b"\r\n"):
+                            self._note("ready")
+                            return True
+                    finally:
+                        writer.transport.abort()
+            await asyncio.sleep(LOOK_S)
+        if process.returncode is None:
+            self.trouble(f"was not ready within {limit_s:g} s")
+        else:
+            self.trouble(f"ended with {process.returncode} before it was ready")
+        return False
+
+    def look(self) -> None:
+        """Note what it holds and uses; an end that nobody asked for is a trouble."""
+        process = self.process
+        if process is None:
+            return
+        if process.returncode is not None:
+            if not self._ending:
+                self._ending = True
+                self._note("crashed")
+                self.trouble(f"ended with {process.returncode} in mid-play")
+            return
+        with contextlib.suppress(psutil.Error, OSError):
+            assert self._watched is not None
+            with self._watched.oneshot():
+                memory = self._watched.memory_info().rss / 1e6
+                times = self._watched.cpu_times()
+            self._cpu_s = times.user + times.system
+            self.samples.append(
+                Sample(
+                    self._clock(),
+                    self.number,
+                    memory,
+                    self._watched.num_fds(),
+                    self._cpu_before + self._cpu_s,
+                )
+            )
+
+    def hang_up(self) -> None:
+        """Ask it to read its file again."""
+        self._signal(signal.SIGHUP)
+
+    async def kill(self) -> None:
+        """End it outright."""
+        self._ending = True
+        self._note("killed")
+        self._signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def stop(self, limit_s: float, note: str) -> None:
+        """SIGTERM, and a trouble if it has not ended in time or ends badly."""
+        process = self.process
+        if process is None or process.returncode is not None:
+            return
+        self._ending = True
+        self._note(note)
+        self._signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(limit_s):
+                code = await process.wait()
+        except TimeoutError:
+            self._signal(signal.SIGKILL)
+            await process.wait()
+            self.trouble(f"had not ended {limit_s:g} s after SIGTERM, and was killed")
+            return
+        if code != 0:
+            self.trouble(f"ended with {code} after SIGTERM")
+
+    def trouble(self, what: str) -> None:
+        """Something that fails the play, with the last lines of the log."""
+        lines = []
+        with contextlib.suppress(OSError):
+            lines = self.log.read_text(encoding="utf-8", errors="replace").splitlines()[-LOG_LINES:]
+        self.troubles.append(f"daemon {self.name} {what}" + "".join(f"\n    {line[:300]}" for line in lines))
+
+    def _signal(self, number: int) -> None:
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    def _note(self, what: str) -> None:
+        self.lives.append(Life(self.number, self._clock(), what))
--- /dev/null
+++ b/rehearsal/nodes/host.py
@@ -0,0 +1,625 @@
+"""A process that stands in for many channel nodes, on loopback sockets.
+
+Each node has one listening socket, a door, for each hall, so that it knows from which hall a connection
+comes. What a node does with work is `model`'s; here bytes become offers and what is done becomes answers,
+in the way that the faults of the plan allow. Every request that comes in whole is recorded with what became
+of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import random
+import socket
+import struct
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, cast
+from zlib import crc32
+
+import httptools
+
+from rehearsal import worker
+from rehearsal.nodes.model import Job, NodeModel, Rules
+from rehearsal.plan import FOREVER, Event, Plan, loads, lognormal
+
+BACKLOG = 256
+SWEEP_S = 0.5
+SAMPLE_S = 0.5
+SOON_US = 400  # what is due within this is done now: timers count whole milliseconds
+LINGER = struct.pack("ii", 1, 0)  # SO_LINGER with no time: close sends a reset
+AWAY = b"HTTP/1.1 %d Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n%s\r\n"
+ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nerror\n"
+SPOILT = ("noise", "endless", "short", "huge", "twice", "tail")
+
+
+def ran_on(rid: bytes, node: str) -> bytes:
+    """The body of an answer, from which a client can tell that it is its own."""
+    return b"%s ran on %s\n" % (rid, node.encode())
+
+
+class Attempt:
+    """One request that came in whole, and what became of it. Times are -1 where nothing of the kind was."""
+
+    __slots__ = ("rid", "door", "first", "whole", "began", "ended", "answered", "how", "connection", "plan")
+
+    def __init__(self, rid: bytes, door: int, first: int, whole: int, connection: NodeConnection) -> None:
+        self.rid, self.door, self.first, self.whole = rid, door, first, whole
+        self.began = self.ended = self.answered = -1
+        self.how = "open"
+        self.connection: NodeConnection | None = connection
+        self.plan = ""  # what a fault has in store for its answer
+
+    def row(self, node: int) -> list[Any]:
+        return [
+            "attempt",
+            self.rid.decode("latin-1"),
+            node,
+            self.door,
+            self.first,
+            self.whole,
+            self.began,
+            self.ended,
+            self.answered,
+            self.how,
+        ]
+
+
+class Door:
+    """One listening socket of one node: the one for connections from one hall."""
+
+    def __init__(self, host: Host, node: HostedNode, hall: int) -> None:
+        self._host, self.node, self.hall = host, node, hall
+        self.cut = False
+        self.probes = 0
+        self.handshakes = 0
+        self.connections: set[NodeConnection] = set()
+        self._fillers: list[socket.socket] = []
+        self._socket = self._bound(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self._socket.getsockname()
+        self.open = False
+
+    @staticmethod
+    def _bound(address: tuple[str, int]) -> socket.socket:
+        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind(address)
+        made.setblocking(False)
+        return made
+
+    def listen(self) -> None:
+        """Take connections."""
+        self.open = True
+        self._socket.listen(BACKLOG)
+        if self.cut:
+            self._fill()
+        else:
+            self._host.loop.add_reader(self._socket.fileno(), self._accept)
+
+    def close(self, reset: bool) -> None:
+        """The process is gone: new connections are refused, and the port stays ours for a successor."""
+        if self.open:
+            self.open = False
+            self._host.loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+            self._empty()
+            with contextlib.suppress(OSError):
+                self._socket = self._bound(self.address)
+        for connection in list(self.connections):
+            connection.end(reset)
+
+    def set_cut(self, cut: bool) -> None:
+        """Fall silent, or be back: then what was open is reset, as the other side would find it."""
+        if cut == self.cut:
+            return
+        self.cut = cut
+        if not self.open:
+            return
+        if cut:
+            self._host.loop.remove_reader(self._socket.fileno())
+            self._fill()
+        else:
+            self._empty()
+            for connection in list(self.connections):
+                connection.end(True)
+            self._socket.listen(BACKLOG)
+            self._host.loop.add_reader(self._socket.fileno(), self._accept)
+
+    def _fill(self) -> None:
+        """Fill the listen queue, so that the kernel drops further SYNs: connects then hang, as to a machine
+        that is cut off. A queue of 0 holds one; the second filler is the one that hangs."""
+        self._socket.listen(0)
+        for _ in range(2):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            self._fillers.append(filler)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(self.address)
+
+    def _empty(self) -> None:
+        while self._fillers:
+            self._fillers.pop().close()
+
+    def _accept(self) -> None:
+        for _ in range(BACKLOG):
+            try:
+                made, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    worker.say({"trouble": f"the rig has no descriptors left: {error}"})
+                    return
+                continue
+            made.setblocking(False)
+            made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = self._host.loop.create_task(self._take(made))
+            self._host.tasks.add(task)
+            task.add_done_callback(self._host.tasks.discard)
+
+    async def _take(self, made: socket.socket) -> None:
+        try:
+            await self._host.loop.connect_accepted_socket(
+                lambda: NodeConnection(self._host, self, made), made
+            )
+        except OSError:
+            made.close()
+
+
+class NodeConnection(asyncio.Protocol):
+    """One connection from a daemon: one request at a time."""
+
+    def __init__(self, host: Host, door: Door, made: socket.socket) -> None:
+        self._host, self._door, self._node, self._socket = host, door, door.node, made
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._first = -1  # when the first byte of what is being read came
+        self._rid: bytes | None = None
+        self._timeout_us = 0
+        self._url = b""
+        self._attempt: Attempt | None = None
+        self._crowded = False
+        self.idle_since = 0
+
+    # --- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self.idle_since = self._host.clock()
+        door = self._door
+        door.connections.add(self)
+        if not door.open:
+            self.end(True)
+            return
+        door.handshakes += 1
+        node = self._node
+        if not door.cut and node.model is not None:
+            node.model.charge(self.idle_since, node.spec.handshake_us)
+        self._crowded = sum(len(d.connections) for d in node.doors) > self._host.connections
+
+    def data_received(self, data: bytes) -> None:
+        now = self._host.clock()
+        if self._first < 0:
+            # Probes are most of what comes: no parser for what is whole and known.
+            if data.startswith(b"GET /-/") and data.endswith(b"\r\n\r\n"):
+                self._probe(now, data)
+                return
+            self._first = now
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._door.node.unreadable += 1
+            self.end(False)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._door.connections.discard(self)
+        if self._attempt is not None:
+            self._attempt.connection = None  # its work goes on: a cancel stops nothing
+        self._transport = None
+
+    def end(self, reset: bool) -> None:
+        """Close: with a reset, or after what has been written."""
+        transport, self._transport = self._transport, None
+        if transport is None:
+            return
+        if reset:
+            with contextlib.suppress(OSError):
+                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+            transport.abort()
+        else:
+            transport.close()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is open, or is being read."""
+        return self._attempt is not None or self._first >= 0
+
+    # --- httptools
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        lower = name.lower()
+        if lower == b"x-request-id":
+            self._rid = value
+        elif lower == b"x-timeout":
+            try:
+                self._timeout_us = int(float(value) * 1e6)
+            except ValueError:
+                self._timeout_us = 0
+
+    def on_message_complete(self) -> None:
+        now, host, node = self._host.clock(), self._host, self._node
+        first, rid = self._first, self._rid
+        timeout = self._timeout_us or FOREVER
+        self._first, self._rid, self._timeout_us, self._url = -1, None, 0, b""
+        call = host.call_of(rid)
+        if rid is None or call is None:
+            node.aliens.append([first, (rid or b"").decode("latin-1")[:80]])
+            self._say(
+                now,
+                ERROR.replace(
+                    b"500 Internal Server Error", b"404 Not Found" if rid is None else b"400 Bad Request"
+                ),
+            )
+            return
+        attempt = Attempt(rid, self._door.hall, first, now, self)
+        node.attempts.append(attempt)
+        model, chance = node.model, host.chance(rid, node.spec.name)
+        if self._door.cut or node.mute or model is None:
+            attempt.how = "silent"
+            self._attempt = attempt
+            return
+        if host.stale_us and first - self.idle_since >= host.stale_us and self.idle_since != 0:
+            attempt.how = "stale"
+            self.end(True)
+            return
+        if chance < host.modes["reset-unrun"]:
+            attempt.how = "reset"
+            self.end(True)
+            return
+        chance -= host.modes["reset-unrun"]
+        if chance < host.modes["reset-run"]:
+            attempt.plan = "reset"
+        elif (chance := chance - host.modes["reset-run"]) < host.modes["spoilt"]:
+            attempt.plan = SPOILT[crc32(rid) % len(SPOILT)]
+        elif chance - host.modes["spoilt"] < host.error_part:
+            attempt.how, attempt.answered = "error", now
+            self._say(now, ERROR)
+            return
+        if (
+            self._crowded
+            or node.draining
+            or not model.offer(now, Job(attempt, host.work(call, rid, node.spec.name), now + timeout))
+        ):
+            self.turn_away(now, attempt, 503)
+            if model.fell_at:
+                node.fall(now)
+            return
+        self._attempt = attempt
+        node.arm(now)
+        if model.fell_at:
+            node.fall(now)
+
+    # --- answers
+
+    def _probe(self, now: int, data: bytes) -> None:
+        node, model = self._node, self._node.model
+        self._door.probes += 1
+        if self._door.cut or node.mute or model is None:
+            return
+        if data.startswith(b"GET /-/load "):
+            model.charge(now, node.spec.probe_us)
+            held, waiting = model.load(now)
+            body = b'{"inflight":%d,"queue":%d}' % (held, waiting)
+        elif data.startswith(b"GET /-/healthy "):
+            model.charge(now, node.spec.probe_us)
+            body = b"ok"
+        else:
+            self._say(now, b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return
+        status = b"503 Unavailable" if node.draining else b"200 OK"
+        self._say(now, b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+
+    def turn_away(self, now: int, attempt: Attempt, status: int) -> None:
+        """It has not run and never will."""
+        attempt.how = "away" if status == 503 else "late"
+        closing = b"Connection: close\r\n" if self._crowded else b""
+        attempt.answered = now
+        self.free(attempt)
+        self._say(now, AWAY % (status, closing))
+        if self._crowded:
+            self.end(False)
+
+    def answer(self, now: int, attempt: Attempt) -> None:
+        """It has run: say so, in the way that a fault may have in store."""
+        body = ran_on(attempt.rid, self._node.spec.name)
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        plan = attempt.plan
+        attempt.how, attempt.answered = "ok", now
+        self.free(attempt)
+        if plan == "reset":
+            attempt.how = "reset"
+            self.end(True)
+            return
+        if plan in ("noise", "endless", "short", "huge"):
+            attempt.how = "spoilt"
+            whole = {
+                "noise": b"\x16\x03\x01\x02\x00\x01\x00" + attempt.rid + b"\r\n\r\n",
+                "endless": b"HTTP/1.1 200 OK\r\n" + b"X-Filler: " + b"a" * 65536,
+                "short": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body) + 100, body),
+                "huge": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body * 8,
+            }[plan]
+        elif plan == "twice":
+            whole += whole
+        elif plan == "tail":
+            whole += b"\x00\xffnoise behind a good answer"
+        self._say(now, whole)
+
+    def free(self, attempt: Attempt) -> None:
+        """The connection can take the next request."""
+        if self._attempt is attempt:
+            self._attempt = None
+        self.idle_since = self._host.clock()
+
+    def _say(self, now: int, data: bytes) -> None:
+        """Write, as late as the way there and back takes, and not while the machine stands still."""
+        node = self._node
+        wait = 2 * node.spec.oneway_us[self._door.hall]
+        if node.model is not None:
+            wait = max(wait, node.model.paused_until() - now)
+        if wait <= SOON_US:
+            self._write(data)
+        else:
+            self._host.loop.call_later(wait / 1e6, self._write, data)
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._door.cut:
+            self._transport.write(data)
+
+
+class HostedNode:
+    """One node: its doors, the process that runs now, and all that it was sent."""
+
+    def __init__(self, host: Host, number: int) -> None:
+        self._host, self.number = host, number
+        self.spec = host.plan.nodes[number]
+        self.model: NodeModel | None = None
+        self.draining = self.mute = False
+        self.attempts: list[Attempt] = []
+        self.aliens: list[list[Any]] = []
+        self.falls: list[int] = []
+        self.unreadable = 0
+        self.jams = 0
+        self.samples: list[list[Any]] = []
+        self.doors = [Door(host, self, hall) for hall in range(len(host.plan.halls))]
+        self._timer: asyncio.TimerHandle | None = None
+
+    def begin(self, now: int, born: int) -> None:
+        """A new process."""
+        self.model = NodeModel(self.spec, self._host.rules, now, born)
+        self.draining = False
+        for door in self.doors:
+            door.listen()
+
+    def finish(self, now: int, reset: bool) -> None:
+        """The process is gone, with all that it held."""
+        if self.model is None:
+            return
+        self._deliver(now)
+        self.jams += self.model.jams
+        self.model = None
+        if self._timer is not None:
+            self._timer.cancel()
+        for attempt in self.attempts:
+            if attempt.how == "open":
+                attempt.how = "died"
+        for door in self.doors:
+            door.close(reset)
+
+    def fall(self, now: int) -> None:
+        """A cold process was sent too much: it is down, and stays down."""
+        self.falls.append(now)
+        worker.say({"fell": self.number, "t_us": now})
+        self.finish(now, True)
+
+    def arm(self, now: int) -> None:
+        """Wake up when the work that runs is due."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self.model is None:
+            return
+        due = self.model.due(now)
+        if due < FOREVER:
+            self._timer = self._host.loop.call_later(max(0, due - now) / 1e6, self._wake, due)
+
+    def _wake(self, due: int) -> None:
+        now = self._host.clock()
+        self._host.late.add(now - due)
+        self._deliver(now)
+        self.arm(now)
+
+    def _deliver(self, now: int) -> None:
+        if self.model is None:
+            return
+        for done in self.model.advance(now):
+            attempt = cast(Attempt, done.tag)
+            if done.expired:
+                if attempt.connection is not None:
+                    attempt.connection.turn_away(now, attempt, 504)
+                else:
+                    attempt.how = "late"
+                continue
+            attempt.began, attempt.ended = done.began, done.ended
+            if attempt.connection is not None:
+                attempt.connection.answer(now, attempt)
+            else:
+                attempt.how = "unheard"  # whoever asked has gone
+
+    def apply(self, now: int, event: Event) -> None:
+        """One step of a fault."""
+        model = self.model
+        if event.what == "start":
+            self.begin(now, now)
+        elif event.what in ("stop", "die"):
+            self.finish(now, True)
+        elif event.what == "drain":
+            self.draining = bool(event.value)
+        elif event.what == "mute":
+            self.mute = bool(event.value)
+        elif model is not None:
+            if event.what == "pause":
+                model.pause(now, int(event.value))
+            elif event.what == "left":
+                model.leave(now, event.value)
+            self._deliver(now)
+            self.arm(now)
+
+    def sample(self, now: int) -> None:
+        """A point for the report's plot of load."""
+        if self.model is not None:
+            self._deliver(now)
+            self.arm(now)
+            self.samples.append([now, self.model.held, int(self.model.jammed)])
+
+
+class Host:
+    """All nodes of this process."""
+
+    def __init__(self, config: dict[str, Any], clock: worker.Clock, late: worker.Lateness) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock, self.late = clock, late
+        self.plan: Plan = loads(Path(config["plan"]).read_bytes())
+        self.prefix: bytes = config["prefix"].encode()
+        self.tasks: set[asyncio.Task[None]] = set()
+        kind = self.plan.scenario.node
+        self.connections, self.error_part = kind.connections, kind.error_part
+        classes = list(self.plan.scenario.classes.values())
+        total = sum(c.share for c in classes)
+        self.rules = Rules(
+            kind.cold_from,
+            kind.fall_multiple,
+            int(kind.fall_s * 1e6),
+            kind.jam_below,
+            sum(c.share * c.work_ms * 1000 for c in classes) / total,
+            kind.drops_expired,
+        )
+        self._noise = [c.noise for c in classes]
+        self.modes = {"reset-run": 0.0, "reset-unrun": 0.0, "spoilt": 0.0}
+        self.stale_us = 0
+        numbers = range(config["first"], len(self.plan.nodes), config["step"])
+        self.nodes = {number: HostedNode(self, number) for number in numbers}
+        self._events = [
+            e
+            for e in self.plan.events
+            if e.target in ("nodes", "hall") or (e.target == "node" and e.which in self.nodes)
+        ]
+        self._next = 0
+
+    # --- worker.Role
+
+    def opened(self) -> dict[str, Any]:
+        return {str(n): [list(door.address) for door in node.doors] for n, node in self.nodes.items()}
+
+    def start(self) -> None:
+        now = self.clock()
+        for node in self.nodes.values():
+            if node.spec.born_us < 0:
+                node.begin(now, -1)
+        self._arm()
+        self.loop.call_later(SWEEP_S, self._sweep)
+        self.loop.call_later(SAMPLE_S - now / 1e6, self._sample)
+
+    def command(self, told: dict[str, Any]) -> None:
+        """Nothing but the start and the end is told to nodes: all else stands in the plan."""
+
+    def records(self) -> Iterable[list[Any]]:
+        now = self.clock()
+        for number, node in self.nodes.items():
+            if node.model is not None:
+                node._deliver(now)
+                node.jams += node.model.jams
+            for attempt in node.attempts:
+                yield attempt.row(number)
+            for door in node.doors:
+                yield ["door", number, door.hall, door.probes, door.handshakes]
+            for at in node.falls:
+                yield ["fell", number, at]
+            for first, rid in node.aliens:
+                yield ["alien", number, first, rid]
+            yield ["node", number, node.jams, node.unreadable]
+            for row in node.samples:
+                yield ["load", number, *row]
+
+    # --- the timeline
+
+    def _arm(self) -> None:
+        if self._next < len(self._events):
+            due = self._events[self._next].t_us
+            self.loop.call_later(max(0, due - self.clock()) / 1e6, self._play)
+
+    def _play(self) -> None:
+        now = self.clock()
+        while self._next < len(self._events) and self._events[self._next].t_us <= now:
+            event = self._events[self._next]
+            self._next += 1
+            self.late.add(now - event.t_us)
+            if event.target == "node":
+                self.nodes[event.which].apply(now, event)
+            elif event.target == "hall":
+                for node in self.nodes.values():
+                    for door in node.doors:
+                        if (node.spec.hall == event.which) != (door.hall == event.which):
+                            door.set_cut(bool(event.value))
+            elif event.what == "stale":
+                self.stale_us = int(event.value)
+            else:
+                self.modes[event.what] = event.value
+        self._arm()
+
+    def _sample(self) -> None:
+        now = self.clock()
+        for node in self.nodes.values():
+            node.sample(now)
+        self.loop.call_later(SAMPLE_S, self._sample)
+
+    def _sweep(self) -> None:
+        """Close what has been idle for too long, as nodes do."""
+        oldest = self.clock() - int(self.plan.scenario.node.idle_s * 1e6)
+        for node in self.nodes.values():
+            for door in node.doors:
+                if door.cut:
+                    continue
+                for connection in [c for c in door.connections if not c.busy and c.idle_since < oldest]:
+                    connection.end(False)
+        self.loop.call_later(SWEEP_S, self._sweep)
+
+    # --- what a request is
+
+    def call_of(self, rid: bytes | None) -> int | None:
+        """The number of the call that an id stands for; None if no client of this play made it."""
+        if rid is None or not rid.startswith(self.prefix) or len(rid) != len(self.prefix) + 8:
+            return None
+        try:
+            number = int(rid[len(self.prefix) : -1], 16)
+        except ValueError:
+            return None
+        return number if number < len(self.plan.calls) else None
+
+    def chance(self, rid: bytes, node: str) -> float:
+        """A draw for what befalls one request at one node: the same in every play."""
+        return crc32(b"%d/%s/%s" % (self.plan.seed, rid[len(self.prefix) :], node.encode())) / 2**32
+
+    def work(self, call: int, rid: bytes, node: str) -> float:
+        """The work of one attempt: the call's, and what differs from try to try."""
+        asked = self.plan.calls[call]
+        draw = random.Random(f"{self.plan.seed}/{rid[len(self.prefix) :].decode()}/{node}")
+        return lognormal(draw, float(asked.work_us), self._noise[asked.cls])
+
+
+if __name__ == "__main__":
+    worker.main(Host)
