Kit's tests: thirteen broken daemons fail by the right rule, every end leaves nothing behind

A judge that never fails is none, so the kit's tests start daemons that are broken on purpose: each ends in fail with the rule it breaks named, and a sound one passes the same play.

Found by them: a standstill of the rig counted as one late beat and was hidden by work on time, so it now counts for every beat that was due in it; a node that died before it was listed was listed after its death; a fault of the kit itself ended with 1, which is the code for fail, and is 3 now.

--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -22,7 +22,7 @@
 from rehearsal import plan as planning
 from rehearsal import scenario as scenarios
 from rehearsal.clients.policy import Textbook
-from rehearsal.criteria import EXIT
+from rehearsal.criteria import EXIT, VOID
 from rehearsal.judge import RULES, Records
 from rehearsal.play import PLAN, RECORDS, Conductor, Played
 from rehearsal.play import Progress as Step
@@ -248,7 +248,12 @@
                 task, total=step.of_s, completed=step.t_s, now=f"{step.calls} calls, served worth {worth}"
             )
 
-        played = asyncio.run(_conduct(plan, folder, against, command, progress))
+        try:
+            played = asyncio.run(_conduct(plan, folder, against, command, progress))
+        except Exception:
+            # A fault of the kit says nothing of the daemon: it must not pass for a verdict.
+            ERR.print_exception()
+            sys.exit(EXIT[VOID])
     data, found = report(plan, played, against)
     (folder / META).write_text(
         json.dumps(
--- a/rehearsal/judge.py
+++ b/rehearsal/judge.py
@@ -436,7 +436,8 @@
         while first > 0 and rows[first - 1][1] != "SERVING":
             first -= 1
         if attempt.first > rows[first][0] + grace:
-            what = f"sent {(attempt.first - rows[first][0]) / 1e6:.2f} s after it was told: {rows[first][1]}"
+            after_s = (attempt.first - rows[first][0]) / 1e6
+            what = f"sent after the grace ({after_s:.2f} s after it was told: {rows[first][1]})"
             found.append(Breach("drained", what, attempt.first, attempt.rid, sender, attempt.node))
     return found
 
--- a/rehearsal/listing/server.py
+++ b/rehearsal/listing/server.py
@@ -19,6 +19,7 @@
 from rehearsal.worker import Clock, Lateness
 
 MOST_WAIT_MS = 60_000
+CUT_LOOK_S = 0.05
 CLOSE_AFTER_S = 1.5  # connections to an address that was left
 
 
@@ -161,14 +162,16 @@
             while not self._closing:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split(b" ", 2)[1].decode("latin-1")
-                status, body = await self._answer(daemon, target)
+                status, after = await self._answer(daemon, target)
                 # A hall that is cut off hears nothing, and nothing tells it so.
                 while self._plan.daemons[daemon] in self._cut and not self._closing:
-                    await asyncio.sleep(0.05)
-                writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-                    % (status, len(body), body)
-                )
+                    await asyncio.sleep(CUT_LOOK_S)
+                if reader.at_eof() or writer.transport.is_closing():
+                    break  # nobody is left to be told
+                # Made and written in one go: what is recorded as told has gone out.
+                body = self._list_for(daemon, after) if status == 200 else b"{}"
+                top = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(body)}"
+                writer.write(top.encode() + b"\r\n\r\n" + body)
                 await writer.drain()
         except (OSError, ValueError, IndexError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass  # the caller has gone, or is none
@@ -178,10 +181,11 @@
             with contextlib.suppress(OSError):
                 writer.close()
 
-    async def _answer(self, daemon: int, target: str) -> tuple[int, bytes]:
+    async def _answer(self, daemon: int, target: str) -> tuple[int, int | None]:
+        """Wait as long as the call may and the service takes: the status, and the version it asks from."""
         parts = urlsplit(target)
         if parts.path != "/api/targets":
-            return 404, b"{}"
+            return 404, None
         asked = parse_qs(parts.query)
         after = int(asked["after"][0]) if "after" in asked else None
         wait_ms = min(int(asked.get("wait_ms", ["0"])[0]), MOST_WAIT_MS)
@@ -194,10 +198,13 @@
         now = self._clock()
         wait = max(0, self._free_us - now)
         if self.down or wait > self._cost.timeout_s * 1e6:
-            return 503, b"{}"
+            return 503, None
         self._free_us = now + wait + int((self._cost.whole_ms if whole else self._cost.change_ms) * 1000)
         await asyncio.sleep((self._free_us - now) / 1e6)
-        if self.down:
-            return 503, b"{}"
-        answer = self.board.answer(after, daemon, self._clock(), self._unix_ms(), self._seen_from(daemon))
-        return 200, json.dumps(answer).encode()
+        return (503, None) if self.down else (200, after)
+
+    def _list_for(self, daemon: int, after: int | None) -> bytes:
+        addresses = self._seen_from(daemon)
+        return json.dumps(
+            self.board.answer(after, daemon, self._clock(), self._unix_ms(), addresses)
+        ).encode()
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -314,7 +314,13 @@
 
     def _some(self, draw: random.Random, part: float, at_us: int, ends: bool = False) -> list[int]:
         """Part of the nodes that run at a time, of those whose process no fault has ended yet."""
-        running = [i for i, node in enumerate(self.nodes) if node.born_us <= at_us and i not in self._fated]
+        # One that has only just started is not listed yet: its end would be published before its start.
+        latest = at_us - (_us(self._scenario.list.add_s[1]) if ends else 0)
+        running = [
+            i
+            for i, node in enumerate(self.nodes)
+            if node.born_us <= (latest if node.born_us >= 0 else at_us) and i not in self._fated
+        ]
         count = math.floor(part * self._size.nodes + 1e-9)
         chosen = sorted(draw.sample(running, min(count, len(running))))
         if ends:
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -259,7 +259,7 @@
             wait = min(LOOK_S, left)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._interrupted.wait(), wait)
-            self._late.add(int((time.monotonic() - before - wait) * 1e6))
+            self._late.beat(int((time.monotonic() - before - wait) * 1e6), int(LOOK_S * 1e6))
             if any(worker.stopped.done() for worker in self._workers):
                 break  # one has died
         if self._interrupted.is_set():
--- a/rehearsal/worker.py
+++ b/rehearsal/worker.py
@@ -51,7 +51,34 @@
 
 
 class Lateness:
-    """How late this process was: the rig's own figure, which decides whether a play counts."""
+    """How late this process was: the rig's own figure, which decides whether a play counts.
+
+    What was due is counted apart from a steady beat: much work on time must not hide a standstill between.
+    """
+
+    def __init__(self) -> None:
+        self._beats = _Counts()
+        self._work = _Counts()
+
+    def add(self, us: int) -> None:
+        """Note one thing that was done so many microseconds after it was due."""
+        self._work.add(us)
+
+    def beat(self, us: int, every_us: int) -> None:
+        """Note a beat that came so late. A standstill delays all beats that were due in it, not only one
+        (the omission that wrk2 was written against), so each of them counts with its own lateness."""
+        self._beats.add(us)
+        while (us := us - every_us) > 0:
+            self._beats.add(us)
+
+    def quantile(self, part: float) -> float:
+        """The lateness in milliseconds that this part stayed within, of beats or of work, whichever is
+        worse."""
+        return max(self._beats.quantile(part), self._work.quantile(part))
+
+
+class _Counts:
+    """A histogram."""
 
     def __init__(self) -> None:
         self._counts: dict[
@@ -130,7 +157,7 @@
         self._loop.call_later(BEAT_S, self._beat)
 
     def _beat(self) -> None:
-        self._late.add(int((time.monotonic() - self._due) * 1e6))
+        self._late.beat(int((time.monotonic() - self._due) * 1e6), int(BEAT_S * 1e6))
         self.start()
 
 
--- /dev/null
+++ b/tests/rehearsal/broken.py
@@ -0,0 +1,127 @@
+"""The daemon, broken on purpose: `python broken.py KIND`. Each kind breaks one promise and keeps the rest.
+
+The kit's tests start these in the daemon's place: a judge that does not fail each of them is no judge.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+
+import hollyport.__main__ as program
+from dunefield import rules
+from dunefield.interface import How
+from hollyport import client, discovery, sidecar
+
+
+def answers_twice() -> None:
+    plain = client.ClientConnection.answer
+
+    def answer(self, message, status, body, headers):
+        transport = self._transport
+        plain(self, message, status, body, headers)
+        if status == 200 and transport is not None and not transport.is_closing():
+            transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbis")
+
+    client.ClientConnection.answer = answer
+
+
+def drops_an_answer() -> None:
+    plain, count = client.Message.answer, iter(range(10**9))
+
+    def answer(self, status, body=b"", headers=None):
+        if status != 200 or self.target.startswith(b"/-/") or next(count) % 20 != 7:
+            plain(self, status, body, headers)
+
+    client.Message.answer = answer
+
+
+def alters_an_answer() -> None:
+    plain, count = client.Message.answer, iter(range(10**9))
+
+    def answer(self, status, body=b"", headers=None):
+        wrong = status == 200 and not self.target.startswith(b"/-/") and next(count) % 20 == 7
+        plain(self, status, body[::-1] if wrong else body, headers)
+
+    client.Message.answer = answer
+
+
+def resends_unsafe() -> None:
+    rules.NEVER_RAN = frozenset(How)  # whatever came of it, it is taken not to have run
+
+
+def resends_after_reset() -> None:
+    rules.NEVER_RAN = rules.NEVER_RAN | {How.RESET}
+
+
+def refuses_what_ran() -> None:
+    rules.Balancer._may_refuse = lambda self, call: True
+
+
+def sends_to_drained() -> None:
+    discovery.LIFECYCLES = {**discovery.LIFECYCLES, "DRAINING": "up"}
+
+
+def ignores_cold() -> None:
+    def ask(self, now, call):
+        for server in sorted(self._up, key=lambda s: -s.started):
+            if server not in call.tried and self._send(now, call, server, False):
+                return
+        self._end(now, call, 0)
+
+    rules.Balancer._ask = ask  # the youngest gets everything
+
+
+def leaks() -> None:
+    plain, kept = sidecar.Sidecar.request, []
+
+    def request(self, message):
+        kept.append(os.urandom(200_000))
+        plain(self, message)
+
+    sidecar.Sidecar.request = request
+
+
+def holds_much() -> None:
+    plain, kept = sidecar.Sidecar.request, []
+
+    def request(self, message):
+        if not kept:
+            kept.append(os.urandom(260 << 20))
+        plain(self, message)
+
+    sidecar.Sidecar.request = request
+
+
+def hangs_on_sigterm() -> None:
+    async def stop(self):
+        await asyncio.sleep(3600)
+
+    sidecar.Sidecar.stop = stop
+
+
+def dies() -> None:
+    plain, count = sidecar.Sidecar.request, iter(range(10**9))
+
+    def request(self, message):
+        if next(count) == 100:
+            print("the last words of a daemon", file=sys.stderr, flush=True)
+            os._exit(7)
+        plain(self, message)
+
+    sidecar.Sidecar.request = request
+
+
+def will_not_start() -> None:
+    print("no such thing as a start today", file=sys.stderr, flush=True)
+    sys.exit(9)
+
+
+def is_sound() -> None:
+    """Nothing is broken: what the others are compared with."""
+
+
+if __name__ == "__main__":
+    globals()[sys.argv[1]]()
+    sys.exit(program.main([]))
