--- a/rehearsal/report/page.py
+++ b/rehearsal/report/page.py
@@ -160,7 +160,8 @@
         column = round(t_us / 500_000)
         if column < columns:
             grid[row[node]][column] = requests
-    figure, axes = _axes(plan, height=max(2.5, min(9.0, len(order) / 18)))
+    figure, axes = _axes(plan, height=max(2.5, min(9.0, len(order) / 18)), faults=False)
+    axes.set_xlabel("seconds")
     image = axes.imshow(
         grid,
         aspect="auto",
