--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.rig [--rates 600,1200,2400] [--json FILE]
 
-Plays a season's load and a deploy at rising rates, nodes and daemons in proportion (140 nodes and 8 daemons at
+Plays a season's load and a deploy at rising rates, nodes and daemons in proportion (140 and 8 daemons at
 1,200 calls a second), and prints how late the rig was. Wants an idle machine; a play takes 25 s.
 """
 
