--- a/hollyport/registries/merge.py
+++ b/hollyport/registries/merge.py
@@ -47,6 +47,9 @@
     doubts: dict[str, tuple[int, int]] = field(
         default_factory=dict
     )  # identity: since when, dropped by which address
+    replaced: set[str] = field(
+        default_factory=set
+    )  # listed still, though another came to their address since
     heard: bool = False  # a whole answer was taken and not doubted
     first: bool = True  # what it lists now, it lists for the first time
     good_at: int = -1
@@ -112,6 +115,7 @@
         for change in changes:
             if change.record is None:
                 touched |= self._take(source, change.identity)
+                touched |= self._take(self._sources[KNOWN], change.identity)  # told to be gone is gone
             else:
                 touched |= self._put(source, change.record)
         source.good_at = now
@@ -169,7 +173,7 @@
         source.good_at = now
         if heard:
             source.heard, source.empty = True, None
-        touched |= self._retire_known()
+        touched |= self._retire_known(to_the_letter=name not in self._rules.doubted)
         yield self._settle(touched, now, whole=True)
         source.first = not source.heard
 
@@ -238,16 +242,26 @@
         before = source.records.get(record.identity)
         if before is not None and before.address != record.address:
             touched |= self._take(source, record.identity)
+        if before is not None and record.started_ns > before.started_ns:
+            source.replaced.discard(record.identity)
         source.records[record.identity] = record
         identities = self._at.setdefault(record.address, {}).setdefault(source.name, [])
         if record.identity not in identities:
             identities.append(record.identity)
+        if len(identities) > 1:
+            # A lease that nobody has ended yet. Whoever came later stands there, and when that one goes, the
+            # one before does not come back.
+            records = source.records
+            latest = max(range(len(identities)), key=lambda i: (records[identities[i]].started_ns, i))
+            source.replaced.update(identities)
+            source.replaced.discard(identities[latest])
         touched.add(record.address)
         return touched
 
     def _take(self, source: _Source, identity: str) -> set[Address]:
         record = source.records.pop(identity, None)
         source.doubts.pop(identity, None)
+        source.replaced.discard(identity)
         if record is None:
             return set()
         by_source = self._at[record.address]
@@ -258,10 +272,13 @@
             del self._at[record.address]
         return {record.address}
 
-    def _retire_known(self) -> set[Address]:
-        """Once every source has been heard, the list from the start has nothing to add."""
+    def _retire_known(self, to_the_letter: bool) -> set[Address]:
+        """Once every source has been heard, the list from the start has nothing to add; nor has it once a
+        source that is taken to the letter has told everything, for that is where it came from."""
         known = self._sources[KNOWN]
-        if known.records and all(self._sources[name].heard for name in self._rules.sources):
+        if known.records and (
+            to_the_letter or all(self._sources[name].heard for name in self._rules.sources)
+        ):
             touched: set[Address] = set()
             for identity in list(known.records):
                 touched |= self._take(known, identity)
@@ -292,14 +309,14 @@
         return both > 0 and len(others) <= self._rules.shrink * both
 
     def _tellers(self, address: Address) -> dict[str, Record]:
-        """What each source says of an address: of several instances there, the one that started last."""
+        """What each source says of an address: of several instances there, the one that came last."""
         found = {}
         by_source = self._at.get(address, {})
         for name in (*self._rules.sources, KNOWN):
-            if identities := by_source.get(name):
-                records = self._sources[name].records
-                latest = max(range(len(identities)), key=lambda i: (records[identities[i]].started_ns, i))
-                found[name] = records[identities[latest]]
+            source = self._sources[name]
+            for identity in by_source.get(name, ()):
+                if identity not in source.replaced:
+                    found[name] = source.records[identity]
         if KNOWN in found and len(found) > 1:
             del found[KNOWN]  # it is older than anything that a source says
         return found
--- a/rehearsal/daemon.py
+++ b/rehearsal/daemon.py
@@ -58,6 +58,7 @@
         self._ending = False  # its end is wanted
         self._cpu_before = 0.0
         self._cpu_s = 0.0
+        self.options = ""  # the operators' file, where there is one
         self.lives: list[Life] = []
         self.samples: list[Sample] = []
         self.troubles: list[str] = []
@@ -80,6 +81,14 @@
         fresh.write_text(json.dumps(config), encoding="utf-8")
         fresh.replace(self.config)
 
+    def write_options(self, text: str) -> None:
+        """Put the operators' file in place, whole or not at all."""
+        path = self._folder / f"{self.name}.toml"
+        fresh = path.with_suffix(".new-toml")
+        fresh.write_text(text, encoding="utf-8")
+        fresh.replace(path)
+        self.options = str(path)
+
     async def start(self) -> None:
         """Start a process."""
         self.life += 1
@@ -96,6 +105,7 @@
                 str(os.getpid()),
                 str(self._sockets),
                 *self._command,
+                *(["--options", self.options] if self.options else []),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/rehearsal/listing/server.py
+++ b/rehearsal/listing/server.py
@@ -15,6 +15,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from rehearsal.listing.board import Board
+from rehearsal.listing.telling import Telling
 from rehearsal.plan import News, Plan
 from rehearsal.worker import Clock, Lateness
 
@@ -27,11 +28,16 @@
     """Answers daemons; plays the list's part of the plan."""
 
     def __init__(
-        self, plan: Plan, clock: Clock, late: Lateness, addresses: dict[int, list[tuple[str, int]]]
+        self,
+        plan: Plan,
+        clock: Clock,
+        late: Lateness,
+        addresses: dict[int, list[tuple[str, int]]],
+        telling: Telling | None = None,
     ) -> None:
         self._plan, self._clock, self._late = plan, clock, late
         self._addresses = addresses
-        self.board = Board(plan)
+        self.board = Board(plan, telling)
         self.down = False
         self.outages: list[list[int]] = []
         self.calls = 0
@@ -58,6 +64,7 @@
         """Play the plan from the start of the clock."""
         self._task(self._news())
         self._task(self._outages())
+        self._task(self._unlisting())
 
     async def move(self) -> None:
         """Listen elsewhere. The old addresses take no new connection, and close the open ones after a
@@ -120,6 +127,14 @@
         await self._until(news.t_us)
         self._learn(news)
 
+    async def _unlisting(self) -> None:
+        """Nodes that this list no longer has, though they run: another source has them."""
+        for event in self._plan.events:
+            if event.target == "unlist":
+                await self._until(event.t_us)
+                status = "DELETED" if event.what == "drop" else "SERVING"
+                self._learn(News(event.t_us, event.which, status, 0))
+
     def _learn(self, news: News) -> None:
         self.board.learn(news)
         changed, self._changed = self._changed, asyncio.Event()
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -388,7 +388,9 @@
             self._tell(draw, start, lists.notice_s, node, "DELETED")
             back = start + _us(draw.uniform(*fault.back_s))
             self._event(back, "node", node, "start")
-            self.news.append(News(back + _us(draw.uniform(*lists.add_s)), node, "SERVING", back))
+            # A list that is later with an end than with the next start would take a node that runs for gone.
+            listed = max(back + _us(draw.uniform(*lists.add_s)), self.news[-1].t_us + 1)
+            self.news.append(News(listed, node, "SERVING", back))
 
     def _drain(self, key: str, fault: sc.Drain, draw: random.Random, start: int, end: int, _: int) -> None:
         lists = self._scenario.list
@@ -444,6 +446,33 @@
     def _reload(self, key: str, fault: sc.Reload, draw: random.Random, start: int, end: int, _: int) -> None:
         self._event(start, "list", 0, "move")
 
+    def _registry(
+        self, key: str, fault: sc.RegistryFault, draw: random.Random, start: int, end: int, _: int
+    ) -> None:
+        which = -1 if fault.where == "all" else 0
+        self._event(start, "registry", which, fault.what, fault.keeps)
+        self._event(end, "registry", which, "", 0.0)
+
+    def _flap(self, key: str, fault: sc.Flap, draw: random.Random, start: int, end: int, _: int) -> None:
+        for node in self._some(draw, fault.part, start, ends=True):
+            at, out = start, True
+            while at < end:
+                self._event(at, "flap", node, "out" if out else "in")
+                at, out = at + _us(fault.every_s), not out
+            self._event(end, "flap", node, "in")
+
+    def _migrate(
+        self, key: str, fault: sc.Migrate, draw: random.Random, start: int, end: int, _: int
+    ) -> None:
+        hall = list(self._scenario.hall).index(fault.hall)
+        self._event(start, "owner", hall, "eureka")
+        self._event(end, "owner", hall, "platform")
+        gap = (end - start) // 4
+        for number, node in enumerate(self.nodes):
+            if node.hall == hall and node.born_us < 0 and number not in self._fated:
+                self._event(start + gap, "unlist", number, "drop")
+                self._event(end - gap, "unlist", number, "list")
+
     def _flood(
         self, key: str, fault: sc.Flood, draw: random.Random, start: int, end: int, daemons: int
     ) -> None:
