Registries: the last good list kept over restarts, atomic and checksummed, off by default

A daemon that restarts while its registry is silent had only what the platform handed out. With cache_file the merged list is written beside and renamed over, at most every 5 s and never while a list is doubted, and counts at the start as the list from the start does.

--- a/hollyport/registries/feed.py
+++ b/hollyport/registries/feed.py
@@ -8,13 +8,16 @@
 
 import asyncio
 import random
+import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from dunefield.interface import SECOND, Settings
 from hollyport.config import Address
 from hollyport.discovery import Discovery, Line, Listing
+from hollyport.registries import store
 from hollyport.registries.eureka.register import Registrar
 from hollyport.registries.eureka.source import SLICE_S, EurekaSource
 from hollyport.registries.merge import Merger, Rules
@@ -22,6 +25,7 @@
 from hollyport.registries.record import DRAINING, UP, Change, Record
 
 LOOK_S = 1.0  # between looks for lists that have grown too old
+SAVE_S = 5.0  # between writes of the list to the disk, at least
 
 
 class Feed:
@@ -54,6 +58,9 @@
         if PLATFORM in options.sources:
             self._platform = self._open(address)
         self._tasks: list[asyncio.Task[None]] = []
+        self._cache = Path(options.cache_file) if options.cache_file else None
+        if self._cache is not None:
+            self._tasks.append(loop.create_task(self._keep()))
         self._eureka: EurekaSource | None = None
         self._registrar: Registrar | None = None
         if options.eureka is not None:
@@ -89,7 +96,49 @@
 
     def known(self, listing: Listing) -> tuple[Line, ...]:
         """The list that the daemon starts with."""
-        return tuple(self._merger.known([_record(line) for line in listing.lines], self._clock()))
+        records = [_record(line) for line in listing.lines]
+        if self._cache is not None:
+            # What was seen last here is newer than what the platform hands out, where both know one.
+            stored = self._restored()
+            addresses = {record.address for record in stored}
+            records = [r for r in records if r.address not in addresses] + stored
+        return tuple(self._merger.known(records, self._clock()))
+
+    def _restored(self) -> list[Record]:
+        assert self._cache is not None
+        try:
+            stored, saved_ns = store.load(self._cache)
+        except store.StoreError as error:
+            print(f"registry: {self._cache}: not used: {error}", file=sys.stderr, flush=True)
+            return []
+        age = (self._clock() - saved_ns) / SECOND
+        print(
+            f"registry: {len(stored)} nodes from {self._cache}, {age:.0f} s old", file=sys.stderr, flush=True
+        )
+        return stored
+
+    async def _keep(self) -> None:
+        """Write the list now and then, where it has changed. A disk that can't be written is told of once."""
+        assert self._cache is not None
+        written, failed = -1, False
+        while True:
+            await asyncio.sleep(SAVE_S)
+            if self._version == written or self._merger.doubtful(self._options.sources[-1]):
+                continue
+            version, records = self._version, self._merger.records()
+            try:
+                # In a thread: the disk may take its time.
+                await asyncio.to_thread(self._write, self._cache, records)
+                written, failed = version, False
+            except OSError as error:
+                if not failed:
+                    print(
+                        f"registry: {self._cache}: not written: {error.strerror}", file=sys.stderr, flush=True
+                    )
+                failed = True
+
+    def _write(self, path: Path, records: list[Record]) -> None:
+        store.save(path, store.dumps(records, self._clock()))
 
     # --- what the core asks, as of Discovery
 
--- a/hollyport/registries/merge.py
+++ b/hollyport/registries/merge.py
@@ -88,7 +88,8 @@
     def __init__(self, rules: Rules, me: str) -> None:
         self._rules, self._me = rules, me
         self._sources = {name: _Source(name) for name in (*rules.sources, KNOWN)}
-        self._at: dict[Address, dict[str, list[str]]] = {}  # identities by source, the latest last
+        # Identities by source, the latest last; tuples of texts, which the garbage collector need not walk.
+        self._at: dict[Address, dict[str, tuple[str, ...]]] = {}
         self._nodes: dict[Address, _Node] = {}
         self._handed: dict[int, str] = {}  # halls whose owner has taken over
         self._used: dict[str, None] = {}
@@ -213,6 +214,13 @@
         source = self._sources[name]
         return bool(source.doubts) or not source.heard
 
+    def records(self) -> list[Record]:
+        """One record for each node, by its name, for the list on disk."""
+        return [
+            node.record._replace(identity=node.name, status=node.status, started_ns=node.started_ns)
+            for node in self._nodes.values()
+        ]
+
     def describe(self, now: int) -> dict[str, object]:
         """The state of the sources, for people: sizes, doubts and ages in seconds."""
         return {
@@ -245,9 +253,10 @@
         if before is not None and record.started_ns > before.started_ns:
             source.replaced.discard(record.identity)
         source.records[record.identity] = record
-        identities = self._at.setdefault(record.address, {}).setdefault(source.name, [])
+        by_source = self._at.setdefault(record.address, {})
+        identities = by_source.get(source.name, ())
         if record.identity not in identities:
-            identities.append(record.identity)
+            identities = by_source[source.name] = (*identities, record.identity)
         if len(identities) > 1:
             # A lease that nobody has ended yet. Whoever came later stands there, and when that one goes, the
             # one before does not come back.
@@ -265,8 +274,10 @@
         if record is None:
             return set()
         by_source = self._at[record.address]
-        by_source[source.name].remove(identity)
-        if not by_source[source.name]:
+        left = tuple(other for other in by_source[source.name] if other != identity)
+        if left:
+            by_source[source.name] = left
+        else:
             del by_source[source.name]
         if not by_source:
             del self._at[record.address]
--- a/hollyport/registries/options.py
+++ b/hollyport/registries/options.py
@@ -65,6 +65,7 @@
     confirm_s: float
     keep_s: float
     most: int
+    cache_file: str
     eureka: EurekaOptions | None
 
 
@@ -145,6 +146,7 @@
         table.number("confirm_s", 2.0, 0.0, 3600.0),
         table.number("keep_s", 0.0, 0.0),
         int(table.number("most", 0, 0)),
+        table.text("cache_file"),
         _eureka(table.table("eureka")),
     )
     table.must(
