--- a/rehearsal/listing/eureka.py
+++ b/rehearsal/listing/eureka.py
@@ -36,6 +36,7 @@
         self.registry = Registry()
         self.outages: list[list[int]] = []
         self._lives: dict[int, int] = {}
+        self._dying = {event.which for event in plan.events if event.what == "die"}
         self._node_of: dict[str, tuple[int, int]] = {}  # node and life by identity
         self._heard: list[dict[int, tuple[int, str]]] = [
             {} for _ in plan.daemons
@@ -116,9 +117,16 @@
                 self._register(news.node, news.since_us)
         elif news.status == DRAINING:
             self.registry.override(APP, identity, "OUT_OF_SERVICE", now)
+        elif news.node in self._dying and (lingers := self._plan.scenario.list.eureka_lingers_s):
+            # Nobody cancels the lease of a process that died: it stands until it is evicted.
+            self._tasks.append(asyncio.ensure_future(self._evict(identity, news.t_us + int(lingers * 1e6))))
         else:
             self.registry.cancel(APP, identity, now)
 
+    async def _evict(self, identity: str, t_us: int) -> None:
+        await self._until(t_us)
+        self.registry.cancel(APP, identity, self._now_ms())
+
     async def _events(self) -> None:
         for event in self._plan.events:
             if event.target == "registry":
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -172,6 +172,9 @@
     eureka_interval_s: float = Field(default=1.0, ge=0.05)
     eureka_addresses: int = Field(default=2, ge=1, le=4)
     eureka_format: Literal["json", "xml"] = "json"
+    eureka_lingers_s: float = Field(
+        default=0.0, ge=0.0, description="how much longer the lease of a node that died stands there"
+    )
 
 
 class Daemon(Piece):
