Registries: a platform that pushes is followed to its new address; nothing is kept on disk in doubt

With lists that are pushed, a move left the task at the old address and never followed the new one: a test shows it, and fails with the mend taken out. The list was kept on disk while the registry was in doubt where it was not named last. tomllib is loaded only with a file; dead code goes.

--- a/hollyport/options.py
+++ b/hollyport/options.py
@@ -9,7 +9,6 @@
 
 import importlib
 import re
-import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -63,6 +62,8 @@
     """Read and check the file; without a path, everything is off. Raise OptionsError on what is unusable."""
     if not path:
         return Options()
+    import tomllib  # a daemon without the file need not load it
+
     try:
         with open(path, "rb") as file:
             text = file.read().decode("utf-8")
--- a/hollyport/registries/eureka/view.py
+++ b/hollyport/registries/eureka/view.py
@@ -20,7 +20,6 @@
         self._statuses: dict[tuple[str, str], str] = {}
         self._counts: dict[str, int] = {}
         self._buried: dict[tuple[str, str], int] = {}
-        self.whole_at_least_once = False
 
     def hashcode(self) -> str:
         """The code of what is held."""
@@ -48,7 +47,6 @@
             counts[status] = counts.get(status, 0) + 1
         self.instances, self._statuses, self._counts = kept, statuses, counts
         self._buried.clear()
-        self.whole_at_least_once = True
 
     def delta(self, instances: Sequence[Instance]) -> None:
         """Take over changes. What is older than what is held is passed over: deltas repeat, answers of two
--- a/hollyport/registries/feed.py
+++ b/hollyport/registries/feed.py
@@ -12,7 +12,6 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 from dunefield.interface import SECOND, Settings
 from hollyport.config import Address
@@ -123,7 +122,9 @@
         written, failed = -1, False
         while True:
             await asyncio.sleep(SAVE_S)
-            if self._version == written or self._merger.doubtful(self._options.sources[-1]):
+            if self._version == written or any(
+                self._merger.doubtful(name) for name in self._options.sources
+            ):
                 continue
             version, records = self._version, self._merger.records()
             try:
@@ -179,7 +180,8 @@
             self._platform_version = None
             self._platform = self._open(address)
             self._watching = False
-            self._watch()
+            if self._settings.must_ask:  # else whoever follows it follows the new one
+                self._watch()
 
     def take_options(self, options: RegistryOptions) -> None:
         """Halls move between the sources that there are; other changes of the table need a restart."""
@@ -194,20 +196,6 @@
         """This node could not be connected to."""
         self._pass_on(self._merger.broken(name, self._clock()))
 
-    def describe(self) -> dict[str, Any]:
-        """For people: what the sources hold, and how old it is."""
-        found = self._merger.describe(self._clock())
-        if self._eureka is not None:
-            e = self._eureka
-            found["eureka"] = {
-                "failures": e.failures,
-                "mismatches": e.mismatches,
-                "wholes": e.wholes,
-                "deltas": e.deltas,
-                "skew_s": round(e.skew_s, 1),
-            }
-        return found
-
     # --- what sources tell
 
     def _open(self, address: Address) -> Discovery:
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -182,6 +182,9 @@
         """Follow another discovery from now on: its whole list first, and its own version numbers."""
         if self._feed is not None:
             self._feed.move(address)
+            if self._pushed is not None:
+                self._pushed.cancel()
+                self._pushed = self._loop.create_task(self._feed.follow())
             return
         self._discovery.close()
         self._discovery = Discovery(self._loop, address, self._settings, None, self._told)
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import os
-import shutil
 import sys
 import time
 from collections.abc import Callable
@@ -410,8 +409,3 @@
         for worker in self._workers:
             for path in (worker.records, worker.config):
                 path.unlink(missing_ok=True)
-
-
-def disk_free_mb(folder: Path) -> float:
-    """Room for records; a season needs some tens of MB."""
-    return shutil.disk_usage(folder).free / 1e6
--- a/tests/registries/test_eureka.py
+++ b/tests/registries/test_eureka.py
@@ -310,6 +310,28 @@
     play(scene)
 
 
+def test_a_platform_that_pushes_is_followed_to_its_new_address_and_left_at_the_old_one():
+    """Found on a second reading: the old address was followed for good, and the new one asked for nothing."""
+
+    async def scene():
+        async def place(talk, call):
+            if "wait_ms" in call.target and "wait_ms=0" not in call.target:
+                await asyncio.Event().wait()
+            entry = platform_line("s2", two.port)
+            await talk.answer(200, json.dumps(listing(entry, index=9, snapshot=True)).encode())
+
+        async with Server(ok) as two, Server(place) as old, Server(place) as new:
+            _, server = await registry_with()
+            pushed = {"raw_settings": settings(), "sources": ("platform", "eureka"), "discovery": old.port}
+            async with daemon(server, **pushed) as (sidecar, client):
+                await until(lambda: len(old.calls) >= 2)
+                sidecar.move_discovery(Address("127.0.0.1", new.port))
+                await until(lambda: len(new.calls) >= 2)
+                assert up(sidecar) == {"s2"}
+
+    play(scene)
+
+
 def test_the_application_is_registered_renewed_registered_again_and_taken_off():
     async def scene():
         async with Server(ok) as one:
