--- a/hollyport/registries/eureka/codec.py
+++ b/hollyport/registries/eureka/codec.py
@@ -11,11 +11,14 @@
 
 from __future__ import annotations
 
+import codecs
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 STEP = 8  # instances between two yields: well under a millisecond of work
+WINDOW = 64 * 1024  # characters of JSON that are held
+MOST_VALUE = 1 << 20  # of one instance, or of a member that is passed over
 XML_STEP = 8192  # bytes of XML fed at a time
 ADDED, MODIFIED, DELETED = "ADDED", "MODIFIED", "DELETED"
 STATUSES = ("UP", "DOWN", "STARTING", "OUT_OF_SERVICE", "UNKNOWN")
@@ -70,47 +73,83 @@
 
 class _Walker:
     """Walks the outer containers of a JSON text by hand, and decodes the small values inside in one go
-    each."""
-
-    def __init__(self, text: str) -> None:
-        self.text, self.at = text, 0
+    each. Of the text, a window is held and no more."""
+
+    def __init__(self, pieces: Iterator[str]) -> None:
+        self._pieces, self._ended = pieces, False
+        self._text, self._at = "", 0
+
+    def _extend(self) -> None:
+        """Let go of what was read, and take in at least as much as is left."""
+        left = len(self._text) - self._at
+        if left > MOST_VALUE:
+            raise PayloadError("a value is too long, or no JSON")
+        parts, wanted = [self._text[self._at :]], max(WINDOW, 2 * left)
+        while left < wanted:
+            piece = next(self._pieces, None)
+            if piece is None:
+                self._ended = True
+                break
+            parts.append(piece)
+            left += len(piece)
+        self._text, self._at = "".join(parts), 0
 
     def peek(self) -> str:
-        text, at = self.text, self.at
-        while at < len(text) and text[at] in _SPACE:
-            at += 1
-        self.at = at
-        if at >= len(text):
-            raise PayloadError("the answer ends half-way")
-        return text[at]
+        while True:
+            text, at = self._text, self._at
+            while at < len(text) and text[at] in _SPACE:
+                at += 1
+            self._at = at
+            if at < len(text):
+                return text[at]
+            if self._ended:
+                raise PayloadError("the answer ends half-way")
+            self._extend()
 
     def expect(self, char: str) -> None:
-        if self.peek() != char:
-            raise PayloadError(f"no {char} at {self.at}")
-        self.at += 1
+        if (found := self.peek()) != char:
+            raise PayloadError(f"{found!r} where {char!r} was due")
+        self._at += 1
 
     def value(self) -> Any:
         self.peek()
+        while True:
+            try:
+                value, end = _decoder.raw_decode(self._text, self._at)
+            except RecursionError:
+                raise PayloadError("no JSON: nested too deeply") from None
+            except ValueError as error:
+                if self._ended:
+                    raise PayloadError(f"no JSON: {error}") from None
+            else:
+                # At the window's end a number may be but the first half of one.
+                if end < len(self._text) or self._ended:
+                    self._at = end
+                    return value
+            self._extend()
+
+    def rest(self) -> bool:
+        """Whether anything but space follows."""
         try:
-            value, self.at = _decoder.raw_decode(self.text, self.at)
-        except (ValueError, RecursionError) as error:
-            raise PayloadError(f"no JSON: {error}") from None
-        return value
+            self.peek()
+        except PayloadError:
+            return False
+        return True
 
     def members(self) -> Iterator[str]:
         """The keys of an object; the caller takes each value before it asks for the next."""
         self.expect("{")
         if self.peek() == "}":
-            self.at += 1
+            self._at += 1
             return
         while True:
             key = self.value()
             if not isinstance(key, str):
-                raise PayloadError(f"a key is no text at {self.at}")
+                raise PayloadError("a key is no text")
             self.expect(":")
             yield key
             if self.peek() == "}":
-                self.at += 1
+                self._at += 1
                 return
             self.expect(",")
 
@@ -119,21 +158,21 @@
         if self.peek() != "[":
             yield
             return
-        self.at += 1
+        self._at += 1
         if self.peek() == "]":
-            self.at += 1
+            self._at += 1
             return
         while True:
             yield
             if self.peek() == "]":
-                self.at += 1
+                self._at += 1
                 return
             self.expect(",")
 
 
-def read_json(text: str, payload: Payload) -> Iterator[None]:
+def read_json(pieces: Iterable[bytes], payload: Payload) -> Iterator[None]:
     """Read an answer to /apps, /apps/delta, /apps/{app}, /vips, /svips or /apps/{app}/{id}."""
-    walk = _Walker(text)
+    walk = _Walker(codecs.iterdecode(pieces, "utf-8"))
     known = False
     for key in walk.members():
         if key == "applications":
@@ -155,7 +194,7 @@
             walk.value()
     if not known:
         raise PayloadError("no applications in it")
-    if walk.text[walk.at :].strip(_SPACE):
+    if walk.rest():
         raise PayloadError("more follows the answer")
 
 
@@ -328,7 +367,7 @@
         """The document is over."""
 
 
-def read_xml(data: bytes, payload: Payload) -> Iterator[None]:
+def read_xml(pieces: Iterable[bytes], payload: Payload) -> Iterator[None]:
     """Read the same answers as XML. Definitions and entities of its own are refused, never expanded."""
     try:
         from defusedxml import ElementTree
@@ -338,9 +377,10 @@
     target = _Target(payload)
     parser = ElementTree.DefusedXMLParser(target=target, forbid_dtd=True)
     try:
-        for at in range(0, len(data), XML_STEP):
-            parser.feed(data[at : at + XML_STEP])
-            yield
+        for data in pieces:
+            for at in range(0, len(data), XML_STEP):
+                parser.feed(data[at : at + XML_STEP])
+                yield
         parser.close()
     except (ElementTree.ParseError, DefusedXmlException, ValueError) as error:
         raise PayloadError(f"no XML: {' '.join(str(error).split())[:200]}") from None
--- a/hollyport/registries/eureka/source.py
+++ b/hollyport/registries/eureka/source.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import contextlib
 import os
 import ssl
 import sys
@@ -13,6 +14,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from email.utils import parsedate_to_datetime
 from pathlib import Path
+from typing import Any
 from urllib.parse import quote, urlsplit
 
 from dunefield.interface import Settings
@@ -20,10 +22,12 @@
 from hollyport.registries.eureka.codec import DELETED, Instance, Payload, PayloadError, read_json, read_xml
 from hollyport.registries.eureka.schedule import DELTA, WHOLE, Schedule
 from hollyport.registries.eureka.view import View
+from hollyport.registries.heap import Heap
 from hollyport.registries.http import Answer, Place, RegistryError, call
 from hollyport.registries.options import EurekaOptions
 from hollyport.registries.record import DRAINING, UP, WAITING, Change, Record
 
+STEP = 256  # objects that are let go of at a time
 SLICE_S = 0.003  # work on the loop at a stretch
 MOST_REDIRECTS = 3
 SKEW_S = 2.0  # a registry's clock that is off by less is taken for right: its Date has whole seconds
@@ -127,6 +131,7 @@
             near, options.interval_s, options.jitter, draw, options.deltas, options.refresh_s
         )
         self._view = View(self._wanted)
+        self._heap = Heap()
         self._wake = asyncio.Event()
         self._said_at = -SAY_S
         self._failing = False
@@ -199,23 +204,24 @@
             self._schedule.no_deltas(time.monotonic(), number)
             return False
         self._mark_skew(answer)
-        payload = Payload()
-        if not (answer.status == 404 and self._single()):  # such an application has no instances
-            if answer.status != 200:
-                raise RegistryError(f"answered {answer.status}")
-            if options.format == "json":
-                text = answer.body.decode()
-                del answer
-                await in_slices(read_json(text, payload))
-                del text
+        status = answer.status
+        with self._heap.building() if what == WHOLE else contextlib.nullcontext():
+            payload = Payload()
+            if status == 404 and self._single():
+                pass  # such an application has no instances
+            elif status != 200:
+                raise RegistryError(f"answered {status}")
             else:
-                await in_slices(read_xml(answer.body, payload))
-        if payload.unusable:
-            self._say(f"registry: {payload.unusable} instances that make no sense are left out")
+                read = read_json if options.format == "json" else read_xml
+                await in_slices(read(answer.pieces(), payload))
+            if payload.unusable:
+                self._say(f"registry: {payload.unusable} instances that make no sense are left out")
+            if what == WHOLE:
+                await self._whole(payload, number)
+            else:
+                self._delta(payload)
         if what == WHOLE:
-            await self._whole(payload, number)
-        else:
-            self._delta(payload)
+            self._heap.built(len(self._view.instances))
         return True
 
     def _single(self) -> bool:
@@ -239,6 +245,8 @@
         records: list[Record] = []
         await in_slices(self._records(records))
         await self._tell_whole(records, number)
+        await in_slices(_let_go(payload.instances))
+        await in_slices(_let_go(records))
 
     def _records(self, records: list[Record]) -> Iterator[None]:
         for count, instance in enumerate(self._view.instances.values()):
@@ -308,6 +316,13 @@
         )
 
 
+def _let_go(items: list[Any]) -> Iterator[None]:
+    """Drop a list's objects bit by bit: freeing 20,000 of them at once takes longer than a slice."""
+    while items:
+        del items[-STEP:]
+        yield
+
+
 def _whole_number(text: str) -> int:
     return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
 
--- a/hollyport/registries/eureka/view.py
+++ b/hollyport/registries/eureka/view.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Sequence
+from typing import Any
 
 from hollyport.registries.eureka.codec import DELETED, Instance, reconcile_hash
 
@@ -31,7 +32,7 @@
             pass
 
     def taking_whole(self, instances: Sequence[Instance], step: int = 256) -> Iterator[None]:
-        """The same in steps. The view is the old one until the last of them."""
+        """The same in steps. The view is the old one until all is read, and the new one from then on."""
         kept: dict[tuple[str, str], Instance] = {}
         statuses: dict[tuple[str, str], str] = {}
         for number, instance in enumerate(instances):
@@ -39,14 +40,25 @@
                 key = (instance.app, instance.identity)
                 statuses[key] = instance.status
                 if self._wanted(instance):
-                    kept[key] = instance
+                    # What is the same stays the same object: a refresh that changes nothing leaves nothing
+                    # new for the garbage collector.
+                    held = self.instances.get(key)
+                    kept[key] = held if held == instance else instance
             if number % step == step - 1:
                 yield
         counts: dict[str, int] = {}
-        for status in statuses.values():
+        for number, status in enumerate(statuses.values()):
             counts[status] = counts.get(status, 0) + 1
+            if number % 4096 == 4095:
+                yield
+        old: tuple[dict[tuple[str, str], Any], ...] = (self.instances, self._statuses)
         self.instances, self._statuses, self._counts = kept, statuses, counts
         self._buried.clear()
+        for last in old:  # freed at once, a large one would hold up the loop for longer than a step
+            while last:
+                for _ in range(min(step, len(last))):
+                    last.popitem()
+                yield
 
     def delta(self, instances: Sequence[Instance]) -> None:
         """Take over changes. What is older than what is held is passed over: deltas repeat, answers of two
--- a/hollyport/registries/feed.py
+++ b/hollyport/registries/feed.py
@@ -10,7 +10,7 @@
 import random
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 from dunefield.interface import SECOND, Settings
@@ -122,9 +122,7 @@
         written, failed = -1, False
         while True:
             await asyncio.sleep(SAVE_S)
-            if self._version == written or any(
-                self._merger.doubtful(name) for name in self._options.sources
-            ):
+            if self._version == written or any(self._merger.doubtful(name) for name in self._options.sources):
                 continue
             version, records = self._version, self._merger.records()
             try:
@@ -184,8 +182,14 @@
                 self._watch()
 
     def take_options(self, options: RegistryOptions) -> None:
-        """Halls move between the sources that there are; other changes of the table need a restart."""
-        self._pass_on(self._merger.own(self._rules(options).owners, self._clock()))
+        """Halls move between the sources that there are, and the own registration takes another status; other
+        changes of the table need a restart."""
+        if self._registrar is not None and options.eureka is not None and options.eureka.registration:
+            self._registrar.want(options.eureka.registration.status)
+        steps = self._merger.taking_owners(self._rules(options).owners, self._clock())
+        moving = self._loop.create_task(self._pass_on_all(steps))
+        self._tasks.append(moving)
+        moving.add_done_callback(self._tasks.remove)
 
     async def take_off(self) -> None:
         """The daemon ends: the application is taken off the registry first."""
@@ -232,13 +236,16 @@
         self._pass_on(lines, True)
 
     async def _eureka_whole(self, records: list[Record], by: int) -> None:
+        await self._pass_on_all(self._merger.taking_whole(EUREKA, records, self._clock(), by))
+        self._pass_on([], True)
+
+    async def _pass_on_all(self, steps: Iterator[list[Line]]) -> None:
         until = time.monotonic() + SLICE_S
-        for lines in self._merger.taking_whole(EUREKA, records, self._clock(), by):
+        for lines in steps:
             self._pass_on(lines)
             if time.monotonic() >= until:
                 await asyncio.sleep(0)
                 until = time.monotonic() + SLICE_S
-        self._pass_on([], True)
 
     def _eureka_changes(self, changes: list[Change]) -> None:
         self._pass_on(self._merger.changes(EUREKA, changes, self._clock()))
--- a/hollyport/registries/http.py
+++ b/hollyport/registries/http.py
@@ -1,7 +1,7 @@
 """A small HTTP/1.1 client for registries: one call, one connection, everything bounded.
 
 Registries are not trusted: a call ends in an answer or an OSError within its time, whatever comes, and
-holds no more than it may. What is compressed is inflated in slices, so that the loop goes on in between.
+holds no more than it may. What is compressed is inflated by whoever reads it, bit by bit.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 import asyncio
 import ssl
 import zlib
+from collections.abc import Iterator
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
@@ -39,7 +40,39 @@
 
     status: int
     headers: dict[bytes, bytes]
-    body: bytes
+    raw: list[bytes]  # as it came, maybe compressed
+    most: int = 1 << 20  # bytes of it, also when inflated
+
+    def pieces(self) -> Iterator[bytes]:
+        """The body, inflated bit by bit: a small answer may hold gigabytes. Raise RegistryError once it is
+        too long or unreadable. What was handed out is let go of: the body is never in memory as a whole."""
+        packed = self.headers.get(b"content-encoding", b"").lower() == b"gzip"
+        self.raw.reverse()
+        if not packed:
+            while self.raw:
+                yield self.raw.pop()
+            return
+        inflater = zlib.decompressobj(wbits=31)
+        size = 0
+        while self.raw and not inflater.eof:
+            data = self.raw.pop()
+            while data and not inflater.eof:
+                try:
+                    piece = inflater.decompress(data, SLICE)
+                except zlib.error as error:
+                    raise RegistryError(f"unreadable: {error}") from None
+                data = inflater.unconsumed_tail
+                size += len(piece)
+                if size > self.most:
+                    raise RegistryError(f"the answer is longer than {self.most >> 20} MB when inflated")
+                yield piece
+        if not inflater.eof:
+            raise RegistryError("the answer ends half-way")
+
+    @property
+    def body(self) -> bytes:
+        """The body as a whole, for small answers; it can be had once."""
+        return b"".join(self.pieces())
 
 
 def parse_place(text: str) -> Place:
@@ -92,13 +125,13 @@
     most: int,
     tls: ssl.SSLContext | None = None,
 ) -> Answer:
-    """One call. Raise OSError on anything but a whole answer of at most `most` bytes, also when inflated."""
+    """One call. Raise OSError on anything but a whole answer of at most `most` bytes as it comes."""
     try:
         async with asyncio.timeout(timeout_s):
             return await _call(place, method, path, headers, body, most, tls)
     except TimeoutError:
         raise RegistryError(f"no whole answer within {timeout_s:g} s") from None
-    except (httptools.HttpParserError, zlib.error) as error:
+    except httptools.HttpParserError as error:
         cause = error.__context__  # what a callback raised stands behind the parser's own error
         raise cause if isinstance(cause, RegistryError) else RegistryError(f"unreadable: {error}") from None
 
@@ -134,26 +167,6 @@
             b"content-length" in got.headers or b"transfer-encoding" in got.headers or not got.status
         ):
             raise RegistryError("the answer ends half-way")
-        whole = b"".join(got.pieces)
-        if got.headers.get(b"content-encoding", b"").lower() == b"gzip":
-            whole = await _inflate(whole, most)
-        return Answer(got.status, got.headers, whole)
+        return Answer(got.status, got.headers, got.pieces, most)
     finally:
         writer.transport.abort()
-
-
-async def _inflate(data: bytes, most: int) -> bytes:
-    """Inflate in slices. A small answer may hold gigabytes: it is given up once it is too long."""
-    inflater = zlib.decompressobj(wbits=31)
-    made, size = [], 0
-    while data and not inflater.eof:
-        piece = inflater.decompress(data, 4 * SLICE)
-        data = inflater.unconsumed_tail
-        size += len(piece)
-        if size > most:
-            raise RegistryError(f"the answer is longer than {most >> 20} MB when inflated")
-        made.append(piece)
-        await asyncio.sleep(0)
-    if not inflater.eof:
-        raise RegistryError("the answer ends half-way")
-    return b"".join(made)
--- a/hollyport/registries/merge.py
+++ b/hollyport/registries/merge.py
@@ -22,8 +22,10 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Generator, Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass, field, replace
+from itertools import chain
+from typing import TypeVar
 from zlib import crc32
 
 from dunefield.interface import SECOND, Entry
@@ -33,11 +35,19 @@
 
 KNOWN = "known"  # the list that a daemon starts with: it counts until every source has been heard
 STEP = 200  # records between two yields
+SCAN = 2000  # the same where they are only looked at
 FEW = 3  # so many may always go at once
-MOST_NAMES = 8192  # names that are remembered as used
+MOST_NAMES = 8192  # names that are remembered as used, beside two for each node
+T = TypeVar("T")
 CAREFUL = {DRAINING: 2, WAITING: 1, UP: 0}
 
 
+def _parts(items: Sequence[T], size: int) -> Iterator[Sequence[T]]:
+    """Slices of a sequence that stays as it is."""
+    for at in range(0, len(items), size):
+        yield items[at : at + size]
+
+
 @dataclass(slots=True)
 class _Source:
     """What one source has said."""
@@ -137,10 +147,21 @@
         What the list drains or stops comes first: the second in which nothing more may be sent has begun.
         """
         source = self._sources[name]
-        listed = {record.identity for record in records}
-        missing = [identity for identity in source.records if identity not in listed]
-        alive = sum(1 for r in source.records.values() if r.status == UP)
-        gone = sum(1 for identity in missing if source.records[identity].status == UP)
+        listed: set[str] = set()
+        careful: list[Record] = []
+        for part in _parts(records, SCAN):
+            listed.update(record.identity for record in part)
+            careful += [record for record in part if record.status != UP]
+            yield []
+        missing: list[str] = []
+        alive = gone = 0
+        for part in _parts(list(source.records.values()), SCAN):
+            for record in part:
+                alive += record.status == UP
+                if record.identity not in listed:
+                    missing.append(record.identity)
+                    gone += record.status == UP
+            yield []
         doubtful = name in self._rules.doubted and (
             gone > max(FEW, self._rules.shrink * alive) or (gone == alive > 0 and not records)
         )
@@ -150,21 +171,22 @@
             since, first_by = source.empty = source.empty or (now, by)
             heard = by != first_by or now - since >= self._rules.confirm_ns
         touched: set[Address] = set()
-        for identity in missing:
+        for number, identity in enumerate(missing):
+            record_held = source.records.get(identity)
+            if record_held is None:
+                continue  # it could not be connected to, and went since this answer was begun
             since, first_by = source.doubts.get(identity, (now, by))
             confirmed = identity in source.doubts and (
                 by != first_by or now - since >= self._rules.confirm_ns
             )
-            if (
-                source.records[identity].status != UP
-                or confirmed
-                or not (doubtful or identity in source.doubts)
-            ):
+            if record_held.status != UP or confirmed or not (doubtful or identity in source.doubts):
                 touched |= self._take(source, identity)
             else:
                 source.doubts[identity] = (since, first_by)
-        careful = [record for record in records if record.status != UP]
-        for number, record in enumerate((*careful, *records)):
+            if number % STEP == STEP - 1:
+                yield self._settle(touched, now)
+                touched = set()
+        for number, record in enumerate(chain(careful, records)):
             source.doubts.pop(record.identity, None)
             if source.records.get(record.identity) != record:
                 touched |= self._put(source, record)
@@ -174,8 +196,9 @@
         source.good_at = now
         if heard:
             source.heard, source.empty = True, None
-        touched |= self._retire_known(to_the_letter=name not in self._rules.doubted)
-        yield self._settle(touched, now, whole=True)
+        yield self._settle(touched, now)
+        yield from self._retire_known(to_the_letter=name not in self._rules.doubted, now=now)
+        yield from self._hand_over(now)
         source.first = not source.heard
 
     def broken(self, name: str, now: int) -> list[Line]:
@@ -203,9 +226,17 @@
 
     def own(self, owners: Mapping[int, str], now: int) -> list[Line]:
         """Halls have other owners from now on."""
+        return [line for lines in self.taking_owners(owners, now) for line in lines]
+
+    def taking_owners(self, owners: Mapping[int, str], now: int) -> Iterator[list[Line]]:
+        """The same in steps."""
         self._rules = replace(self._rules, owners=dict(owners))
-        self._handed = {hall: name for hall, name in self._handed.items() if owners.get(hall) == name}
-        return self._settle(set(self._at), now, whole=True)
+        before, self._handed = (
+            self._handed,
+            {hall: name for hall, name in self._handed.items() if owners.get(hall) == name},
+        )
+        yield from self._settle_halls(before.keys() - self._handed.keys(), now)
+        yield from self._hand_over(now)
 
     # --- what it looks like
 
@@ -283,41 +314,65 @@
             del self._at[record.address]
         return {record.address}
 
-    def _retire_known(self, to_the_letter: bool) -> set[Address]:
+    def _retire_known(self, to_the_letter: bool, now: int) -> Iterator[list[Line]]:
         """Once every source has been heard, the list from the start has nothing to add; nor has it once a
         source that is taken to the letter has told everything, for that is where it came from."""
         known = self._sources[KNOWN]
         if known.records and (
             to_the_letter or all(self._sources[name].heard for name in self._rules.sources)
         ):
-            touched: set[Address] = set()
-            for identity in list(known.records):
-                touched |= self._take(known, identity)
-            return touched
-        return set()
+            for part in _parts(list(known.records), STEP):
+                touched: set[Address] = set()
+                for identity in part:
+                    touched |= self._take(known, identity)
+                yield self._settle(touched, now)
 
     # --- nodes
 
-    def _settle(self, touched: set[Address], now: int, whole: bool = False) -> list[Line]:
-        if whole:
-            for hall, owner in self._rules.owners.items():
-                if self._handed.get(hall) != owner and self._ready(hall, owner):
-                    self._handed[hall] = owner
-                    touched |= {a for a, node in self._nodes.items() if node.record.hall == hall}
+    def _settle(self, touched: set[Address], now: int) -> list[Line]:
         for address in touched:
             self._resolve(address, now)
         return self._tell(touched)
 
-    def _ready(self, hall: int, owner: str) -> bool:
+    def _hand_over(self, now: int) -> Iterator[list[Line]]:
+        """Halls go to their owners, where those are ready to be followed alone."""
+        for hall, owner in self._rules.owners.items():
+            if self._handed.get(hall) != owner and (yield from self._ready(hall, owner)):
+                self._handed[hall] = owner
+                yield from self._settle_halls({hall}, now)
+
+    def _settle_halls(self, halls: Set[int], now: int) -> Iterator[list[Line]]:
+        """All that stands in these halls, by whatever source: an address that only an owner of before has
+        kept out of the view is known by its records alone."""
+        if not halls:
+            return
+        for part in _parts(list(self._at), STEP):
+            yield self._settle({a for a in part if self._halls(a) & halls}, now)
+
+    def _halls(self, address: Address) -> set[int]:
+        found = {
+            self._sources[name].records[identity].hall
+            for name, identities in self._at.get(address, {}).items()
+            for identity in identities
+        }
+        if address in self._nodes:
+            found.add(self._nodes[address].record.hall)
+        return found
+
+    def _ready(self, hall: int, owner: str) -> Generator[list[Line], None, bool]:
         """Whether a hall's owner lists enough of it to be followed alone."""
         if owner not in self._sources or not self._sources[owner].heard:
             return False
-        mine = {r.address for r in self._sources[owner].records.values() if r.hall == hall and r.status == UP}
-        others = {
-            a for a, n in self._nodes.items() if n.record.hall == hall and n.status == UP and a not in mine
-        }
-        both = len(mine) + len(others)
-        return both > 0 and len(others) <= self._rules.shrink * both
+        mine: set[Address] = set()
+        for records in _parts(list(self._sources[owner].records.values()), SCAN):
+            mine.update(r.address for r in records if r.hall == hall and r.status == UP)
+            yield []
+        others = 0
+        for nodes in _parts(list(self._nodes.items()), SCAN):
+            others += sum(1 for a, n in nodes if n.record.hall == hall and n.status == UP and a not in mine)
+            yield []
+        both = len(mine) + others
+        return both > 0 and others <= self._rules.shrink * both
 
     def _tellers(self, address: Address) -> dict[str, Record]:
         """What each source says of an address: of several instances there, the one that came last."""
@@ -379,7 +434,7 @@
             self._count += 1
             name = f"{identity}#{self._count}"
         self._used[name] = None
-        if len(self._used) > MOST_NAMES:
+        if len(self._used) > MOST_NAMES + 2 * len(self._nodes):
             del self._used[next(iter(self._used))]
         return name
 
--- a/hollyport/registries/options.py
+++ b/hollyport/registries/options.py
@@ -25,6 +25,7 @@
     vip: str = ""
     renew_s: float = 30.0
     lease_s: float = 90.0
+    status: str = "UP"
     metadata: Mapping[str, str] = field(default_factory=dict)
 
 
@@ -221,6 +222,7 @@
         table.text("vip"),
         table.number("renew_s", 30.0, 0.05, 3600.0),
         table.number("lease_s", 90.0, 0.1, 86400.0),
+        table.text("status", "UP", ("UP", "OUT_OF_SERVICE", "DOWN", "STARTING")),
         table.pairs("metadata"),
     )
     for key in ("app", "instance", "host"):
--- a/rehearsal/listing/eureka_model.py
+++ b/rehearsal/listing/eureka_model.py
@@ -74,12 +74,16 @@
         self.leases[key] = lease
         self._note(key, "ADDED", now_ms)
 
-    def renew(self, app: str, identity: str, now_ms: int) -> bool:
-        """A heartbeat; False if the lease is not known (the API's 404)."""
+    def renew(self, app: str, identity: str, now_ms: int, status: str = "") -> bool:
+        """A heartbeat; False if the lease is not known (the API's 404). One that tells another status changes
+        what the instance itself says; an override stays above it."""
         lease = self.leases.get((app.upper(), identity))
         if lease is None:
             return False
         lease.renewed = now_ms
+        if status and status != lease.raw.get("status"):
+            lease.raw["status"] = status
+            self._note((app.upper(), identity), "MODIFIED", now_ms)
         return True
 
     def cancel(self, app: str, identity: str, now_ms: int) -> bool:
@@ -97,6 +101,13 @@
         self._note(key, "MODIFIED", now_ms)
         return True
 
+    def restore(self, app: str, identity: str, status: str, now_ms: int) -> bool:
+        """Take an override back; the instance's own status is the one told along, if one is."""
+        lease = self.leases.get((app.upper(), identity))
+        if lease is not None and status:
+            lease.raw["status"] = status
+        return self.override(app, identity, "UNKNOWN", now_ms)
+
     def evict(self, now_ms: int) -> list[tuple[str, str]]:
         """Let go of what was not renewed, unless so much is missing that the network is likelier to blame."""
         late = [key for key, lease in self.leases.items() if now_ms - lease.renewed > lease.duration_ms]
@@ -159,20 +170,28 @@
 
 
 def as_xml(document: Mapping[str, Any]) -> bytes:
-    """The same document as XML."""
-    root = ElementTree.Element("applications")
-    inner = document["applications"]
-    for key in ("versions__delta", "apps__hashcode"):
-        ElementTree.SubElement(root, key).text = inner[key]
-    for app in inner["application"]:
-        node = ElementTree.SubElement(root, "application")
-        ElementTree.SubElement(node, "name").text = app["name"]
-        rows = app["instance"] if isinstance(app["instance"], list) else [app["instance"]]
-        for row in rows:
-            _instance_xml(ElementTree.SubElement(node, "instance"), row)
+    """The same document, or that of one application or instance, as XML."""
+    ((kind, inner),) = document.items()
+    root = ElementTree.Element(kind)
+    if kind == "instance":
+        _instance_xml(root, inner)
+    elif kind == "application":
+        _application_xml(root, inner)
+    else:
+        for key in ("versions__delta", "apps__hashcode"):
+            ElementTree.SubElement(root, key).text = inner[key]
+        for app in inner["application"]:
+            _application_xml(ElementTree.SubElement(root, "application"), app)
     return bytes(ElementTree.tostring(root, encoding="utf-8", xml_declaration=True))
 
 
+def _application_xml(node: ElementTree.Element, app: Mapping[str, Any]) -> None:
+    ElementTree.SubElement(node, "name").text = app["name"]
+    rows = app["instance"] if isinstance(app["instance"], list) else [app["instance"]]
+    for row in rows:
+        _instance_xml(ElementTree.SubElement(node, "instance"), row)
+
+
 def _instance_xml(node: ElementTree.Element, row: Mapping[str, Any]) -> None:
     for key, value in row.items():
         child = ElementTree.SubElement(node, key)
--- a/tests/registries/test_merge.py
+++ b/tests/registries/test_merge.py
@@ -417,3 +417,34 @@
             if all(r.status == DRAINING for r in told_here):
                 assert not any(a == address and life == "up" for a, life in core.nodes.values())
         assert {name for name, _ in made.view().values()} == set(core.nodes)
+
+
+def test_a_node_that_breaks_while_a_whole_answer_is_taken_over_costs_nothing_else():
+    """Found on a second reading: steps in between let `broken` take what the answer was about to."""
+    made = merger(shrink=0.1)
+    made.whole("eureka", [record(f"i{n}", n) for n in range(10)], 0)
+    made.whole("eureka", [record("i0", 0)], S)  # nine in doubt
+    steps = made.taking_whole("eureka", [record("i0", 0)], 5 * S)
+    next(steps)
+    next(steps)
+    made.broken("i5", 5 * S)
+    for _ in steps:
+        pass
+    assert set(made.view()) == {at(0)}
+
+
+def test_halls_change_owners_in_steps_and_a_later_word_is_not_lost():
+    made = merger(("platform", "eureka"))
+    hall = [record(f"i{n}", n, hall=1) for n in range(900)]
+    made.whole("platform", hall, 0)
+    made.whole("eureka", hall[:850], 0)
+    steps = made.taking_owners({1: "eureka"}, S)
+    for _ in range(4):
+        next(steps)
+    made.changes("eureka", [Change("i3", record("i3", 3, DRAINING, hall=1))], S)
+    for _ in steps:
+        pass
+    view = made.view()
+    assert len(view) == 850 and view[at(3)][1] == DRAINING and made.describe(S)["halls_handed"]
+    made.own({}, 2 * S)
+    assert len(made.view()) == 900
