--- a/hollyport/registries/eureka/codec.py
+++ b/hollyport/registries/eureka/codec.py
@@ -13,6 +13,7 @@
 
 import codecs
 import json
+import re
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -68,7 +69,7 @@
 # --- JSON
 
 _decoder = json.JSONDecoder()
-_SPACE = " \t\r\n"
+_SPACES = re.compile(r"[ \t\r\n]*")
 
 
 class _Walker:
@@ -95,15 +96,18 @@
         self._text, self._at = "".join(parts), 0
 
     def peek(self) -> str:
+        skipped = 0
         while True:
-            text, at = self._text, self._at
-            while at < len(text) and text[at] in _SPACE:
-                at += 1
-            self._at = at
-            if at < len(text):
-                return text[at]
+            found = _SPACES.match(self._text, self._at)
+            assert found is not None
+            skipped += found.end() - self._at
+            self._at = found.end()
+            if self._at < len(self._text):
+                return self._text[self._at]
             if self._ended:
                 raise PayloadError("the answer ends half-way")
+            if skipped > MOST_VALUE:
+                raise PayloadError("nothing but space")
             self._extend()
 
     def expect(self, char: str) -> None:
--- a/tests/registries/test_eureka.py
+++ b/tests/registries/test_eureka.py
@@ -379,15 +379,12 @@
     async def scene():
         registry, server = await registry_with()
         server.misbehave = "bomb"
+        accept = {"Accept-Encoding": "gzip"}
+        answer = await call(parse_place(server.url), "GET", "/eureka/apps", accept, b"", 10.0, 4 << 20)
+        taken = 0
         with pytest.raises(RegistryError, match="longer than 4 MB when inflated"):
-            await call(
-                parse_place(server.url),
-                "GET",
-                "/eureka/apps",
-                {"Accept-Encoding": "gzip"},
-                b"",
-                10.0,
-                4 << 20,
-            )
+            for piece in answer.pieces():
+                taken += len(piece)
+        assert taken <= 4 << 20
 
     play(scene)
