Hot path: an answer looks at its own server's attempts only, load reports are read once

At 1,200 requests a second the daemon was at its part of a core: each answer walked through all attempts of all servers (the check for overtaken calls), so the cost of a request rose with what was in flight, late answers put more in flight, and it did not come out again.

Attempts are now also kept by server, in the same order, and an answer walks through its own server's. Load reports are parsed once per distinct text, connections keep their poll object, a draw asks cheap questions first.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -89,6 +89,8 @@
         self._acts = []
         if isinstance(event, Accept):
             self._on_accept(now, event)
+        elif isinstance(event, Echo):
+            self._on_echo(now, event)
         elif isinstance(event, Response):
             self._on_response(now, event)
         elif isinstance(event, Alarm):
@@ -97,8 +99,6 @@
             self._on_directory(now, event)
         elif isinstance(event, Hangup):
             self._drop(event.tid)
-        elif isinstance(event, Echo):
-            self._on_echo(now, event)
         elif isinstance(event, Begun) and event.tid in self._calls:
             self._calls[event.tid].begun = True
         return self._acts
@@ -155,6 +155,7 @@
         if attempt is None:
             return
         server = attempt.server
+        del server.out[event.tid, event.attempt]
         server.inflight -= 1
         server.used = now
         if event.how == How.OK:
@@ -185,8 +186,8 @@
         silent connection, most likely. Where it may run twice and time is left, it is withdrawn and goes to
         another server. Covers answers lost on the way, too, and calls that a server forgot. It harms where
         servers serve many at a time and calls differ widely: some work is then done twice."""
-        for (tid, number), attempt in self._attempts.items():
-            if attempt.server is answered.server and attempt.sent < answered.sent:
+        for (tid, number), attempt in answered.server.out.items():
+            if attempt.sent < answered.sent:
                 attempt.passed += 1
                 call = self._calls.get(tid)
                 if (
@@ -401,6 +402,8 @@
         """Exception "cold ramp": a server that may be cold gets its worst warmth's share of what own servers
         answer, in credit for one call at a time. Answers and not demand, which a storm multiplies; a floor
         of the demand, lest a fleet that is cold throughout gets nothing."""
+        if server.started <= 0 or now - server.started >= self._set.invariants.cold_ns:
+            return True
         ramp = self._ramp(server, now)
         if ramp >= 1.0:
             return True
@@ -414,10 +417,14 @@
         """Under budget or due for a trial, and warm enough. Growth: where all are at their budgets, one more
         call may pass as a trial; with probes only where the server tells of fewer than are out from here, as
         then some hang on silent connections; without, that is for _pick to say."""
-        hang = server.load + 0.5 < server.inflight
-        grows = self._probing and hang and not self._room and server.k < STEPS
-        free = server.slot >= 0 or ((not server.k or grows) and self._trial_due(server, now))
-        return server.up and free and self._warm(server, now)
+        if not server.up:
+            return False
+        if server.slot < 0:
+            hang = server.load + 0.5 < server.inflight
+            grows = self._probing and hang and not self._room and server.k < STEPS
+            if (server.k and not grows) or not self._trial_due(server, now):
+                return False
+        return self._warm(server, now)
 
     def _speed(self, now: int, server: Server) -> float:
         """A server's time to answer over size. What is old fades to the mean: one that is passed over tells
@@ -523,7 +530,8 @@
             return False
         self._touch(now, server)
         server.peak = max(server.peak, server.inflight + 1)
-        self._attempts[call.tid, call.attempts] = Attempt(server, trial, now, call)
+        attempt = self._attempts[call.tid, call.attempts] = Attempt(server, trial, now, call)
+        server.out[call.tid, call.attempts] = attempt
         call.attempts += 1
         call.out += 1
         call.tried.append(server)
@@ -605,10 +613,9 @@
             server = self._draw(call, 0)
             if server is None or call.pending == PROBES:
                 break
-            shunned = self._shunned(now, server, call) and not muted
-            if shunned or server in call.tried or call in server.askers:
+            if call in server.askers or server in call.tried:
                 continue
-            if not self._fits(now, server):
+            if (not muted and self._shunned(now, server, call)) or not self._fits(now, server):
                 continue
             call.pending += 1
             if not server.askers:  # else the probe that is out will tell this call, too
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -16,7 +16,7 @@
     __slots__ = (
         "name", "zone", "cell", "heft", "up", "gone", "started", "inflight", "k", "figure", "trial",
         "backoff", "retry_at", "stretch", "seen", "peak", "used", "idle", "slot", "mute", "load",
-        "mute_until", "heard", "struck", "erred", "askers", "credit", "credit_at",
+        "mute_until", "heard", "struck", "erred", "askers", "credit", "credit_at", "out",
     )
 
     def __init__(self, entry: Entry) -> None:
@@ -28,6 +28,7 @@
         self.idle = 0  # how long it had been idle before that
         self.slot = -1  # place in the list of servers under budget, -1 when not in it
         self.askers: list[Call] = []  # calls that wait for the probe that is out, if there are any
+        self.out: dict[tuple[str, int], Attempt] = {}  # by call and number, in the order sent
         self.up = self.gone = False
         self.started = -1
         self.reset()
--- a/hollyport/connection.py
+++ b/hollyport/connection.py
@@ -53,6 +53,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._done: Done | None = None
+        self._poll: select.poll | None = None  # asked before each use
         self._blocked = False
         self._written = True
         self._headers: list[tuple[bytes, bytes]] = []
@@ -138,15 +139,19 @@
         if status < 200:
             return
         self._in_head = False
-        lengths = [value for name, value in self._headers if name == b"content-length"]
-        codings = [value.lower() for name, value in self._headers if name == b"transfer-encoding"]
+        lengths, codings = [], []
+        for name, value in self._headers:
+            if SPLITS.search(value):
+                raise Spoilt
+            if name == b"content-length":
+                lengths.append(value)
+            elif name == b"transfer-encoding":
+                codings.append(value.lower())
         framed = codings == [b"chunked"] if codings else len(lengths) == 1 and DIGITS.fullmatch(lengths[0])
         if not framed and status not in NO_BODY or (codings and lengths):
             raise Spoilt
         if lengths and int(lengths[0]) > self._max_body:
             raise Spoilt
-        if any(SPLITS.search(value) for _, value in self._headers):
-            raise Spoilt
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
@@ -195,9 +200,10 @@
         transport = self._transport
         if transport is None or transport.is_closing() or not self.reusable:
             return False
-        poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not self._poll.poll(0)
 
     def forget(self) -> None:
         """Nobody waits for the answer any more."""
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -12,6 +12,7 @@
 import time
 import traceback
 from collections import deque
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from dunefield.interface import (
@@ -56,6 +57,7 @@
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
 BEAT_S = 0.02  # how often the loop shows that it runs
 MOST_LOAD = 1e5  # a report of more is none
+COMMON_LOAD = 256  # bytes; a longer report is not remembered
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
 HOP_BY_HOP = frozenset({
@@ -449,6 +451,13 @@
     """A load report; none where it can't be one: a wrong one would draw all calls to one server, or none."""
     if not text:
         return {}
+    return _read_load(text) if len(text) <= COMMON_LOAD else _read_load.__wrapped__(text)
+
+
+@lru_cache(maxsize=1024)
+def _read_load(text: bytes) -> dict[str, float]:
+    """Read a report. Small ones repeat all the time, and reading them anew took a tenth of a request's cost.
+    Whoever gets one only reads it."""
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError):
