Core: what it needs of a front and a back is a contract; HTTP heads move out of it

First step towards a core that knows no protocol: sidecar.py built HTTP heads, chose statuses and read load headers. A request now comes with its ends (served, refused, failed, broken, repeated) and its own wire form, an answer with its load report; HTTP's side of both is hollyport/http/heads.py, without I/O. No change in what is sent, but the text of the last guard's refusal, which now says refused and not failed.

--- a/hollyport/client.py
+++ b/hollyport/client.py
@@ -12,7 +12,11 @@
 
 import httptools
 
+from hollyport.http import heads
+from hollyport.http.heads import Headers
+
 if TYPE_CHECKING:
+    from hollyport.connection import Reply
     from hollyport.listener import Listener
 
 MAX_BODY = 64 * 1024
@@ -28,13 +32,12 @@
 }
 CLOSING = frozenset({400, 404, 405, 408, 409, 413, 417, 431})  # answered and closed: what follows is as bad
 DIGITS = re.compile(rb"[0-9]{1,18}")
-Headers = list[tuple[bytes, bytes]]
 
 
 class Message:
     """One request as it came, and where its one answer goes."""
 
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "tid")
+    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "tid", "_head")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
@@ -43,6 +46,7 @@
         self.keep_alive = True
         self.came = 0.0  # when its last byte was read, by the loop's clock
         self.tid = ""  # for the owner: which request this became
+        self._head = b""  # as it goes on, once it has been made
 
     def header(self, name: bytes) -> bytes | None:
         """The first header of this lower-case name."""
@@ -60,6 +64,35 @@
         self.connection.answer(self, status, body, headers or [])
 
 
+    # --- for the core (hollyport.contract.Asked)
+
+    def wire(self, left_s: float) -> bytes:
+        """It as a node gets it."""
+        if not self._head:
+            self._head = heads.forwarded(self.method, self.target, self.headers, self.body)
+        return heads.with_time(self._head, left_s, self.body)
+
+    def served(self, answer: Reply) -> None:
+        """A node has answered."""
+        self.answer(200, answer.body, heads.returned(answer.headers))
+
+    def refused(self, hold_off_ns: int) -> None:
+        """It has not run: come back in so long."""
+        self.answer(503, b"refused\n", heads.retry_after(hold_off_ns))
+
+    def failed(self, late: bool) -> None:
+        """It may have run, and there is no answer."""
+        self.answer(504 if late else 502, b"failed\n")
+
+    def broken(self) -> None:
+        """An error of our own."""
+        self.answer(500, b"failed\n")
+
+    def repeated(self) -> None:
+        """Its id is another's."""
+        self.answer(409)
+
+
 class Refused(Exception):
     """What the client sends can't be a request; raised through the parser to stop it."""
 
--- a/hollyport/connection.py
+++ b/hollyport/connection.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from hollyport.http import heads
+
 MAX_BODY = 1 << 20  # real answers are larger than the 64 KiB that are promised; 350 KB were seen
 MAX_HEAD = 16 * 1024  # of one answer, the 1xx ahead of it included
 DIGITS = re.compile(rb"[0-9]{1,18}")
@@ -28,6 +30,14 @@
         """The first header of this lower-case name."""
         return next((value for key, value in self.headers if key == name), None)
 
+    def riding(self) -> dict[str, float]:
+        """The load report that rides along with an answer."""
+        return heads.load(self.header(b"x-server-load"))
+
+    def report(self) -> dict[str, float]:
+        """The load report that is the answer to a probe."""
+        return heads.load(self.body)
+
 
 Done = Callable[["Reply | None"], None]
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import time
 import traceback
 from collections import deque
-from functools import lru_cache
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from dunefield.interface import (
@@ -43,7 +42,9 @@
 from hollyport.client import Message
 from hollyport.config import Address, Config
 from hollyport.connection import Reply
+from hollyport.contract import Asked
 from hollyport.discovery import Discovery, Listing, read_listing
+from hollyport.http import heads
 from hollyport.listener import Listener
 from hollyport.options import Options
 from hollyport.upstream import Exchange, Upstream
@@ -56,16 +57,8 @@
 KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
 BEAT_S = 0.02  # how often the loop shows that it runs
-MOST_LOAD = 1e5  # a report of more is none
-COMMON_LOAD = 256  # bytes; a longer report is not remembered
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
-HOP_BY_HOP = frozenset({
-    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
-    b"trailer", b"transfer-encoding", b"upgrade",
-})
-NOT_FORWARDED = HOP_BY_HOP | {b"content-length", b"expect", b"x-timeout"}
-NOT_RETURNED = HOP_BY_HOP | {b"content-length", b"x-server-load", b"date", b"server"}
 
 
 class Clock:
@@ -81,11 +74,10 @@
 class Request:
     """A request taken from the application, until it is over and no attempt is out."""
 
-    __slots__ = ("tid", "message", "cls", "head", "attempts", "out", "maybe_ran", "over", "guard", "last")
+    __slots__ = ("tid", "message", "cls", "attempts", "out", "maybe_ran", "over", "guard", "last")
 
-    def __init__(self, tid: str, message: Message, cls: int) -> None:
+    def __init__(self, tid: str, message: Asked, cls: int) -> None:
         self.tid, self.message, self.cls = tid, message, cls
-        self.head = b""
         self.attempts = 0
         self.out: dict[int, Exchange] = {}
         self.maybe_ran = False
@@ -115,8 +107,7 @@
         self._handling = False
         # A probe that takes so long tells of a server that stands still, whatever it would have said.
         self._probe_limit_s = min(c.aim_ns for c in settings.classes) / 6e9
-        probed = b"/-/load" if settings.reports != "none" else b"/-/healthy"
-        self._probe_request = b"GET %s HTTP/1.1\r\nHost: sidecar\r\n\r\n" % probed
+        self._probe_request = heads.probe(settings.reports != "none")
         limits = settings.limits
         # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
         # Clients may hold a third of all for requests; as many again are left to those that send none.
@@ -227,7 +218,7 @@
         traceback.print_exc(file=sys.stderr)
         request = self._requests.get(tid)
         if request is not None:
-            self._give_up(request, 500)
+            self._give_up(request, request.message.broken)
 
     # --- Listener's Service
 
@@ -239,11 +230,12 @@
         """Take a request."""
         asked = self._gate.admit(message)
         now = self._loop.time()
-        if not isinstance(asked, int) and not self._new_id(asked.rid, now):
-            asked = 409
         if isinstance(asked, int):
             message.answer(asked)
             return
+        if not self._new_id(asked.rid, now):
+            message.repeated()
+            return
         self._count += 1
         message.tid = tid = str(self._count)
         # It may have waited behind another, or unread while this process stood still for want of CPU.
@@ -283,7 +275,7 @@
         """
         return max(0.0, time.monotonic() - self._beat_due) if self._beat_due else 0.0
 
-    def hangup(self, message: Message) -> None:
+    def hangup(self, message: Asked) -> None:
         """The client left; what its attempts come to is still told to the module."""
         request = self._requests.get(message.tid)
         if request is not None and not request.over:
@@ -302,12 +294,11 @@
             case Defer(in_ns, tag):
                 self._defer(self._clock() + in_ns, tag)
             case Refuse(tid, hold_off_ns):
-                headers = [(b"Retry-After", b"%.3f" % (hold_off_ns / 1e9))] if hold_off_ns > 0 else []
-                self._answer(tid, 503, b"refused\n", headers)
+                if (request := self._ended(tid)) is not None:
+                    request.message.refused(hold_off_ns)
             case Fail(tid):
-                request = self._requests.get(tid)
-                late = request is not None and request.last is How.TIMEOUT
-                self._answer(tid, 504 if late else 502, b"failed\n", [])
+                if (request := self._ended(tid)) is not None:
+                    request.message.failed(request.last is How.TIMEOUT)
             case Retract(tid, attempt):
                 request = self._requests.get(tid)
                 if request is not None and attempt in request.out:
@@ -336,7 +327,8 @@
         exchange = None
         if not request.over:
             exchange = self._upstream.exchange(
-                server, lambda: self._wire(request, abandon), (abandon - sent) / 1e9, ended
+                server, lambda: request.message.wire((abandon - self._clock()) / 1e9), (abandon - sent) / 1e9,
+                ended,
             )
         if exchange is None:
             ended(How.MOOT, None)
@@ -344,32 +336,18 @@
             request.out[number] = exchange
             exchange.start()
 
-    def _wire(self, request: Request, abandon_ns: int) -> bytes:
-        """The request as it goes to a server; how long we wait depends on when it is written."""
-        message = request.message
-        if not request.head:
-            parts = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
-            parts += [b"%s: %s\r\n" % pair for pair in message.headers if pair[0] not in NOT_FORWARDED]
-            if message.body or message.method == b"POST":
-                parts.append(b"Content-Length: %d\r\n" % len(message.body))
-            request.head = b"".join(parts)
-        left = max(0.001, (abandon_ns - self._clock()) / 1e9)
-        return b"%sX-Timeout: %.4f\r\n\r\n%s" % (request.head, left, message.body)
-
     def _outcome(
         self, request: Request, how: How, reply: Reply | None, sent: int, server: str, number: int
     ) -> None:
         request.maybe_ran = request.maybe_ran or how not in NEVER_RAN
         request.last = how
         if how is How.OK and reply is not None and not request.over:
-            headers = [pair for pair in reply.headers if pair[0] not in NOT_RETURNED]
-            message = request.message
             self._finish(request)
-            message.answer(200, reply.body, headers)
+            request.message.served(reply)
         if self._feed is not None and how is How.CONNECT_FAILED:
             self._feed.broken(server)
         lag = self._clock() - sent
-        load = _load(reply.header(b"x-server-load") if reply is not None else None)
+        load = reply.riding() if reply is not None else {}
         self.deliver(Response(request.tid, how, lag, server, number, request.over, load))
         self._forget(request)
 
@@ -377,7 +355,7 @@
         sent = self._clock()
 
         def ended(how: How, reply: Reply | None) -> None:
-            load = _load(reply.body if reply is not None else None)
+            load = reply.report() if reply is not None else {}
             self.deliver(Echo(server, how, self._clock() - sent, load))
 
         exchange = self._upstream.exchange(server, lambda: self._probe_request, self._probe_limit_s, ended)
@@ -399,12 +377,14 @@
 
     # --- ends of requests
 
-    def _answer(self, tid: str, status: int, body: bytes, headers: list[tuple[bytes, bytes]]) -> None:
+    def _ended(self, tid: str) -> Request | None:
+        """The request, if it is still owed its end; whoever asks gives it."""
         request = self._requests.get(tid)
-        if request is not None and not request.over:
-            self._finish(request)
-            request.message.answer(status, body, headers)
-            self._forget(request)
+        if request is None or request.over:
+            return None
+        self._finish(request)
+        self._forget(request)
+        return request
 
     def _finish(self, request: Request) -> None:
         request.over = True
@@ -419,13 +399,17 @@
         """The client's time is nearly up and nothing has answered: no path may leave a request open."""
         if not request.over:
             print(f"guard: request {request.tid} had no answer in time", file=sys.stderr, flush=True)
-            self._give_up(request, 504)
+            self._give_up(request, lambda: request.message.failed(True))
 
-    def _give_up(self, request: Request, status: int) -> None:
-        """Answer without the module, truthfully: a refusal only if no attempt can have run."""
+    def _give_up(self, request: Request, end: Callable[[], None]) -> None:
+        """End it without the module, truthfully: with a refusal only if no attempt can have run."""
         free = self._settings.classes[request.cls].repeat == "free"
         ran = request.maybe_ran or bool(request.out)
-        self._answer(request.tid, status if ran and not free else 503, b"failed\n", [])
+        if self._ended(request.tid) is not None:
+            if ran and not free:
+                end()
+            else:
+                request.message.refused(0)
         self.deliver(Hangup(request.tid))  # for the module it is over, too
 
     # --- the list
@@ -445,24 +429,3 @@
         if scope != "INCREMENTAL":
             self._upstream.keep_only({line.entry.server for line in listing.lines})
         self.deliver(Directory(scope, tuple(line.entry for line in listing.lines), listing.version))
-
-
-def _load(text: bytes | None) -> dict[str, float]:
-    """A load report; none where it can't be one: a wrong one would draw all calls to one server, or none."""
-    if not text:
-        return {}
-    return _read_load(text) if len(text) <= COMMON_LOAD else _read_load.__wrapped__(text)
-
-
-@lru_cache(maxsize=1024)
-def _read_load(text: bytes) -> dict[str, float]:
-    """Read a report. Small ones repeat all the time, and reading them anew took a tenth of a request's cost.
-    Whoever gets one only reads it."""
-    try:
-        raw = json.loads(text)
-    except (ValueError, RecursionError):
-        return {}
-    if not isinstance(raw, dict):
-        return {}
-    numbers = {k: float(v) for k, v in raw.items() if isinstance(v, int | float) and not isinstance(v, bool)}
-    return numbers if all(0.0 <= value <= MOST_LOAD for value in numbers.values()) else {}
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -11,7 +11,7 @@
 from dunefield import How
 from hollyport.config import Address
 from hollyport.connection import Connection
-from hollyport.sidecar import _load
+from hollyport.http.heads import load
 from hollyport.upstream import Upstream
 
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
@@ -109,8 +109,8 @@
 ])
 def test_a_load_report_that_cannot_be_one_is_dropped_whole(text):
     """It would draw all calls to one server, or keep them away."""
-    assert _load(text) == {}
-    assert _load(b'{"inflight": 2, "queue": 0.5, "note": "x"}') == {"inflight": 2.0, "queue": 0.5}
+    assert load(text) == {}
+    assert load(b'{"inflight": 2, "queue": 0.5, "note": "x"}') == {"inflight": 2.0, "queue": 0.5}
 
 
 def test_a_connection_lost_before_its_task_resumes_does_not_count_for_good(monkeypatch):
