--- a/tests/registries/test_codec.py
+++ b/tests/registries/test_codec.py
@@ -291,3 +291,14 @@
         unreadable = Payload()
         for _ in read_json([b'{"applications": {"x": "\xff\xfe"}}'], unreadable):
             pass
+
+
+@pytest.mark.parametrize("size", [1, 3, 5])
+def test_a_bare_number_on_the_windows_edge_is_not_cut_in_two(monkeypatch, size):
+    """Half a number is a number, too: nothing but what follows tells that it was whole."""
+    monkeypatch.setattr("hollyport.registries.eureka.codec.WINDOW", size)
+    data = b'{"applications": {"versions__delta": 1234567, "application": []}}'
+    payload = Payload()
+    for _ in read_json((data[at : at + size] for at in range(0, len(data), size)), payload):
+        pass
+    assert payload.version == "1234567"
