Core that knows no protocol: HTTP becomes one front and one back

Thrift is to go through the same core, and sidecar.py, listener, client and connection all assumed HTTP.

hollyport/core.py holds the module's clock, timers, events, actions, requests and attempts; sidecar.py wires. What a connection of the application and one to a node have in common, whatever they speak, is in guest.py and carrier.py; HTTP's part is in hollyport/http (front, admission, back). The listener is given what to make of a connection, a node's target its back, and a front its admission; contract.py says what passes between.

--- a/hollyport/contract.py
+++ b/hollyport/contract.py
@@ -1,12 +1,34 @@
 """What the core needs of fronts and backs, whatever protocol they speak.
 
-A front takes bytes and hands the core requests (`Asked`); the core gives each exactly one end. A back carries
-attempts and probes, and hands the core what a node answered (`Answered`). Neither side knows the other.
+A front takes bytes, reads what is asked for (`Terms`) and hands the core requests (`Asked`); the core gives
+each exactly one end. A back makes connections to nodes (`hollyport.carrier.Carrier`) that carry attempts and
+probes, and hands the core what a node answered (`Answered`). Neither side knows the other; what `Asked.wire`
+makes must be what the pool's back carries.
 """
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+from dunefield.interface import How
+
+if TYPE_CHECKING:
+    from hollyport.carrier import Carrier
+
+
+class Terms(NamedTuple):
+    """What a request asks for."""
+
+    rid: bytes  # its id; one that is open or was lately is turned away
+    cls: int
+    wait_ns: int  # for how long the client waits, from when it sent the request
+    cost_ns: int = 0
+    tenant: int = 0
+    key: str = ""
+    retry: bool = False
+    write: bool = False
+    oneway: bool = False  # nobody waits for an answer: it is over once it is written
 
 
 class Asked(Protocol):
@@ -15,11 +37,11 @@
     tid: str  # for the core: which request this became
     came: float  # when its last byte was read, by the loop's clock
 
-    def wire(self, left_s: float) -> bytes:
-        """It as a node gets it, with so many seconds left to answer."""
+    def wire(self, left_s: float) -> Any:
+        """It as the back is to carry it, with so many seconds left to answer."""
 
     def served(self, answer: Any) -> None:
-        """End: a node has answered."""
+        """End: a node has answered. For a oneway call, None: it is written whole."""
 
     def refused(self, hold_off_ns: int) -> None:
         """End: it has not run, or may run again. Come back in so many nanoseconds; 0: not told."""
@@ -34,11 +56,38 @@
         """End: another request with its id is open, or was lately."""
 
 
+class Service(Protocol):
+    """What a front needs of the core."""
+
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+
+    def request(self, asked: Asked, terms: Terms) -> None:
+        """Take a request; one of its ends will be called, perhaps at once."""
+
+    def hangup(self, asked: Asked) -> None:
+        """The client has left: nothing more is owed."""
+
+
 class Answered(Protocol):
     """A node's whole answer."""
 
+    @property
+    def how(self) -> How:
+        """What it says of the attempt."""
+
     def riding(self) -> dict[str, float]:
         """The load report that rides along with an answer to a request; empty where there is none."""
 
     def report(self) -> dict[str, float]:
         """The load report that is the answer to a probe."""
+
+
+class Back(Protocol):
+    """How nodes of one kind are spoken to."""
+
+    probe: Any
+    """What a probe sends; None where these nodes can't be probed."""
+
+    def connection(self, on_lost: Callable[[Carrier], None], stall_s: float) -> Carrier:
+        """A connection to be opened. An answer that has begun may pause for so long, 0: for any time."""
--- /dev/null
+++ b/hollyport/core.py
@@ -0,0 +1,342 @@
+"""One decision module and the requests it has in hand: its clock, timers, events and actions, whatever
+protocols are spoken on either side.
+
+Nothing is decided here. What fronts and backs tell becomes an event for `dunefield.rules`, and what that
+answers is carried out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from dunefield.interface import (
+    NEVER_RAN,
+    Accept,
+    Action,
+    Alarm,
+    CloseIdle,
+    Defer,
+    Echo,
+    Event,
+    Fail,
+    Fetch,
+    Hangup,
+    How,
+    Note,
+    Probe,
+    Refuse,
+    Response,
+    Retract,
+    Settings,
+    Submit,
+    Subscribe,
+    Tell,
+)
+from dunefield.rules import Balancer
+from hollyport.contract import Answered, Asked, Terms
+from hollyport.upstream import Exchange, Upstream
+
+MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
+GUARD_NS = 5_000_000  # and the last guard between the two
+BEAT_S = 0.02  # how often the loop shows that it runs
+STALL_S = 0.1  # from when on a standstill is worth a line in the log
+
+
+class Clock:
+    """Unix time in nanoseconds, anchored once: servers' starts are told in it, and it must not jump."""
+
+    def __init__(self) -> None:
+        self._anchor = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return self._anchor + time.monotonic_ns()
+
+
+class Beat:
+    """Whether this process runs, or stands still for want of CPU."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._due = 0.0
+        self._beat()
+
+    def _beat(self) -> None:
+        stalled = self.stalled()
+        if stalled > STALL_S:
+            print(f"loop: stood still for {stalled:.3f} s", file=sys.stderr, flush=True)
+        self._due = time.monotonic() + BEAT_S
+        self._loop.call_later(BEAT_S, self._beat)
+
+    def stalled(self) -> float:
+        """For how long this process may have stood still: what comes in now may have come that much earlier.
+
+        Protects the client's deadline, which counts from its sending: a process short of CPU reads late and
+        would count from there.
+        """
+        return max(0.0, time.monotonic() - self._due) if self._due else 0.0
+
+
+class Ids:
+    """Ids of requests that were taken of late, by all fronts together."""
+
+    def __init__(self, life_s: float) -> None:
+        self._life_s = life_s
+        self._taken: dict[bytes, float] = {}  # by when
+
+    def new(self, rid: bytes, now: float) -> bool:
+        """Whether no request with this id is open or was lately.
+
+        Protects unsafe requests: an id is new with every request, so a second one is a copy, and the copy
+        must not run beside the first, nor right after it.
+        """
+        taken = self._taken
+        while taken:
+            oldest = next(iter(taken))
+            if now - taken[oldest] < self._life_s:
+                break
+            del taken[oldest]
+        return rid not in taken and taken.setdefault(rid, now) == now
+
+
+class Asks(Protocol):
+    """Whoever is asked for the list of nodes."""
+
+    def subscribe(self, want: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+
+class Request:
+    """A request taken from the application, until it is over and no attempt is out."""
+
+    __slots__ = ("tid", "asked", "cls", "attempts", "out", "maybe_ran", "over", "guard", "last")
+
+    def __init__(self, tid: str, asked: Asked, cls: int) -> None:
+        self.tid, self.asked, self.cls = tid, asked, cls
+        self.attempts = 0
+        self.out: dict[int, Exchange] = {}
+        self.maybe_ran = False
+        self.over = False  # answered, or the client has left
+        self.guard: asyncio.TimerHandle | None = None
+        self.last: How | None = None
+
+
+class Core:
+    """The requests of one pool of nodes (hollyport.contract.Service)."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, beat: Beat, ids: Ids, settings: Settings,
+        seed: int, upstream: Upstream, refused_by: Callable[[str], None] = lambda server: None,
+    ) -> None:
+        self._loop, self._clock, self._settings = loop, clock, settings
+        self._upstream, self._stalled, self._new_id = upstream, beat.stalled, ids.new
+        self._refused_by = refused_by  # told which node could not be connected to
+        self.asks: Asks | None = None  # None: another core asks, and this one is told as well
+        self.closing = False
+        self._requests: dict[str, Request] = {}
+        self._count = 0
+        self._inbox: deque[Event] = deque()
+        self._handling = False
+        # A probe that takes so long tells of a server that stands still, whatever it would have said.
+        self._probe_limit_s = min(c.aim_ns for c in settings.classes) / 6e9
+        self._module = Balancer(settings, seed, clock())
+
+    # --- events in
+
+    def deliver(self, event: Event) -> None:
+        """Hand an event to the module; those that its actions bring about wait until these are done."""
+        self._inbox.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._inbox:
+                self._handle(self._inbox.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: Event) -> None:
+        try:
+            actions = self._module.handle(self._clock(), event)
+        except Exception:
+            self._broken(getattr(event, "tid", ""))
+            return
+        for action in actions:
+            try:
+                self._perform(action)
+            except Exception:
+                self._broken(getattr(action, "tid", ""))
+
+    def _broken(self, tid: str) -> None:
+        """An exception costs the request it came from, and nothing else."""
+        traceback.print_exc(file=sys.stderr)
+        request = self._requests.get(tid)
+        if request is not None:
+            self._give_up(request, request.asked.broken)
+
+    # --- for fronts
+
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self._upstream.any_up() and not self.closing
+
+    def request(self, asked: Asked, terms: Terms) -> None:
+        """Take a request."""
+        now = self._loop.time()
+        if not self._new_id(terms.rid, now):
+            asked.repeated()
+            return
+        self._count += 1
+        asked.tid = tid = str(self._count)
+        # It may have waited behind another, or unread while this process stood still for want of CPU.
+        wait = terms.wait_ns - int((now - asked.came + self._stalled()) * 1e9)
+        request = self._requests[tid] = Request(tid, asked, terms.cls)
+        request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
+        self.deliver(Accept(
+            tid, terms.cls, wait - MARGIN_NS, terms.cost_ns, terms.tenant, terms.key, terms.retry, terms.write
+        ))
+
+    def hangup(self, asked: Asked) -> None:
+        """The client left; what its attempts come to is still told to the module."""
+        request = self._requests.get(asked.tid)
+        if request is not None and not request.over:
+            self._finish(request)
+            self.deliver(Hangup(request.tid))
+            self._forget(request)
+
+    # --- actions out
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Submit(tid, server, abandon_ns):
+                self._submit(tid, server, abandon_ns)
+            case Probe(server):
+                self._probe(server)
+            case Defer(in_ns, tag):
+                self._defer(self._clock() + in_ns, tag)
+            case Refuse(tid, hold_off_ns):
+                if (request := self._ended(tid)) is not None:
+                    request.asked.refused(hold_off_ns)
+            case Fail(tid):
+                if (request := self._ended(tid)) is not None:
+                    request.asked.failed(request.last is How.TIMEOUT)
+            case Retract(tid, attempt):
+                request = self._requests.get(tid)
+                if request is not None and attempt in request.out:
+                    request.out[attempt].cancel()
+            case CloseIdle(server):
+                self._upstream.close_idle(server)
+            case Subscribe(want):
+                if self.asks is not None:
+                    self.asks.subscribe(want)
+            case Fetch():
+                if self.asks is not None:
+                    self.asks.fetch()
+            case Note(text):
+                print(f"note: {text}", file=sys.stderr, flush=True)
+            case Tell():
+                raise NotImplementedError("this deployment has no peers")
+
+    def _submit(self, tid: str, server: str, abandon_ns: int) -> None:
+        request = self._requests[tid]
+        number, request.attempts = request.attempts, request.attempts + 1
+        sent = self._clock()
+        abandon = abandon_ns or sent + self._settings.classes[request.cls].deadline_ns
+
+        def ended(how: How, answer: Answered | None) -> None:
+            request.out.pop(number, None)
+            self._outcome(request, how, answer, sent, server, number)
+
+        exchange = None
+        if not request.over:
+            exchange = self._upstream.exchange(
+                server, lambda: request.asked.wire((abandon - self._clock()) / 1e9), (abandon - sent) / 1e9,
+                ended,
+            )
+        if exchange is None:
+            ended(How.MOOT, None)
+        else:
+            request.out[number] = exchange
+            exchange.start()
+
+    def _outcome(
+        self, request: Request, how: How, answer: Answered | None, sent: int, server: str, number: int
+    ) -> None:
+        request.maybe_ran = request.maybe_ran or how not in NEVER_RAN
+        request.last = how
+        if how is How.OK and answer is not None and not request.over:
+            self._finish(request)
+            request.asked.served(answer)
+        if how is How.CONNECT_FAILED:
+            self._refused_by(server)
+        lag = self._clock() - sent
+        load = answer.riding() if answer is not None else {}
+        self.deliver(Response(request.tid, how, lag, server, number, request.over, load))
+        self._forget(request)
+
+    def _probe(self, server: str) -> None:
+        sent = self._clock()
+
+        def ended(how: How, answer: Answered | None) -> None:
+            load = answer.report() if answer is not None else {}
+            self.deliver(Echo(server, how, self._clock() - sent, load))
+
+        exchange = self._upstream.probe(server, self._probe_limit_s, ended)
+        if exchange is None:
+            ended(How.MOOT, None)
+        else:
+            exchange.start()
+
+    def _defer(self, due_ns: int, tag: int) -> None:
+        self._loop.call_later(max(0.0, (due_ns - self._clock()) / 1e9), self._alarm, due_ns, tag)
+
+    def _alarm(self, due_ns: int, tag: int) -> None:
+        if self._clock() < due_ns:
+            # The loop's timers count whole milliseconds and may come early; the module compares with its
+            # clock and would let an early alarm pass for good.
+            self._loop.call_later(0.001, self._alarm, due_ns, tag)
+        else:
+            self.deliver(Alarm(tag))
+
+    # --- ends of requests
+
+    def _ended(self, tid: str) -> Request | None:
+        """The request, if it is still owed its end; whoever asks gives it."""
+        request = self._requests.get(tid)
+        if request is None or request.over:
+            return None
+        self._finish(request)
+        self._forget(request)
+        return request
+
+    def _finish(self, request: Request) -> None:
+        request.over = True
+        if request.guard is not None:
+            request.guard.cancel()
+
+    def _forget(self, request: Request) -> None:
+        if request.over and not request.out:
+            self._requests.pop(request.tid, None)
+
+    def _guard(self, request: Request) -> None:
+        """The client's time is nearly up and nothing has answered: no path may leave a request open."""
+        if not request.over:
+            print(f"guard: request {request.tid} had no answer in time", file=sys.stderr, flush=True)
+            self._give_up(request, lambda: request.asked.failed(True))
+
+    def _give_up(self, request: Request, end: Callable[[], None]) -> None:
+        """End it without the module, truthfully: with a refusal only if no attempt can have run."""
+        free = self._settings.classes[request.cls].repeat == "free"
+        ran = request.maybe_ran or bool(request.out)
+        if self._ended(request.tid) is not None:
+            if ran and not free:
+                end()
+            else:
+                request.asked.refused(0)
+        self.deliver(Hangup(request.tid))  # for the module it is over, too
--- a/hollyport/discovery.py
+++ b/hollyport/discovery.py
@@ -12,7 +12,8 @@
 
 from dunefield.interface import Entry, Settings
 from hollyport.config import Address, parse_address
-from hollyport.connection import Connection, Reply
+from hollyport.contract import Answered
+from hollyport.http.back import Connection, Reply
 
 GRACE_S = 2.0  # how much longer than it may wait a call is waited for
 MAX_LIST = 4 << 20  # bytes of one list
@@ -191,9 +192,11 @@
                 lambda: Connection(lambda _: None, MAX_LIST), self._address.host, self._address.port
             )
             self._connection = connection
-        answer: asyncio.Future[Reply | None] = self._loop.create_future()
+        answer: asyncio.Future[Answered | None] = self._loop.create_future()
         connection.send(data, lambda reply: None if answer.done() else answer.set_result(reply))
-        return await answer
+        reply = await answer
+        assert reply is None or isinstance(reply, Reply)
+        return reply
 
     def close(self) -> None:
         if self._connection is not None:
--- a/hollyport/admission.py
+++ b/hollyport/http/admission.py
@@ -1,32 +1,22 @@
-"""What a request asks for, read from its head; or the status with which it is turned away."""
+"""What a request over HTTP asks for, read from its head; or the status with which it is turned away."""
 
 from __future__ import annotations
 
 import math
 import re
-from typing import NamedTuple
+from typing import TYPE_CHECKING
 
 from dunefield.interface import Settings
-from hollyport.client import Message
+from hollyport.contract import Terms
+
+if TYPE_CHECKING:
+    from hollyport.http.front import Message
 
 ID = re.compile(rb"[!-~]{1,256}")
 SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,12})?")
 ONCE = (b"x-request-id", b"x-timeout", b"idempotency-key", b"x-tenant-id")
 
 
-class Admission(NamedTuple):
-    """A request that can be used."""
-
-    rid: bytes
-    cls: int
-    wait_ns: int  # for how long the client waits, from when it sent the request
-    cost_ns: int
-    tenant: int
-    key: str
-    retry: bool
-    write: bool
-
-
 class Gate:
     """Reads requests by the settings. Protects the servers, which turn away what they can't use and close
     the connection on what they can't read: nothing of that kind may reach them."""
@@ -35,7 +25,7 @@
         self._classes = {c.name.encode(): (i, c) for i, c in enumerate(settings.classes)}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
-    def admit(self, message: Message) -> Admission | int:
+    def admit(self, message: Message) -> Terms | int:
         """Read a request; the status for one that can't be used."""
         told: dict[bytes, bytes] = {}
         for name, value in message.headers:
@@ -63,7 +53,7 @@
                 return 400
             wait = min(wait, int(seconds * 1e9))
         cost = _number(told.get(b"x-cost"))
-        return Admission(
+        return Terms(
             rid,
             number,
             wait,
--- a/hollyport/client.py
+++ b/hollyport/http/front.py
@@ -1,29 +1,28 @@
-"""One connection of the application: bytes in, requests out, one answer each, and bounds on all of it."""
+"""The application over HTTP/1.1: bytes in, requests out, one answer each."""
 
 from __future__ import annotations
 
 import asyncio
 import re
-import select
 import sys
 import traceback
-from collections import deque
-from typing import TYPE_CHECKING, cast
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import httptools
 
+from hollyport.contract import Service, Terms
+from hollyport.guest import Guest
 from hollyport.http import heads
 from hollyport.http.heads import Headers
 
 if TYPE_CHECKING:
-    from hollyport.connection import Reply
+    from hollyport.http.back import Reply
     from hollyport.listener import Listener
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 32 * 1024
-MAX_DRAIN = 96 * 1024 * 1024  # what is read on after an error, so that the client gets to read it
 PIECE = 4096  # bytes parsed at a time: bounds what one read can begin
-AHEAD = 8  # requests read ahead of the answer before; the rest waits unparsed or in the kernel
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
@@ -63,7 +62,6 @@
         """Send the answer. A second one is ignored, as is one to a client that has left."""
         self.connection.answer(self, status, body, headers or [])
 
-
     # --- for the core (hollyport.contract.Asked)
 
     def wire(self, left_s: float) -> bytes:
@@ -97,56 +95,31 @@
     """What the client sends can't be a request; raised through the parser to stop it."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(Guest[Message]):
     """One connection of the application."""
 
-    def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop) -> None:
-        self._listener, self._loop = listener, loop
-        self.place: dict[ClientConnection, float] | None = None  # the listener's queue that it stands in
-        self.accepted = loop.time()
-        self._transport: asyncio.Transport | None = None
+    def __init__(
+        self, listener: Listener, loop: asyncio.AbstractEventLoop, service: Service,
+        admit: Callable[[Message], Terms | int],
+    ) -> None:
+        super().__init__(listener, loop)
+        self._service, self._admit = service, admit
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._message: Message | None = None  # being read
         self._raw = 0  # bytes since the message began, while its head is not whole
         self._in_head = True
         self._body: list[bytes] = []
         self._size = 0
-        self._rest = b""  # read, and not parsed yet: enough requests wait already
-        self._active: Message | None = None  # owed an answer
-        self._waiting: deque[Message] = deque()  # sent ahead of the answer before
-        self._spoke = False  # a whole request has come
-        self._asked = False  # one that was more than a look at readiness
         self._error = 0
-        self._deaf = False  # nothing more is read from here
-        self._drained = 0
-        self._full = False  # the client does not read its answers
-
-    # --- asyncio.Protocol
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
-        self._listener.made(self)
 
-    def data_received(self, data: bytes) -> None:
-        if self._deaf:
-            # Read on for a while, or the close would reset the connection and take the error with it.
-            self._drained += len(data)
-            if self._drained > MAX_DRAIN:
-                self.abort()
-            return
-        if self._rest:
-            self._rest += data
-            return
-        self._feed(data)
+    # --- Guest
 
     def _feed(self, data: bytes) -> None:
         """Parse piece by piece, for as long as more requests may wait."""
         at = 0
         while at < len(data) and not self._deaf:
-            if len(self._waiting) >= AHEAD or self._full:
-                self._rest = data[at:]
-                if self._transport is not None:
-                    self._transport.pause_reading()
+            if self._enough():
+                self._put_off(data[at:])
                 return
             piece = data[at:at + PIECE] if len(data) > PIECE else data
             at += PIECE
@@ -174,24 +147,22 @@
     def eof_received(self) -> None:
         """A client that closes has gone away: the transport closes, and connection_lost tells the rest."""
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._listener.lost(self)
-        self._deaf = True
+    def _let_go(self) -> None:
         self._parser = None  # it holds this connection: without the cycle both go at once
         self._message = None
-        self._rest = b""
-        self._waiting.clear()
-        active, self._active = self._active, None
-        if active is not None:
-            self._listener.service.hangup(active)
 
-    def pause_writing(self) -> None:
-        self._full = True  # nothing further is begun for a client that does not read
+    def _hangup(self, active: Message) -> None:
+        self._service.hangup(active)
 
-    def resume_writing(self) -> None:
-        self._full = False
-        if self._active is None:
-            self._next()
+    def reading(self) -> bool:
+        """Whether part of a request has come."""
+        return self._message is not None or self._raw > 0
+
+    def time_out(self) -> None:
+        """The request has been coming in for too long."""
+        if not self._deaf and self._active is None:
+            self._error = 408
+            self._reject()
 
     # --- httptools
 
@@ -251,10 +222,7 @@
         message.keep_alive = parser.should_keep_alive()
         message.came = self._loop.time()
         self._body = []
-        if self._active is None and not self._waiting and not self._full:
-            self._begin(message)
-        else:
-            self._waiting.append(message)
+        self._came(message)
 
     # --- answers
 
@@ -263,7 +231,7 @@
         self._listener.move(self, None)
         path = message.target.partition(b"?")[0]
         if path == b"/-/ready":
-            message.answer(200 if self._listener.service.ready() else 503)
+            message.answer(200 if self._service.ready() else 503)
         elif path.startswith(b"/-/"):
             message.answer(404)
         elif message.method not in (b"GET", b"POST"):
@@ -271,7 +239,11 @@
         else:
             self._asked = True
             try:
-                self._listener.service.request(message)
+                terms = self._admit(message)
+                if isinstance(terms, int):
+                    message.answer(terms)
+                else:
+                    self._service.request(message, terms)
             except Exception:
                 # Raised through the parser it would pass for bad HTTP, and leave no trace.
                 traceback.print_exc(file=sys.stderr)
@@ -301,23 +273,6 @@
             if self._waiting or self._rest:
                 self._loop.call_soon(self._next)
 
-    def _place(self) -> dict[ClientConnection, float]:
-        """The queue to stand in while no answer is owed."""
-        if self.reading():
-            return self._listener.partial
-        return self._listener.kept if self._asked else self._listener.visitors
-
-    def _next(self) -> None:
-        """Begin what was sent ahead, and parse on what was read ahead."""
-        if self._active is not None or self._full or self._transport is None or self._transport.is_closing():
-            return
-        if self._waiting:
-            self._begin(self._waiting.popleft())
-        elif self._rest:
-            rest, self._rest = self._rest, b""
-            self._transport.resume_reading()
-            self._feed(rest)
-
     def _reject(self) -> None:
         """Answer what can't be served."""
         transport = self._transport
@@ -325,64 +280,6 @@
             transport.write(head(self._error, 0, [], False))
             self._leave()
 
-    def _leave(self) -> None:
-        """Close once all is written and the client has had time to read it. The listener ends it in the end,
-        also where the client neither reads nor closes."""
-        self._deaf = True
-        self._waiting.clear()
-        self._rest = b""
-        self._parser = None
-        transport = self._transport
-        if transport is not None and not transport.is_closing():
-            transport.resume_reading()
-            transport.write_eof()
-            self._listener.move(self, self._listener.leaving)
-
-    # --- for the listener
-
-    def reading(self) -> bool:
-        """Whether part of a request has come."""
-        return self._message is not None or self._raw > 0
-
-    def fresh(self) -> bool:
-        """Whether no whole request has ever come."""
-        return not self._spoke
-
-    def busy(self) -> bool:
-        """Whether an answer is owed."""
-        return self._active is not None or bool(self._waiting)
-
-    def quiet(self) -> bool:
-        """Whether nothing that was sent here is left unread.
-
-        Protects a request that has come and was not read yet: closing would cut it off.
-        """
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
-
-    def time_out(self) -> None:
-        """The request has been coming in for too long."""
-        if not self._deaf and self._active is None:
-            self._error = 408
-            self._reject()
-
-    def close(self) -> None:
-        """Close; with an answer that the client does not read, a mere close would never come to its end."""
-        transport = self._transport
-        if transport is not None and transport.get_write_buffer_size():
-            transport.abort()
-        elif transport is not None:
-            transport.close()
-
-    def abort(self) -> None:
-        """Close at once."""
-        if self._transport is not None:
-            self._transport.abort()
-
 
 def head(status: int, length: int, headers: Headers, keep_alive: bool) -> bytes:
     """The head of an answer."""
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -1,13 +1,16 @@
-"""The listening socket: who is let in, who has to go, and when."""
+"""A listening socket, whatever protocol is spoken there: who is let in, who has to go, and when."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
 import socket
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any
 
-from hollyport.client import ClientConnection, Message
+from hollyport.guest import Guest as AnyGuest
+
+Guest = AnyGuest[Any]
 
 BACKLOG = 1024
 BATCH = 64  # connections taken in one go, so that a flood does not keep the loop from its other work
@@ -25,33 +28,23 @@
 SLOW_S = 1.0  # and so is one that has been sending a request for so long
 
 
-class Service(Protocol):
-    """What the connections need of the sidecar."""
-
-    def ready(self) -> bool: ...
-
-    def request(self, message: Message) -> None: ...
-
-    def hangup(self, message: Message) -> None: ...
-
-
 class Listener:
     """The listening socket and all connections that came in by it.
 
     A connection stands in at most one queue, the longest there first; in none while an answer is owed.
     """
 
-    def __init__(self, service: Service, most: int, crowd: int) -> None:
-        self.service = service
+    def __init__(self, guest: Callable[[Listener], Guest], most: int, crowd: int) -> None:
+        self._guest = guest
         self.most = most
         self._crowd = crowd
         self.stopping = False
-        self.connections: set[ClientConnection] = set()
-        self.silent: dict[ClientConnection, float] = {}  # nothing has come yet
-        self.partial: dict[ClientConnection, float] = {}  # part of a request has come
-        self.kept: dict[ClientConnection, float] = {}  # between requests
-        self.visitors: dict[ClientConnection, float] = {}  # have asked for readiness and nothing else
-        self.leaving: dict[ClientConnection, float] = {}  # had its last answer
+        self.connections: set[Guest] = set()
+        self.silent: dict[Guest, float] = {}  # nothing has come yet
+        self.partial: dict[Guest, float] = {}  # part of a request has come
+        self.kept: dict[Guest, float] = {}  # between requests
+        self.visitors: dict[Guest, float] = {}  # have asked for readiness and nothing else
+        self.leaving: dict[Guest, float] = {}  # had its last answer
         self._opening: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -120,7 +113,7 @@
         loop = self._loop
         try:
             made.setblocking(False)
-            await loop.connect_accepted_socket(lambda: ClientConnection(self, loop), made)
+            await loop.connect_accepted_socket(lambda: self._guest(self), made)
         except OSError:
             made.close()  # the client is gone, or descriptors are
 
@@ -157,7 +150,7 @@
                 return True
         return False
 
-    def _end(self, connection: ClientConnection) -> None:
+    def _end(self, connection: Guest) -> None:
         self.lost(connection)  # its descriptor is free with the loop's next turn
         connection.close()
 
@@ -167,17 +160,17 @@
         """Whether connections are better closed after their answer than kept."""
         return len(self.connections) > self._crowd
 
-    def made(self, connection: ClientConnection) -> None:
+    def made(self, connection: Guest) -> None:
         """A connection is up."""
         self.connections.add(connection)
         self.move(connection, self.silent)
 
-    def lost(self, connection: ClientConnection) -> None:
+    def lost(self, connection: Guest) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
         self.move(connection, None)
 
-    def move(self, connection: ClientConnection, queue: dict[ClientConnection, float] | None) -> None:
+    def move(self, connection: Guest, queue: dict[Guest, float] | None) -> None:
         """Put a connection at the end of a queue, or in none. A request that is coming in keeps its time."""
         assert self._loop is not None
         place = connection.place
@@ -208,7 +201,7 @@
         self._loop.call_later(SWEEP_S, self._sweep)
 
 
-def _older(queue: dict[ClientConnection, float], than: float) -> list[ClientConnection]:
+def _older(queue: dict[Guest, float], than: float) -> list[Guest]:
     """Those at the front of a queue that have stood there since before `than`."""
     found = []
     for connection, since in queue.items():
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -7,10 +7,12 @@
 import sys
 import traceback
 from collections.abc import Callable
+from typing import Any
 
 from dunefield.interface import How
+from hollyport.carrier import Carrier
 from hollyport.config import Address
-from hollyport.connection import Connection, Reply
+from hollyport.contract import Answered, Back
 
 OWN_WANT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SWEEP_S = 1.0  # how often idle connections are looked through
@@ -20,26 +22,26 @@
 class Target:
     """One process of one server, and the idle connections to it."""
 
-    __slots__ = ("address", "started_ns", "up", "idle")
+    __slots__ = ("address", "started_ns", "up", "back", "idle")
 
-    def __init__(self, address: Address, started_ns: int, up: bool) -> None:
-        self.address, self.started_ns, self.up = address, started_ns, up
-        self.idle: list[Connection] = []  # the last used at the end: the rest may grow old
+    def __init__(self, address: Address, started_ns: int, up: bool, back: Back) -> None:
+        self.address, self.started_ns, self.up, self.back = address, started_ns, up, back
+        self.idle: list[Carrier] = []  # the last used at the end: the rest may grow old
 
 
-Ended = Callable[[How, "Reply | None"], None]
+Ended = Callable[[How, "Answered | None"], None]
 
 
 class Exchange:
     """One request to one server: one connection, written once at the most, ended exactly once."""
 
     def __init__(
-        self, upstream: Upstream, target: Target, make: Callable[[], bytes], limit_s: float, ended: Ended
+        self, upstream: Upstream, target: Target, make: Callable[[], Any], limit_s: float, ended: Ended
     ) -> None:
         self._upstream, self._target, self._make, self._ended = upstream, target, make, ended
         self._loop = upstream.loop
         self._give_up = self._loop.time() + limit_s
-        self._connection: Connection | None = None
+        self._connection: Carrier | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._over = False
         self._timer: asyncio.TimerHandle | None = None
@@ -66,7 +68,7 @@
     async def _connect(self) -> None:
         target, address = self._target, self._target.address
         try:
-            connection = await self._upstream.connect(address)
+            connection = await self._upstream.connect(address, target.back)
         except OSError as error:
             # Our own want of descriptors, ports or memory is no verdict on the server.
             self._end(How.MOOT if error.errno in OWN_WANT else How.CONNECT_FAILED)
@@ -86,7 +88,7 @@
         else:
             self._write(connection)
 
-    def _write(self, connection: Connection) -> None:
+    def _write(self, connection: Carrier) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._connection = connection
@@ -99,10 +101,10 @@
         assert self._connection is not None
         self._end(How.TIMEOUT if self._connection.written else How.CONNECT_FAILED)
 
-    def _replied(self, reply: Reply | None) -> None:
+    def _replied(self, answer: Answered | None) -> None:
         connection, self._connection = self._connection, None
         assert connection is not None
-        if reply is None:
+        if answer is None:
             if not connection.written:
                 self._end(How.CONNECT_FAILED)
             else:
@@ -114,9 +116,9 @@
             self._upstream.release(self._target, connection)
         else:
             connection.abort()  # answered before the request was out: what is left of it would follow
-        self._end(outcome(reply), reply)
+        self._end(answer.how, answer)
 
-    def _end(self, how: How, reply: Reply | None = None) -> None:
+    def _end(self, how: How, answer: Answered | None = None) -> None:
         if self._over:
             return
         self._over = True
@@ -126,16 +128,7 @@
             self._connection.forget()
             self._connection.abort()
             self._connection = None
-        self._ended(how, reply)
-
-
-def outcome(reply: Reply) -> How:
-    """What an answer says of the attempt; only a server that says so has not run it."""
-    if reply.status == 200:
-        return How.OK
-    if reply.status in (503, 504) and reply.header(b"x-not-processed") == b"1":
-        return How.FULL
-    return How.ERROR
+        self._ended(how, answer)
 
 
 class Upstream:
@@ -143,28 +136,31 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, connect_timeout_ns: int, idle_ns: int, most: int,
-        stall_s: float = 0.0,
+        stall_s: float, back: Back,
     ) -> None:
         self.loop = loop
         self.connect_timeout_s = connect_timeout_ns / 1e9
         self._idle_s = idle_ns / 1e9 * IDLE_SHARE
         self._most = most
         self._stall_s = stall_s
-        self._open: set[Connection] = set()
+        self._back = back  # of nodes that are told without one
+        self._open: set[Carrier] = set()
         self._dialling = 0
         self._targets: dict[str, Target] = {}
         loop.call_later(SWEEP_S, self._sweep)
 
     # --- the list
 
-    def update(self, name: str, address: Address, started_ns: int, up: bool) -> None:
-        """Take over one line of the list. A new process or address starts a pool of its own."""
-        target = self._targets.get(name)
+    def update(
+        self, name: str, address: Address, started_ns: int, up: bool, back: Back | None = None
+    ) -> None:
+        """Take over one line of the list. A new process, address or protocol starts a pool of its own."""
+        target, back = self._targets.get(name), back or self._back
         if target is None:
-            self._targets[name] = Target(address, started_ns, up)
-        elif target.address != address or target.started_ns != started_ns:
+            self._targets[name] = Target(address, started_ns, up, back)
+        elif target.address != address or target.started_ns != started_ns or target.back is not back:
             self._retire(target)
-            self._targets[name] = Target(address, started_ns, up)
+            self._targets[name] = Target(address, started_ns, up, back)
         else:
             target.up = up
             if not up:
@@ -196,11 +192,18 @@
 
     # --- exchanges
 
-    def exchange(self, name: str, make: Callable[[], bytes], limit_s: float, ended: Ended) -> Exchange | None:
+    def exchange(self, name: str, make: Callable[[], Any], limit_s: float, ended: Ended) -> Exchange | None:
         """A request to a server, to be started by the caller; None if the list never named it as up."""
         target = self._targets.get(name)
         return Exchange(self, target, make, limit_s, ended) if target is not None else None
 
+    def probe(self, name: str, limit_s: float, ended: Ended) -> Exchange | None:
+        """A probe of a server, likewise; None also where it can't be probed."""
+        target = self._targets.get(name)
+        if target is None or target.back.probe is None:
+            return None
+        return Exchange(self, target, lambda: target.back.probe, limit_s, ended)
+
     def close_idle(self, name: str) -> None:
         """Close the idle connections to a server."""
         target = self._targets.get(name)
@@ -209,7 +212,7 @@
 
     # --- connections
 
-    def take(self, target: Target) -> Connection | None:
+    def take(self, target: Target) -> Carrier | None:
         """The idle connection used last, if one is still good."""
         oldest = self.loop.time() - self._idle_s
         while target.idle:
@@ -219,7 +222,7 @@
             connection.close()
         return None
 
-    def release(self, target: Target, connection: Connection) -> None:
+    def release(self, target: Target, connection: Carrier) -> None:
         """Keep a connection for later, unless it or its process is done with."""
         if target.up and connection.reusable:
             connection.idle_since = self.loop.time()
@@ -237,9 +240,9 @@
         min(idle, key=lambda pair: pair[0])[1].idle.pop(0).abort()
         return True
 
-    async def connect(self, address: Address) -> Connection:
+    async def connect(self, address: Address, back: Back) -> Carrier:
         """A new connection, within the connect timeout."""
-        connection = Connection(self._lost, stall_s=self._stall_s)
+        connection = back.connection(self._lost, self._stall_s)
         self._dialling += 1
         try:
             async with asyncio.timeout(self.connect_timeout_s):
@@ -253,7 +256,7 @@
             self._open.add(connection)
         return connection
 
-    def _lost(self, connection: Connection) -> None:
+    def _lost(self, connection: Carrier) -> None:
         self._open.discard(connection)
         if not connection.idle_since:
             return
--- a/tests/rehearsal/broken.py
+++ b/tests/rehearsal/broken.py
@@ -12,11 +12,12 @@
 import hollyport.__main__ as program
 from dunefield import rules
 from dunefield.interface import How
-from hollyport import client, discovery, sidecar
+from hollyport import core, discovery, sidecar
+from hollyport.http import front
 
 
 def answers_twice() -> None:
-    plain = client.ClientConnection.answer
+    plain = front.ClientConnection.answer
 
     def answer(self, message, status, body, headers):
         transport = self._transport
@@ -24,27 +25,27 @@
         if status == 200 and transport is not None and not transport.is_closing():
             transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbis")
 
-    client.ClientConnection.answer = answer
+    front.ClientConnection.answer = answer
 
 
 def drops_an_answer() -> None:
-    plain, count = client.Message.answer, iter(range(10**9))
+    plain, count = front.Message.answer, iter(range(10**9))
 
     def answer(self, status, body=b"", headers=None):
         if status != 200 or self.target.startswith(b"/-/") or next(count) % 20 != 7:
             plain(self, status, body, headers)
 
-    client.Message.answer = answer
+    front.Message.answer = answer
 
 
 def alters_an_answer() -> None:
-    plain, count = client.Message.answer, iter(range(10**9))
+    plain, count = front.Message.answer, iter(range(10**9))
 
     def answer(self, status, body=b"", headers=None):
         wrong = status == 200 and not self.target.startswith(b"/-/") and next(count) % 20 == 7
         plain(self, status, body[::-1] if wrong else body, headers)
 
-    client.Message.answer = answer
+    front.Message.answer = answer
 
 
 def resends_unsafe() -> None:
@@ -74,24 +75,24 @@
 
 
 def leaks() -> None:
-    plain, kept = sidecar.Sidecar.request, []
+    plain, kept = core.Core.request, []
 
-    def request(self, message):
+    def request(self, asked, terms):
         kept.append(os.urandom(200_000))
-        plain(self, message)
+        plain(self, asked, terms)
 
-    sidecar.Sidecar.request = request
+    core.Core.request = request
 
 
 def holds_much() -> None:
-    plain, kept = sidecar.Sidecar.request, []
+    plain, kept = core.Core.request, []
 
-    def request(self, message):
+    def request(self, asked, terms):
         if not kept:
             kept.append(os.urandom(260 << 20))
-        plain(self, message)
+        plain(self, asked, terms)
 
-    sidecar.Sidecar.request = request
+    core.Core.request = request
 
 
 def hangs_on_sigterm() -> None:
@@ -102,15 +103,15 @@
 
 
 def dies() -> None:
-    plain, count = sidecar.Sidecar.request, iter(range(10**9))
+    plain, count = core.Core.request, iter(range(10**9))
 
-    def request(self, message):
+    def request(self, asked, terms):
         if next(count) == 100:
             print("the last words of a daemon", file=sys.stderr, flush=True)
             os._exit(7)
-        plain(self, message)
+        plain(self, asked, terms)
 
-    sidecar.Sidecar.request = request
+    core.Core.request = request
 
 
 def will_not_start() -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,7 +9,8 @@
 from backend import Call, Client, Conversation, Server, line, ok, play, sidecar
 
 from hollyport import listener
-from hollyport.client import AHEAD, MAX_HEAD
+from hollyport.guest import AHEAD
+from hollyport.http.front import MAX_HEAD
 
 HEAD = b"GET /free HTTP/1.1\r\nHost: app\r\nX-Request-ID: %s\r\nX-Timeout: 5\r\n"
 POST = b"POST /single_shot HTTP/1.1\r\nHost: app\r\nX-Request-ID: p1\r\nX-Timeout: 5\r\n"
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -79,7 +79,7 @@
     sent to it, nothing better was learned, and the calls that had found it idle were held and refused."""
     async def scene():
         async with Server(reporting(0)) as server, sidecar(line("s1", server.port), raw=PROBED) as world:
-            module = world.sidecar._module
+            module = world.sidecar.core._module
             known = module._servers["s1"]
             known.stretch, known.seen, module._crowding.level = 9.0, world.sidecar._clock(), 0.7
             client = await world.client()
@@ -106,7 +106,7 @@
                 client = await world.client()
                 while fails:
                     assert (await client.ask())[0] == 200
-                assert world.sidecar._module._servers["s1"].k > 0
+                assert world.sidecar.core._module._servers["s1"].k > 0
     play(scene)
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -10,7 +10,7 @@
 
 from dunefield import How
 from hollyport.config import Address
-from hollyport.connection import Connection
+from hollyport.http.back import Connection, HttpBack
 from hollyport.http.heads import load
 from hollyport.upstream import Upstream
 
@@ -26,10 +26,10 @@
     return script
 
 
-async def outcomes(script, number: int = 1, **more: float) -> tuple[list[tuple[How, bytes]], Server]:
+async def outcomes(script, number: int = 1, stall_s: float = 0.0) -> tuple[list[tuple[How, bytes]], Server]:
     found = []
     async with Server(script) as server:
-        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10, **more)
+        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10, stall_s, HttpBack(False))
         upstream.update("s1", Address("127.0.0.1", server.port), 0, True)
         for _ in range(number):
             done = asyncio.get_running_loop().create_future()
@@ -117,7 +117,7 @@
     """Found on reading: the count leaked until no room was left."""
     async def scene():
         loop = asyncio.get_running_loop()
-        upstream = Upstream(loop, 10**9, 10**10, 10)
+        upstream = Upstream(loop, 10**9, 10**10, 10, 0.0, HttpBack(False))
 
         class Loop:
             async def create_connection(self, make, host, port):
@@ -126,7 +126,7 @@
                 return None, connection
 
         monkeypatch.setattr(upstream, "loop", Loop())
-        assert isinstance(await upstream.connect(Address("127.0.0.1", 1)), Connection)
+        assert isinstance(await upstream.connect(Address("127.0.0.1", 1), HttpBack(False)), Connection)
         assert not upstream._open and not upstream._dialling
     play(scene)
 
@@ -138,10 +138,10 @@
 def test_every_failed_connect_ends_its_attempt_and_own_want_blames_nobody(monkeypatch, capfd, error, how):
     """Found: EMFILE was told as a failed connect, and muted healthy servers one after the other."""
     async def scene():
-        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10)
+        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10, 0.0, HttpBack(False))
         upstream.update("s1", Address("127.0.0.1", 1), 0, True)
 
-        async def fails(address):
+        async def fails(address, back):
             raise error
 
         monkeypatch.setattr(upstream, "connect", fails)
@@ -181,7 +181,7 @@
             raw = settings(reporting={"how": "probe"}, limits={"mayProbe": True})
             async with sidecar(line("s1", server.port), raw=raw) as world:
                 asks = [asyncio.ensure_future((await world.client()).ask()) for _ in range(8)]
-                while len(world.sidecar._requests) < 8 or not probes:
+                while len(world.sidecar.core._requests) < 8 or not probes:
                     await asyncio.sleep(0.005)
                 assert len(probes) == 1
                 go.set()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,7 +25,7 @@
     Submit,
 )
 from hollyport.config import Address
-from hollyport.connection import Connection
+from hollyport.http.back import Connection, HttpBack
 from hollyport.upstream import Upstream
 
 
@@ -137,7 +137,7 @@
 
         server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1)
         port = server.sockets[0].getsockname()[1]
-        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10)
+        upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 10, 0.0, HttpBack(False))
         upstream.update("s1", Address("127.0.0.1", port), 0, True)
         size = 64 * 1024 * 1024  # more than the kernel takes in at once
 
@@ -157,7 +157,7 @@
     async def scene():
         async with contextlib.AsyncExitStack() as stack:
             servers = [await stack.enter_async_context(Server(ok)) for _ in range(4)]
-            upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 2)
+            upstream = Upstream(asyncio.get_running_loop(), 10**9, 10**10, 2, 0.0, HttpBack(False))
             for number, server in enumerate(servers * 2):
                 name = f"s{number % 4}"
                 upstream.update(name, Address("127.0.0.1", server.port), 0, True)
@@ -179,8 +179,8 @@
             await ok(talk, call)
 
         async with Server(slow) as server, sidecar(line("s1", server.port)) as world:
-            handle = world.sidecar._module.handle
-            world.sidecar._module.handle = lambda now, e: (told.put_nowait(e), handle(now, e))[1]
+            handle = world.sidecar.core._module.handle
+            world.sidecar.core._module.handle = lambda now, e: (told.put_nowait(e), handle(now, e))[1]
             client = await world.client()
             asking = asyncio.ensure_future(client.ask("single_shot"))
             await came.wait()
@@ -191,7 +191,7 @@
             go.set()
             outcome = await told.get()
             assert isinstance(outcome, Response) and outcome.how == How.OK and outcome.closed
-            assert not world.sidecar._requests
+            assert not world.sidecar.core._requests
     play(scene)
 
 
@@ -200,17 +200,17 @@
     async def scene():
         told = asyncio.Queue()
         async with sidecar() as world:
-            handle = world.sidecar._module.handle
-            world.sidecar._module.handle = lambda now, e: (told.put_nowait(e), handle(now, e))[1]
+            handle = world.sidecar.core._module.handle
+            world.sidecar.core._module.handle = lambda now, e: (told.put_nowait(e), handle(now, e))[1]
             client = await world.client()
             asking = asyncio.ensure_future(client.ask("single_shot"))
             assert isinstance(await told.get(), Accept)
-            assert len(world.sidecar._requests) == 1
+            assert len(world.sidecar.core._requests) == 1
             asking.cancel()
             client.writer.close()
             while not isinstance(await told.get(), Hangup):
                 pass
-            assert not world.sidecar._requests
+            assert not world.sidecar.core._requests
     play(scene)
 
 
@@ -252,7 +252,7 @@
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             client = await world.client()
             with monkeypatch.context() as patch:
-                patch.setattr(world.sidecar, "_new_id", lambda rid, now: 1 // 0)
+                patch.setattr(world.sidecar.core, "_new_id", lambda rid, now: 1 // 0)
                 assert (await client.ask())[0] == 500
             assert (await client.ask())[0] == 200
     play(scene)
@@ -283,7 +283,7 @@
                         return [Submit(event.tid, "s1", now + 5 * 10**9), *acts]
                     return []
 
-                world.sidecar._module.handle = handle
+                world.sidecar.core._module.handle = handle
                 asking = asyncio.ensure_future((await world.client()).ask("single_shot"))
                 events = {}
                 while len(events) < 4:
@@ -296,7 +296,7 @@
                 tid = events["Accept", ""].tid
                 idle = len(world.sidecar._upstream._targets["s1"].idle)
                 for action in (Retract(tid, 0), CloseIdle("s1"), Refuse(tid, 250_000_000), Fail(tid)):
-                    world.sidecar._perform(action)
+                    world.sidecar.core._perform(action)
                 assert (await told.get()).how == How.CANCELLED
                 assert idle and not world.sidecar._upstream._targets["s1"].idle
                 status, headers, _ = await asking  # one answer: the first
@@ -309,9 +309,9 @@
     async def scene():
         async with Server(reset) as server, sidecar(line("s1", server.port)) as world:
             client = await world.client()
-            world.sidecar._module.handle = lambda now, event: []
+            world.sidecar.core._module.handle = lambda now, event: []
             assert (await client.ask("single_shot", timeout="0.2"))[0] == 503  # never sent
-            world.sidecar._module.handle = lambda now, event: (
+            world.sidecar.core._module.handle = lambda now, event: (
                 [Submit(event.tid, "s1", now + 10**9)] if isinstance(event, Accept) else [])
             assert (await client.ask("single_shot", timeout="0.2"))[0] == 504  # may have run
             assert (await client.ask("free", timeout="0.2"))[0] == 503
@@ -324,11 +324,11 @@
         async with sidecar() as world:
             told = asyncio.Queue()
             clock = world.sidecar._clock
-            world.sidecar._module.handle = lambda now, e: told.put_nowait((clock(), e)) or []
+            world.sidecar.core._module.handle = lambda now, e: told.put_nowait((clock(), e)) or []
             due = {}
             for tag in range(100):
                 due[tag] = clock() + 1_000_000 + tag * 70_000
-                world.sidecar._defer(due[tag], tag)
+                world.sidecar.core._defer(due[tag], tag)
             while due:
                 at, alarm = await told.get()
                 assert at >= due.pop(alarm.tag)
@@ -353,10 +353,10 @@
     async def scene():
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             client = await world.client()
-            real = world.sidecar._module.handle
-            monkeypatch.setattr(world.sidecar._module, "handle", lambda now, event: 1 // 0)
+            real = world.sidecar.core._module.handle
+            monkeypatch.setattr(world.sidecar.core._module, "handle", lambda now, event: 1 // 0)
             assert (await client.ask("single_shot", "1"))[0] == 503  # never sent, so a retry is harmless
-            monkeypatch.setattr(world.sidecar._module, "handle", real)
+            monkeypatch.setattr(world.sidecar.core._module, "handle", real)
             assert (await client.ask("single_shot", "2"))[0] == 200
     play(scene)
     assert "ZeroDivisionError" in capfd.readouterr().err
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -53,8 +53,9 @@
         registry = Registry(*broken)
         async with Server(registry) as place, sidecar(discovery=place.port, raw=ASKS) as world:
             told = []
-            handle = world.sidecar._module.handle
-            world.sidecar._module.handle = lambda now, event: (told.append(event), handle(now, event))[1]
+            module = world.sidecar.core._module
+            handle = module.handle
+            module.handle = lambda now, event: (told.append(event), handle(now, event))[1]
             for _ in range(len(broken) + 1):
                 await registry.asked.get()
             scopes = [event.scope for event in told if hasattr(event, "scope")]
@@ -115,8 +116,9 @@
             raw = settings(discovery="automatic")
             async with Server(registry) as agent, sidecar(discovery=agent.port, raw=raw) as world:
                 told = []
-                handle = world.sidecar._module.handle
-                world.sidecar._module.handle = lambda now, event: (told.append(event), handle(now, event))[1]
+                module = world.sidecar.core._module
+                handle = module.handle
+                module.handle = lambda now, event: (told.append(event), handle(now, event))[1]
                 for _ in range(3):
                     await registry.asked.get()
                 assert [event.scope for event in told] == ["FULL"]
@@ -132,7 +134,7 @@
                 patch.setattr("hollyport.discovery.read_listing", lambda raw, settings: 1 // 0)
                 for _ in range(2):  # the second call proves that the module asked again
                     await registry.asked.get()
-            assert world.sidecar.ready() is False
+            assert world.sidecar.core.ready() is False
     play(scene)
     assert "ZeroDivisionError" in capfd.readouterr().err
 
@@ -145,7 +147,7 @@
         raw = settings(discovery="subscribe", invariants={"mustAskInNs": int(may_be_old * 1e9)})
         registry = Registry()
         async with Server(registry) as place, sidecar(discovery=place.port, raw=raw) as world:
-            module = world.sidecar._module
+            module = world.sidecar.core._module
             failed, handle = asyncio.Event(), module.handle
 
             def watch(now, event):
