Thrift on the same core: front, back, pool of nodes, oneway calls, four forms

Two hotel groups send rate pushes over Thrift past the sidecar and its rules.

With a [thrift] table in the operators' file, Thrift clients (framed and unframed, binary and compact, old and strict, multiplexed) are served by a core of their own with the same decision module, over nodes that the list, a registry's metadata or a rule marks as Thrift; hollyport/pools.py deals the list out. A oneway call is over for the client with its last byte, for the module when the probe written behind it is answered. Counters at /-/counters tell what no client sees. Off without the table, and none of it is loaded.

Failed on the way: answers were held against the whole multiplexed name, which Apache's processor strips of the service.

--- a/hollyport/contract.py
+++ b/hollyport/contract.py
@@ -83,11 +83,21 @@
         """The load report that is the answer to a probe."""
 
 
+class Beside(NamedTuple):
+    """Where and how nodes are probed that can't be on the port of their own."""
+
+    port: int
+    back: Back
+
+
 class Back(Protocol):
     """How nodes of one kind are spoken to."""
 
     probe: Any
-    """What a probe sends; None where these nodes can't be probed."""
+    """What a probe sends; None where these nodes can't be probed here."""
+
+    beside: Beside | None
+    """Where they are probed instead; None: nowhere."""
 
     def connection(self, on_lost: Callable[[Carrier], None], stall_s: float) -> Carrier:
         """A connection to be opened. An answer that has begun may pause for so long, 0: for any time."""
--- a/hollyport/core.py
+++ b/hollyport/core.py
@@ -115,10 +115,10 @@
 class Request:
     """A request taken from the application, until it is over and no attempt is out."""
 
-    __slots__ = ("tid", "asked", "cls", "attempts", "out", "maybe_ran", "over", "guard", "last")
+    __slots__ = ("tid", "asked", "cls", "attempts", "out", "maybe_ran", "over", "guard", "last", "oneway")
 
-    def __init__(self, tid: str, asked: Asked, cls: int) -> None:
-        self.tid, self.asked, self.cls = tid, asked, cls
+    def __init__(self, tid: str, asked: Asked, cls: int, oneway: bool) -> None:
+        self.tid, self.asked, self.cls, self.oneway = tid, asked, cls, oneway
         self.attempts = 0
         self.out: dict[int, Exchange] = {}
         self.maybe_ran = False
@@ -196,7 +196,7 @@
         asked.tid = tid = str(self._count)
         # It may have waited behind another, or unread while this process stood still for want of CPU.
         wait = terms.wait_ns - int((now - asked.came + self._stalled()) * 1e9)
-        request = self._requests[tid] = Request(tid, asked, terms.cls)
+        request = self._requests[tid] = Request(tid, asked, terms.cls, terms.oneway)
         request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
         self.deliver(Accept(
             tid, terms.cls, wait - MARGIN_NS, terms.cost_ns, terms.tenant, terms.key, terms.retry, terms.write
@@ -263,8 +263,21 @@
             ended(How.MOOT, None)
         else:
             request.out[number] = exchange
+            if request.oneway:
+                exchange.on_written = lambda: self._delivered(request)
             exchange.start()
 
+    def _delivered(self, request: Request) -> None:
+        """A oneway call is written whole: from here on it must not be sent again, and nobody waits for it.
+
+        To the module that is a client that has left, with the attempt still out: the server stays as busy in
+        its books as it is, until the attempt is known to be over.
+        """
+        if not request.over:
+            self._finish(request)
+            request.asked.served(None)
+            self.deliver(Hangup(request.tid))
+
     def _outcome(
         self, request: Request, how: How, answer: Answered | None, sent: int, server: str, number: int
     ) -> None:
--- a/hollyport/discovery.py
+++ b/hollyport/discovery.py
@@ -18,6 +18,7 @@
 GRACE_S = 2.0  # how much longer than it may wait a call is waited for
 MAX_LIST = 4 << 20  # bytes of one list
 LONGEST_WAIT_NS = 60_000_000_000
+HTTP = "http"  # what nodes speak that say nothing else
 LIFECYCLES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "removed"}
 PAUSE_S = 0.5  # between calls to an agent that pushes, after one that failed
 
@@ -27,6 +28,7 @@
 
     entry: Entry
     address: Address
+    protocol: str = ""  # what it says that it speaks; "" where it is silent on that
 
 
 class Listing(NamedTuple):
@@ -75,9 +77,16 @@
             int(item.get("since_ms", 0)) * 1_000_000,
         ),
         parse_address(item["address"]),
+        _protocol(item.get("protocol", "")),
     )
 
 
+def _protocol(told: Any) -> str:
+    if not isinstance(told, str) or len(told) > 64:
+        raise ValueError("protocol is not a short text")
+    return told
+
+
 class Discovery:
     """Carries the module's asking out. Each Subscribe or Fetch ends in exactly one list or failure."""
 
--- a/hollyport/guest.py
+++ b/hollyport/guest.py
@@ -36,7 +36,8 @@
         self.place: dict[Guest[M], float] | None = None  # the listener's queue that it stands in
         self.accepted = loop.time()
         self._transport: asyncio.Transport | None = None
-        self._rest = b""  # read, and not parsed yet: enough requests wait already
+        self._held_back = False  # what has come is not parsed yet: enough requests wait already
+        self._rest = b""  # and this is it
         self._active: M | None = None  # owed an answer
         self._waiting: deque[M] = deque()  # sent ahead of the answer before
         self._spoke = False  # a whole request has come
@@ -79,7 +80,7 @@
             if self._drained > MAX_DRAIN:
                 self.abort()
             return
-        if self._rest:
+        if self._held_back:
             self._rest += data
             return
         self._feed(data)
@@ -88,7 +89,7 @@
         self._listener.lost(self)
         self._deaf = True
         self._let_go()
-        self._rest = b""
+        self._rest, self._held_back = b"", False
         self._waiting.clear()
         active, self._active = self._active, None
         if active is not None:
@@ -121,7 +122,7 @@
 
     def _put_off(self, data: bytes) -> None:
         """Keep what is not to be parsed yet, and read no more."""
-        self._rest = data
+        self._rest, self._held_back = data, True
         if self._transport is not None:
             self._transport.pause_reading()
 
@@ -131,8 +132,8 @@
             return
         if self._waiting:
             self._begin(self._waiting.popleft())
-        elif self._rest:
-            rest, self._rest = self._rest, b""
+        elif self._held_back:
+            rest, self._rest, self._held_back = self._rest, b"", False
             self._transport.resume_reading()
             self._feed(rest)
 
@@ -147,7 +148,7 @@
         also where the client neither reads nor closes."""
         self._deaf = True
         self._waiting.clear()
-        self._rest = b""
+        self._rest, self._held_back = b"", False
         self._let_go()
         transport = self._transport
         if transport is not None and not transport.is_closing():
--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -10,6 +10,7 @@
 
 from dunefield.interface import How
 from hollyport.carrier import Carrier
+from hollyport.contract import Beside
 from hollyport.http import heads
 
 MAX_BODY = 1 << 20  # real answers are larger than the 64 KiB that are promised; 350 KB were seen
@@ -157,6 +158,7 @@
 
     def __init__(self, reports: bool) -> None:
         self.probe = heads.probe(reports)
+        self.beside: Beside | None = None
 
     def connection(self, on_lost: Callable[[Any], None], stall_s: float) -> Connection:
         """A connection to be opened."""
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -6,7 +6,7 @@
 import re
 import sys
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import httptools
@@ -100,10 +100,10 @@
 
     def __init__(
         self, listener: Listener, loop: asyncio.AbstractEventLoop, service: Service,
-        admit: Callable[[Message], Terms | int],
+        admit: Callable[[Message], Terms | int], pages: Mapping[bytes, Callable[[], bytes]],
     ) -> None:
         super().__init__(listener, loop)
-        self._service, self._admit = service, admit
+        self._service, self._admit, self._pages = service, admit, pages
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._message: Message | None = None  # being read
         self._raw = 0  # bytes since the message began, while its head is not whole
@@ -232,6 +232,8 @@
         path = message.target.partition(b"?")[0]
         if path == b"/-/ready":
             message.answer(200 if self._service.ready() else 503)
+        elif path in self._pages:
+            message.answer(200, self._pages[path]())
         elif path.startswith(b"/-/"):
             message.answer(404)
         elif message.method not in (b"GET", b"POST"):
@@ -255,10 +257,10 @@
         if message is not self._active or transport is None:
             return
         self._active = None
-        last = self._listener.stopping and not self._waiting and not self._rest
+        last = self._listener.stopping and not self._waiting and not self._held_back
         keep = message.keep_alive and not last and status not in CLOSING
         # Clients have only so many connections: where many ask once and stay, kept ones would use them up.
-        keep = keep and not (self._listener.crowded() and not self._waiting and not self._rest)
+        keep = keep and not (self._listener.crowded() and not self._waiting and not self._held_back)
         transport.write(head(status, len(body), headers, keep) + body)
         if not keep and status not in CLOSING and not self._error:
             self._deaf = True
@@ -270,7 +272,7 @@
             self._reject()
         else:
             self._listener.move(self, self._place())
-            if self._waiting or self._rest:
+            if self._waiting or self._held_back:
                 self._loop.call_soon(self._next)
 
     def _reject(self) -> None:
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -34,10 +34,13 @@
     A connection stands in at most one queue, the longest there first; in none while an answer is owed.
     """
 
-    def __init__(self, guest: Callable[[Listener], Guest], most: int, crowd: int) -> None:
+    def __init__(
+        self, guest: Callable[[Listener], Guest], most: int, crowd: int, keep_s: float = KEEP_S
+    ) -> None:
         self._guest = guest
         self.most = most
         self._crowd = crowd
+        self._keep_s = keep_s
         self.stopping = False
         self.connections: set[Guest] = set()
         self.silent: dict[Guest, float] = {}  # nothing has come yet
@@ -188,7 +191,7 @@
     def _sweep(self) -> None:
         assert self._loop is not None
         now = self._loop.time()
-        limits = ((self.silent, SILENT_S), (self.kept, KEEP_S), (self.visitors, KEEP_S))
+        limits = ((self.silent, SILENT_S), (self.kept, self._keep_s), (self.visitors, self._keep_s))
         for queue, age in limits:
             for connection in _older(queue, now - age):
                 if connection.quiet():
--- a/hollyport/options.py
+++ b/hollyport/options.py
@@ -46,7 +46,10 @@
         return reader(table)
 
 
-SECTIONS: tuple[Section, ...] = (Section("registries", "hollyport.registries.options:read"),)
+SECTIONS: tuple[Section, ...] = (
+    Section("registries", "hollyport.registries.options:read"),
+    Section("thrift", "hollyport.thrift.options:read"),
+)
 """The features that can be switched on. Each direction of growth adds its line here."""
 
 
--- a/hollyport/registries/eureka/source.py
+++ b/hollyport/registries/eureka/source.py
@@ -313,6 +313,7 @@
             _whole_number(metadata.get(options.group_key, "")),
             _weight(metadata.get(options.weight_key, "")),
             max(0, started),
+            metadata.get(options.protocol_key, "")[:64],
         )
 
 
--- a/hollyport/registries/feed.py
+++ b/hollyport/registries/feed.py
@@ -265,5 +265,6 @@
     entry = line.entry
     status = UP if entry.lifecycle == "up" else DRAINING
     return Record(
-        entry.server, line.address, status, entry.zone, entry.kind, entry.cell, entry.weight, entry.started_ns
-    )
+        entry.server, line.address, status, entry.zone, entry.kind, entry.cell, entry.weight,
+        entry.started_ns, line.protocol,
+    )  # fmt: skip
--- a/hollyport/registries/merge.py
+++ b/hollyport/registries/merge.py
@@ -479,6 +479,7 @@
                         node.started_ns,
                     ),
                     address,
+                    record.protocol,
                 )
             if line == before:
                 continue
--- a/hollyport/registries/options.py
+++ b/hollyport/registries/options.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from hollyport.options import BadValue
 from hollyport.registries.http import Place, parse_place
+from hollyport.table import Table
 
 PLATFORM, EUREKA = "platform", "eureka"
 
@@ -53,6 +53,7 @@
     kind_key: str = ""
     group_key: str = ""
     weight_key: str = ""
+    protocol_key: str = "protocol"
     registration: Registration | None = None
 
 
@@ -70,66 +71,9 @@
     eureka: EurekaOptions | None
 
 
-class _Table:
-    """Typed access to one table: what is wrong or unknown is named by its path."""
-
-    def __init__(self, raw: Any, path: tuple[str | int, ...]) -> None:
-        if not isinstance(raw, Mapping):
-            raise BadValue(path, f"must be a table, is {raw!r}")
-        self._raw, self.path = dict(raw), path
-
-    def _take(self, key: str, kinds: tuple[type, ...], default: Any, what: str) -> Any:
-        value = self._raw.pop(key, default)
-        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise BadValue((*self.path, key), f"must be {what}, is {value!r}")
-        return value
-
-    def number(self, key: str, default: float, least: float, most: float = math.inf) -> float:
-        value = float(self._take(key, (int, float), default, "a number"))
-        if not least <= value <= most or not math.isfinite(value):
-            raise BadValue((*self.path, key), f"must be from {least:g} to {most:g}, is {value:g}")
-        return value
-
-    def text(self, key: str, default: str = "", among: tuple[str, ...] = ()) -> str:
-        value = str(self._take(key, (str,), default, "a text"))
-        if among and value not in among:
-            raise BadValue((*self.path, key), f"must be one of {', '.join(among)}, is {value!r}")
-        return value
-
-    def flag(self, key: str, default: bool) -> bool:
-        return bool(self._take(key, (bool,), default, "true or false"))
-
-    def texts(self, key: str) -> tuple[str, ...]:
-        value = self._take(key, (list,), [], "a list of texts")
-        if not all(isinstance(item, str) and item for item in value):
-            raise BadValue((*self.path, key), f"must be a list of texts, is {value!r}")
-        return tuple(value)
-
-    def items(self, key: str) -> list[Any]:
-        return list(self._take(key, (list,), [], "a list"))
-
-    def table(self, key: str) -> _Table | None:
-        return _Table(self._raw.pop(key), (*self.path, key)) if key in self._raw else None
-
-    def pairs(self, key: str) -> dict[str, str]:
-        raw = self._take(key, (dict,), {}, "a table")
-        for name, value in raw.items():
-            if not isinstance(value, str):
-                raise BadValue((*self.path, key, name), f"must be a text, is {value!r}")
-        return dict(raw)
-
-    def done(self) -> None:
-        for key in self._raw:
-            raise BadValue((*self.path, key), "no such key")
-
-    def must(self, good: bool, key: str, what: str) -> None:
-        if not good:
-            raise BadValue((*self.path, key), what)
-
-
 def read(raw: Mapping[str, Any]) -> RegistryOptions:
     """Read the table; raise BadValue on what is unusable."""
-    table = _Table(raw, ())
+    table = Table(raw, ())
     sources = table.texts("sources")
     table.must(
         bool(sources) and set(sources) <= {PLATFORM, EUREKA} and len(set(sources)) == len(sources),
@@ -159,7 +103,7 @@
     return made
 
 
-def _eureka(table: _Table | None) -> EurekaOptions | None:
+def _eureka(table: Table | None) -> EurekaOptions | None:
     if table is None:
         return None
     places = []
@@ -175,7 +119,7 @@
         except ValueError as error:
             raise BadValue(path, f"number {number + 1}: {error}") from None
     table.must(bool(places), "addresses", "must name one address at least")
-    keys = table.table("map") or _Table({}, (*table.path, "map"))
+    keys = table.table("map") or Table({}, (*table.path, "map"))
     made = EurekaOptions(
         tuple(places),
         table.texts("apps"),
@@ -197,6 +141,7 @@
         keys.text("kind"),
         keys.text("group"),
         keys.text("weight"),
+        keys.text("protocol", "protocol"),
         _registration(table.table("register")),
     )
     table.must(
@@ -210,7 +155,7 @@
     return made
 
 
-def _registration(table: _Table | None) -> Registration | None:
+def _registration(table: Table | None) -> Registration | None:
     if table is None:
         return None
     made = Registration(
--- a/hollyport/registries/record.py
+++ b/hollyport/registries/record.py
@@ -23,6 +23,7 @@
     group: int = 0
     weight: float = 1.0
     started_ns: int = 0  # Unix time; 0: long ago, or not told
+    protocol: str = ""  # what it speaks, as hollyport.pools names it; "" where that is not told
 
 
 class Change(NamedTuple):
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -6,21 +6,28 @@
 from typing import TYPE_CHECKING
 
 from dunefield.interface import Directory
-from hollyport.config import Address, Config
+from hollyport.config import Address, Config, ConfigError
 from hollyport.core import Beat, Clock, Core, Ids
-from hollyport.discovery import Discovery, Listing, read_listing
+from hollyport.discovery import HTTP, Discovery, Line, Listing, read_listing
 from hollyport.http.admission import Gate
 from hollyport.http.back import HttpBack
 from hollyport.http.front import ClientConnection
 from hollyport.listener import Listener
-from hollyport.options import Options
+from hollyport.options import BadValue, Options
 from hollyport.upstream import Upstream
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hollyport.contract import Back
+    from hollyport.counters import Counters
+    from hollyport.pools import Pools
     from hollyport.registries.feed import Feed
+    from hollyport.thrift.gateway import Gateway
 
 KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
+TELL_S = 1.0  # how often the counters are looked at for what the log is to tell
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
 
 
@@ -42,14 +49,28 @@
             loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE,
             min(c.aim_ns for c in settings.classes) / 2e9, HttpBack(settings.reports != "none"),
         )
+        self._beat, self._ids = Beat(loop), Ids(2 * self._longest_ns / 1e9)
         self.core = Core(
-            loop, self._clock, Beat(loop), Ids(2 * self._longest_ns / 1e9), settings, config.seed,
-            self._upstream, self._refused_by,
+            loop, self._clock, self._beat, self._ids, settings, config.seed, self._upstream, self._refused_by
         )
+        self._cores = {HTTP: self.core}  # by pool; the first asks for the list, all are told
+        self._pools: Pools | None = None  # None: all nodes speak HTTP
+        self._backs: dict[str, Back] = {}
+        self._counters: Counters | None = None
+        self._gateway: Gateway | None = None
+        pages: dict[bytes, Callable[[], bytes]] = {}
+        if options is not None and "thrift" in options.sections:
+            most = int(clients * options.sections["thrift"].connections)
+            clients -= most
+            self._open_gateway(options, most, pages)
         admit = Gate(settings).admit
         self._listener = Listener(
-            lambda listener: ClientConnection(listener, loop, self.core, admit), clients, config.sockets // 4
+            lambda listener: ClientConnection(listener, loop, self.core, admit, pages), clients,
+            config.sockets // 4,
         )
+        self._listeners = [self._listener]
+        if self._gateway is not None:
+            self._listeners += self._gateway.listeners
         known = read_listing(config.known, settings)
         self._feed = self._open_feed(options, known)
         if self._feed is not None:
@@ -66,6 +87,9 @@
     async def start(self) -> int:
         """Listen for the application; return the port."""
         listen = self._config.listen
+        if self._gateway is not None:
+            self.thrift_ports = await self._gateway.start()
+            self._tell()
         return await self._listener.start(self._loop, listen.host, listen.port)
 
     async def stop(self) -> None:
@@ -74,18 +98,53 @@
         Protects requests in the listen queue: the machine has accepted those connections, so the loop must
         have read them before the socket closes.
         """
-        self.core.closing = True
-        self._listener.last_requests()
+        for core in self._cores.values():
+            core.closing = True
+        for listener in self._listeners:
+            listener.last_requests()
         if self._feed is not None:
             # Before the socket closes: who reads the registry must not be sent here any more.
             await self._feed.take_off()
         await asyncio.sleep(KEEP_ACCEPTING_S)
         # All that was taken is answered by its deadline; a request that never comes in whole was not taken.
         latest = self._loop.time() + self._longest_ns / 1e9
-        self._listener.close()
-        while self._listener.busy() and self._loop.time() < latest:
+        self._close_all()
+        while any(listener.busy() for listener in self._listeners) and self._loop.time() < latest:
             await asyncio.sleep(LOOK_S)
-            self._listener.close()
+            self._close_all()
+
+    def _close_all(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+
+    def _open_gateway(self, options: Options, most: int, pages: dict[bytes, Callable[[], bytes]]) -> None:
+        """Thrift, where the operators' file switches it on; else none of it is loaded."""
+        from hollyport.counters import Counters
+        from hollyport.thrift import gateway
+        from hollyport.thrift.options import POOL
+
+        table, settings, config = options.sections["thrift"], self._settings, self._config
+        try:
+            gateway.check(table, settings)
+        except BadValue as error:
+            key = ".".join(map(str, ("thrift", *error.path)))
+            raise ConfigError(f"{options.path}: {key}: {error.what}") from None
+        self._counters = counters = Counters()
+        pages[b"/-/counters"] = counters.page
+        self._pools = gateway.pools(table, settings)
+        self._backs = gateway.backs(table, settings)
+        core = Core(
+            self._loop, self._clock, self._beat, self._ids, gateway.pool_settings(table, settings),
+            config.seed + 1, self._upstream, self._refused_by,
+        )
+        self._cores[POOL] = core
+        self._gateway = gateway.Gateway(self._loop, table, settings, core, counters, most)
+
+    def _tell(self) -> None:
+        """Say now and then what no client could see."""
+        assert self._counters is not None
+        self._counters.tell(self._loop.time())
+        self._loop.call_later(TELL_S, self._tell)
 
     def _open_feed(self, options: Options | None, known: Listing) -> Feed | None:
         """More sources than the platform's list, where the operators' file names them; else none of it is
@@ -129,16 +188,32 @@
 
     def _told(self, listing: Listing | None) -> None:
         if listing is None:
-            self.core.deliver(Directory("FAILED"))
+            for core in self._cores.values():
+                core.deliver(Directory("FAILED"))
         else:
             self._take_list(listing, "FULL" if listing.whole else "INCREMENTAL")
 
     def _take_list(self, listing: Listing, scope: str) -> None:
-        for entry, address in listing.lines:
+        if self._pools is None:
+            # A node that says it speaks something else gets nothing: it could not read it.
+            lines = tuple(map(_only_http, listing.lines))
+            shares = {HTTP: listing._replace(lines=lines)}
+        else:
+            lines, shares = self._pools.deal(listing)
+        for entry, address, protocol in lines:
             if entry.lifecycle == "removed":
                 self._upstream.remove(entry.server)
             else:
-                self._upstream.update(entry.server, address, entry.started_ns, entry.lifecycle == "up")
+                up, back = entry.lifecycle == "up", self._backs.get(protocol)
+                self._upstream.update(entry.server, address, entry.started_ns, up, back)
         if scope != "INCREMENTAL":
-            self._upstream.keep_only({line.entry.server for line in listing.lines})
-        self.core.deliver(Directory(scope, tuple(line.entry for line in listing.lines), listing.version))
+            self._upstream.keep_only({line.entry.server for line in lines})
+        for pool, share in shares.items():
+            entries = tuple(line.entry for line in share.lines)
+            self._cores[pool].deliver(Directory(scope, entries, share.version))
+
+
+def _only_http(line: Line) -> Line:
+    if line.protocol in ("", HTTP):
+        return line
+    return line._replace(entry=line.entry._replace(lifecycle="removed"))
--- a/hollyport/thrift/stream.py
+++ b/hollyport/thrift/stream.py
@@ -216,6 +216,7 @@
         return "no answer"
     if reply.seqid != call.seqid:
         return "the answer to another call"
-    if reply.name != call.name:
+    # Apache's multiplexed processors strip the service from the name before the method's own code answers.
+    if reply.name not in (call.name, call.name.rpartition(b":")[2]):
         return "the answer of another method"
     return ""
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -6,7 +6,8 @@
 import errno
 import sys
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import chain
 from typing import Any
 
 from dunefield.interface import How
@@ -45,6 +46,7 @@
         self._connecting: asyncio.Task[None] | None = None
         self._over = False
         self._timer: asyncio.TimerHandle | None = None
+        self.on_written: Callable[[], None] | None = None  # told once the last byte is written, where wanted
 
     def start(self) -> None:
         """Write to a pooled connection, or to a new one once it is up."""
@@ -92,6 +94,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._connection = connection
+        connection.on_written = self.on_written
         connection.send(self._make(), self._replied)
         if not self._over:
             self._timer = self._loop.call_later(self._give_up - self._loop.time(), self._timed_out)
@@ -147,6 +150,7 @@
         self._open: set[Carrier] = set()
         self._dialling = 0
         self._targets: dict[str, Target] = {}
+        self._sides: dict[str, Target] = {}  # of those that are probed on another port
         loop.call_later(SWEEP_S, self._sweep)
 
     # --- the list
@@ -157,15 +161,25 @@
         """Take over one line of the list. A new process, address or protocol starts a pool of its own."""
         target, back = self._targets.get(name), back or self._back
         if target is None:
-            self._targets[name] = Target(address, started_ns, up, back)
+            self._enter(name, Target(address, started_ns, up, back))
         elif target.address != address or target.started_ns != started_ns or target.back is not back:
             self._retire(target)
-            self._targets[name] = Target(address, started_ns, up, back)
+            self._enter(name, Target(address, started_ns, up, back))
         else:
             target.up = up
             if not up:
                 self._retire(target)
 
+    def _enter(self, name: str, target: Target) -> None:
+        self._targets[name] = target
+        side = self._sides.pop(name, None)
+        if side is not None:
+            self._retire(side)
+        beside = target.back.beside
+        if beside is not None:
+            address = target.address._replace(port=beside.port)
+            self._sides[name] = Target(address, target.started_ns, True, beside.back)
+
     def keep_only(self, names: set[str]) -> None:
         """After a whole list: servers that are not in it are gone."""
         for name in self._targets.keys() - names:
@@ -176,6 +190,9 @@
         target = self._targets.pop(name, None)
         if target is not None:
             self._retire(target)
+        side = self._sides.pop(name, None) if self._sides else None
+        if side is not None:
+            self._retire(side)
 
     def any_up(self) -> bool:
         """Whether the list has a server that takes requests."""
@@ -199,7 +216,7 @@
 
     def probe(self, name: str, limit_s: float, ended: Ended) -> Exchange | None:
         """A probe of a server, likewise; None also where it can't be probed."""
-        target = self._targets.get(name)
+        target = self._sides.get(name) or self._targets.get(name)
         if target is None or target.back.probe is None:
             return None
         return Exchange(self, target, lambda: target.back.probe, limit_s, ended)
@@ -234,7 +251,7 @@
         """Whether one more connection may be opened; the longest idle one gives way to it."""
         if len(self._open) + self._dialling < self._most:
             return True
-        idle = [(c.idle_since, t) for t in self._targets.values() for c in t.idle[:1]]
+        idle = [(c.idle_since, t) for t in self._all() for c in t.idle[:1]]
         if not idle:
             return False
         min(idle, key=lambda pair: pair[0])[1].idle.pop(0).abort()
@@ -256,11 +273,14 @@
             self._open.add(connection)
         return connection
 
+    def _all(self) -> Iterator[Target]:
+        return chain(self._targets.values(), self._sides.values())
+
     def _lost(self, connection: Carrier) -> None:
         self._open.discard(connection)
         if not connection.idle_since:
             return
-        for target in self._targets.values():
+        for target in self._all():
             if connection in target.idle:
                 target.idle.remove(connection)
                 return
@@ -269,7 +289,7 @@
         """Retire what has been idle for long, safely before the server does: a send that crosses the
         server's close ends as a reset, which may have run."""
         oldest = self.loop.time() - self._idle_s
-        for target in self._targets.values():
+        for target in self._all():
             while target.idle and target.idle[0].idle_since <= oldest:
                 target.idle.pop(0).close()
         self.loop.call_later(SWEEP_S, self._sweep)
--- /dev/null
+++ b/tests/rules/test_rules.py
@@ -0,0 +1,361 @@
+"""The rules on sockets, over HTTP and every form of Thrift from one source: the same scene must come to the
+same end in each. Each scene tells what happened; what is to happen stands beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from backend import listing, play, settings
+from tongues import TONGUES, Asked, Node, Talk, sidecar
+
+from dunefield import Accept, Fail, Hangup, How, Probe, Refuse, Response, Submit
+from hollyport.discovery import read_listing
+
+SCENES = {}
+
+
+def scene(*expected):
+    def made(function):
+        SCENES[function.__name__] = (function, expected)
+        return function
+    return made
+
+
+async def ok(talk: Talk, asked: Asked) -> None:
+    await talk.serve(asked.rid.encode())
+
+
+async def reset(talk: Talk, asked: Asked) -> None:
+    talk.reset()
+
+
+async def cut_off(talk: Talk, asked: Asked) -> None:
+    await talk.cut_off()
+
+
+async def errs(talk: Talk, asked: Asked) -> None:
+    await talk.err()
+
+
+async def full(talk: Talk, asked: Asked) -> None:
+    await talk.turn_away()
+
+
+async def spoils(talk: Talk, asked: Asked) -> None:
+    await talk.spoil()
+    await asyncio.sleep(60)
+
+
+async def silent(talk: Talk, asked: Asked) -> None:
+    await asyncio.sleep(60)
+
+
+async def closed_port() -> int:
+    gone = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    port = gone.sockets[0].getsockname()[1]
+    gone.close()
+    await gone.wait_closed()
+    return port
+
+
+@scene(("served", b"r1"), ("served", b"r2"), ("served", b"r3"), [b"x" * 60_000] * 3, 1)
+async def a_call_goes_through_unchanged_and_connections_are_kept(tongue):
+    async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        got = [await client.ask("guarded", f"r{n}", body=b"x" * 60_000, once=True) for n in (1, 2, 3)]
+        return *(one[:2] for one in got), [call.body for call in node.calls], node.connections
+
+
+def repeats(script):
+    async def played(tongue):
+        told = []
+        for cls in ("free", "single_shot"):
+            async with Node(tongue, script) as node:
+                lines = tongue.line("s1", node.port), tongue.line("s2", node.port)
+                async with sidecar(tongue, *lines) as world:
+                    got = await (await world.client()).ask(cls)
+                    told.append((cls, got.what, len(node.calls)))
+        return tuple(told)
+    return played
+
+
+for script, ends in (
+    (reset, (("free", "refused", 2), ("single_shot", "failed", 1))),
+    (cut_off, (("free", "refused", 2), ("single_shot", "failed", 1))),
+    (errs, (("free", "refused", 2), ("single_shot", "failed", 1))),
+    (spoils, (("free", "refused", 2), ("single_shot", "failed", 1))),
+    (full, (("free", "refused", 2), ("single_shot", "refused", 2))),
+):
+    SCENES[f"repeated_after_{script.__name__}"] = (repeats(script), ends)
+
+
+@scene("refused", ["served"] * 5, 5)
+async def what_has_not_run_goes_elsewhere_or_is_refused(tongue):
+    port = await closed_port()
+    async with Node(tongue, full) as busy, Node(tongue, ok) as good:
+        lines = [tongue.line("s1", busy.port), tongue.line("s2", port)]
+        async with sidecar(tongue, *lines) as world:
+            first = (await (await world.client()).ask("single_shot")).what
+        async with sidecar(tongue, *lines, tongue.line("s3", good.port)) as world:
+            client = await world.client()
+            rest = [(await client.ask("single_shot")).what for _ in range(5)]
+        return first, rest, len(good.calls)
+
+
+@scene(["served"] * 10, 10)
+async def a_connection_closed_while_idle_is_not_sent_on(tongue):
+    async def once(talk: Talk, asked: Asked) -> None:
+        await talk.serve(b"")
+        talk.close()
+
+    async with Node(tongue, once) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        return [(await client.ask("single_shot")).what for _ in range(10)], len(node.calls)
+
+
+@scene(How.OK, True, 0)
+async def a_client_that_leaves_still_leaves_the_module_its_outcome(tongue):
+    came, go = asyncio.Event(), asyncio.Event()
+
+    async def slow(talk: Talk, asked: Asked) -> None:
+        came.set()
+        await go.wait()
+        await ok(talk, asked)
+
+    async with Node(tongue, slow) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        told = world.watch()
+        client = await world.client()
+        await client.send("single_shot")
+        await came.wait()
+        client.leave()
+        while not isinstance(await told.get(), Hangup):
+            pass
+        go.set()
+        while not isinstance(event := await told.get(), Response):
+            pass
+        return event.how, event.closed, len(world.core._requests)
+
+
+@scene(1, 0)
+async def a_held_call_whose_client_leaves_is_forgotten(tongue):
+    async with sidecar(tongue) as world:
+        told = world.watch()
+        client = await world.client()
+        await client.send("free")
+        assert isinstance(await told.get(), Accept)
+        held = len(world.core._requests)
+        client.leave()
+        while not isinstance(await told.get(), Hangup):
+            pass
+        return held, len(world.core._requests)
+
+
+@scene([b"a", b"b", b"c"])
+async def calls_sent_ahead_are_answered_in_order(tongue):
+    async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        for rid in ("a", "b", "c"):
+            await client.send("free", rid)
+        return [(await client.answer()).body for _ in range(3)],
+
+
+@scene("served", "refused")
+async def the_time_of_a_call_that_waits_behind_another_runs(tongue):
+    async def slow(talk: Talk, asked: Asked) -> None:
+        await asyncio.sleep(0.4)
+        await ok(talk, asked)
+
+    async with Node(tongue, slow) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        await client.send("single_shot", "a", 5)
+        await client.send("single_shot", "b", 0.2)
+        return (await client.answer()).what, (await client.answer()).what
+
+
+@scene("broken", "served")
+async def a_fault_while_a_call_is_taken_costs_that_call_alone(tongue):
+    async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        real, world.core._new_id = world.core._new_id, lambda rid, now: 1 // 0
+        first = (await client.ask("free")).what
+        world.core._new_id = real
+        return first, (await client.ask("free")).what
+
+
+@scene("refused", "late", "refused")
+async def the_guard_answers_what_the_module_forgets(tongue):
+    async with Node(tongue, reset) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        module = world.core._module
+        module.handle = lambda now, event: []
+        never_sent = (await client.ask("single_shot", timeout_s=0.2)).what
+        module.handle = lambda now, event: (
+            [Submit(event.tid, "s1", now + 10**9)] if isinstance(event, Accept) else [])
+        may_have_run = (await client.ask("single_shot", timeout_s=0.2)).what
+        return never_sent, may_have_run, (await client.ask("free", timeout_s=0.2)).what
+
+
+@scene("late", True, 1)
+async def a_silent_node_costs_one_answer_in_time(tongue):
+    async with Node(tongue, silent) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        start = time.monotonic()
+        got = await client.ask("single_shot", timeout_s=1.2)
+        return got.what, 0.8 < time.monotonic() - start < 1.2, len(node.calls)
+
+
+@scene("refused", "served")
+async def an_error_in_the_module_fails_its_call_and_no_other(tongue):
+    async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        module = world.core._module
+        real, module.handle = module.handle, lambda now, event: 1 // 0
+        first = (await client.ask("single_shot")).what
+        module.handle = real
+        return first, (await client.ask("single_shot")).what
+
+
+@scene("repeated", "served", "repeated", 1)
+async def the_id_of_an_open_or_recent_call_is_turned_away(tongue):
+    came, go = asyncio.Event(), asyncio.Event()
+
+    async def slow(talk: Talk, asked: Asked) -> None:
+        came.set()
+        await go.wait()
+        await ok(talk, asked)
+
+    async with Node(tongue, slow) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        asking = asyncio.ensure_future((await world.client()).ask("single_shot", "same"))
+        await came.wait()
+        open_ = (await (await world.client()).ask("single_shot", "same")).what
+        go.set()
+        first = (await asking).what
+        return open_, first, (await (await world.client()).ask("single_shot", "same")).what, len(node.calls)
+
+
+@scene("served", "served", 2, 2)
+async def what_follows_a_good_answer_costs_the_connection_alone(tongue):
+    async def twice(talk: Talk, asked: Asked) -> None:
+        await talk.write(talk.good(asked.rid.encode()) * 2)
+
+    async with Node(tongue, twice) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        got = [(await client.ask("single_shot")).what for _ in range(2)]
+        return *got, len(node.calls), node.connections
+
+
+@scene([("served", b"1"), ("served", b"2"), ("served", b"3")], 3)
+async def an_answer_that_comes_late_on_a_kept_connection_is_nobodys(tongue):
+    """The call before was given up; what it is answered with must not be the next call's."""
+    async def late(talk: Talk, asked: Asked) -> None:
+        if asked.rid == "0":
+            await asyncio.sleep(1.5)
+        await ok(talk, asked)
+
+    async with Node(tongue, late) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        assert (await client.ask("single_shot", "0", 1.2)).what == "late"
+        got = [(await client.ask("single_shot", str(n)))[:2] for n in (1, 2, 3)]
+        return got, len({call.rid for call in node.calls}) - 1
+
+
+@scene("served", "refused", 1)
+async def a_node_that_drains_gets_nothing_new(tongue):
+    async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        client = await world.client()
+        first = (await client.ask("free")).what
+        raw = listing(tongue.line("s1", node.port, status="DRAINING"), index=2)
+        world.sidecar._told(read_listing(raw, world.sidecar._settings))
+        return first, (await client.ask("free", timeout_s=0.5)).what, len(node.calls)
+
+
+@scene(How.MOOT, 0)
+async def a_drain_told_between_connect_and_first_byte_stops_the_send(tongue):
+    async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        told = world.watch()
+        upstream = world.sidecar._upstream
+        plain = upstream.connect
+
+        async def connect(address, back):
+            made = await plain(address, back)
+            upstream._targets["s1"].up = False
+            return made
+
+        upstream.connect = connect
+        client = await world.client()
+        await client.send("single_shot")
+        while not isinstance(event := await told.get(), Response):
+            pass
+        return event.how, len(node.calls)
+
+
+@scene(Refuse, 0.25, Fail, "failed")
+async def the_modules_own_ends_are_told_with_when_to_come_back(tongue):
+    async with sidecar(tongue) as world:
+        client = await world.client()
+        module = world.core._module
+        module.handle = lambda now, event: (
+            [Refuse(event.tid, 250_000_000)] if isinstance(event, Accept) else [])
+        refused = await client.ask("free")
+        module.handle = lambda now, event: [Fail(event.tid)] if isinstance(event, Accept) else []
+        return Refuse, refused.again_s, Fail, (await client.ask("free")).what
+
+
+@scene("served", {"inflight": 3.0, "queue": 2.0})
+async def a_probe_brings_the_report(tongue):
+    async with Node(tongue, ok) as node:
+        raw = settings(discovery="subscribe", reporting={"how": "probe"}, limits={"mayProbe": True})
+        async with sidecar(tongue, tongue.line("s1", node.port), raw=raw) as world:
+            talk = type(tongue.talk())
+
+            async def load(self, inflight, queue, plain=talk.load):
+                await plain(self, 3, 2)
+
+            plain, talk.load = talk.load, load
+            try:
+                told = world.watch()
+                world.core._perform(Probe("s1"))
+                while type(event := await told.get()).__name__ != "Echo":
+                    pass
+            finally:
+                talk.load = plain
+            return (await (await world.client()).ask("free")).what, dict(event.load)
+
+
+@scene("served", "served", 2)
+async def at_a_planned_end_what_was_taken_is_answered(tongue):
+    come, go = asyncio.Semaphore(0), asyncio.Event()
+
+    async def slow(talk: Talk, asked: Asked) -> None:
+        come.release()
+        await go.wait()
+        await ok(talk, asked)
+
+    async with Node(tongue, slow) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
+        clients = [await world.client() for _ in range(2)]
+        await clients[0].send("single_shot")
+        await come.acquire()
+        stopping = asyncio.ensure_future(world.sidecar.stop())
+        await asyncio.sleep(0)
+        await clients[1].send("single_shot")  # on a connection from before
+        await come.acquire()
+        go.set()
+        got = [(await client.answer()).what for client in clients]
+        await stopping
+        return *got, len(node.calls)
+
+
+@pytest.mark.parametrize("name", SCENES)
+@pytest.mark.parametrize("tongue", TONGUES, ids=lambda tongue: tongue.name)
+def test_rule(tongue, name, record_property):
+    played, expected = SCENES[name]
+    got = []
+
+    async def limited():
+        got.append(await played(tongue))
+
+    record_property("rule", f"{name}|{tongue.name}")
+    play(limited)
+    assert got[0] == expected
