--- a/rehearsal/clients/caller.py
+++ b/rehearsal/clients/caller.py
@@ -16,11 +16,14 @@
 
 import httptools
 
-from rehearsal import worker
+from hollyport.thrift.stream import Messages
+from hollyport.thrift.wire import Malformed
+from rehearsal import thrift, worker
 from rehearsal.clients import policy
 from rehearsal.clients.flood import BadClient
-from rehearsal.plan import Plan, loads
+from rehearsal.plan import Call, Plan, loads
 
+MOST_FRAME = 1 << 20
 GRACE_US = 50_000  # how much longer an answer may take on sockets before it counts as missing
 TELL_S = 0.5
 TRIES = "0123456789abcdef"
@@ -41,6 +44,7 @@
         "timer",
         "again",
         "row",
+        "seqid",
     )
 
     def __init__(self, call: int, number: int, rid: bytes, target: str) -> None:
@@ -52,6 +56,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.again = False  # sent once more, as the connection had been closed before it was read
         self.row: list[Any] | None = None
+        self.seqid = call & 0x7FFFFFFF
 
 
 class ClientConnection(asyncio.Protocol):
@@ -170,6 +175,59 @@
         self._caller.ended(asked, outcome, self._status, self._retry_after)
 
 
+class ThriftClientConnection(ClientConnection):
+    """The same over Thrift."""
+
+    def __init__(self, caller: Caller, target: str, form: str) -> None:
+        super().__init__(caller, target)
+        self._messages = Messages(thrift.form(form), MOST_FRAME)
+
+    def send(self, asked: Try, data: bytes) -> None:
+        """Write one call."""
+        assert self._transport is not None
+        self.current, asked.connection = asked, self
+        self._transport.write(data)
+        self.used += 1
+
+    def data_received(self, data: bytes) -> None:
+        asked = self.current
+        if asked is None:
+            self._caller.surplus(self._last, data)
+            self.close()
+            return
+        self._messages.feed(data)
+        try:
+            message = self._messages.next()
+        except Malformed:
+            self.current = None
+            self._caller.ended(asked, policy.BROKEN, 0)
+            self.close()
+            return
+        if message is None:
+            return
+        self.current, self._last = None, asked.rid
+        status, body, again = thrift.told(message)
+        if message.head.seqid != asked.seqid:
+            outcome = policy.WRONG
+        elif status == 200:
+            outcome = policy.SERVED if body.startswith(asked.rid + b" ran on ") else policy.WRONG
+        else:
+            outcome = policy.REFUSED if status == 503 else policy.FAILED
+        if self._messages.held:
+            self._caller.surplus(asked.rid, b"a second answer")
+            self.close()
+        else:
+            self._caller.keep(self)
+        self._caller.ended(asked, outcome, status, again)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._caller.forget(self)
+        asked, self.current = self.current, None
+        if asked is not None:
+            self._caller.broken(asked, self.used, 0)
+
+
 class Caller:
     """All clients of this process."""
 
@@ -179,6 +237,7 @@
         self.plan: Plan = loads(Path(config["plan"]).read_bytes())
         self._prefix: str = config["prefix"]
         self._targets: list[str] = config["daemons"]
+        self._thrift: list[str] = config.get("thrift", [])
         self.direct: bool = config["against"] is not None
         first, step = config["first"], config["step"]
         self._mine = [n for n, call in enumerate(self.plan.calls) if call.daemon % step == first]
@@ -273,6 +332,8 @@
         call = self.plan.calls[number]
         rid = f"{self._prefix}{number:07x}{TRIES[tries]}".encode()
         target = (self._books[call.daemon].pick() or "") if self.direct else self._targets[call.daemon]
+        if call.speaks:
+            target = f"{self._thrift[call.daemon]} {call.speaks}"
         asked = Try(number, tries, rid, target)
         asked.timer = self.loop.call_later(call.patience_us / 1e6, self._impatient, asked)
         if call.leave_us and tries == 1:
@@ -292,11 +353,16 @@
         self._task(self._connect(asked))
 
     async def _connect(self, asked: Try) -> None:
-        host, _, port = asked.target.rpartition(":")
+        address, _, form = asked.target.partition(" ")
+        host, _, port = address.rpartition(":")
+
+        def make() -> ClientConnection:
+            if form:
+                return ThriftClientConnection(self, asked.target, form)
+            return ClientConnection(self, asked.target)
+
         try:
-            _, connection = await self.loop.create_connection(
-                lambda: ClientConnection(self, asked.target), host, int(port)
-            )
+            _, connection = await self.loop.create_connection(make, host, int(port))
         except OSError:
             self.ended(asked, policy.UNTAKEN, 0)
             return
@@ -309,6 +375,9 @@
 
     def _write(self, asked: Try, connection: ClientConnection) -> None:
         call = self.plan.calls[asked.call]
+        if call.speaks:
+            self._write_thrift(asked, connection, call)
+            return
         repeat = self._repeats[call.cls]
         body = b"" if repeat == "free" else b'{"call":%d}' % asked.call
         head = [
@@ -322,14 +391,29 @@
             head.append(f"Idempotency-Key: {self._prefix}{asked.call:024x}")
         if repeat != "free":
             head.append(f"Content-Length: {len(body)}")
-        now = self.clock()
+        self._begins(asked, call)
+        connection.send(asked, "\r\n".join(head).encode() + b"\r\n\r\n" + body)
+
+    def _begins(self, asked: Try, call: Call) -> None:
         if asked.sent < 0:
-            asked.sent = now
+            asked.sent = self.clock()
             # The client's time for one try counts from when it sends it.
             if asked.timer is not None:
                 asked.timer.cancel()
             asked.timer = self.loop.call_later(call.patience_us / 1e6, self._impatient, asked)
-        connection.send(asked, "\r\n".join(head).encode() + b"\r\n\r\n" + body)
+
+    def _write_thrift(self, asked: Try, connection: ClientConnection, call: Call) -> None:
+        cls, member = self.plan.classes[call.cls], self.plan.members[call.member]
+        data = thrift.call(
+            call.speaks, cls, asked.seqid, asked.rid, call.patience_us, member, bool(call.oneway), call.filler
+        )
+        self._begins(asked, call)
+        connection.send(asked, data)
+        if call.oneway:
+            # Nobody will say anything; the judge asks the nodes.
+            connection.current = None
+            self.keep(connection)
+            self.ended(asked, policy.TOLD, 0)
 
     def keep(self, connection: ClientConnection) -> None:
         """A connection is free."""
--- a/rehearsal/clients/policy.py
+++ b/rehearsal/clients/policy.py
@@ -13,7 +13,8 @@
 SILENT = "silent"  # no answer when its patience was up
 WRONG = "wrong"  # served with what no node made for it
 LEFT = "left"  # the client left by itself
-DONE = frozenset({SERVED, LEFT, WRONG})
+TOLD = "told"  # a oneway call is written; what became of it only nodes can say
+DONE = frozenset({SERVED, LEFT, WRONG, TOLD})
 
 
 def wait_before_retry(
--- a/rehearsal/criteria.py
+++ b/rehearsal/criteria.py
@@ -38,6 +38,8 @@
         if count:
             kinds = sorted({b.what.partition(" (")[0] for b in found.breaches if b.rule == rule})
             reasons.append(f"rule {rule} broken {count} times: {'; '.join(kinds)[:200]}")
+    if found.unreadable:
+        reasons.append(f"nodes were sent {found.unreadable} times what they can't read")
     reasons += troubles
     probes = found.probes / max(1, len(found.ends))
     for name, value, least in (
--- a/rehearsal/daemon.py
+++ b/rehearsal/daemon.py
@@ -51,7 +51,7 @@
     def __init__(self, number: int, command: list[str], folder: Path, clock: Clock, sockets: int) -> None:
         self.number, self._command, self._folder, self._clock = number, command, folder, clock
         self._sockets = sockets
-        self.address = own_address(random.SystemRandom())
+        self.address, self.thrift = (own_address(random.SystemRandom()) for _ in range(2))
         self.life = 0
         self.process: asyncio.subprocess.Process | None = None
         self._watched: psutil.Process | None = None
--- a/rehearsal/judge.py
+++ b/rehearsal/judge.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from rehearsal.clients.policy import BROKEN, FAILED, LEFT, REFUSED, SERVED, SILENT, UNTAKEN, WRONG
+from rehearsal.clients.policy import BROKEN, FAILED, LEFT, REFUSED, SERVED, SILENT, TOLD, UNTAKEN, WRONG
 from rehearsal.plan import FOREVER, Plan
 
 SOCKETS_US = 50_000  # what every time limit is longer by on sockets (the platform's protocol)
@@ -187,10 +187,12 @@
     classes: dict[str, Tally]
     members: dict[str, Tally]
     within: dict[str, Tally]  # members, within their shares
+    protocols: dict[str, Tally]  # what calls came over
     cross_hall: float
     probes: int
     attempts: int
     handshakes: int
+    unreadable: int  # how often nodes were sent what they can't read
     bad: dict[str, int]
 
     def count(self, rule: str) -> int:
@@ -208,6 +210,8 @@
     classes, members, within = (
         {name: Tally() for name in names} for names in (plan.classes, plan.members, plan.members)
     )
+    spoken = {"http", *("thrift" for call in plan.calls if call.speaks)}
+    protocols = {name: Tally() for name in sorted(spoken)}
     whole = Tally()
     by_second: dict[int, Tally] = defaultdict(Tally)
     for end in ends:
@@ -218,6 +222,7 @@
             by_second[call.due_us // 1_000_000],
             classes[plan.classes[call.cls]],
             members[plan.members[call.member]],
+            protocols["thrift" if call.speaks else "http"],
         ]
         if not call.over:
             tallies.append(within[plan.members[call.member]])
@@ -245,10 +250,12 @@
         classes,
         members,
         within,
+        protocols,
         crossed / len(records.attempts) if records.attempts else 0.0,
         sum(door[2] for door in records.doors),
         len(records.attempts),
         sum(door[3] for door in records.doors),
+        sum(unreadable for _, _, unreadable in records.nodes),
         _bad(records),
     )
 
@@ -284,6 +291,7 @@
     for sent in records.tries:
         by_call[sent.call].append(sent)
     aims = [int(c.aim_ms * 1000) for c in plan.scenario.classes.values()]
+    ended = {a.rid: a.ended for a in records.attempts if a.ended >= 0}
     ends = []
     for number, call in enumerate(plan.calls):
         if call.due_us >= until_us:
@@ -298,6 +306,11 @@
             how = "on_time" if latency <= aims[call.cls] else "late"
         elif last.outcome == LEFT:
             how = "left"
+        elif last.outcome == TOLD:
+            # Its client hears nothing more: what counts is whether a node did the work, and when.
+            latency = ended.get(last.rid, last.end) - call.due_us
+            on_time = "on_time" if latency <= aims[call.cls] else "late"
+            how = on_time if last.rid in ended else "refused"
         else:
             how = "refused" if last.outcome in (REFUSED, UNTAKEN) else "failed"
         ends.append(CallEnd(number, how, latency))
--- a/rehearsal/listing/board.py
+++ b/rehearsal/listing/board.py
@@ -18,6 +18,7 @@
     status: str
     since_us: int
     version: int
+    speaks: str = ""
 
 
 class Board:
@@ -27,7 +28,7 @@
         self._plan = plan
         self.version = FIRST_VERSION
         self.lines: dict[int, Line] = {
-            number: Line("SERVING", 0, FIRST_VERSION)
+            number: Line("SERVING", 0, FIRST_VERSION, node.speaks)
             for number, node in enumerate(plan.nodes)
             if node.born_us < 0
         }
@@ -46,7 +47,9 @@
     def learn(self, news: News) -> None:
         """Take in one piece of news."""
         self.version += 1
-        self.lines[news.node] = Line(news.status, news.since_us, self.version)
+        before = self.lines.get(news.node)
+        speaks = news.speaks or (before.speaks if before else self._plan.nodes[news.node].speaks)
+        self.lines[news.node] = Line(news.status, news.since_us, self.version, speaks)
 
     def forget(self) -> None:
         """Come back after an outage with version numbers that begin anew."""
@@ -104,7 +107,10 @@
         self, number: int, status: str, since_us: int, start_ms: int, address: str
     ) -> dict[str, Any]:
         node = self._plan.nodes[number]
+        line = self.lines.get(number)
+        speaks = line.speaks if line is not None else node.speaks
         return {
+            **({"protocol": f"thrift/{speaks}"} if speaks else {}),
             "name": node.name,
             "address": address,
             "zone": self._plan.halls[node.hall],
--- a/rehearsal/nodes/host.py
+++ b/rehearsal/nodes/host.py
@@ -21,11 +21,15 @@
 
 import httptools
 
-from rehearsal import worker
+from hollyport.thrift.stream import Messages
+from hollyport.thrift.wire import ONEWAY, Head, Malformed
+from rehearsal import thrift, worker
 from rehearsal.nodes.model import Job, NodeModel, Rules
 from rehearsal.plan import FOREVER, Event, Plan, loads, lognormal
+from rehearsal.scenario import EVERY_FORM
 
 BACKLOG = 256
+MOST_FRAME = 4 << 20
 SWEEP_S = 0.5
 SAMPLE_S = 0.5
 SOON_US = 400  # what is due within this is done now: timers count whole milliseconds
@@ -161,9 +165,8 @@
 
     async def _take(self, made: socket.socket) -> None:
         try:
-            await self._host.loop.connect_accepted_socket(
-                lambda: NodeConnection(self._host, self, made), made
-            )
+            kind = ThriftNodeConnection if self.node.speaks else NodeConnection
+            await self._host.loop.connect_accepted_socket(lambda: kind(self._host, self, made), made)
         except OSError:
             made.close()
 
@@ -252,19 +255,42 @@
                 self._timeout_us = 0
 
     def on_message_complete(self) -> None:
-        now, host, node = self._host.clock(), self._host, self._node
+        self._came(self._host.clock())
+
+    # --- what differs by protocol
+
+    def _alien_bytes(self, rid: bytes | None) -> bytes:
+        said = b"404 Not Found" if rid is None else b"400 Bad Request"
+        return ERROR.replace(b"500 Internal Server Error", said)
+
+    def _error_bytes(self) -> bytes:
+        return ERROR
+
+    def _away_bytes(self, status: int) -> bytes:
+        return AWAY % (status, b"Connection: close\r\n" if self._crowded else b"")
+
+    def _good_bytes(self, body: bytes) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+    def _spoilt_bytes(self, plan: str, rid: bytes, body: bytes) -> bytes:
+        return {
+            "noise": b"\x16\x03\x01\x02\x00\x01\x00" + rid + b"\r\n\r\n",
+            "endless": b"HTTP/1.1 200 OK\r\n" + b"X-Filler: " + b"a" * 65536,
+            "short": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body) + 100, body),
+            "huge": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body * 8,
+        }[plan]
+
+    # --- a request that has come in whole
+
+    def _came(self, now: int) -> None:
+        host, node = self._host, self._node
         first, rid = self._first, self._rid
         timeout = self._timeout_us or FOREVER
         self._first, self._rid, self._timeout_us, self._url = -1, None, 0, b""
         call = host.call_of(rid)
         if rid is None or call is None:
             node.aliens.append([first, (rid or b"").decode("latin-1")[:80]])
-            self._say(
-                now,
-                ERROR.replace(
-                    b"500 Internal Server Error", b"404 Not Found" if rid is None else b"400 Bad Request"
-                ),
-            )
+            self._say(now, self._alien_bytes(rid))
             return
         attempt = Attempt(rid, self._door.hall, first, now, self)
         node.attempts.append(attempt)
@@ -288,7 +314,7 @@
             attempt.plan = SPOILT[crc32(rid) % len(SPOILT)]
         elif chance - host.modes["spoilt"] < host.error_part:
             attempt.how, attempt.answered = "error", now
-            self._say(now, ERROR)
+            self._say(now, self._error_bytes())
             return
         if (
             self._crowded
@@ -327,17 +353,16 @@
     def turn_away(self, now: int, attempt: Attempt, status: int) -> None:
         """It has not run and never will."""
         attempt.how = "away" if status == 503 else "late"
-        closing = b"Connection: close\r\n" if self._crowded else b""
         attempt.answered = now
         self.free(attempt)
-        self._say(now, AWAY % (status, closing))
+        self._say(now, self._away_bytes(status))
         if self._crowded:
             self.end(False)
 
     def answer(self, now: int, attempt: Attempt) -> None:
         """It has run: say so, in the way that a fault may have in store."""
         body = ran_on(attempt.rid, self._node.spec.name)
-        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        whole = self._good_bytes(body)
         plan = attempt.plan
         attempt.how, attempt.answered = "ok", now
         self.free(attempt)
@@ -347,12 +372,7 @@
             return
         if plan in ("noise", "endless", "short", "huge"):
             attempt.how = "spoilt"
-            whole = {
-                "noise": b"\x16\x03\x01\x02\x00\x01\x00" + attempt.rid + b"\r\n\r\n",
-                "endless": b"HTTP/1.1 200 OK\r\n" + b"X-Filler: " + b"a" * 65536,
-                "short": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body) + 100, body),
-                "huge": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body * 8,
-            }[plan]
+            whole = self._spoilt_bytes(plan, attempt.rid, body)
         elif plan == "twice":
             whole += whole
         elif plan == "tail":
@@ -377,10 +397,117 @@
             self._host.loop.call_later(wait / 1e6, self._write, data)
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._door.cut:
+        if self._transport is not None and not self._door.cut and data:
             self._transport.write(data)
 
 
+class ThriftNodeConnection(NodeConnection):
+    """The same over Thrift: calls of a connection are worked through in turn, as Thrift servers do."""
+
+    def __init__(self, host: Host, door: Door, made: socket.socket) -> None:
+        super().__init__(host, door, made)
+        self._form = door.node.speaks
+        self._messages = Messages(thrift.form(self._form), MOST_FRAME)
+        self._head: Head | None = None  # of the call that is worked on
+        self._oneway = False
+
+    def data_received(self, data: bytes) -> None:
+        now = self._host.clock()
+        if self._first < 0:
+            self._first = now
+        self._messages.feed(data)
+        if self._attempt is None:
+            self._next(now)
+
+    def _next(self, now: int) -> None:
+        """Begin the next call, unless one is worked on."""
+        try:
+            message = self._messages.next()
+        except Malformed:
+            self._door.node.unreadable += 1
+            self.end(False)
+            return
+        if message is None:
+            if not self._messages.held:
+                self._first = -1
+            elif self._cut_now(self._messages.head()):
+                self.end(True)  # the frame is not whole: nobody may take it to have run
+            return
+        self._head = head = message.head
+        if self._first < 0:
+            self._first = now
+        if head.name.rpartition(b":")[2] == thrift.LOAD:
+            self._first = -1
+            self._load(now)
+            if self._messages.held:
+                self._next(now)
+            return
+        self._oneway = head.kind == ONEWAY
+        self._rid, self._timeout_us = thrift.asked(message)
+        if self._rid is not None and self._cut_now(head):
+            attempt = Attempt(self._rid, self._door.hall, self._first, now, self)
+            attempt.how = "reset"
+            self._node.attempts.append(attempt)
+            self.end(True)
+            return
+        self._came(now)
+        if self._attempt is None and self._oneway:
+            self._next(now)  # turned away, and nobody told
+
+    def _cut_now(self, head: Head | None) -> bool:
+        part = self._host.modes["cut-frames"]
+        if not part or head is None or head.name.rpartition(b":")[2] == thrift.LOAD:
+            return False
+        draw = b"%d/%d/%d" % (self._host.plan.seed, head.seqid, self.idle_since)
+        return crc32(draw) / 2**32 < part
+
+    def _load(self, now: int) -> None:
+        node, model = self._node, self._node.model
+        self._door.probes += 1
+        if self._door.cut or node.mute or model is None or self._head is None:
+            return
+        model.charge(now, node.spec.probe_us)
+        if node.draining:
+            self._say(now, thrift.error(self._form, self._head, thrift.SHED))
+        else:
+            self._say(now, thrift.load(self._form, self._head, *model.load(now)))
+
+    def _alien_bytes(self, rid: bytes | None) -> bytes:
+        return self._error_bytes()
+
+    def _error_bytes(self) -> bytes:
+        assert self._head is not None
+        return b"" if self._oneway else thrift.error(self._form, self._head, thrift.BUG)
+
+    def _away_bytes(self, status: int) -> bytes:
+        assert self._head is not None
+        return b"" if self._oneway else thrift.error(self._form, self._head, thrift.SHED)
+
+    def _good_bytes(self, body: bytes) -> bytes:
+        assert self._head is not None
+        return b"" if self._oneway else thrift.answer(self._form, self._head, body)
+
+    def _spoilt_bytes(self, plan: str, rid: bytes, body: bytes) -> bytes:
+        assert self._head is not None
+        good = thrift.answer(self._form, self._head, body)
+        return {
+            "noise": b"\xcf\xe7\x16\x03" + rid,
+            "endless": good[:-1] + b"\x0b\x00\x07" * 200,
+            "short": good[:-3],
+            "huge": b"\x7f\xff\xff\xff" + good,
+        }[plan]
+
+    def free(self, attempt: Attempt) -> None:
+        """The connection can take the next call: one that came meanwhile is begun."""
+        super().free(attempt)
+        if self._messages.held:
+            self._host.loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        if self._transport is not None and self._attempt is None and self._messages.held:
+            self._next(self._host.clock())
+
+
 class HostedNode:
     """One node: its doors, the process that runs now, and all that it was sent."""
 
@@ -389,6 +516,7 @@
         self.spec = host.plan.nodes[number]
         self.model: NodeModel | None = None
         self.draining = self.mute = False
+        self.speaks = self.spec.speaks  # the form of Thrift; "" for HTTP
         self.attempts: list[Attempt] = []
         self.aliens: list[list[Any]] = []
         self.falls: list[int] = []
@@ -471,6 +599,8 @@
             self.draining = bool(event.value)
         elif event.what == "mute":
             self.mute = bool(event.value)
+        elif event.what == "speak":
+            self.speaks = EVERY_FORM[int(event.value)]
         elif model is not None:
             if event.what == "pause":
                 model.pause(now, int(event.value))
@@ -509,7 +639,7 @@
             kind.drops_expired,
         )
         self._noise = [c.noise for c in classes]
-        self.modes = {"reset-run": 0.0, "reset-unrun": 0.0, "spoilt": 0.0}
+        self.modes = {"reset-run": 0.0, "reset-unrun": 0.0, "spoilt": 0.0, "cut-frames": 0.0}
         self.stale_us = 0
         numbers = range(config["first"], len(self.plan.nodes), config["step"])
         self.nodes = {number: HostedNode(self, number) for number in numbers}
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -43,6 +43,9 @@
     honour: int  # whether Retry-After is heeded
     leave_us: int  # when the client leaves its first try, 0 if it stays
     over: int  # whether it lies beyond the member's share
+    speaks: str = ""  # the form of Thrift; "" for HTTP
+    oneway: int = 0  # whether nobody waits for an answer
+    filler: int = 0  # bytes that it carries beside the usual
 
 
 class Event(NamedTuple):
@@ -62,6 +65,7 @@
     node: int
     status: str
     since_us: int  # start of the process; 0: long ago
+    speaks: str = ""  # the form of Thrift from now on; "" where that has not changed
 
 
 class Node(NamedTuple):
@@ -83,6 +87,7 @@
     jam_rest_us: int
     jam_most_us: int
     oneway_us: tuple[int, ...]  # from each hall
+    speaks: str = ""  # the form of Thrift, at first; "" for HTTP
 
 
 class Span(NamedTuple):
@@ -269,10 +274,13 @@
         self.bad: list[Bad] = []
         self._fated: set[int] = set()  # nodes whose process a fault has already ended
         halls = [hall.nodes for hall in scenario.hall.values()]
+        speaks = _speaking(scenario, size.nodes, seed)
         for i, hall in enumerate(_spread(halls, size.nodes)):
-            self._add(f"n{i:03d}", hall, -1)
+            self._add(f"n{i:03d}", hall, -1, speaks=speaks.get(i, ""))
 
-    def _add(self, name: str, hall: int, born_us: int, cell: int | None = None) -> int:
+    def _add(
+        self, name: str, hall: int, born_us: int, cell: int | None = None, speaks: str = ""
+    ) -> int:
         kind, link = self._scenario.node, self._scenario.link
         draw = _stream(self._seed, "node", name)
         number = len(self.nodes)
@@ -297,6 +305,7 @@
                     round(1000 * draw.uniform(*(link.same_ms if other == hall else link.cross_ms)))
                     for other in range(len(self._scenario.hall))
                 ),
+                speaks=speaks,
             )
         )
         return number
@@ -376,7 +385,11 @@
                 self._tell(draw, stop, lists.notice_s, old, "DELETED")
                 born = at + _us(draw.uniform(0.0, DOORSTEP_S)) if fault.ahead else stop + _us(DOORSTEP_S)
                 new = self._add(
-                    f"{self.nodes[old].name}-{key}", self.nodes[old].hall, born, self.nodes[old].cell
+                    f"{self.nodes[old].name}-{key}",
+                    self.nodes[old].hall,
+                    born,
+                    self.nodes[old].cell,
+                    self.nodes[old].speaks,
                 )
                 self._event(born, "node", new, "start")
                 self._tell(draw, born, lists.add_s, new, "SERVING")
@@ -392,6 +405,34 @@
             listed = max(back + _us(draw.uniform(*lists.add_s)), self.news[-1].t_us + 1)
             self.news.append(News(listed, node, "SERVING", back))
 
+    def _turn(self, key: str, fault: sc.Turn, draw: random.Random, start: int, end: int, _: int) -> None:
+        running = self._some(draw, 1.0, start)
+        http = [node for node in running if not self.nodes[node].speaks and node not in self._fated]
+        chosen = sorted(draw.sample(http, min(len(http), math.floor(fault.part * self._size.nodes + 1e-9))))
+        self._fated.update(chosen)
+        draw.shuffle(chosen)
+        most = max(1, math.floor(fault.batch * self._size.nodes))
+        batches = [chosen[i : i + most] for i in range(0, len(chosen), most)]
+        span = max(0, end - start - _us(fault.drain_s[1] + fault.away_s[1]))
+        lists, form = self._scenario.list, list(sc.EVERY_FORM).index(fault.form)
+        for number, batch in enumerate(batches):
+            at = start + span * number // max(1, len(batches) - 1)
+            for node in batch:
+                stop = at + _us(draw.uniform(*fault.drain_s))
+                back = stop + _us(draw.uniform(*fault.away_s))
+                self._event(at, "node", node, "drain", 1.0)
+                self._tell(draw, at, lists.drain_s, node, "DRAINING")
+                self._event(stop, "node", node, "stop")
+                self._event(stop + 1, "node", node, "speak", form)
+                self._event(back, "node", node, "start")
+                listed = max(back + _us(draw.uniform(*lists.add_s)), self.news[-1].t_us + 1)
+                self.news.append(News(listed, node, "SERVING", back, fault.form))
+
+    def _cut_frames(
+        self, key: str, fault: sc.CutFrames, draw: random.Random, start: int, end: int, _: int
+    ) -> None:
+        self._switch(start, end, "nodes", 0, "cut-frames", fault.part)
+
     def _drain(self, key: str, fault: sc.Drain, draw: random.Random, start: int, end: int, _: int) -> None:
         lists = self._scenario.list
         for node in self._some(draw, fault.part, start, ends=True):
@@ -481,6 +522,15 @@
             self.bad.append(Bad(round(at), draw.randrange(daemons), draw.randrange(len(BAD_KINDS))))
 
 
+def _speaking(scenario: sc.Scenario, nodes: int, seed: int) -> dict[int, str]:
+    """The nodes that speak Thrift from the start, and which form."""
+    told = scenario.thrift
+    if told is None:
+        return {}
+    chosen = sorted(_stream(seed, "speaking").sample(range(nodes), round(told.nodes * nodes)))
+    return {node: told.node_forms[i % len(told.node_forms)] for i, node in enumerate(chosen)}
+
+
 # --- arrivals
 
 
@@ -575,6 +625,14 @@
         level = min(allowed[member], level + (t - at) * allowed[member])
         over = level < 1.0
         buckets[member] = (level if over else level - 1.0, t)
+        speaks, oneway, filler = "", False, 0.0
+        if scenario.thrift is not None:
+            told = scenario.thrift
+            over_thrift = _stream(seed, "thrift", number)
+            if over_thrift.random() < told.calls.get(names[cls], 0.0):
+                speaks = over_thrift.choice(told.client_forms)
+                oneway = over_thrift.random() < told.oneway.get(names[cls], 0.0)
+                filler = over_thrift.uniform(*told.filler_kb)
         yield Call(
             round(t * SECOND),
             cls,
@@ -587,4 +645,7 @@
             int(honour),
             round(leave * 1000),
             int(over),
+            speaks,
+            int(oneway),
+            round(filler * 1024),
         )
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from rehearsal import settings
+from rehearsal import settings, thrift
 from rehearsal.daemon import Daemon, default_command, environment
 from rehearsal.judge import Records
 from rehearsal.listing.eureka import EurekaPart
@@ -211,6 +211,7 @@
                         "against": self._against,
                         "lists": lists,
                         "daemons": [daemon.address for daemon in self._daemons],
+                        "thrift": [daemon.thrift for daemon in self._daemons],
                     },
                 )
             )
@@ -229,8 +230,11 @@
     def _configure(self, daemon: Daemon) -> None:
         assert self._list is not None
         n = daemon.number
-        if self._eureka is not None:
-            daemon.write_options(self._eureka.options(n, self._owners))
+        tables = [] if self._eureka is None else [self._eureka.options(n, self._owners)]
+        if self._plan.scenario.thrift is not None:
+            tables.append(thrift.options(daemon.thrift, self._plan.scenario.classes))
+        if tables:
+            daemon.write_options("\n".join(tables))
         daemon.write(
             settings.config(
                 self._plan,
--- a/rehearsal/report/data.py
+++ b/rehearsal/report/data.py
@@ -51,6 +51,10 @@
             name: {**tally.as_json(), "within_share": round(found.within[name].ratio(), 4)}
             for name, tally in found.members.items()
         },
+        "protocols": {
+            name: {**tally.as_json(), "on_time_by_class": _by_class(plan, found, name)}
+            for name, tally in found.protocols.items()
+        },
         "rules": {rule: _rule(plan, played.records, found, rule) for rule in RULES},
         "calls": len(found.ends),
         "tries": len(played.records.tries),
@@ -58,6 +62,7 @@
         "latency_ms": _latencies(found),
         "cross_hall": round(found.cross_hall, 4),
         "probes": found.probes,
+        "unreadable": found.unreadable,
         "attempts": found.attempts,
         "handshakes": found.handshakes,
         "list_calls": played.list_calls,
@@ -128,3 +133,15 @@
         },
         "starts": sum(1 for life in records.lives if life.what == "start"),
     }
+
+
+def _by_class(plan: Plan, found: Judgement, protocol: str) -> dict[str, float]:
+    """The part of each class's calls over one protocol that was answered on time."""
+    counts: dict[str, list[int]] = {}
+    for end in found.ends:
+        call = plan.calls[end.call]
+        if ("thrift" if call.speaks else "http") == protocol:
+            row = counts.setdefault(plan.classes[call.cls], [0, 0])
+            row[0] += 1
+            row[1] += end.how == "on_time"
+    return {name: round(good / asked, 4) for name, (asked, good) in sorted(counts.items())}
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -191,6 +191,21 @@
     stop_s: float = Field(default=3.7, gt=0.0, description="from SIGTERM to SIGKILL")
 
 
+FormName = Literal["framed-binary", "framed-compact", "unframed-binary", "unframed-compact"]
+EVERY_FORM: tuple[FormName, ...] = ("framed-binary", "framed-compact", "unframed-binary", "unframed-compact")
+
+
+class ThriftPart(Piece):
+    """Part of the calls come over Thrift, and part of the nodes speak it; the rest is HTTP."""
+
+    calls: dict[str, Part] = Field(description="part of each class's calls")
+    oneway: dict[str, Part] = Field(default_factory=dict, description="part of these that nobody waits for")
+    filler_kb: Range = Field(default=(0.0, 0.0), description="what calls carry beside the usual")
+    client_forms: tuple[FormName, ...] = Field(default=EVERY_FORM, min_length=1)
+    nodes: Part = 0.5
+    node_forms: tuple[FormName, ...] = Field(default=EVERY_FORM, min_length=1)
+
+
 class Fault(Piece):
     """What all faults have: when, from the first call on, and for how long."""
 
@@ -362,6 +377,26 @@
     hall: str
 
 
+class Turn(Fault):
+    """Part of the nodes, batch by batch, drain, stop, and come back cold under the same name and address,
+    speaking Thrift."""
+
+    kind: Literal["turn"]
+    part: Part = 0.3
+    batch: Annotated[float, Field(gt=0.0, le=1.0)] = 0.1
+    drain_s: Range = (1.5, 2.0)
+    away_s: Range = Field(default=(0.5, 1.0), description="between the old process and the new")
+    form: FormName = "framed-compact"
+
+
+class CutFrames(Fault):
+    """Part of the calls over Thrift end their connection: in the middle of the frame where it comes in
+    pieces, right behind its last byte where it came whole."""
+
+    kind: Literal["cut-frames"]
+    part: Part = 0.1
+
+
 AnyFault = Annotated[
     Pauses
     | Neighbour
@@ -381,7 +416,9 @@
     | Flood
     | RegistryFault
     | Flap
-    | Migrate,
+    | Migrate
+    | Turn
+    | CutFrames,
     Field(discriminator="kind"),
 ]
 
@@ -422,6 +459,7 @@
     node: Node = Node()
     list: NodeList = NodeList()
     daemon: Daemon = Daemon()
+    thrift: ThriftPart | None = None
     fault: dict[str, AnyFault] = Field(default_factory=dict)
     criteria: Criteria = Field(default=Criteria(), alias="pass")
 
@@ -434,7 +472,14 @@
             h.traffic for h in self.hall.values()
         ):
             raise ValueError("hall: one at least needs nodes, and one traffic")
+        if self.thrift is not None:
+            for key, parts in (("calls", self.thrift.calls), ("oneway", self.thrift.oneway)):
+                for name in parts:
+                    if name not in self.classes:
+                        raise ValueError(f"thrift.{key}.{name}: no such class: {name}")
         for name, fault in self.fault.items():
+            if isinstance(fault, Turn | CutFrames) and self.thrift is None:
+                raise ValueError(f"fault.{name}.kind: needs a thrift table")
             if isinstance(fault, RegistryFault | Flap | Migrate) and "eureka" not in self.list.sources:
                 raise ValueError(f"fault.{name}.kind: needs eureka among list.sources")
             if isinstance(fault, Cut | Migrate) and fault.hall not in self.hall:
@@ -495,6 +540,8 @@
         "registry",
         "flap",
         "migrate",
+        "turn",
+        "cut-frames",
     }
 )
 
--- /dev/null
+++ b/tests/thrift/test_scenarios.py
@@ -0,0 +1,59 @@
+"""The Thrift scenarios, in short: a sound daemon passes, one with a seeded bug fails and is told why."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+HERE = Path(__file__).parent
+ROOT = HERE.parent.parent
+AT_ONCE = 4  # plays side by side: each is mostly waiting
+LIMIT_S = 120
+
+PLAYS = {
+    # scenario: (the seeded bug, what a reason must say)
+    "short-sale": ("answers_under_its_own_sequence_ids", "rule lost broken"),
+    "short-oneway": ("takes_what_was_written_for_unsent", "rule repeated broken"),
+    "short-mixed-deploy": ("keeps_nodes_in_the_pool_that_they_came_in", "nodes were sent"),
+}
+
+
+def play(scenario: str, kind: str, folder: Path) -> tuple[int, dict]:
+    out = folder / f"{scenario}-{kind}.json"
+    words = [sys.executable, "-m", "rehearsal", "run", str(HERE / f"{scenario}.toml"), "--quiet"]
+    words += ["--seed", "3", "--json", str(out)]
+    if kind:
+        words += ["--daemon", f"{sys.executable} {HERE / 'seeded.py'} {kind}"]
+    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=LIMIT_S)
+    assert out.exists(), done.stdout + done.stderr
+    return done.returncode, json.loads(out.read_text())
+
+
+@pytest.fixture(scope="module")
+def plays(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("plays")
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        yield {
+            (scenario, kind): pool.submit(play, scenario, kind, folder)
+            for scenario, (bug, _) in PLAYS.items()
+            for kind in ("", bug)
+        }
+
+
+@pytest.mark.parametrize("scenario", PLAYS)
+def test_a_sound_daemon_passes(plays, scenario):
+    code, report = plays[scenario, ""].result()
+    assert (code, report["reasons"]) == (0, [])
+    assert report["protocols"]["thrift"]["on_time"] > 20
+
+
+@pytest.mark.parametrize("scenario", PLAYS)
+def test_a_seeded_bug_fails_it(plays, scenario):
+    kind, said = PLAYS[scenario]
+    code, report = plays[scenario, kind].result()
+    assert code == 1 and any(reason.startswith(said) for reason in report["reasons"]), report["reasons"]
