--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -202,8 +202,8 @@
 class Play:
     """Calls at their due times, or one after another from each connection."""
 
-    def __init__(self, port: int, connections: int) -> None:
-        self._port, self._most = port, connections
+    def __init__(self, port: int, connections: int, caller: Any = Caller) -> None:
+        self._port, self._most, self._caller = port, connections, caller
         self._idle: deque[Caller] = deque()
         self._due: deque[float] = deque()
         self._open = 0
@@ -238,7 +238,7 @@
         self._open += 1
         loop = asyncio.get_running_loop()
         try:
-            await loop.create_connection(lambda: Caller(self), "127.0.0.1", self._port)
+            await loop.create_connection(lambda: self._caller(self), "127.0.0.1", self._port)
         except OSError:
             self._open -= 1
 
@@ -271,15 +271,15 @@
 
 
 def measure(
-    port: int, pids: list[int], rate: float, seconds: float, closed: int
+    port: int, pids: list[int], rate: float, seconds: float, closed: int, caller: Any = Caller
 ) -> dict[str, float | int | None]:
     """One play, and the CPU that the program took meanwhile. Warmed up first, for half a second."""
     import uvloop
 
     async def main() -> dict[str, float | int | None]:
-        warm = Play(port, 64)
+        warm = Play(port, 64, caller)
         await warm.open_loop(min(rate, 300.0), 0.5)
-        play = Play(port, closed or 256)
+        play = Play(port, closed or 256, caller)
         processes = [psutil.Process(pid) for pid in pids]
         before = sum(sum(p.cpu_times()[:2]) for p in processes)
         offered = await (play.closed_loop(seconds) if closed else play.open_loop(rate, seconds))
--- a/hollyport/thrift/stream.py
+++ b/hollyport/thrift/stream.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import NamedTuple
 
+from hollyport.thrift.walk import end_of
 from hollyport.thrift.wire import (
     CALL,
     COMPACT_ID,
@@ -190,8 +192,17 @@
         if self._head is None:
             if not held:
                 return None
-            self._head = self.form.protocol.head(held)
-            self._scan = Scan(self.form.protocol, self._head.body_at, self._most)
+            head = self.form.protocol.head(held)
+            # Most messages are there whole at the first look, and one walk finds their end. Where it does
+            # not, the scan goes on from piece to piece, and says what is wrong.
+            with suppress(Malformed):
+                data = bytes(held)
+                end = end_of(self.form.protocol, data, head.body_at)
+                if end <= self._most:
+                    del held[:end]
+                    return Message(self.form, head, data[:end])
+            self._head = head
+            self._scan = Scan(self.form.protocol, head.body_at, self._most)
         assert self._scan is not None
         if not self._scan.run(held):
             return None
@@ -202,10 +213,9 @@
 
 
 def whole(message: Message) -> None:
-    """Check that a message is one struct and nothing more. Raise Malformed; for answers of nodes, which are
-    passed on as they are."""
-    scan = Scan(message.form.protocol, message.head.body_at, len(message.data))
-    if not scan.run(message.data) or scan.at != len(message.data):
+    """Check that a message is one struct and nothing more. Raise Malformed; for what came in a frame and is
+    passed on as it is: what is left behind a struct would be taken for the next message."""
+    if end_of(message.form.protocol, message.data, message.head.body_at) != len(message.data):
         raise Malformed("more follows the message in its frame")
 
 
