--- a/tests/core/test_pools.py
+++ b/tests/core/test_pools.py
@@ -133,14 +133,13 @@
     binary, compact = THRIFT[0], next(tongue for tongue in THRIFT if tongue.form == "framed-compact")
 
     async def scene():
-        async with Node(binary, ok) as node:
-            async with sidecar(binary, binary.line("s1", node.port)) as world:
-                client = await world.client()
-                assert (await client.ask("free")).what == "served"
-                before = node.connections
-                node.tongue = compact
-                raw = listing(compact.line("s1", node.port), index=2)
-                world.sidecar._told(read_listing(raw, world.sidecar._settings))
-                assert (await client.ask("single_shot")).what == "served"
-                assert node.connections == before + 1 and len(node.calls) == 2
+        async with Node(binary, ok) as node, sidecar(binary, binary.line("s1", node.port)) as world:
+            client = await world.client()
+            assert (await client.ask("free")).what == "served"
+            before = node.connections
+            node.tongue = compact
+            raw = listing(compact.line("s1", node.port), index=2)
+            world.sidecar._told(read_listing(raw, world.sidecar._settings))
+            assert (await client.ask("single_shot")).what == "served"
+            assert node.connections == before + 1 and len(node.calls) == 2
     play(scene)
