Tries whose limit tells that their aim has passed go first when others wait

Every request carries its limit; the usual one is the median of the last 32. A try cut short has only what is left of the deadline, so the rest is spent; where its aim has passed, late answers are worth nothing and crowding is felt at all, it is refused at once. Crowding felt from own answers is averaged over twice as many (its noise alone shed one call in ten).

--- a/dunefield/crowding.py
+++ b/dunefield/crowding.py
@@ -9,6 +9,7 @@
 from dunefield.state import GAIN
 
 CROWDED = 0.4  # crowding from which calls are shed
+STIR = 0.05  # crowding from which those go that are worth nothing any more
 JAMMED = 4.0  # crowding that one call's finding counts for at most
 MOST = 1.5  # crowding at most: from 1 on all are shed, and what goes beyond only makes that last
 SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
@@ -53,7 +54,7 @@
     def felt(self, now: int, slow: bool) -> None:
         """An own answer was slow or was not, where nothing else tells. Only whether, not how much: a server
         that stands still or keeps silent says nothing of the rest."""
-        self.level += (slow - self.level) * GAIN
+        self.level += (slow - self.level) * GAIN / 2
         self._at = now
 
     def sheds(self, now: int, number: int, out: int, flow: float, draw: float) -> bool:
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -13,11 +13,12 @@
 import random
 from zlib import crc32
 
-from dunefield.crowding import CROWDED, Crowding
+from dunefield.crowding import CROWDED, STIR, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
     How, Probe, Refuse, RequestClass, Response, Retract, Settings, Submit, Subscribe,
 )
+from dunefield.patience import Patience
 from dunefield.state import FIGURE, GAIN, Attempt, Call, Server
 
 UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
@@ -69,6 +70,7 @@
         self._stretch = 1.0  # service time over size, all servers
         self._tokens = 1.0 / RETRY_RATIO
         self._rate = 0.0  # requests of late, for each nanosecond
+        self._patience = Patience()
         self._flow = 0.0  # the same over some seconds: what the reach goes by
         self._served = 0.0  # answers of late, likewise
         self._heard_at = self._served_at = self._begun_at = now
@@ -120,7 +122,11 @@
         call.give_up = self._give_up(call)
         self._calls[event.tid] = call
         self._count(now, number)
-        if now >= call.give_up or self._shed(now, number, call.size):
+        past = self._patience.spent(event.ttl_ns, cls.deadline_ns) >= cls.aim_ns and cls.late_worth <= 0
+        if now >= call.give_up or (past and self._crowding.level > STIR):
+            # Exception "shedding": its aim has passed in tries before this one, so it goes before all others.
+            self._end(now, call, call.cls.aim_ns // 8)
+        elif self._shed(now, number, call.size):
             self._end(now, call, call.cls.aim_ns // 8)
         elif self._probing:
             self._ask(now, call)
