Suspects' probes and asks for lists wait out bounded pauses; a busy suspect comes back sooner

A probe of a machine that vanished ends unsent after 27 ms while its connection takes 200 ms to fail, and _asked_trial took that for nobody's fault and let the next call probe again. Now the pause doubles for it as for silence. Traced: a suspect that answered its probe with a queue had its pause doubled as well, to 3.2 s, so in overload idle servers stayed out. Found by a test that turns calls for lists away for 10 s: the pause could be drawn up to 20 s, twice the age that a list may have, and 15 of 40 sidecars had none 10 s after discovery was back. Now 7.5 s at most.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -245,9 +245,10 @@
     def _on_directory(self, now: int, event: Directory) -> None:
         inv = self._set.invariants
         if event.scope == "FAILED":
-            # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out.
+            # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out. What
+            # is drawn may be twice the pause, and must leave a list younger than is allowed.
             self._watching = False
-            self._ask_pause = min(self._ask_pause * 2, inv.must_ask_in_ns)
+            self._ask_pause = min(self._ask_pause * 2, inv.must_ask_in_ns * 3 // 8)
             self._ask_later(now)
             return
         if event.scope == "SAVED":
@@ -752,11 +753,16 @@
         if not server.trial:
             return
         server.trial = False
-        if event.how == How.OK and event.load.get("queue", 0.0) < UNTOLD:
+        queue = event.load.get("queue", 0.0)
+        if event.how == How.OK and queue < UNTOLD:
             server.k, server.backoff, server.retry_at = 1, 0, 0
             self._live += server.up
-        elif event.how != How.MOOT:
-            server.backoff = min(max(2 * server.backoff, self._horizon), 8 * self._horizon)
+        elif event.how == How.OK:
+            # It works: no longer a suspect, only busy for about as long as that queue takes.
+            server.backoff = 0
+            server.retry_at = now + int(queue * self._pace * 4 * (0.75 + 0.5 * self._random()))
+        else:  # also where no connection came up in time, or there was no descriptor for one
+            server.backoff = min(max(2 * server.backoff, self._horizon), 4 * self._horizon)
             server.retry_at = now + int(server.backoff * (0.75 + 0.5 * self._random()))
         self._refresh(server)
         self._pump(now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 from build import MS, SECOND, accept, only, outcome, settings
 from crowd import Crowd, nodes
 
-from dunefield import Balancer, Directory, Echo, Entry, How, Probe, Submit
+from dunefield import Alarm, Balancer, Directory, Echo, Entry, How, Probe, Submit, Subscribe
 
 SIDECARS = 40
 
@@ -222,3 +222,95 @@
     before = crowd.ends.copy()
     crowd.run(4)
     assert served(crowd, before) > 0.85
+
+
+# --- lists, caps, and one alone -------------------------------------------------------------------
+
+
+def test_forty_that_start_at_once_all_get_a_list_from_a_discovery_that_serves_few():
+    crowd = Crowd(nodes(60), SIDECARS, capacity=1600.0)  # 2.5 s for forty lists, if none is asked for twice
+    crowd.load(600, 8)
+    crowd.run(9)
+    assert len(crowd.listed_at) == SIDECARS
+    assert len(crowd.asked) <= 2 * SIDECARS
+    slots = Counter((when - SECOND) // (100 * MS) for when in crowd.asked)
+    assert max(slots.values()) <= SIDECARS // 4
+    assert served(crowd) > 0.9  # from the list that they knew
+
+
+def test_a_discovery_that_turns_calls_away_for_ten_seconds_is_not_stormed():
+    crowd = Crowd(nodes(60), SIDECARS, capacity=4000.0)
+    crowd.load(600, 25)
+    crowd.run(5)
+    assert len(crowd.watching) == SIDECARS
+    before, asked = crowd.ends.copy(), len(crowd.asked)
+    crowd.outage(10)
+    crowd.run(10)
+    assert len(crowd.asked) - asked <= 5 * SIDECARS  # doubling pauses, each with a draw of its own
+    assert served(crowd, before) > 0.9
+    back = len(crowd.asked)
+    crowd.run(10)
+    slots = Counter(when // (100 * MS) for when in crowd.asked[back:])
+    assert len(crowd.watching) == SIDECARS
+    assert max(slots.values()) <= SIDECARS // 4
+
+
+def test_one_call_for_the_list_at_a_time():
+    balancer = fleet(listed(4), sidecars=2, discovery="subscribe")[0]
+    asked = 0
+    balancer.handle(SECOND, Directory("FAILED"))
+    for i in range(200):
+        asked += len(only(balancer.handle(SECOND + i * 10 * MS, Alarm(0)), Subscribe))
+    assert asked == 1
+
+
+def test_a_server_at_its_cap_of_connections_costs_each_sidecar_little():
+    """It turns away whoever is not connected yet; those that are go on, the others leave it alone."""
+    crowd = Crowd(nodes(60), SIDECARS)
+    crowd.load(800, 10)
+    crowd.run(2)
+    capped = list(crowd.nodes.values())[::6]
+    for node in capped:
+        node.cap = 1
+    crowd.run(1)
+    sent, before = len(crowd.sent), crowd.ends.copy()
+    crowd.run(5)
+    turned_away = sum(
+        server == node.name and i not in node.guests for node in capped for _, i, server in crowd.sent[sent:]
+    )
+    assert turned_away <= 0.03 * (len(crowd.sent) - sent)
+    assert served(crowd, before) > 0.8
+    assert all(any(server == node.name for _, _, server in crowd.sent[sent:]) for node in capped[:3])
+
+
+def test_one_alone_with_one_server_is_served_and_survives_its_failure():
+    crowd = Crowd(nodes(1), 1)
+    crowd.load(8, 12)
+    crowd.run(5)
+    assert served(crowd) > 0.9
+    node = next(iter(crowd.nodes.values()))
+    node.mode = "full"
+    crowd.run(1)
+    node.mode = "good"
+    crowd.run(1)
+    before = crowd.ends.copy()
+    crowd.run(5)
+    assert served(crowd, before) > 0.9
+
+
+def test_a_probe_that_no_connection_came_up_for_is_not_sent_again_at_once():
+    """A machine that vanished answers no probe, and its connections take longer to fail than a probe may: one
+    probe a call took all descriptors of a sidecar within seconds."""
+    balancer = fleet(listed(4), sidecars=2, limits={"mayProbe": True}, prices={"probe": 0.08})[0]
+    send = only(balancer.handle(SECOND, accept("a")), Submit)[0]
+    balancer.handle(SECOND + 200 * MS, outcome(send, How.CONNECT_FAILED, lag_ns=200 * MS))
+    probes = 0
+    for i in range(150):
+        now = SECOND + (200 + 20 * i) * MS
+        actions = balancer.handle(now, accept(f"c{i}"))
+        for other in only(actions, Submit):
+            balancer.handle(now + 5 * MS, outcome(other, lag_ns=5 * MS))
+        for probe in only(actions, Probe):
+            probes += 1
+            balancer.handle(now + 6 * MS, Echo(probe.server, How.MOOT, 6 * MS, {}))
+    assert 1 <= probes <= 4  # in three seconds, with a pause that doubles
