--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Real decision modules on fake time, with models of what they balance."""
--- a/tests/crowd.py
+++ b/emulator/crowd.py
@@ -1,6 +1,7 @@
 """A fleet on fake time: real modules, servers that work through a queue, one discovery for all.
 
-Small on purpose: what a test needs to count over many sidecars, and nothing random but what a seed draws.
+Small on purpose: what tests and benchmarks need to count over many sidecars, and nothing random but what a
+seed draws.
 """
 
 from __future__ import annotations
@@ -10,10 +11,9 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
-from build import MS, SECOND, settings
-
 from dunefield import (
     Accept,
     Alarm,
@@ -28,9 +28,14 @@
     Refuse,
     Response,
     Retract,
+    Settings,
     Submit,
     Subscribe,
 )
+from dunefield.interface import Event
+
+MS = 1_000_000
+SECOND = 1000 * MS
 
 COLD_FROM, COLD_S, MULTIPLE, WINDOW_S = 0.4, 8.0, 2.5, 1.5
 WORK = 40 * MS
@@ -50,6 +55,7 @@
     "invariants": {"coldFrom": COLD_FROM, "coldNs": int(COLD_S * SECOND), "fallMultiple": MULTIPLE,
                    "fallNs": int(WINDOW_S * SECOND), "mustAskInNs": 10 * SECOND, "drainGraceNs": SECOND},
     "prices": {"probe": 0.08, "handshake": 0.08, "discovery": 0.05, "waste": 0.2},
+    "periodNs": MS,
 }
 
 
@@ -121,7 +127,7 @@
         self.tries: Counter[tuple[int, str]] = Counter()
         self.sidecars = []
         for i in range(sidecars):
-            told = settings(**TOLD, index=i, replicasOfMe=sidecars)
+            told = Settings.parse({**TOLD, "index": i, "replicasOfMe": sidecars})
             self.sidecars.append(Balancer(told, seed * 1000 + i, self.now))
             self.tell(i, Directory("SAVED", tuple(self.listed.values())))
 
@@ -147,7 +153,7 @@
             when += int(self.random.expovariate(rate) * SECOND)
             i = self.random.choices(chosen, weights)[0]
             cls = self.random.choices(range(3), SHARES)[0]
-            self.at(when, lambda i=i, cls=cls: self.call(i, cls))
+            self.at(when, partial(self.call, i, cls))
 
     def call(self, i: int, cls: int) -> None:
         tid = str(next(self.order))
@@ -161,14 +167,14 @@
 
     # --- a sidecar's actions
 
-    def tell(self, i: int, event: Any) -> None:
+    def tell(self, i: int, event: Event) -> None:
         for action in self.sidecars[i].handle(self.now, event):
             if isinstance(action, Submit):
                 self.submit(i, action)
             elif isinstance(action, Probe):
                 self.probe(i, action.server)
             elif isinstance(action, Defer):
-                self.at(self.now + action.in_ns, lambda tag=action.tag: self.tell(i, Alarm(tag)))
+                self.at(self.now + action.in_ns, partial(self.tell, i, Alarm(action.tag)))
             elif isinstance(action, Subscribe):
                 self.subscribe(i)
             elif isinstance(action, Refuse | Fail):
@@ -188,7 +194,8 @@
             mode = "full"
         else:
             node.guests.add(i)
-        how, when = How.TIMEOUT, action.abandon_ns
+        how: How = How.TIMEOUT
+        when = action.abandon_ns
         if mode == "full":
             how, when = How.FULL, sent + MS
         elif mode == "gone":
@@ -199,7 +206,7 @@
             done = node.take(sent, int(WORK * self.random.lognormvariate(-0.18, 0.6)))
             if done < when:
                 how, when = How.OK, done
-        self.at(when, lambda: self.answer(i, action.tid, number, action.server, how, sent))
+        self.at(when, partial(self.answer, i, action.tid, number, action.server, how, sent))
 
     def answer(self, i: int, tid: str, number: int, server: str, how: How, sent: int) -> None:
         if self.out.pop((i, tid, number), None) is None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,9 +4,9 @@
 
 import pytest
 from build import MS, SECOND, accept, only, outcome, settings
-from crowd import Crowd, nodes
 
 from dunefield import Alarm, Balancer, Directory, Echo, Entry, How, Probe, Submit, Subscribe
+from emulator.crowd import Crowd, nodes
 
 SIDECARS = 40
 
