--- a/emulator/connection.py
+++ b/emulator/connection.py
@@ -1,8 +1,8 @@
 """Model of connections between sidecars and nodes: what opening costs, how many a node holds, when they end.
 
-Units: nanoseconds. Simplified: a connection carries one call at a time; a handshake is one piece of work for the
-node, which whoever plays the node charges, and one round trip for the caller; a node at its cap loses the same
-share of its speed however many it turns away; a close takes no time.
+Units: nanoseconds. Simplified: a connection carries one call at a time; a handshake is one piece of work for
+the node, which whoever plays the node charges, and one round trip for the caller; a node at its cap loses the
+same share of its speed however many it turns away; a close takes no time.
 """
 
 from __future__ import annotations
