Probe of a process before counts no server twice; the cold ration has a test that fails without it

A probe that was out when the list told of a restart set k and counted the server as live once more while a call was the new process's trial, so _live could exceed the servers that are up until the next list; _may_convict goes by it. The fleet's test of cold servers passed with the ration off: in emulator/crowd.py the node's queue turned calls away before they were counted, and budgets held the rest. It now counts what was sent, as the rule does, and a test of its own, in which answers come at once, fails with the ration off and at four times it.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -750,8 +750,8 @@
 
     def _asked_trial(self, now: int, server: Server, event: Echo) -> None:
         """A suspect's probe is back: with an answer and no queue it is taken in again."""
-        if not server.trial:
-            return
+        if not server.trial or server.k:
+            return  # of the process before, and meanwhile a call is the trial
         server.trial = False
         queue = event.load.get("queue", 0.0)
         if event.how == How.OK and queue < UNTOLD:
--- a/emulator/crowd.py
+++ b/emulator/crowd.py
@@ -68,6 +68,7 @@
         self.free_at = 0
         self.ends: list[int] = []
         self.taken: list[tuple[int, int]] = []  # when, and how much work
+        self.sent: list[tuple[int, int]] = []  # the same, with what was turned away: the rule counts it
         self.probed = 0
         self.cap = 10**9  # sidecars that may be connected
         self.guests: set[int] = set()
@@ -95,10 +96,10 @@
     def pushed(self) -> float:
         """The most that a window after the start held, as a multiple of what the rule allows."""
         worst, window = 0.0, int(WINDOW_S * SECOND)
-        for i, (first, _) in enumerate(self.taken):
+        for i, (first, _) in enumerate(self.sent):
             if not self.started or first - self.started > COLD_S * SECOND:
                 break
-            work = sum(w for t, w in self.taken[i:] if t < first + window)
+            work = sum(w for t, w in self.sent[i:] if t < first + window)
             worst = max(worst, work / (MULTIPLE * self.warmth(first) * window))
         return worst
 
@@ -188,6 +189,8 @@
         self.out[i, action.tid, number] = True
         self.sent.append((self.now, i, action.server))
         node, sent = self.nodes[action.server], self.now
+        work = int(WORK * self.work.lognormvariate(-0.18, 0.6))
+        node.sent.append((sent, work))
         mode = node.mode
         capped = i not in node.guests and len(node.guests) >= node.cap
         if capped or (mode == "good" and node.held(self.now) > node.room):
@@ -203,7 +206,7 @@
         elif mode == "errors":
             how, when = How.ERROR, sent + 5 * MS
         elif mode == "good":
-            done = node.take(sent, int(WORK * self.work.lognormvariate(-0.18, 0.6)))
+            done = node.take(sent, work)
             if done < when:
                 how, when = How.OK, done
         self.at(when, partial(self.answer, i, action.tid, number, action.server, how, sent))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Many sidecars beside each other: what each does is counted over all of them."""
 
+import random
 from collections import Counter
 
 import pytest
@@ -214,7 +215,7 @@
     # Half come back under their names, half under new ones at the old addresses, all cold.
     same, new = hall[:7], nodes(8, first=2000, started=crowd.now)
     for node in same:
-        node.mode, node.started, node.taken = "good", crowd.now, []
+        node.mode, node.started, node.taken, node.sent = "good", crowd.now, [], []
     crowd.add(*same, *new)
     crowd.run(4)
     assert max(node.pushed() for node in [*same, *new]) < 1.0
@@ -315,3 +316,44 @@
             probes += 1
             balancer.handle(now + 6 * MS, Echo(probe.server, How.MOOT, 6 * MS, {}))
     assert 1 <= probes <= 4  # in three seconds, with a pause that doubles
+
+
+def test_a_probe_of_the_process_before_does_not_count_the_new_one_twice():
+    """It is out when the list tells of a restart, and answered while a call is the new one's trial."""
+    balancer = fleet(listed(4), sidecars=2, limits={"mayProbe": True}, prices={"probe": 0.08})[0]
+    send = only(balancer.handle(SECOND, accept("a")), Submit)[0]
+    balancer.handle(SECOND + MS, outcome(send, How.FULL, lag_ns=MS))
+    server = balancer._servers[send.server]
+    server.retry_at = 0
+    now = SECOND + 2 * MS
+    assert only(balancer.handle(now, accept("b")), Probe)
+    entry = Entry(send.server, zone=server.zone, started_ns=now)
+    balancer.handle(now, Directory("INCREMENTAL", (entry,)))
+    server.trial = True  # one call more than its budget, as growth allows
+    balancer.handle(now + MS, Echo(send.server, How.OK, MS, {"queue": 0.0}))
+    assert balancer._live == 4 and server.trial
+
+
+def test_the_ration_alone_holds_the_sum_to_a_cold_server_under_the_rule():
+    """Answers come at once, so no budget or queue holds anybody back; demand is three times the usual."""
+    draw = random.Random(5)
+    entries = listed(60)
+    sidecars = fleet(entries, limits={"mayProbe": True}, prices={"probe": 0.08},
+                     invariants={"coldFrom": 0.4, "coldNs": 8 * SECOND})
+    cold = entries[7]._replace(started_ns=4 * SECOND)
+    there, calls = [], 0
+    for ms in range(1000, 7000, 4):
+        now = ms * MS
+        if now == 4 * SECOND:
+            for balancer in sidecars:
+                balancer.handle(now, Directory("INCREMENTAL", (cold,)))
+        for i, balancer in enumerate(sidecars):
+            if draw.random() < 0.25:  # 62 a second each
+                calls += 1
+                for send in only(balancer.handle(now, accept(f"{ms}-{i}")), Submit):
+                    balancer.handle(now + 3 * MS, outcome(send, lag_ns=3 * MS))
+                    there += [now] * (send.server == cold.server)
+    after = [when for when in there if when >= 4 * SECOND]
+    windows = [sum(first <= when < first + 1500 * MS for when in after) for first in after]
+    # 25 calls a second are what a warm one can do; the rule allows 2.5 times what a cold one can, over 1.5 s.
+    assert 8 <= max(windows) < 25 * 0.4 * 2.5 * 1.5
