Second address, lifecycle with evacuation, and an inherited listening socket

Seen: the second process ended with 2 because it bound the address anew (listener.py, start); a sidecar told to drain had no address to be told at, and kept connections stayed in use (front.py closes only where the listener is stopping).

hollyport/console answers the second address on the daemon's loop; hollyport/lifecycle holds the table of states and carries it out; start-up and SIGTERM go through it. hollyport/tally counts each end once, in the core. The module tells how many servers it knows and avoids (census). hollyport/inherit takes the platform's socket as it is.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -90,6 +90,12 @@
         # Draws go over all servers where probes tell of each of them, else over a few that are known well.
         self._narrow = not self._probing or settings.prices.get("connection", 0.0) > 0
 
+    def census(self, now: int) -> tuple[int, int]:
+        """Servers in the list, and those of them that no call goes to now: draining, left until a backoff
+        ends or a trial is back, or muted."""
+        listed = [s for s in self._servers.values() if not s.gone]
+        return len(listed), sum(1 for s in listed if not s.up or not s.k or now < s.mute_until)
+
     # --- events ---------------------------------------------------------------------------------
 
     def handle(self, now: int, event: Event) -> list[Action]:
--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -16,30 +16,36 @@
 
 import uvloop
 
-from hollyport import options
+from hollyport import inherit, options
 from hollyport.config import Config, ConfigError, load
 from hollyport.sidecar import Sidecar
 
 OPTIONS = "HOLLYPORT_OPTIONS"  # names the operators' file where no flag does
 
 
-async def serve(sidecar_env: dict[str, str], switched: options.Options) -> None:
-    """Run one sidecar until SIGTERM or SIGINT."""
+async def serve(sidecar_env: dict[str, str], switched: options.Options) -> int:
+    """Run one sidecar until SIGTERM or SIGINT; return the exit code."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    early = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, early.set)  # until there is something to end
     again = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, again.set)
     config = load(sidecar_env)
-    sidecar = Sidecar(config, loop, switched)
+    shared = None if config.accept_fd is None else inherit.listening(config.accept_fd, config.listen)
+    sidecar = Sidecar(config, loop, switched, shared)
     await sidecar.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, sidecar.terminate)
+    if early.is_set():
+        sidecar.terminate()
     gc.freeze()  # what is loaded by now stays: no collection needs to walk through it again
     print(f"{config.name}: listening on {':'.join(map(str, config.listen))}", file=sys.stderr, flush=True)
     reloading = loop.create_task(reload(sidecar, config, sidecar_env, again, switched.path))
-    await stop.wait()
+    await sidecar.ending.wait()
     reloading.cancel()
     await sidecar.stop()
+    return 1 if sidecar.steward.machine.lost else 0
 
 
 async def reload(
@@ -56,7 +62,7 @@
         except Exception as error:
             print(f"{config.name}: reload: old configuration kept: {error}", file=sys.stderr, flush=True)
             continue
-        rest = [key for key in ("name", "listen", "sockets", "settings")
+        rest = [key for key in ("name", "listen", "console", "sockets", "settings")
                 if getattr(new, key) != getattr(config, key)]
         note = f"; a restart is needed for {', '.join(rest)}" if rest else ""
         print(f"{config.name}: reload: discovery at {':'.join(map(str, new.discovery))}{note}",
@@ -83,14 +89,13 @@
         print(f"{told.check}: good; switched on: {', '.join(found.sections) or 'nothing'}")
         return 0
     try:
-        uvloop.run(serve(dict(os.environ), found))
+        return uvloop.run(serve(dict(os.environ), found))
     except ConfigError as error:
         print(f"hollyport: configuration: {error}", file=sys.stderr)
         return 2
     except OSError as error:
         print(f"hollyport: listen: {error}", file=sys.stderr)
         return 2
-    return 0
 
 
 if __name__ == "__main__":
--- a/hollyport/config.py
+++ b/hollyport/config.py
@@ -32,6 +32,8 @@
     sockets: int
     known: Mapping[str, Any]
     settings: Settings
+    console: Address | None = None  # the second address; None: there is none
+    accept_fd: int | None = None  # the descriptor of a listening socket that the platform holds
 
 
 def parse_address(text: Any) -> Address:
@@ -60,8 +62,8 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"NODE_CONFIG: {path} does not hold an object")
     for key in ("name", "listen", "discovery"):
-        told = None if again and key == "discovery" else env.get(f"NODE_{key.upper()}")
-        raw[key] = told or raw.get(key)
+        set_to = None if again and key == "discovery" else env.get(f"NODE_{key.upper()}")
+        raw[key] = set_to or raw.get(key)
     limits = raw.get("limits", {})
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 32:
@@ -71,6 +73,7 @@
         raise ConfigError("known.endpoints is not a list")
     if not isinstance(raw["name"], str):
         raise ConfigError(f"name is not a text: {raw['name']!r}")
+    told = (None if again else env.get("NODE_CONSOLE")) or raw.get("console")
     try:
         settings = Settings.parse(raw.get("settings"))
     except SettingsError as error:
@@ -83,6 +86,8 @@
         sockets=sockets,
         known=known,
         settings=settings,
+        console=_address({"console": told}, "console") if told else None,
+        accept_fd=_descriptor(env.get("NODE_ACCEPT_FD")),
     )
 
 
@@ -93,6 +98,14 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()) or len(text) > 9:
+        raise ConfigError(f"NODE_ACCEPT_FD is not the number of a descriptor: {text!r}")
+    return int(text)
+
+
 def _seed(value: Any) -> int:
     try:
         return int(value, 16)
--- a/hollyport/core.py
+++ b/hollyport/core.py
@@ -40,6 +40,7 @@
 )
 from dunefield.rules import Balancer
 from hollyport.contract import Answered, Asked, Terms
+from hollyport.tally import End, Tally
 from hollyport.upstream import Exchange, Upstream
 
 MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
@@ -133,11 +134,13 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, beat: Beat, ids: Ids, settings: Settings,
         seed: int, upstream: Upstream, refused_by: Callable[[str], None] = lambda server: None,
+        tally: Tally | None = None,
     ) -> None:
         self._loop, self._clock, self._settings = loop, clock, settings
         self._upstream, self._stalled, self._new_id = upstream, beat.stalled, ids.new
         self._refused_by = refused_by  # told which node could not be connected to
         self.asks: Asks | None = None  # None: another core asks, and this one is told as well
+        self.tally = tally or Tally([c.name for c in settings.classes])
         self.closing = False
         self._requests: dict[str, Request] = {}
         self._count = 0
@@ -186,10 +189,16 @@
         """Whether requests can be served."""
         return self._upstream.any_up() and not self.closing
 
+    def census(self) -> tuple[int, int]:
+        """Servers in the list, and those of them that the module avoids now."""
+        return self._module.census(self._clock())
+
     def request(self, asked: Asked, terms: Terms) -> None:
         """Take a request."""
         now = self._loop.time()
+        self.tally.take(terms.cls)
         if not self._new_id(terms.rid, now):
+            self.tally.end(terms.cls, End.FAILED)
             asked.repeated()
             return
         self._count += 1
@@ -206,7 +215,7 @@
         """The client left; what its attempts come to is still told to the module."""
         request = self._requests.get(asked.tid)
         if request is not None and not request.over:
-            self._finish(request)
+            self._finish(request, End.LEFT)
             self.deliver(Hangup(request.tid))
             self._forget(request)
 
@@ -221,10 +230,10 @@
             case Defer(in_ns, tag):
                 self._defer(self._clock() + in_ns, tag)
             case Refuse(tid, hold_off_ns):
-                if (request := self._ended(tid)) is not None:
+                if (request := self._ended(tid, End.DROPPED)) is not None:
                     request.asked.refused(hold_off_ns)
             case Fail(tid):
-                if (request := self._ended(tid)) is not None:
+                if (request := self._ended(tid, End.FAILED)) is not None:
                     request.asked.failed(request.last is How.TIMEOUT)
             case Retract(tid, attempt):
                 request = self._requests.get(tid)
@@ -263,8 +272,7 @@
             ended(How.MOOT, None)
         else:
             request.out[number] = exchange
-            if request.oneway:
-                exchange.on_written = lambda: self._delivered(request)
+            exchange.on_written = (lambda: self._delivered(request)) if request.oneway else self.tally.tried
             exchange.start()
 
     def _delivered(self, request: Request) -> None:
@@ -273,8 +281,9 @@
         To the module that is a client that has left, with the attempt still out: the server stays as busy in
         its books as it is, until the attempt is known to be over.
         """
+        self.tally.tried()
         if not request.over:
-            self._finish(request)
+            self._finish(request, End.PASSED)
             request.asked.served(None)
             self.deliver(Hangup(request.tid))
 
@@ -284,7 +293,7 @@
         request.maybe_ran = request.maybe_ran or how not in NEVER_RAN
         request.last = how
         if how is How.OK and answer is not None and not request.over:
-            self._finish(request)
+            self._finish(request, End.PASSED)
             request.asked.served(answer)
         if how is How.CONNECT_FAILED:
             self._refused_by(server)
@@ -319,17 +328,18 @@
 
     # --- ends of requests
 
-    def _ended(self, tid: str) -> Request | None:
+    def _ended(self, tid: str, how: End) -> Request | None:
         """The request, if it is still owed its end; whoever asks gives it."""
         request = self._requests.get(tid)
         if request is None or request.over:
             return None
-        self._finish(request)
+        self._finish(request, how)
         self._forget(request)
         return request
 
-    def _finish(self, request: Request) -> None:
+    def _finish(self, request: Request, how: End) -> None:
         request.over = True
+        self.tally.end(request.cls, how)
         if request.guard is not None:
             request.guard.cancel()
 
@@ -347,8 +357,9 @@
         """End it without the module, truthfully: with a refusal only if no attempt can have run."""
         free = self._settings.classes[request.cls].repeat == "free"
         ran = request.maybe_ran or bool(request.out)
-        if self._ended(request.tid) is not None:
-            if ran and not free:
+        truly = ran and not free
+        if self._ended(request.tid, End.FAILED if truly else End.DROPPED) is not None:
+            if truly:
                 end()
             else:
                 request.asked.refused(0)
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -58,31 +58,54 @@
         self.leaving: dict[Guest, float] = {}  # had its last answer
         self._opening: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
+        self._shared = False  # the platform's, and perhaps another process's too: never bound or shut down
+        self._accepting = False
         self._loop: asyncio.AbstractEventLoop | None = None
 
-    async def start(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
-        """Listen; return the port."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    async def start(
+        self, loop: asyncio.AbstractEventLoop, host: str, port: int, shared: socket.socket | None = None
+    ) -> int:
+        """Listen; return the port. A shared socket listens already, and is left alone until `accept`."""
         self._loop = loop
-        self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        self._socket.setblocking(False)
-        loop.add_reader(self._socket.fileno(), self._accept)
+        if shared is not None:
+            self._socket, self._shared = shared, True
+        else:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
+            self._socket.setblocking(False)
+            self.accept(True)
         loop.call_later(SWEEP_S, self._sweep)
         return int(self._socket.getsockname()[1])
 
-    def last_requests(self) -> None:
-        """From now on each answer closes its connection."""
-        self.stopping = True
+    def accept(self, on: bool) -> None:
+        """Take new connections, or leave them in the queue: of a shared socket, for whoever else accepts."""
+        if self._socket is None or self._loop is None or on == self._accepting:
+            return
+        self._accepting = on
+        if on:
+            self._loop.add_reader(self._socket.fileno(), self._accept)
+        else:
+            self._loop.remove_reader(self._socket.fileno())
+
+    def last_requests(self, on: bool = True) -> None:
+        """Whether each answer closes its connection, from now on."""
+        self.stopping = on
 
-    def close(self) -> None:
-        """Listen no more, and close what is between requests. What the machine has accepted is taken."""
-        while self._socket is not None and self._take():
+    def shut(self) -> None:
+        """Listen no more. What waits in the queue of an own socket ends with it, so it is taken first; a
+        shared one goes on elsewhere: only this process's hold on it is given up."""
+        while self._socket is not None and not self._shared and self._take():
             pass
-        if self._socket is not None and self._loop is not None:
-            self._loop.remove_reader(self._socket.fileno())
+        if self._socket is not None:
+            self.accept(False)
             self._socket.close()
             self._socket = None
-        for connection in [*self.silent, *self.visitors, *self.kept]:
+
+    def empty(self) -> None:
+        """Close what is between requests, but for what came so lately that its request is on its way."""
+        assert self._loop is not None
+        fresh = self._loop.time() - HUSH_S
+        for connection in [*_older(self.silent, fresh), *self.visitors, *self.kept]:
             if connection.quiet():
                 connection.close()
 
@@ -176,12 +199,12 @@
             self.lost(guest)
 
     def _pause(self) -> None:
-        if self._socket is not None and self._loop is not None:
+        if self._socket is not None and self._loop is not None and self._accepting:
             self._loop.remove_reader(self._socket.fileno())
             self._loop.call_later(PAUSE_S, self._go_on)
 
     def _go_on(self) -> None:
-        if self._socket is not None and self._loop is not None:
+        if self._socket is not None and self._loop is not None and self._accepting:
             self._loop.add_reader(self._socket.fileno(), self._accept)
             self._accept()
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from dunefield.interface import Directory
 from hollyport.config import Address, Config, ConfigError
@@ -13,13 +14,17 @@
 from hollyport.http.admission import Gate
 from hollyport.http.back import HttpBack
 from hollyport.http.front import ClientConnection, turned_away
+from hollyport.lifecycle.machine import Effects, Event, Machine
+from hollyport.lifecycle.steward import Steward
 from hollyport.listener import Listener
 from hollyport.options import BadValue, Options
+from hollyport.tally import Tally
 from hollyport.upstream import Upstream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hollyport.console.server import Console
     from hollyport.contract import Back
     from hollyport.counters import Counters
     from hollyport.guards.door import Door
@@ -27,8 +32,7 @@
     from hollyport.registries.feed import Feed
     from hollyport.thrift.gateway import Gateway
 
-KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
-LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
+LIST_S = 2.0  # how long a process that takes over from another waits for a list newer than the known one
 TELL_S = 1.0  # how often the counters are looked at for what the log is to tell
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
 
@@ -37,9 +41,10 @@
     """Wires fronts, nodes and discovery to the decision module."""
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, options: Options | None = None
+        self, config: Config, loop: asyncio.AbstractEventLoop, options: Options | None = None,
+        shared: socket.socket | None = None,
     ) -> None:
-        self._config, self._loop = config, loop
+        self._config, self._loop, self._shared = config, loop, shared
         self._settings = settings = config.settings
         self._clock = Clock()
         self._longest_ns = max(c.deadline_ns for c in settings.classes)
@@ -52,9 +57,14 @@
             min(c.aim_ns for c in settings.classes) / 2e9, HttpBack(settings.reports != "none"),
         )
         self._beat, self._ids = Beat(loop), Ids(2 * self._longest_ns / 1e9)
+        self.tally = Tally([c.name for c in settings.classes])
         self.core = Core(
-            loop, self._clock, self._beat, self._ids, settings, config.seed, self._upstream, self._refused_by
+            loop, self._clock, self._beat, self._ids, settings, config.seed, self._upstream, self._refused_by,
+            self.tally,
         )
+        self.core.closing = True  # until a list is known
+        self.ending = asyncio.Event()
+        self._started = self._moved = False
         self._cores = {HTTP: self.core}  # by pool; the first asks for the list, all are told
         self._pools: Pools | None = None  # None: all nodes speak HTTP
         self._backs: dict[str, Back] = {}
@@ -80,6 +90,15 @@
         self._listeners = [self._listener]
         if self._gateway is not None:
             self._listeners += self._gateway.listeners
+        self.steward = Steward(
+            loop, Machine(loop.time(), shared is not None), self._listeners, self._longest_ns / 1e9,
+            self._changed,
+        )
+        self._console: Console | None = None
+        if config.console is not None:
+            from hollyport.console.server import Console
+
+            self._console = Console(loop, self._calls())
         known = read_listing(config.known, settings)
         self._feed = self._open_feed(options, known)
         if self._feed is not None:
@@ -89,6 +108,8 @@
         )
         self.core.asks = self._discovery
         self._take_list(known, "SAVED")
+        if shared is None:
+            self._list_known()
         self._pushed = None if settings.must_ask else loop.create_task(self._discovery.follow())
 
     # --- life
@@ -96,11 +117,24 @@
     async def start(self) -> int:
         """Listen for the application; return the port."""
         listen = self._config.listen
+        if self._console is not None and self._config.console is not None:
+            self.console_port = self._console.start(self._config.console)
         if self._gateway is not None:
             self.thrift_ports = await self._gateway.start()
         if self._counters is not None:
             self._tell()
-        return await self._listener.start(self._loop, listen.host, listen.port)
+        port = await self._listener.start(self._loop, listen.host, listen.port, self._shared)
+        if self._shared is not None:
+            # What discovery tells binds soon after the yes, and the known list may be old. It has to do in
+            # the end.
+            self._loop.call_later(LIST_S, self._list_known)
+        self._started = True
+        return port
+
+    def terminate(self) -> None:
+        """SIGTERM has come, for the first time or again."""
+        again = self.steward.machine.ending
+        self.steward.event(Event.TERM_AGAIN if again else Event.TERM)
 
     async def stop(self) -> None:
         """Take requests for as long as they may come, answer all of them, and close what is idle.
@@ -108,24 +142,50 @@
         Protects requests in the listen queue: the machine has accepted those connections, so the loop must
         have read them before the socket closes.
         """
-        for core in self._cores.values():
-            core.closing = True
-        for listener in self._listeners:
-            listener.last_requests()
+        if not self.steward.machine.ending:
+            self.terminate()
         if self._feed is not None:
             # Before the socket closes: who reads the registry must not be sent here any more.
             await self._feed.take_off()
-        await asyncio.sleep(KEEP_ACCEPTING_S)
-        # All that was taken is answered by its deadline; a request that never comes in whole was not taken.
-        latest = self._loop.time() + self._longest_ns / 1e9
-        self._close_all()
-        while any(listener.busy() for listener in self._listeners) and self._loop.time() < latest:
-            await asyncio.sleep(LOOK_S)
-            self._close_all()
-
-    def _close_all(self) -> None:
-        for listener in self._listeners:
-            listener.close()
+        await self.steward.over.wait()
+        if self._console is not None:
+            self._console.close()
+
+    def _changed(self, effects: Effects) -> None:
+        """The state of life has moved."""
+        for core in self._cores.values():
+            core.closing = not effects.ready
+        if self._started and (effects.closing or self._moved):
+            self._moved = True  # a first yes is no news
+            print(f"life: {self.steward.machine.state.value}", file=sys.stderr, flush=True)
+        if self.steward.machine.ending:
+            self.ending.set()
+
+    def _list_known(self) -> None:
+        if self._upstream.any_up():
+            self.steward.event(Event.LIST_KNOWN)
+
+    def _calls(self) -> dict[bytes, Callable[[], tuple[int, Any]]]:
+        """What is asked at the second address."""
+        from hollyport.console.figures import figures
+
+        def ready() -> tuple[int, Any]:
+            state = self.steward.machine.state.value
+            return (200 if self.core.ready() else 503), {"state": state}
+
+        def telemetry() -> tuple[int, Any]:
+            counts = [core.census() for core in self._cores.values()]
+            return 200, figures(self.tally, sum(c[0] for c in counts), sum(c[1] for c in counts))
+
+        def move(event: Event) -> tuple[int, Any]:
+            self.steward.event(event)
+            ending = self.steward.machine.ending
+            return (503 if ending else 200), {"state": self.steward.machine.state.value}
+
+        return {
+            b"/api/ready": ready, b"/api/telemetry": telemetry,
+            b"/api/evacuate": lambda: move(Event.EVACUATE), b"/api/rejoin": lambda: move(Event.REJOIN),
+        }  # fmt: skip
 
     def _door(self, most: int, answer: Callable[[bytes, float, bool], bytes]) -> Door | None:
         """The guard of a listener, where the operators' file has one; else none of it is loaded."""
@@ -152,7 +212,7 @@
         self._backs = gateway.backs(table, settings)
         core = Core(
             self._loop, self._clock, self._beat, self._ids, gateway.pool_settings(table, settings),
-            config.seed + 1, self._upstream, self._refused_by,
+            config.seed + 1, self._upstream, self._refused_by, self.tally,
         )
         self._cores[POOL] = core
         self._gateway = gateway.Gateway(
@@ -214,6 +274,7 @@
                 core.deliver(Directory("FAILED"))
         else:
             self._take_list(listing, "FULL" if listing.whole else "INCREMENTAL")
+            self._list_known()
 
     def _take_list(self, listing: Listing, scope: str) -> None:
         if self._pools is None:
--- /dev/null
+++ b/tests/console/test_server.py
@@ -0,0 +1,171 @@
+"""The second address over loopback: honest calls beside callers that say nothing, stall or never read."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import pytest
+from backend import Call, Conversation, Server, line, listing, play, settings
+
+from dunefield import Settings
+from hollyport.config import Address, Config
+from hollyport.console import server as console
+from hollyport.console.server import MOST, Console
+from hollyport.sidecar import Sidecar
+
+
+async def call(port: int, path: str, method: str = "GET") -> tuple[int, dict]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n".encode())
+    got = await reader.read()  # the answer ends the connection
+    writer.close()
+    head, _, body = got.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)
+
+
+@contextlib.asynccontextmanager
+async def standing(handlers=None):
+    made = Console(asyncio.get_running_loop(), handlers or {b"/api/ready": lambda: (200, {"state": "ready"})})
+    try:
+        yield made, made.start(Address("127.0.0.1", 0))
+    finally:
+        made.close()
+
+
+def silent(port: int, count: int, say: bytes = b"") -> list[socket.socket]:
+    made = []
+    for _ in range(count):
+        sock = socket.create_connection(("127.0.0.1", port))
+        sock.sendall(say)
+        made.append(sock)
+    return made
+
+
+@pytest.mark.parametrize("say", [b"", b"GET /api/re"], ids=["nothing", "half a call"])
+def test_an_honest_call_is_answered_behind_a_thousand_that_stay(say):
+    """A ring that waited for its callers would keep it out for as long as they stay."""
+    async def scene():
+        async with standing() as (made, port):
+            crowd = await asyncio.to_thread(silent, port, 900, say)
+            async with asyncio.timeout(5):
+                assert (await call(port, "/api/ready"))[0] == 200
+            assert made.callers <= MOST
+            for sock in crowd:
+                sock.close()
+    play(scene)
+
+
+def test_a_caller_that_is_put_out_gets_the_answer_to_what_it_has_sent():
+    """Only the loop was late: its call had come whole."""
+    async def scene():
+        async with standing() as (made, port):
+            made._loop.remove_reader(made._socket.fileno())  # the loop has other work
+            held = await asyncio.to_thread(
+                silent, port, 3 * MOST, b"GET /api/ready HTTP/1.1\r\nHost: c\r\n\r\n")
+            made._loop.add_reader(made._socket.fileno(), made._accept)
+            loop = asyncio.get_running_loop()
+            for sock in held:
+                sock.setblocking(False)
+                assert (await loop.sock_recv(sock, 100)).startswith(b"HTTP/1.1 200")
+                sock.close()
+    play(scene)
+
+
+def test_half_a_call_is_told_so_in_the_end(monkeypatch):
+    monkeypatch.setattr(console, "WAIT_S", 0.2)
+
+    async def scene():
+        async with standing() as (made, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /api/re")
+            assert (await reader.read()).startswith(b"HTTP/1.1 408")
+            writer.close()
+            while made.callers:
+                await asyncio.sleep(0.01)
+    play(scene)
+
+
+def test_callers_that_never_read_hold_nothing_for_long(monkeypatch):
+    monkeypatch.setattr(console, "LINGER_S", 0.2)
+
+    async def scene():
+        async with standing() as (made, port):
+            held = await asyncio.to_thread(silent, port, 5, b"GET /api/ready HTTP/1.1\r\nHost: c\r\n\r\n")
+            while not made.callers:
+                await asyncio.sleep(0.01)
+            while made.callers:
+                await asyncio.sleep(0.01)
+            for sock in held:
+                sock.close()
+    play(scene)
+
+
+def test_a_handler_that_fails_costs_its_call_and_no_other():
+    def broken():
+        raise RuntimeError("seeded")
+
+    async def scene():
+        handlers = {b"/api/ready": broken, b"/api/telemetry": lambda: (200, {})}
+        async with standing(handlers) as (_, port):
+            assert (await call(port, "/api/ready"))[0] == 500
+            assert (await call(port, "/api/telemetry"))[0] == 200
+    play(scene)
+
+
+@contextlib.asynccontextmanager
+async def staffed(*lines):
+    """A sidecar with a second address."""
+    config = Config("n0", Address("127.0.0.1", 0), Address("127.0.0.1", 1), 7, 1024, listing(*lines),
+                    Settings.parse(settings(discovery="subscribe")), Address("127.0.0.1", 0))
+    made = Sidecar(config, asyncio.get_running_loop())
+    port = await made.start()
+    yield made, port, made.console_port
+
+
+def test_figures_add_up_and_name_every_class():
+    from backend import Client
+
+    async def scene():
+        come = asyncio.Event()
+
+        async def script(talk: Conversation, asked: Call) -> None:
+            if asked.target.startswith("/guarded"):
+                come.set()
+                await asyncio.sleep(60)
+            elif asked.target.startswith("/single_shot"):
+                await talk.answer(500)
+            else:
+                await talk.answer(200, b"done")
+
+        async with Server(script) as server, staffed(line("s1", server.port)) as (_, port, at):
+            clients = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(3)]
+            for _ in range(3):
+                assert (await clients[0].ask())[0] == 200
+            assert (await clients[1].ask("single_shot"))[0] == 502
+            waiting = asyncio.ensure_future(clients[2].ask("guarded", Idempotency_Key="k"))
+            await come.wait()
+            status, told = await call(at, "/api/telemetry")
+            assert status == 200
+            assert told["passed"] == {"free": 3, "single_shot": 0, "guarded": 0}
+            assert told["bad_gateway"] == {"free": 0, "single_shot": 1, "guarded": 0}
+            assert told["dropped"] == {"free": 0, "single_shot": 0, "guarded": 0}
+            assert told["in_progress"] == 1 and told["upstream_tries"] == 5
+            assert told["known_servers"] == 1 and told["skipped_servers"] in (0, 1)
+            waiting.cancel()
+            clients[2].writer.close()
+            while (await call(at, "/api/telemetry"))[1]["in_progress"]:
+                pass  # the client has left: in progress no more, and in none of the ends that are told
+            assert (await call(at, "/api/telemetry"))[1]["passed"] == told["passed"]
+    play(scene)
+
+
+def test_a_server_that_drains_is_skipped_and_one_that_is_gone_is_not_known():
+    async def scene():
+        lines = line("s1", 1), line("s2", 2, status="DRAINING"), line("s3", 3, status="DELETED")
+        async with staffed(*lines) as (_, _, at):
+            told = (await call(at, "/api/telemetry"))[1]
+            assert (told["known_servers"], told["skipped_servers"]) == (2, 1)
+    play(scene)
