--- a/hollyport/http/admission.py
+++ b/hollyport/http/admission.py
@@ -10,7 +10,7 @@
 from hollyport.contract import Terms
 
 if TYPE_CHECKING:
-    from hollyport.http.front import Message
+    from hollyport.http.message import Message
 
 ID = re.compile(rb"[!-~]{1,256}")
 SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,12})?")
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -15,82 +15,18 @@
 from hollyport.guest import Guest
 from hollyport.http import heads
 from hollyport.http.heads import Headers
+from hollyport.http.message import Message, head
 
 if TYPE_CHECKING:
-    from hollyport.http.back import Reply
     from hollyport.listener import Listener
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 32 * 1024
 PIECE = 4096  # bytes parsed at a time: bounds what one read can begin
-REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
-}
 CLOSING = frozenset({400, 404, 405, 408, 409, 413, 417, 431})  # answered and closed: what follows is as bad
 DIGITS = re.compile(rb"[0-9]{1,18}")
 
 
-class Message:
-    """One request as it came, and where its one answer goes."""
-
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "tid", "_head")
-
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
-        self.method = self.target = self.body = b""
-        self.headers: Headers = []
-        self.keep_alive = True
-        self.came = 0.0  # when its last byte was read, by the loop's clock
-        self.tid = ""  # for the owner: which request this became
-        self._head = b""  # as it goes on, once it has been made
-
-    def header(self, name: bytes) -> bytes | None:
-        """The first header of this lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    def all(self, name: bytes) -> list[bytes]:
-        """All headers of this lower-case name."""
-        return [value for key, value in self.headers if key == name]
-
-    def answer(self, status: int, body: bytes = b"", headers: Headers | None = None) -> None:
-        """Send the answer. A second one is ignored, as is one to a client that has left."""
-        self.connection.answer(self, status, body, headers or [])
-
-    # --- for the core (hollyport.contract.Asked)
-
-    def wire(self, left_s: float) -> bytes:
-        """It as a node gets it."""
-        if not self._head:
-            self._head = heads.forwarded(self.method, self.target, self.headers, self.body)
-        return heads.with_time(self._head, left_s, self.body)
-
-    def served(self, answer: Reply) -> None:
-        """A node has answered."""
-        self.answer(200, answer.body, heads.returned(answer.headers))
-
-    def refused(self, hold_off_ns: int) -> None:
-        """It has not run: come back in so long."""
-        self.answer(503, b"refused\n", heads.retry_after(hold_off_ns))
-
-    def failed(self, late: bool) -> None:
-        """It may have run, and there is no answer."""
-        self.answer(504 if late else 502, b"failed\n")
-
-    def broken(self) -> None:
-        """An error of our own."""
-        self.answer(500, b"failed\n")
-
-    def repeated(self) -> None:
-        """Its id is another's."""
-        self.answer(409)
-
-
 class Refused(Exception):
     """What the client sends can't be a request; raised through the parser to stop it."""
 
@@ -285,16 +221,6 @@
             self._leave()
 
 
-def head(status: int, length: int, headers: Headers, keep_alive: bool) -> bytes:
-    """The head of an answer."""
-    lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n"
-             % (status, REASONS.get(status, "Unknown").encode(), length)]
-    lines += [b"%s: %s\r\n" % pair for pair in headers]
-    if not keep_alive:
-        lines.append(b"Connection: close\r\n")
-    return b"".join(lines) + b"\r\n"
-
-
 def turned_away(begun: bytes, wait_s: float, own: bool) -> bytes:
     """What a client is told that is not let in though it has begun a request: nothing of it was taken."""
     status = 429 if own else 503
