--- a/dunefield/interface.py
+++ b/dunefield/interface.py
@@ -308,6 +308,12 @@
     lag_ns: int = 0
 
 
+class Spent(NamedTuple):
+    """Of a request that is still coming more has gone out than is kept: no further attempt is possible."""
+
+    tid: str
+
+
 class Hangup(NamedTuple):
     """The client left; nothing more is owed."""
 
@@ -336,7 +342,7 @@
     data: bytes
 
 
-Event = Directory | Accept | Response | Begun | Hangup | Alarm | Echo | Heard
+Event = Directory | Accept | Response | Begun | Spent | Hangup | Alarm | Echo | Heard
 
 
 # --- Actions: what the instance wants done ------------------------------------------------------
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -16,7 +16,7 @@
 from dunefield.crowding import CROWDED, STIR, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
-    How, Probe, Refuse, RequestClass, Response, Retract, Settings, Submit, Subscribe,
+    How, Probe, Refuse, RequestClass, Response, Retract, Settings, Spent, Submit, Subscribe,
 )
 from dunefield.patience import Patience
 from dunefield.state import FIGURE, GAIN, Attempt, Call, Server
@@ -115,6 +115,8 @@
             self._drop(event.tid)
         elif isinstance(event, Begun) and event.tid in self._calls:
             self._calls[event.tid].begun = True
+        elif isinstance(event, Spent) and event.tid in self._calls:
+            self._calls[event.tid].spent = True
         return self._acts
 
     def _on_accept(self, now: int, event: Accept) -> None:
@@ -590,7 +592,7 @@
     def _may_go(self, now: int, call: Call, server: Server) -> bool:
         """Whether the class and the limits allow a further attempt on this server."""
         cls = call.cls
-        if not server.up or call.begun or now >= call.deadline:
+        if not server.up or call.begun or call.spent or now >= call.deadline:
             return False
         limits = self._set.limits
         if call.attempts >= limits.max_attempts or (call.out and not limits.second_copies):
@@ -681,7 +683,7 @@
     def _again(self, now: int, call: Call) -> None:
         """After a failed attempt: another one if class, time and retry budget allow, else the end."""
         limit = call.deadline if call.cls.late_worth > 0 else call.aim_at
-        if self._tokens >= 1.0 and now + call.size * self._stretch / 2 < limit:
+        if not call.spent and self._tokens >= 1.0 and now + call.size * self._stretch / 2 < limit:
             if self._probing and (call.ran_on is None or call.cls.repeat == "free"):
                 self._tokens -= 1.0
                 self._ask(now, call)
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -59,7 +59,7 @@
 
     __slots__ = (
         "tid", "number", "cls", "deadline", "aim_at", "size", "tried", "out", "attempts", "ran_on", "ran_at",
-        "begun", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait",
+        "begun", "spent", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait",
     )
 
     def __init__(
@@ -75,6 +75,7 @@
         self.ran_on: Server | None = None  # first server that may have run it
         self.ran_at = 0
         self.begun = False
+        self.spent = False  # its body is not held any more, so no further attempt can be made
         self.give_up = deadline
         self.pending = self.rounds = 0  # probes whose echo is due; rounds of probes asked for
         self.queue = math.inf  # the shortest queue among those that echoed in this round
--- a/hollyport/carrier.py
+++ b/hollyport/carrier.py
@@ -30,11 +30,14 @@
         self._poll: select.poll | None = None  # asked before each use
         self._blocked = False
         self._written = True
+        self._open_ended = False  # more of the request is to come
+        self._last = 0.0  # when something of an answer came last
         self.lost = False
         self.spoilt = False  # the last answer was no answer
         self.reusable = True
         self.idle_since = 0.0
         self.on_written: Callable[[], None] | None = None  # told once the kernel has the last byte
+        self.on_begun: Callable[[Any], None] | None = None  # told of an answer passed on as it comes
 
     # --- the protocol's part
 
@@ -61,7 +64,8 @@
 
     def resume_writing(self) -> None:
         self._blocked = False
-        self._whole()
+        if not self._open_ended:
+            self._whole()
 
     def data_received(self, data: bytes) -> None:
         if self._done is None:
@@ -98,7 +102,7 @@
             self._finish(None)
             return
         self._write(request)
-        if not self._blocked and not self._transport.is_closing():
+        if not self._blocked and not self._open_ended and not self._transport.is_closing():
             self._whole()
 
     def silent(self) -> bool:
@@ -118,7 +122,7 @@
     def forget(self) -> None:
         """Nobody waits for the answer any more."""
         self._done = None
-        self.on_written = None
+        self.on_written = self.on_begun = None
         self._calm()
 
     def close(self) -> None:
@@ -151,10 +155,22 @@
             told()
 
     def _wait_on(self) -> None:
-        """An answer has begun and is not whole: it may not pause for long."""
+        """An answer has begun and is not whole: it may not pause for long. One timer looks at when something
+        came last: answers may come in thousands of pieces."""
         if self._stall_s:
-            self._calm()
-            self._stall = asyncio.get_running_loop().call_later(self._stall_s, self._spoil)
+            loop = asyncio.get_running_loop()
+            self._last = loop.time()
+            if self._stall is None:
+                self._stall = loop.call_later(self._stall_s, self._look)
+
+    def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        left = self._last + self._stall_s - loop.time()
+        if left <= 0.001:
+            self._stall = None
+            self._spoil()
+        else:
+            self._stall = loop.call_later(left, self._look)
 
     def _spoil(self) -> None:
         self.spoilt = True
@@ -168,7 +184,7 @@
 
     def _finish(self, answer: Answered | None) -> None:
         self._calm()
-        self.on_written = None
+        self.on_written = self.on_begun = None
         done, self._done = self._done, None
         if done is not None:
             done(answer)
--- a/hollyport/config.py
+++ b/hollyport/config.py
@@ -33,6 +33,7 @@
     known: Mapping[str, Any]
     settings: Settings
     console: Address | None = None  # the second address; None: there is none
+    memory_mb: int = 192
     accept_fd: int | None = None  # the descriptor of a listening socket that the platform holds
 
 
@@ -68,6 +69,9 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 32:
         raise ConfigError(f"limits.sockets must be a whole number from 32 up, is {sockets!r}")
+    memory = limits.get("memory_mb", 192)
+    if not isinstance(memory, int | float) or isinstance(memory, bool) or not memory > 0:
+        raise ConfigError(f"limits.memory_mb must be a number above 0, is {memory!r}")
     known = raw.get("known")
     if not isinstance(known, dict) or not isinstance(known.get("endpoints"), list):
         raise ConfigError("known.endpoints is not a list")
@@ -87,6 +91,7 @@
         known=known,
         settings=settings,
         console=_address({"console": told}, "console") if told else None,
+        memory_mb=int(memory),
         accept_fd=_descriptor(env.get("NODE_ACCEPT_FD")),
     )
 
--- a/hollyport/contract.py
+++ b/hollyport/contract.py
@@ -29,6 +29,7 @@
     retry: bool = False
     write: bool = False
     oneway: bool = False  # nobody waits for an answer: it is over once it is written
+    growing: bool = False  # its body is still coming: the client's time begins with `Service.whole`
 
 
 class Asked(Protocol):
@@ -46,6 +47,10 @@
     def refused(self, hold_off_ns: int) -> None:
         """End: it has not run, or may run again. Come back in so many nanoseconds; 0: not told."""
 
+    def begun(self, answer: Any) -> None:
+        """End: a node has begun a large answer, which is passed on as it comes. `whole` or the break of its
+        flow is told to the client by the flow alone."""
+
     def failed(self, late: bool) -> None:
         """End: it may have run, and there is no answer; `late` where time ran out."""
 
@@ -65,6 +70,12 @@
     def request(self, asked: Asked, terms: Terms) -> None:
         """Take a request; one of its ends will be called, perhaps at once."""
 
+    def whole(self, asked: Asked) -> None:
+        """The last byte of a request that was growing has come."""
+
+    def spent(self, asked: Asked) -> None:
+        """Of a growing request more has gone to a node than is kept: no other attempt can be made."""
+
     def hangup(self, asked: Asked) -> None:
         """The client has left: nothing more is owed."""
 
--- a/hollyport/core.py
+++ b/hollyport/core.py
@@ -13,7 +13,8 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from functools import partial
+from typing import Any, Protocol
 
 from dunefield.interface import (
     NEVER_RAN,
@@ -34,6 +35,7 @@
     Response,
     Retract,
     Settings,
+    Spent,
     Submit,
     Subscribe,
     Tell,
@@ -116,10 +118,16 @@
 class Request:
     """A request taken from the application, until it is over and no attempt is out."""
 
-    __slots__ = ("tid", "asked", "cls", "attempts", "out", "maybe_ran", "over", "guard", "last", "oneway")
+    __slots__ = ("tid", "asked", "cls", "attempts", "out", "maybe_ran", "over", "guard", "last", "oneway",
+                 "growing", "wait_ns", "whole_at", "counted", "flowing", "told")  # fmt: skip
 
-    def __init__(self, tid: str, asked: Asked, cls: int, oneway: bool) -> None:
-        self.tid, self.asked, self.cls, self.oneway = tid, asked, cls, oneway
+    def __init__(self, tid: str, asked: Asked, terms: Terms) -> None:
+        self.tid, self.asked, self.cls, self.oneway = tid, asked, terms.cls, terms.oneway
+        self.growing, self.wait_ns = terms.growing, terms.wait_ns
+        self.whole_at = 0  # when its last byte came, where it was taken before that
+        self.counted = not terms.growing  # among those taken
+        self.flowing = -1  # the attempt whose answer is being passed on
+        self.told = -1  # the same, to the end: its outcome has been told to the module
         self.attempts = 0
         self.out: dict[int, Exchange] = {}
         self.maybe_ran = False
@@ -196,8 +204,11 @@
     def request(self, asked: Asked, terms: Terms) -> None:
         """Take a request."""
         now = self._loop.time()
-        self.tally.take(terms.cls)
+        if not terms.growing:
+            self.tally.take(terms.cls)
         if not self._new_id(terms.rid, now):
+            if terms.growing:
+                self.tally.take(terms.cls)
             self.tally.end(terms.cls, End.FAILED)
             asked.repeated()
             return
@@ -205,18 +216,46 @@
         asked.tid = tid = str(self._count)
         # It may have waited behind another, or unread while this process stood still for want of CPU.
         wait = terms.wait_ns - int((now - asked.came + self._stalled()) * 1e9)
-        request = self._requests[tid] = Request(tid, asked, terms.cls, terms.oneway)
-        request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
+        request = self._requests[tid] = Request(tid, asked, terms)
+        if not terms.growing:
+            request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
         self.deliver(Accept(
             tid, terms.cls, wait - MARGIN_NS, terms.cost_ns, terms.tenant, terms.key, terms.retry, terms.write
         ))
 
+    def whole(self, asked: Asked) -> None:
+        """The last byte of a request that was growing has come: the client's time begins."""
+        request = self._requests.get(asked.tid)
+        if request is None or not request.growing or request.over:
+            return
+        self._count_in(request)
+        request.growing, request.whole_at = False, self._clock()
+        wait = request.wait_ns - int(self._stalled() * 1e9)
+        request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
+        for exchange in request.out.values():
+            exchange.expire(self._loop.time() + (wait - MARGIN_NS) / 1e9)
+
+    def spent(self, asked: Asked) -> None:
+        """No other attempt can be made: what has come is not held."""
+        if asked.tid in self._requests:
+            self.deliver(Spent(asked.tid))
+
     def hangup(self, asked: Asked) -> None:
         """The client left; what its attempts come to is still told to the module."""
         request = self._requests.get(asked.tid)
-        if request is not None and not request.over:
+        if request is not None and request.flowing >= 0:
+            exchange = request.out.get(request.flowing)
+            if exchange is not None:
+                request.flowing = -1
+                self.tally.end(request.cls, End.LEFT)
+                exchange.cancel()
+        elif request is not None and not request.over:
             self._finish(request, End.LEFT)
             self.deliver(Hangup(request.tid))
+            if request.growing:
+                # It was never whole, so no server can have begun it, and none is to wait for the rest.
+                for exchange in list(request.out.values()):
+                    exchange.cancel()
             self._forget(request)
 
     # --- actions out
@@ -268,13 +307,40 @@
                 server, lambda: request.asked.wire((abandon - self._clock()) / 1e9), (abandon - sent) / 1e9,
                 ended,
             )
+            if exchange is not None and request.growing:
+                exchange.grow()
         if exchange is None:
             ended(How.MOOT, None)
         else:
             request.out[number] = exchange
+            if not request.oneway:
+                exchange.on_begun = partial(self._begun, request, number, sent, server)
             exchange.on_written = (lambda: self._delivered(request)) if request.oneway else self.tally.tried
             exchange.start()
 
+    def _begun(self, request: Request, number: int, sent: int, server: str, answer: Any) -> None:
+        """A large answer has begun: it is the request's end, and no other attempt starts.
+
+        To the module the attempt is over: the server has done its work, and how long the rest takes is the
+        client's pace. The exchange goes on until the last byte, and tells the tally then.
+        """
+        if request.over:
+            request.out[number].cancel()
+            return
+        request.flowing = request.told = number
+        request.maybe_ran = True
+        self._close(request)
+        lag = self._clock() - max(sent, request.whole_at)
+        self.deliver(Response(request.tid, How.OK, lag, server, number, True, {}))
+        request.asked.begun(answer)
+
+    def _flowed(self, request: Request, whole: bool) -> None:
+        """The end of a large answer."""
+        if request.flowing >= 0:
+            request.flowing = -1
+            self.tally.end(request.cls, End.PASSED if whole else End.FAILED)
+        self._forget(request)
+
     def _delivered(self, request: Request) -> None:
         """A oneway call is written whole: from here on it must not be sent again, and nobody waits for it.
 
@@ -290,6 +356,9 @@
     def _outcome(
         self, request: Request, how: How, answer: Answered | None, sent: int, server: str, number: int
     ) -> None:
+        if number == request.told:
+            self._flowed(request, how is How.OK)
+            return
         request.maybe_ran = request.maybe_ran or how not in NEVER_RAN
         request.last = how
         if how is How.OK and answer is not None and not request.over:
@@ -297,7 +366,7 @@
             request.asked.served(answer)
         if how is How.CONNECT_FAILED:
             self._refused_by(server)
-        lag = self._clock() - sent
+        lag = self._clock() - max(sent, request.whole_at)
         load = answer.riding() if answer is not None else {}
         self.deliver(Response(request.tid, how, lag, server, number, request.over, load))
         self._forget(request)
@@ -338,8 +407,21 @@
         return request
 
     def _finish(self, request: Request, how: End) -> None:
-        request.over = True
+        if request.growing and how is End.LEFT:
+            self._close(request)  # of a request that never came whole nothing was taken
+            return
+        self._count_in(request)
         self.tally.end(request.cls, how)
+        self._close(request)
+
+    def _count_in(self, request: Request) -> None:
+        if not request.counted:
+            request.counted = True
+            self.tally.take(request.cls)
+
+    def _close(self, request: Request) -> None:
+        """No end but the one that is given now."""
+        request.over = True
         if request.guard is not None:
             request.guard.cancel()
 
--- a/hollyport/guest.py
+++ b/hollyport/guest.py
@@ -12,6 +12,7 @@
     from hollyport.listener import Listener
 
 MAX_DRAIN = 96 * 1024 * 1024  # what is read on after an error, so that the client gets to read it
+LINGER_MOST = 48 * 1024 * 1024  # up to here what it sends keeps it from being ended
 AHEAD = 8  # requests read ahead of the answer before; the rest waits unparsed or in the kernel
 
 
@@ -79,6 +80,8 @@
             self._drained += len(data)
             if self._drained > MAX_DRAIN:
                 self.abort()
+            elif self._drained < LINGER_MOST and self.place is self._listener.leaving:
+                self._listener.move(self, self._listener.leaving)  # it still sends, and can't read yet
             return
         if self._held_back:
             self._rest += data
@@ -158,6 +161,10 @@
 
     # --- for the listener
 
+    def patience(self, since: float) -> float:
+        """For how long a request that has been coming in since then may go on doing so, in seconds."""
+        return self._listener.whole_s
+
     def fresh(self) -> bool:
         """Whether no whole request has ever come."""
         return not self._spoke
--- a/hollyport/http/admission.py
+++ b/hollyport/http/admission.py
@@ -42,7 +42,7 @@
         # The method tells how the request may be repeated: one that contradicts its class is a mistake.
         if message.method != (b"GET" if cls.repeat == "free" else b"POST"):
             return 405
-        if message.method == b"GET" and message.body:
+        if message.method == b"GET" and (message.body or message.length):
             return 400
         if (cls.repeat == "guarded") != (b"idempotency-key" in told):
             return 400
--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -11,9 +12,16 @@
 from dunefield.interface import How
 from hollyport.carrier import Carrier
 from hollyport.contract import Beside
+from hollyport.flow import Flow
 from hollyport.http import heads
+from hollyport.ledger import Ledger
 
-MAX_BODY = 1 << 20  # real answers are larger than the 64 KiB that are promised; 350 KB were seen
+MAX_BODY = 1 << 20  # of an answer that is held whole
+MAX_FLOW = 64 << 20  # of one that is passed on as it comes; 32 MB are the promise
+LARGE = 64 * 1024  # from here on an answer is passed on as it comes
+UNSURE_S = 1.0  # and so is one of unknown length that has been coming for so long
+SILENT_S = 5.0  # how long one may stand still that is being passed on
+UNREAD_S = 10.0  # how long a node may take nothing of a body that is being sent to it
 MAX_HEAD = 16 * 1024  # of one answer, the 1xx ahead of it included
 DIGITS = re.compile(rb"[0-9]{1,18}")
 SPLITS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # what may end a header, or the answer, for some reader
@@ -49,6 +57,22 @@
         return heads.load(self.body)
 
 
+class Flowing(NamedTuple):
+    """An answer that has begun, and is passed on as it comes."""
+
+    headers: list[tuple[bytes, bytes]]
+    length: int | None  # None: its end shows when it is there
+    flow: Flow
+
+
+class Outgoing(NamedTuple):
+    """A request whose body is still coming."""
+
+    head: bytes
+    chunked: bool
+    flow: Flow
+
+
 class Spoilt(Exception):
     """What comes can't be an answer; raised through the parser to stop it."""
 
@@ -57,10 +81,19 @@
     """One HTTP/1.1 connection as a client. An answer that has no or an ambiguous length is spoilt, too."""
 
     def __init__(
-        self, on_lost: Callable[[Connection], None], max_body: int = MAX_BODY, stall_s: float = 0.0
+        self, on_lost: Callable[[Connection], None], max_body: int = MAX_BODY, stall_s: float = 0.0,
+        ledger: Ledger | None = None,
     ) -> None:
         super().__init__(on_lost, stall_s)
         self._max_body = max_body
+        self._usual_stall_s, self._ledger = stall_s, ledger
+        self._length: int | None = None
+        self._until_close = False
+        self._since = 0.0  # when the answer's head was there
+        self._down: Flow | None = None  # the answer, while it is passed on
+        self._up: Flow | None = None  # the request's body, while it comes
+        self._chunked = False
+        self._unread: asyncio.TimerHandle | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -72,12 +105,105 @@
     # --- Carrier
 
     def _write(self, request: Any) -> None:
-        self._complete, self._raw, self._in_head = False, 0, True
-        self._put(request)
+        self._complete, self._raw, self._in_head, self._until_close = False, 0, True, False
+        if isinstance(request, Outgoing):
+            self._up, self._chunked, self._open_ended = request.flow, request.chunked, True
+            self._put(request.head)
+            request.flow.attach(self)
+        else:
+            self._put(request)
 
     def _let_go(self) -> None:
         self._parser = None  # it holds this connection: without the cycle both go at once
         self._headers, self._body = [], []
+        if self._down is not None:
+            self._down.end(False)
+
+    def forget(self) -> None:
+        super().forget()
+        up, self._up = self._up, None
+        if up is not None:
+            up.detach(self)
+        down, self._down = self._down, None
+        if down is not None:
+            down.end(False)
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        if self._up is not None:
+            self._up.hold()
+            self._unread = asyncio.get_running_loop().call_later(UNREAD_S, self.abort)
+
+    def resume_writing(self) -> None:
+        self._read_on()
+        super().resume_writing()
+        if self._up is not None:
+            self._up.go_on()
+
+    def _read_on(self) -> None:
+        if self._unread is not None:
+            self._unread.cancel()
+            self._unread = None
+
+    def _calm(self) -> None:
+        super()._calm()
+        self._read_on()
+
+    def eof_received(self) -> None:
+        """The end of an answer that has no other; elsewhere a break."""
+        super().eof_received()
+        if self._until_close and not self._complete and self._done is not None:
+            self._complete = True
+            self._answered()
+
+    # --- sink of a request's body (hollyport.flow.Sink)
+
+    def more(self, data: bytes) -> None:
+        """The next piece of the body."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._put(b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data)
+
+    def ended(self, whole: bool) -> None:
+        """The body's end; a body that breaks off takes the connection with it."""
+        self._up = None
+        if not whole:
+            self.abort()
+            return
+        if self._chunked and self._transport is not None and not self._transport.is_closing():
+            self._put(b"0\r\n\r\n")
+        self._open_ended = False
+        if not self._blocked and self._transport is not None and not self._transport.is_closing():
+            self._whole()
+
+    # --- source of an answer's body (hollyport.flow.Source)
+
+    def hold(self) -> None:
+        """Read no more for now: the client takes no more."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+        self._calm()
+
+    def go_on(self) -> None:
+        """Read on."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._wait_on()
+
+    def unwanted(self) -> None:
+        """The client has left."""
+        self._down = None
+        self.abort()
+
+    def _begin_flow(self) -> None:
+        """Pass on what has come, and then the rest as it comes."""
+        begun, self.on_begun = self.on_begun, None
+        assert begun is not None and self._ledger is not None
+        self._down = flow = Flow(self, self._ledger)
+        self._stall_s = SILENT_S
+        body, self._body = self._body, []
+        for piece in body:
+            flow.put(piece)
+        begun(Flowing(self._headers, self._length, flow))
 
     def _read(self, data: bytes) -> None:
         if self._parser is None:
@@ -91,14 +217,34 @@
         if self._complete:
             # What may follow belongs to nobody. It does not make the answer worse, but ends the connection.
             self.reusable = self.reusable and not spoilt
-            reply = Reply(self._status, self._headers, b"".join(self._body))
-            self._headers, self._body = [], []
-            self._finish(reply)
+            self._answered()
         elif spoilt or (self._in_head and self._raw > MAX_HEAD):
             self._spoil()
-        else:
+        elif self._down is None and self.on_begun is not None and self._flows():
+            self._begin_flow()
+        elif self._down is None or not self._down.held:
             self._wait_on()
 
+    def _flows(self) -> bool:
+        """Whether an answer that has begun is to be passed on as it comes."""
+        if self._in_head or self._status != 200:
+            return False
+        if self._length is not None:
+            return self._length > LARGE
+        return self._size > LARGE or asyncio.get_running_loop().time() - self._since > UNSURE_S
+
+    def _answered(self) -> None:
+        """The answer is whole."""
+        self._stall_s = self._usual_stall_s
+        reply = Reply(self._status, self._headers, b"".join(self._body))
+        self._headers, self._body = [], []
+        down, self._down = self._down, None
+        if down is not None:
+            down.end(True)
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.resume_reading()  # its end may have come while the client was slow
+        self._finish(reply)
+
     # --- httptools
 
     def on_message_begin(self) -> None:
@@ -109,7 +255,8 @@
         self._in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        if self._in_head:  # trailers are no part of the head: nobody reads them
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         parser = self._parser
@@ -128,14 +275,29 @@
                 lengths.append(value)
             elif name == b"transfer-encoding":
                 codings.append(value.lower())
-        framed = codings == [b"chunked"] if codings else len(lengths) == 1 and DIGITS.fullmatch(lengths[0])
-        if not framed and status not in NO_BODY or (codings and lengths):
+        if codings:
+            framed = codings == [b"chunked"] and not lengths
+        elif lengths:
+            framed = len(lengths) == 1 and DIGITS.fullmatch(lengths[0]) is not None
+        else:
+            framed = True
+            self._until_close = status not in NO_BODY
+        if not framed:
             raise Spoilt
-        if lengths and int(lengths[0]) > self._max_body:
+        self._status, self._since = status, asyncio.get_running_loop().time()
+        self._length = int(lengths[0]) if lengths else None
+        if self._until_close:
+            self.reusable = False
+        if self._length is not None and self._length > (MAX_FLOW if self.on_begun else self._max_body):
             raise Spoilt
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
+        if self._down is not None:
+            if self._size > MAX_FLOW:
+                raise Spoilt
+            self._down.put(body)
+            return
         if self._size > self._max_body:
             raise Spoilt
         self._body.append(body)
@@ -149,17 +311,17 @@
         # Asked here and not after feed_data: the parser forgets the message's framing when it ends, and then
         # says that no connection can be kept.
         self.reusable = self.reusable and parser.should_keep_alive()
-        self._status = status
         self._complete = True
 
 
 class HttpBack:
     """Nodes that speak HTTP/1.1 (hollyport.contract.Back)."""
 
-    def __init__(self, reports: bool) -> None:
+    def __init__(self, reports: bool, ledger: Ledger | None = None) -> None:
         self.probe = heads.probe(reports)
         self.beside: Beside | None = None
+        self._ledger = ledger or Ledger(0)
 
     def connection(self, on_lost: Callable[[Any], None], stall_s: float) -> Connection:
         """A connection to be opened."""
-        return Connection(on_lost, stall_s=stall_s)
+        return Connection(on_lost, stall_s=stall_s, ledger=self._ledger)
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -7,22 +7,34 @@
 import sys
 import traceback
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
 
 from hollyport.contract import Service, Terms
+from hollyport.flow import Flow
 from hollyport.guest import Guest
 from hollyport.http import heads
 from hollyport.http.heads import Headers
 from hollyport.http.message import Message, head
 
 if TYPE_CHECKING:
+    from hollyport.http.back import Flowing
+    from hollyport.ledger import Ledger
     from hollyport.listener import Listener
 
-MAX_BODY = 64 * 1024
+HOLD = 64 * 1024  # a body of up to so much is whole before anything is done about it
+MAX_BODY = 48 << 20  # 32 MB are the promise
 MAX_HEAD = 32 * 1024
 PIECE = 4096  # bytes parsed at a time: bounds what one read can begin
+LARGE_PIECE = 256 * 1024
+LEAST_RATE = 48_000.0  # bytes a second of a body; 64 kB are what a client may take its time for
+BODY_GRACE_S = 0.8  # and so long before the first of them: with the 2 s of a head within the 3 s of an error
+STILL_S = 4.0  # how long a large body may come more slowly than that
+PACE_S = 1.0  # how often that is looked at
+UNREAD_S = 15.0  # how long a client may take nothing of a large answer
+CLOSED = 405  # for a body that is sent to one of the sidecar's own pages
 CLOSING = frozenset({400, 404, 405, 408, 409, 413, 417, 431})  # answered and closed: what follows is as bad
 DIGITS = re.compile(rb"[0-9]{1,18}")
 
@@ -32,21 +44,30 @@
 
 
 class ClientConnection(Guest[Message]):
-    """One connection of the application."""
+    """One connection of the application.
+
+    It is the source of a large request's body and the sink of a large answer's (hollyport.flow).
+    """
 
     def __init__(
         self, listener: Listener, loop: asyncio.AbstractEventLoop, service: Service,
-        admit: Callable[[Message], Terms | int], pages: Mapping[bytes, Callable[[], bytes]],
+        admit: Callable[[Message], Terms | int], pages: Mapping[bytes, Callable[[], bytes]], ledger: Ledger,
     ) -> None:
         super().__init__(listener, loop)
-        self._service, self._admit, self._pages = service, admit, pages
+        self._service, self._admit, self._pages, self._ledger = service, admit, pages, ledger
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._message: Message | None = None  # being read
         self._raw = 0  # bytes since the message began, while its head is not whole
         self._in_head = True
+        self._headed = 0.0  # when the head was whole
         self._body: list[bytes] = []
         self._size = 0
         self._error = 0
+        self._stopped = False  # the large body that is being read waits for its node
+        self._paced = 0.0, 0  # how far it was, when it was looked at last
+        self._down: Flow | None = None  # the large answer that is being passed on
+        self._chunked = self._keep = False  # how
+        self._unread: asyncio.TimerHandle | None = None
 
     # --- Guest
 
@@ -57,12 +78,27 @@
             if self._enough():
                 self._put_off(data[at:])
                 return
-            piece = data[at:at + PIECE] if len(data) > PIECE else data
-            at += PIECE
+            size = self._piece()
+            piece = data[at:at + size] if len(data) - at > size or at else data
+            at += size
             self._parse(piece)
         if self._active is None and not self._deaf:
             self._listener.move(self, self._place())
 
+    def _piece(self) -> int:
+        """How much to parse at a time. In a large body of known length even many bytes begin nothing."""
+        message = self._message
+        if message is None or message.length is None or message.flow is None:
+            return PIECE
+        return max(1, min(message.length - self._size, LARGE_PIECE))
+
+    def _enough(self) -> bool:
+        message = self._message
+        if message is not None and message.flow is not None:
+            return self._stopped
+        # A large body that is not first in line stays where it is: there is no room for it here.
+        return super()._enough() or (message is not None and message.terms is not None and self._size > HOLD)
+
     def _parse(self, piece: bytes) -> None:
         assert self._parser is not None
         self._raw += len(piece)
@@ -77,19 +113,36 @@
         if self._error and not self._deaf:
             self._deaf = True
             self._parser = None
+            if self._message is not None and self._message is self._active:
+                self._break_off(self._message)
             if self._active is None:
                 self._reject()
+        elif self._message is not None and self._message.terms is not None:
+            self._grow()
 
     def eof_received(self) -> None:
         """A client that closes has gone away: the transport closes, and connection_lost tells the rest."""
 
     def _let_go(self) -> None:
         self._parser = None  # it holds this connection: without the cycle both go at once
-        self._message = None
+        message, self._message = self._message, None
+        if message is not None and message.flow is not None:
+            message.flow.end(False)
+        down, self._down = self._down, None
+        if down is not None:
+            down.drop()
 
     def _hangup(self, active: Message) -> None:
+        if active.flow is not None:
+            active.flow.drop()
         self._service.hangup(active)
 
+    def _next(self) -> None:
+        message = self._message
+        if message is not None and message.terms is not None and not self._waiting:
+            self._grow()
+        super()._next()
+
     def reading(self) -> bool:
         """Whether part of a request has come."""
         return self._message is not None or self._raw > 0
@@ -100,6 +153,12 @@
             self._error = 408
             self._reject()
 
+    def patience(self, since: float) -> float:
+        """For how long a request may be coming in, in seconds: a body as long as its bytes take."""
+        if self._in_head:
+            return super().patience(since)
+        return max(super().patience(since), self._headed - since + BODY_GRACE_S + self._size / LEAST_RATE)
+
     # --- httptools
 
     def on_message_begin(self) -> None:
@@ -112,16 +171,19 @@
             self._message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        assert self._message is not None
-        self._message.headers.append((name.lower(), value))
+        if self._in_head:  # trailers are no part of the head, and nothing may be hidden in them
+            assert self._message is not None
+            self._message.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Framing that two readers could read in two ways is refused: it may hide another request."""
         message, parser = self._message, self._parser
         assert message is not None and parser is not None
-        self._in_head = False
+        self._in_head, self._headed = False, self._loop.time()
         lengths, codings = message.all(b"content-length"), message.all(b"transfer-encoding")
         hosts, version = len(message.all(b"host")), parser.get_http_version()
+        message.method, message.target = parser.get_method(), heads.origin(message.target)
+        message.old = version == "1.0"
         if (
             len(lengths) > 1 or any(DIGITS.fullmatch(value) is None for value in lengths)
             or (codings and (lengths or version != "1.1" or [v.lower() for v in codings] != [b"chunked"]))
@@ -131,20 +193,32 @@
         elif lengths and int(lengths[0]) > MAX_BODY:
             self._error = 413
         else:
+            message.length = int(lengths[0]) if lengths else None
+            if message.length is not None and message.length > HOLD:
+                self._read_terms(message)
             expect = message.header(b"expect")
             if expect is not None and expect.lower() != b"100-continue":
                 self._error = 417
-            elif expect is not None and self._transport is not None and self._active is None:
+            elif expect is not None and self._transport is not None and not (self._active or self._error):
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._error:
             raise Refused
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
+        message = self._message
+        assert message is not None
         if self._size > MAX_BODY:
             self._error = 413
             raise Refused
+        if message.flow is not None:
+            message.flow.put(body)
+            return
         self._body.append(body)
+        if self._size > HOLD and message.terms is None:
+            self._read_terms(message)
+            if self._error:
+                raise Refused
 
     def on_message_complete(self) -> None:
         message, parser = self._message, self._parser
@@ -153,13 +227,96 @@
         self._raw, self._in_head, self._spoke = 0, True, True
         if self._deaf:
             return
-        message.method = parser.get_method()
-        message.body = b"".join(self._body)
         message.keep_alive = parser.should_keep_alive()
         message.came = self._loop.time()
+        if message.flow is not None:
+            message.flow.end(True)
+            self._service.whole(message)
+            return
+        message.body = b"".join(self._body)
         self._body = []
         self._came(message)
 
+    # --- a large request
+
+    def _read_terms(self, message: Message) -> None:
+        """Read what a request asks for while its body is still to come: what is no use need not be sent."""
+        terms = CLOSED if message.target[:3] == b"/-/" else self._admit(message)
+        if isinstance(terms, int):
+            self._error = terms
+        else:
+            message.terms = terms._replace(growing=True)
+
+    def _grow(self) -> None:
+        """Hand over a large request, once as much of it has come as is held and nothing is before it."""
+        message = self._message
+        assert message is not None and message.terms is not None
+        if message.flow is not None or self._size <= HOLD or self._active is not None or self._waiting:
+            return
+        if self._full or self._deaf:
+            return
+        self._active, self._asked = message, True
+        self._listener.move(self, None)
+        message.came = self._loop.time()
+        message.flow = flow = Flow(self, self._ledger, replay=True)
+        flow.on_spent = partial(self._service.spent, message)
+        body, self._body = self._body, []
+        for piece in body:
+            flow.put(piece)
+        self._paced = self._loop.time(), self._size
+        self._loop.call_later(PACE_S, self._pace, message)
+        try:
+            self._service.request(message, message.terms)
+        except Exception:
+            traceback.print_exc(file=sys.stderr)
+            message.answer(500)
+
+    def _pace(self, message: Message) -> None:
+        """A body may come slowly, but it has to come."""
+        if message is not self._message or message.flow is None:
+            return
+        now, (since, size) = self._loop.time(), self._paced
+        if self._stopped or self._size - size >= (now - since) * LEAST_RATE:
+            self._paced = now, self._size
+        elif now - since >= STILL_S:
+            self._error = 408
+            self._deaf = True
+            self._break_off(message)
+            self._reject()
+            return
+        self._loop.call_later(PACE_S, self._pace, message)
+
+    def _break_off(self, message: Message) -> None:
+        """What comes is no body: the request will never be whole."""
+        self._active = None
+        assert message.flow is not None
+        message.flow.end(False)
+        self._service.hangup(message)
+
+    # --- source of its body
+
+    def hold(self) -> None:
+        """Read no more for now."""
+        self._stopped = True
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def go_on(self) -> None:
+        """Read on."""
+        if self._stopped:
+            self._stopped = False
+            self._loop.call_soon(self._read_on)
+
+    def unwanted(self) -> None:
+        """Nobody takes the rest: whoever answers sees to it."""
+
+    def _read_on(self) -> None:
+        if self._stopped or self._deaf or self._transport is None or self._transport.is_closing():
+            return
+        rest, self._rest, self._held_back = self._rest, b"", False
+        self._transport.resume_reading()
+        self._feed(rest)
+
     # --- answers
 
     def _begin(self, message: Message) -> None:
@@ -195,11 +352,30 @@
         self._active = None
         if status == 200 and self._asked:
             self._listener.served(self)
+        keep = self._keeps(message) and status not in CLOSING
+        transport.write(head(status, len(body), headers, keep) + (b"" if message.method == b"HEAD" else body))
+        if message.flow is not None:
+            message.flow.drop()
+            if message is self._message:
+                # It is answered before it was whole. What still comes of it is read and dropped, so that the
+                # client gets to read the answer.
+                self._message = None
+                self._leave()
+                return
+        self._go_on_after(keep, status)
+
+    def _keeps(self, message: Message) -> bool:
+        """Whether the connection goes on after the answer to a request."""
+        if message is self._message:
+            return False
         last = self._listener.stopping and not self._waiting and not self._held_back
-        keep = message.keep_alive and not last and status not in CLOSING
         # Clients have only so many connections: where many ask once and stay, kept ones would use them up.
-        keep = keep and not (self._listener.crowded(self) and not self._waiting and not self._held_back)
-        transport.write(head(status, len(body), headers, keep) + body)
+        crowded = self._listener.crowded(self) and not self._waiting and not self._held_back
+        return message.keep_alive and not last and not crowded
+
+    def _go_on_after(self, keep: bool, status: int) -> None:
+        transport = self._transport
+        assert transport is not None
         if not keep and status not in CLOSING and not self._error:
             self._deaf = True
             self._listener.move(self, self._listener.leaving)  # ends it where the client does not read
@@ -220,6 +396,74 @@
             transport.write(head(self._error, 0, [], False))
             self._leave()
 
+    # --- a large answer
+
+    def flow(self, message: Message, answer: Flowing) -> None:
+        """Pass on an answer as it comes."""
+        transport = self._transport
+        if message is not self._active or transport is None or transport.is_closing():
+            answer.flow.drop()
+            return
+        self._listener.served(self)
+        self._chunked = answer.length is None and not message.old
+        self._keep = self._keeps(message) and (answer.length is not None or self._chunked)
+        begin = head(200, answer.length, heads.returned(answer.headers), self._keep, message.old)
+        transport.write(begin)
+        if message.flow is not None:
+            message.flow.drop()
+        self._down = answer.flow
+        if self._full:
+            answer.flow.hold()
+        answer.flow.attach(self)
+
+    def more(self, data: bytes) -> None:
+        """The next piece (hollyport.flow.Sink)."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data)
+
+    def ended(self, whole: bool) -> None:
+        """The end of the answer, or a break that the client has to see (hollyport.flow.Sink)."""
+        self._down = None
+        self._calm()
+        transport, self._active = self._transport, None
+        if transport is None or transport.is_closing():
+            return
+        if whole:
+            if self._chunked:
+                transport.write(b"0\r\n\r\n")
+            self._go_on_after(self._keep, 200)
+            return
+        # What the node gave still goes out. Where nothing but the close tells the end, it has to be a reset.
+        self._deaf = True
+        if self._chunked or self._keep:
+            self._listener.move(self, self._listener.leaving)
+            transport.close()
+        else:
+            transport.abort()
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        if self._down is not None:
+            self._down.hold()
+            self._unread = self._loop.call_later(UNREAD_S, self.abort)
+
+    def resume_writing(self) -> None:
+        self._calm()
+        if self._down is not None:
+            self._full = False
+            self._down.go_on()
+        else:
+            super().resume_writing()
+
+    def _calm(self) -> None:
+        if self._unread is not None:
+            self._unread.cancel()
+            self._unread = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._calm()
+        super().connection_lost(exc)
+
 
 def turned_away(begun: bytes, wait_s: float, own: bool) -> bytes:
     """What a client is told that is not let in though it has begun a request: nothing of it was taken."""
--- a/hollyport/http/heads.py
+++ b/hollyport/http/heads.py
@@ -31,6 +31,27 @@
     return b"".join(parts)
 
 
+def forwarded_growing(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], length: int | None
+) -> bytes:
+    """The same for one whose body is still coming; without a length it goes on in chunks."""
+    parts = [b"%s %s HTTP/1.1\r\n" % (method, target)]
+    parts += [b"%s: %s\r\n" % pair for pair in headers if pair[0] not in NOT_FORWARDED]
+    parts.append(b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length)
+    return b"".join(parts)
+
+
+def origin(target: bytes) -> bytes:
+    """A request target in origin form, whichever form it came in (RFC 9112, section 3.2.2)."""
+    if target[:1] == b"/" or target[:7].lower() != b"http://":
+        return target
+    _, slash, path = target[7:].partition(b"/")
+    if slash:
+        return b"/" + path
+    query = target[7:].partition(b"?")
+    return b"/" + query[1] + query[2]
+
+
 def with_time(head: bytes, left_s: float, body: bytes) -> bytes:
     """A whole request: how long we wait depends on when it is written."""
     return b"%sX-Timeout: %.4f\r\n\r\n%s" % (head, max(0.001, left_s), body)
--- a/hollyport/http/message.py
+++ b/hollyport/http/message.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from hollyport.http import heads
+from hollyport.http.back import Outgoing
 from hollyport.http.heads import Headers
 
 if TYPE_CHECKING:
-    from hollyport.http.back import Reply
+    from hollyport.contract import Terms
+    from hollyport.flow import Flow
+    from hollyport.http.back import Flowing, Reply
     from hollyport.http.front import ClientConnection
 
 REASONS = {
@@ -22,7 +25,8 @@
 class Message:
     """One request as it came, and where its one answer goes."""
 
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "tid", "_head")
+    __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "tid", "_head",
+                 "length", "terms", "flow", "old")  # fmt: skip
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
@@ -32,6 +36,10 @@
         self.came = 0.0  # when its last byte was read, by the loop's clock
         self.tid = ""  # for the owner: which request this became
         self._head = b""  # as it goes on, once it has been made
+        self.length: int | None = None  # of the body, as the head tells it
+        self.terms: Terms | None = None  # read from the head alone, where the body is too large to wait for
+        self.flow: Flow | None = None  # the body, where it goes on while it comes
+        self.old = False  # HTTP/1.0
 
     def header(self, name: bytes) -> bytes | None:
         """The first header of this lower-case name."""
@@ -50,8 +58,11 @@
 
     # --- for the core (hollyport.contract.Asked)
 
-    def wire(self, left_s: float) -> bytes:
+    def wire(self, left_s: float) -> bytes | Outgoing:
         """It as a node gets it."""
+        if self.flow is not None:
+            begin = heads.forwarded_growing(self.method, self.target, self.headers, self.length)
+            return Outgoing(heads.with_time(begin, left_s, b""), self.length is None, self.flow)
         if not self._head:
             self._head = heads.forwarded(self.method, self.target, self.headers, self.body)
         return heads.with_time(self._head, left_s, self.body)
@@ -60,6 +71,10 @@
         """A node has answered."""
         self.answer(200, answer.body, heads.returned(answer.headers))
 
+    def begun(self, answer: Flowing) -> None:
+        """A node has begun a large answer."""
+        self.connection.flow(self, answer)
+
     def refused(self, hold_off_ns: int) -> None:
         """It has not run: come back in so long."""
         self.answer(503, b"refused\n", heads.retry_after(hold_off_ns))
@@ -77,10 +92,13 @@
         self.answer(409)
 
 
-def head(status: int, length: int, headers: Headers, keep_alive: bool) -> bytes:
-    """The head of an answer."""
-    lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n"
-             % (status, REASONS.get(status, "Unknown").encode(), length)]
+def head(status: int, length: int | None, headers: Headers, keep_alive: bool, old: bool = False) -> bytes:
+    """The head of an answer. Without a length its end is told by chunks, or to an old client by the close."""
+    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Unknown").encode())]
+    if length is not None:
+        lines.append(b"Content-Length: %d\r\n" % length)
+    elif not old:
+        lines.append(b"Transfer-Encoding: chunked\r\n")
     lines += [b"%s: %s\r\n" % pair for pair in headers]
     if not keep_alive:
         lines.append(b"Connection: close\r\n")
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -50,6 +50,7 @@
         self._door = door  # None: whoever comes is let in while there is room
         self._hosts: dict[Guest, str] = {}  # where guests come from, with a door
         self.stopping = False
+        self.whole_s = WHOLE_S
         self.connections: set[Guest] = set()
         self.silent: dict[Guest, float] = {}  # nothing has come yet
         self.partial: dict[Guest, float] = {}  # part of a request has come
@@ -293,7 +294,7 @@
         for connection in _older(self.leaving, now - LINGER_S):
             connection.abort()
         for connection, since in list(self.partial.items()):
-            if now - since >= WHOLE_S and connection.quiet():
+            if now - since >= connection.patience(since) and connection.quiet():
                 connection.time_out()
         self._loop.call_later(SWEEP_S, self._sweep)
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -14,6 +14,7 @@
 from hollyport.http.admission import Gate
 from hollyport.http.back import HttpBack
 from hollyport.http.front import ClientConnection, turned_away
+from hollyport.ledger import Ledger
 from hollyport.lifecycle.machine import Effects, Event, Machine
 from hollyport.lifecycle.steward import Steward
 from hollyport.listener import Listener
@@ -52,9 +53,10 @@
         # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
         # Clients may hold a third of all for requests; as many again are left to those that send none.
         clients = (config.sockets - RESERVE) * 2 // 3
+        ledger = Ledger(config.memory_mb)
         self._upstream = Upstream(
             loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE,
-            min(c.aim_ns for c in settings.classes) / 2e9, HttpBack(settings.reports != "none"),
+            min(c.aim_ns for c in settings.classes) / 2e9, HttpBack(settings.reports != "none", ledger),
         )
         self._beat, self._ids = Beat(loop), Ids(2 * self._longest_ns / 1e9)
         self.tally = Tally([c.name for c in settings.classes])
@@ -84,7 +86,7 @@
             self._open_gateway(options, most)
         admit = Gate(settings).admit
         self._listener = Listener(
-            lambda listener: ClientConnection(listener, loop, self.core, admit, pages), clients,
+            lambda listener: ClientConnection(listener, loop, self.core, admit, pages, ledger), clients,
             config.sockets // 4, door=self._door(clients, turned_away),
         )
         self._listeners = [self._listener]
--- a/hollyport/thrift/front.py
+++ b/hollyport/thrift/front.py
@@ -13,7 +13,7 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from hollyport.contract import Service, Terms
 from hollyport.guest import Guest
@@ -82,6 +82,10 @@
         when = f"; come back in {hold_off_ns / 1e9:.3f} s" if hold_off_ns > 0 else ""
         self.error(stream.LOADSHEDDING, f"refused{when}", "refused")
 
+    def begun(self, answer: Any) -> None:
+        """Never told: answers over Thrift are passed on whole."""
+        raise AssertionError("an answer over Thrift began before it was whole")
+
     def failed(self, late: bool) -> None:
         """It may have run, and there is no answer."""
         if late:
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -46,6 +46,9 @@
         self._connecting: asyncio.Task[None] | None = None
         self._over = False
         self._timer: asyncio.TimerHandle | None = None
+        self._growing = False  # its request is still coming: the time to answer has not begun
+        self._begun = False  # its answer is being passed on: the time to begin has been kept
+        self.on_begun: Callable[[Any], None] | None = None  # told of an answer passed on as it comes
         self.on_written: Callable[[], None] | None = None  # told once the last byte is written, where wanted
 
     def start(self) -> None:
@@ -95,10 +98,38 @@
             self._timer.cancel()
         self._connection = connection
         connection.on_written = self.on_written
+        if self.on_begun is not None:
+            connection.on_begun = self._answer_begun
         connection.send(self._make(), self._replied)
-        if not self._over:
+        if not self._over and not self._growing:
             self._timer = self._loop.call_later(self._give_up - self._loop.time(), self._timed_out)
 
+    def grow(self) -> None:
+        """The request is still coming, so it may take any time; `expire` tells when that has an end."""
+        self._growing = True
+
+    def expire(self, at: float) -> None:
+        """It has come whole: wait until then, by the loop's clock."""
+        self._growing, self._give_up = False, at
+        if self._over or self._begun:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        late = self._end_moot if self._connection is None else self._timed_out
+        self._timer = self._loop.call_later(at - self._loop.time(), late)
+
+    def _end_moot(self) -> None:
+        self._end(How.MOOT)
+
+    def _answer_begun(self, flowing: Any) -> None:
+        if self._over or self.on_begun is None:
+            return
+        self._begun = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.on_begun(flowing)
+
     def _timed_out(self) -> None:
         # A request that never went out whole can't have run: servers begin with its last byte.
         assert self._connection is not None
