--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -256,7 +256,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_head:  # trailers are no part of the head: nobody reads them
-            self._headers.append((name.lower(), value))
+            # White space behind a value is no part of it (RFC 9110, section 5.6.3); the parser leaves it.
+            self._headers.append((name.lower(), value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
         parser = self._parser
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -34,6 +34,7 @@
 STILL_S = 4.0  # how long a large body may come more slowly than that
 PACE_S = 1.0  # how often that is looked at
 UNREAD_S = 15.0  # how long a client may take nothing of a large answer
+OWS = b" \t"  # may stand behind a value and is no part of it (RFC 9110, section 5.6.3); the parser leaves it
 CLOSED = 405  # for a body that is sent to one of the sidecar's own pages
 CLOSING = frozenset({400, 404, 405, 408, 409, 413, 417, 431})  # answered and closed: what follows is as bad
 DIGITS = re.compile(rb"[0-9]{1,18}")
@@ -173,7 +174,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_head:  # trailers are no part of the head, and nothing may be hidden in them
             assert self._message is not None
-            self._message.headers.append((name.lower(), value))
+            self._message.headers.append((name.lower(), value.rstrip(OWS)))
 
     def on_headers_complete(self) -> None:
         """Framing that two readers could read in two ways is refused: it may hide another request."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -70,6 +70,8 @@
     ((b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + GOOD,), 1),
     ((b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",), 1),
     ((GOOD[:20], GOOD[20:50], GOOD[50:]), 1),
+    ((b"HTTP/1.1 200 OK\r\nContent-Length: 4 \t \r\n\r\ngood",), 1),
+    ((b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked \r\n\r\n4;x=1\r\ngood\r\n0\r\nX-T: 1\r\n\r\n",), 1),
 ])
 def test_a_good_answer_is_served_whatever_follows_it(parts, connections):
     """Found: noise behind a good answer turned it into a reset. What follows answers nobody."""
