--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -244,13 +244,14 @@
 @pytest.mark.parametrize("sent", [
     POST + b"Content-Length: 4 \r\n\r\nbody",
     POST + b"Content-Length: 4\t \r\nExpect: 100-continue \r\n\r\nbody",
-    POST + b"Transfer-Encoding: chunked \r\n\r\n4;e=\"a b\"\r\nbody\r\n0\r\nX-Timeout: 9\r\nX-Request-ID: t\r\n\r\n",
+    POST + b"Transfer-Encoding: chunked \r\n\r\n4;e=\"a b\"\r\nbody\r\n"
+    b"0\r\nX-Timeout: 9\r\nX-Request-ID: t\r\n\r\n",
     POST.replace(b"/single", b"http://app.svc/single") + b"Content-Length: 4\r\n\r\nbody",
     POST.replace(b"/single", b"HTTP://app.svc:80/single") + b"Content-Length: 4\r\n\r\nbody",
-], ids=["space behind a length", "behind an expectation", "extensions and trailers", "absolute", "with a port"])
+], ids=["space behind length", "behind expectation", "extensions and trailers", "absolute", "with a port"])
 def test_all_forms_of_a_request_come_to_the_server_as_one(sent):
-    """Found: the parser leaves white space behind values, and every such length was taken for a wrong one; trailers
-    counted as headers of the head, absolute targets as no targets."""
+    """Found: the parser leaves white space behind values, and every such length was taken for a wrong one;
+    trailers counted as headers of the head, absolute targets as no targets."""
     async def scene():
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             client = await world.client()
