--- a/tests/flow/test_large.py
+++ b/tests/flow/test_large.py
@@ -201,7 +201,8 @@
             writer.transport.abort()
 
         async with (
-            Node(script) as one, Node(script) as two, sidecar(line("s1", one.port), line("s2", two.port)) as world,
+            Node(script) as one, Node(script) as two,
+            sidecar(line("s1", one.port), line("s2", two.port)) as world,
         ):  # fmt: skip
             client = await world.client()
             await client.send(post("a", f"Content-Length: {len(BIG)}") + BIG[: 2 << 20])
