Upgrade: each process sees the other by a locked file and takes half of the limits

Need: descriptors and memory hold for both processes together, $TMPDIR is shared and not emptied. handover/presence.py shows a process by a file that it holds locked (the kernel drops the lock with the process; contents decide nothing), budget.py halves clients', servers' and bodies' parts while another lives, and for the first 10 s in any case, as an older version shows nothing. Weighed: a socket with the module's state handed over (learned load is a second old when it arrives; cold servers' ration goes by own answers, so two that share the traffic share it). A listening socket that fails for good ends the sidecar with 1, where it spun.

--- a/hollyport/ledger.py
+++ b/hollyport/ledger.py
@@ -14,10 +14,19 @@
     """Shares of the memory for bodies under way."""
 
     def __init__(self, memory_mb: int) -> None:
-        self.most = max(FEWEST, int((memory_mb - OWN_MB) * SHARE * 2**20 / HELD))
+        self.most = self._most(memory_mb)
         self.out = 0
         self._waiting: dict[object, Callable[[], None]] = {}
 
+    @staticmethod
+    def _most(memory_mb: int) -> int:
+        return max(FEWEST, int((memory_mb - OWN_MB) * SHARE * 2**20 / HELD))
+
+    def resize(self, memory_mb: int) -> None:
+        """The memory is another from now on; bodies that are under way go on."""
+        self.most = self._most(memory_mb)
+        self._pass_on()
+
     def ask(self, who: object, granted: Callable[[], None]) -> None:
         """Have `granted` called once there is a share for `who`: at once, or after those who asked before."""
         if self.out < self.most and not self._waiting:
@@ -32,6 +41,9 @@
             self._waiting.pop(who, None)
             return
         self.out -= 1
+        self._pass_on()
+
+    def _pass_on(self) -> None:
         while self._waiting and self.out < self.most:
             first = next(iter(self._waiting))
             granted = self._waiting.pop(first)
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -62,6 +62,7 @@
         self._shared = False  # the platform's, and perhaps another process's too: never bound or shut down
         self._accepting = False
         self._loop: asyncio.AbstractEventLoop | None = None
+        self.on_lost: Callable[[], object] | None = None  # told where the listening socket itself has failed
 
     async def start(
         self, loop: asyncio.AbstractEventLoop, host: str, port: int, shared: socket.socket | None = None
@@ -88,6 +89,10 @@
         else:
             self._loop.remove_reader(self._socket.fileno())
 
+    def resize(self, most: int, crowd: int) -> None:
+        """Hold at most so many connections from now on; those that are open go on."""
+        self.most, self._crowd = most, crowd
+
     def last_requests(self, on: bool = True) -> None:
         """Whether each answer closes its connection, from now on."""
         self.stopping = on
@@ -142,6 +147,12 @@
                 # The queue stays readable: without a pause this would be called again and again.
                 self._pause()
                 return False
+            if error.errno in (errno.EINVAL, errno.EBADF, errno.ENOTSOCK):
+                # The socket itself is gone, most likely shut down elsewhere: it would stay readable for good.
+                self.accept(False)
+                if self.on_lost is not None:
+                    self.on_lost()
+                return False
             return True  # that one client is gone already
         host = str(peer[0])
         if self._door is not None and not self._let_in(made, host):
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import sys
 from typing import TYPE_CHECKING, Any
@@ -11,6 +12,7 @@
 from hollyport.config import Address, Config, ConfigError
 from hollyport.core import Beat, Clock, Core, Ids
 from hollyport.discovery import HTTP, Discovery, Line, Listing, read_listing
+from hollyport.handover.budget import budget, processes
 from hollyport.http.admission import Gate
 from hollyport.http.back import HttpBack
 from hollyport.http.front import ClientConnection, turned_away
@@ -29,13 +31,14 @@
     from hollyport.contract import Back
     from hollyport.counters import Counters
     from hollyport.guards.door import Door
+    from hollyport.handover.presence import Presence
     from hollyport.pools import Pools
     from hollyport.registries.feed import Feed
     from hollyport.thrift.gateway import Gateway
 
 LIST_S = 2.0  # how long a process that takes over from another waits for a list newer than the known one
 TELL_S = 1.0  # how often the counters are looked at for what the log is to tell
-RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
+SHARE_S = 0.2  # how often it is looked whether another process of this sidecar lives
 
 
 class Sidecar:
@@ -50,12 +53,13 @@
         self._clock = Clock()
         self._longest_ns = max(c.deadline_ns for c in settings.classes)
         limits = settings.limits
-        # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
-        # Clients may hold a third of all for requests; as many again are left to those that send none.
-        clients = (config.sockets - RESERVE) * 2 // 3
-        ledger = Ledger(config.memory_mb)
+        self._parts = processes(0, 0.0, shared is not None)
+        part = budget(config.sockets, config.memory_mb, self._parts)
+        clients = part.clients
+        self._ledger = ledger = Ledger(part.memory_mb)
+        self._presence: Presence | None = None
         self._upstream = Upstream(
-            loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE,
+            loop, limits.connect_timeout_ns, limits.conn_idle_ns, part.servers,
             min(c.aim_ns for c in settings.classes) / 2e9, HttpBack(settings.reports != "none", ledger),
         )
         self._beat, self._ids = Beat(loop), Ids(2 * self._longest_ns / 1e9)
@@ -72,6 +76,7 @@
         self._backs: dict[str, Back] = {}
         self._counters: Counters | None = None
         self._gateway: Gateway | None = None
+        self._thrift_clients = 0
         pages: dict[bytes, Callable[[], bytes]] = {}
         self._guards = options.sections.get("guards") if options is not None else None
         self._thrift = options.sections.get("thrift") if options is not None else None
@@ -83,12 +88,14 @@
         if options is not None and self._thrift is not None:
             most = int(clients * self._thrift.connections)
             clients -= most
+            self._thrift_clients = most
             self._open_gateway(options, most)
         admit = Gate(settings).admit
         self._listener = Listener(
             lambda listener: ClientConnection(listener, loop, self.core, admit, pages, ledger), clients,
-            config.sockets // 4, door=self._door(clients, turned_away),
+            config.sockets // 4 // self._parts, door=self._door(clients, turned_away),
         )
+        self._listener.on_lost = self._listener_lost
         self._listeners = [self._listener]
         if self._gateway is not None:
             self._listeners += self._gateway.listeners
@@ -130,6 +137,7 @@
             # What discovery tells binds soon after the yes, and the known list may be old. It has to do in
             # the end.
             self._loop.call_later(LIST_S, self._list_known)
+            self._show()
         self._started = True
         return port
 
@@ -152,6 +160,33 @@
         await self.steward.over.wait()
         if self._console is not None:
             self._console.close()
+        if self._presence is not None:
+            self._presence.leave()
+
+    def _show(self) -> None:
+        """Be seen by the other process of an upgrade, and see it."""
+        from hollyport.handover.presence import Presence
+
+        made = Presence(os.environ.get("TMPDIR", "/tmp"), self._config.name)
+        self._began = self._loop.time()
+        try:
+            made.enter()
+        except OSError as error:
+            print(f"upgrade: not shown to another process: {error}", file=sys.stderr, flush=True)
+        self._presence = made
+        self._share()
+
+    def _share(self) -> None:
+        """Take the part of the limits that is this process's, while there are others."""
+        assert self._presence is not None
+        parts = processes(self._presence.others(), self._loop.time() - self._began, True)
+        if parts != self._parts:
+            self._parts = parts
+            part = budget(self._config.sockets, self._config.memory_mb, parts)
+            self._listener.resize(part.clients - self._thrift_clients, self._config.sockets // 4 // parts)
+            self._upstream.resize(part.servers)
+            self._ledger.resize(part.memory_mb)
+        self._loop.call_later(SHARE_S, self._share)
 
     def _changed(self, effects: Effects) -> None:
         """The state of life has moved."""
@@ -163,6 +198,10 @@
         if self.steward.machine.ending:
             self.ending.set()
 
+    def _listener_lost(self) -> None:
+        print("listen: the listening socket has failed", file=sys.stderr, flush=True)
+        self.steward.event(Event.LISTENER_LOST)
+
     def _list_known(self) -> None:
         if self._upstream.any_up():
             self.steward.event(Event.LIST_KNOWN)
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -184,6 +184,15 @@
         self._sides: dict[str, Target] = {}  # of those that are probed on another port
         loop.call_later(SWEEP_S, self._sweep)
 
+    def resize(self, most: int) -> None:
+        """Hold at most so many connections from now on; idle ones beyond that are closed."""
+        beyond = len(self._open) + self._dialling - most
+        self._most = most
+        for target in self._all():
+            while target.idle and beyond > 0:
+                target.idle.pop(0).close()
+                beyond -= 1
+
     # --- the list
 
     def update(
--- a/tests/backend.py
+++ b/tests/backend.py
@@ -163,12 +163,12 @@
     yield World(made, await made.start())
 
 
-def play(scene: Callable[[], Awaitable[None]]) -> None:
+def play(scene: Callable[[], Awaitable[None]], limit_s: float = LIMIT_S) -> None:
     """Run a scene on the loop that the sidecar runs on in service."""
     import uvloop
 
     async def limited() -> None:
-        async with asyncio.timeout(LIMIT_S):
+        async with asyncio.timeout(limit_s):
             await scene()
 
     uvloop.run(limited())
--- a/tests/flow/test_large.py
+++ b/tests/flow/test_large.py
@@ -129,7 +129,8 @@
             writer.transport.abort()
 
         async with (
-            Node(bad) as one, Node(answers(OK)) as two, sidecar(line("s1", one.port), line("s2", two.port)) as world,
+            Node(bad) as one, Node(answers(OK)) as two,
+            sidecar(line("s1", one.port), line("s2", two.port)) as world,
         ):  # fmt: skip
             for number in range(4):
                 assert (await asked(world, get(f"r{number}")))[0].body == b"ok"
