--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -33,7 +33,8 @@
         raw = settings(discovery="subscribe")
         for cls in raw["classes"]:
             cls.update(onTimeNs=int(DEADLINE_S / 2 * 1e9), hardLimitNs=int(DEADLINE_S * 1e9))
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}", "seed": "ff",
+        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "ff",
+                  "discovery": f"127.0.0.1:{discovery}",
                   "limits": {"sockets": 384, "memory_mb": 80},
                   "known": listing(*(line(f"s{n}", server_port) for n in range(6))), "settings": raw}
         (folder / "config.json").write_text(json.dumps(config))
@@ -154,7 +155,7 @@
     play(scene, limit_s=120)
 
 
-def test_the_new_one_ended_first_leaves_the_old_one_serving_and_an_evacuated_one_can_be_replaced(tmp_path):
+def test_the_new_one_ended_first_leaves_the_old_one_and_an_evacuated_one_is_replaced(tmp_path):
     async def scene():
         async with Server(ok) as server:
             platform = Platform(tmp_path, server.port)
