Kit: upgrades and evacuations of daemons, each failed by daemons broken on purpose

daemon-upgrade starts a process beside the running one on a listening socket that the kit holds; daemon-evacuate sends clients away, looks for connections that stay, and brings the daemon back.

--- a/rehearsal/daemon.py
+++ b/rehearsal/daemon.py
@@ -48,10 +48,26 @@
 class Daemon:
     """One daemon, over all its lives."""
 
-    def __init__(self, number: int, command: list[str], folder: Path, clock: Clock, sockets: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        command: list[str],
+        folder: Path,
+        clock: Clock,
+        sockets: int,
+        staffed: bool = False,
+        shared: bool = False,
+    ) -> None:
+        """`staffed`: it has a second address. `shared`: its listening socket is held here, for upgrades."""
         self.number, self._command, self._folder, self._clock = number, command, folder, clock
         self._sockets = sockets
         self.address, self.thrift = (own_address(random.SystemRandom()) for _ in range(2))
+        self._staffed = staffed or shared
+        self.console = ""  # of the process that was started last
+        self._socket: socket.socket | None = None
+        if shared:
+            host, _, port = self.address.rpartition(":")
+            self._socket = socket.create_server((host, int(port)), backlog=1024)
         self.life = 0
         self.process: asyncio.subprocess.Process | None = None
         self._watched: psutil.Process | None = None
@@ -95,7 +111,13 @@
         self._ending = False
         self._cpu_before += self._cpu_s
         self._cpu_s = 0.0
-        environ = {**environment(), "NODE_CONFIG": str(self.config)}
+        environ = {**environment(), "NODE_CONFIG": str(self.config), "TMPDIR": str(self._folder)}
+        passed: tuple[int, ...] = ()
+        if self._staffed:
+            environ["NODE_CONSOLE"] = self.console = own_address(random.SystemRandom())
+        if self._socket is not None:
+            passed = (self._socket.fileno(),)
+            environ["NODE_ACCEPT_FD"] = str(passed[0])
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -110,6 +132,7 @@
                 stdout=log,
                 stderr=log,
                 env=environ,
+                pass_fds=passed,
             )
         with contextlib.suppress(psutil.Error):
             self._watched = psutil.Process(self.process.pid)
@@ -140,6 +163,90 @@
             self.trouble(f"ended with {process.returncode} before it was ready")
         return False
 
+    # --- the second address
+
+    async def asked(self, path: str, method: str = "GET") -> int:
+        """The status of an answer at the second address; 0 where there is none in 1 s."""
+        host, _, port = self.console.rpartition(":")
+        with contextlib.suppress(OSError, ValueError, TimeoutError, IndexError):
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                try:
+                    writer.write(f"{method} {path} HTTP/1.1\r\nHost: staff\r\n\r\n".encode())
+                    return int((await reader.readline()).split()[1])
+                finally:
+                    writer.transport.abort()
+        return 0
+
+    async def upgrade(self, yes_s: float, stop_s: float) -> None:
+        """Start a process beside the running one, and end that once the new one says yes."""
+        old, watched = self.process, self._watched
+        self._note("upgrade")
+        await self.start()
+        new, loop = self.process, asyncio.get_running_loop()
+        assert new is not None and old is not None
+        until = loop.time() + yes_s
+        while await self.asked("/api/ready") != 200:
+            if new.returncode is not None or loop.time() > until:
+                what = f"ended with {new.returncode}" if new.returncode is not None else "did not say yes"
+                self.trouble(f"was to be replaced, and the new process {what}")
+                with contextlib.suppress(ProcessLookupError):
+                    new.kill()
+                await new.wait()
+                self.process, self._watched = old, watched
+                return
+            await asyncio.sleep(LOOK_S)
+        with contextlib.suppress(ProcessLookupError):
+            old.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(stop_s):
+                code = await old.wait()
+        except TimeoutError:
+            old.kill()
+            await old.wait()
+            self.trouble(f"was replaced, and had not ended {stop_s:g} s after SIGTERM")
+            return
+        if code != 0:
+            self.trouble(f"was replaced, and ended with {code} after SIGTERM")
+
+    def clients(self) -> set[tuple[str, int]]:
+        """The clients' ends of the connections that it holds."""
+        host, _, port = self.address.rpartition(":")
+        found: set[tuple[str, int]] = set()
+        with contextlib.suppress(psutil.Error, OSError):
+            assert self._watched is not None
+            for row in self._watched.net_connections("tcp"):
+                if row.raddr and row.laddr == (host, int(port)) and row.status == psutil.CONN_ESTABLISHED:
+                    found.add((row.raddr.ip, row.raddr.port))
+        return found
+
+    async def evacuate(self, gone_s: float) -> None:
+        """Send its clients away. Clients of the kit know no front and go on coming, so what is looked for is
+        a connection that stays: one that was there half way must be gone at the end."""
+        if await self.asked("/api/evacuate", "PUT") != 200:
+            self.trouble("did not take the call to evacuate")
+            return
+        await asyncio.sleep(gone_s / 2)
+        held = self.clients()
+        await asyncio.sleep(gone_s / 2)
+        if await self.asked("/api/ready") == 200:
+            self.trouble(f"was told to evacuate, and says yes {gone_s:g} s later")
+        if stay := held & self.clients():
+            self.trouble(f"was told to evacuate, and {len(stay)} clients were still on it {gone_s:g} s later")
+
+    async def rejoin(self, back_s: float) -> None:
+        """Back to work."""
+        if await self.asked("/api/rejoin", "PUT") != 200:
+            self.trouble("did not take the call to rejoin")
+            return
+        if not await self.ready(back_s):
+            self.trouble("did not come back after an evacuation")
+
+    def close(self) -> None:
+        """Let go of the listening socket, where it is held here."""
+        if self._socket is not None:
+            self._socket.close()
+
     def look(self) -> None:
         """Note what it holds and uses; an end that nobody asked for is a trouble."""
         process = self.process
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -478,6 +478,20 @@
         for number, daemon in enumerate(chosen):
             self._event(start + number * _us(fault.every_s), "daemon", daemon, "restart")
 
+    def _daemon_upgrade(
+        self, key: str, fault: sc.DaemonUpgrade, draw: random.Random, start: int, end: int, daemons: int
+    ) -> None:
+        chosen = sorted(draw.sample(range(daemons), max(1, math.floor(fault.part * daemons))))
+        for number, daemon in enumerate(chosen):
+            self._event(start + number * _us(fault.every_s), "daemon", daemon, "upgrade", fault.yes_s)
+
+    def _daemon_evacuate(
+        self, key: str, fault: sc.DaemonEvacuate, draw: random.Random, start: int, end: int, daemons: int
+    ) -> None:
+        for daemon in sorted(draw.sample(range(daemons), max(1, math.floor(fault.part * daemons)))):
+            self._event(start, "daemon", daemon, "evacuate", fault.gone_s)
+            self._event(end, "daemon", daemon, "rejoin", fault.back_s)
+
     def _list_outage(
         self, key: str, fault: sc.ListOutage, draw: random.Random, start: int, end: int, _: int
     ) -> None:
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -190,8 +190,17 @@
             self._eureka = EurekaPart(plan, self._clock, self._late, addresses, telling)
             await self._eureka.open()
         if self._against is None:
+            told = {event.what for event in plan.events if event.target == "daemon"}
             self._daemons = [
-                Daemon(n, self._command, self._folder, self._clock, plan.scenario.daemon.sockets)
+                Daemon(
+                    n,
+                    self._command,
+                    self._folder,
+                    self._clock,
+                    plan.scenario.daemon.sockets,
+                    "evacuate" in told,
+                    "upgrade" in told,
+                )
                 for n in range(len(plan.daemons))
             ]
             for daemon in self._daemons:
@@ -321,6 +330,16 @@
 
     async def _befall(self, daemon: Daemon, event: Event) -> None:
         scenario = self._plan.scenario
+        if event.what == "upgrade":
+            self._configure(daemon)
+            await daemon.upgrade(event.value, scenario.daemon.stop_s)
+            return
+        if event.what == "evacuate":
+            await daemon.evacuate(event.value)
+            return
+        if event.what == "rejoin":
+            await daemon.rejoin(event.value)
+            return
         if event.what == "kill":
             await daemon.kill()
             await asyncio.sleep(event.value)
@@ -405,6 +424,7 @@
         for daemon in self._daemons:
             if daemon.process is not None and daemon.process.returncode is None:
                 await daemon.kill()
+            daemon.close()
         await asyncio.gather(*(worker.end() for worker in self._workers))
         if self._list is not None:
             await self._list.close()
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -319,6 +319,25 @@
     every_s: float = Field(default=1.0, ge=0.0)
 
 
+class DaemonUpgrade(Fault):
+    """Daemons are replaced, one after the other, by a process that is started beside the running one and
+    has the same listening socket; the old one gets SIGTERM once the new one says yes."""
+
+    kind: Literal["daemon-upgrade"]
+    part: Part = 1.0
+    every_s: float = Field(default=2.0, ge=0.0)
+    yes_s: float = Field(default=6.0, gt=0.0, description="until the new one has to say yes")
+
+
+class DaemonEvacuate(Fault):
+    """Daemons are told to send their clients away, and back when it is over."""
+
+    kind: Literal["daemon-evacuate"]
+    part: Part = 1.0
+    gone_s: float = Field(default=4.0, gt=0.0, description="until no client's connection may be left")
+    back_s: float = Field(default=2.0, gt=0.0, description="until it has to say yes again")
+
+
 class ListOutage(Fault):
     """The node list service is down; it comes back with lower version numbers where `forgets`."""
 
@@ -411,6 +430,8 @@
     | Mute
     | DaemonKill
     | DaemonRestart
+    | DaemonUpgrade
+    | DaemonEvacuate
     | ListOutage
     | Reload
     | Flood
@@ -534,6 +555,8 @@
         "mute",
         "daemon-kill",
         "daemon-restart",
+        "daemon-upgrade",
+        "daemon-evacuate",
         "list-outage",
         "reload",
         "flood",
--- a/tests/rehearsal/broken.py
+++ b/tests/rehearsal/broken.py
@@ -12,8 +12,9 @@
 import hollyport.__main__ as program
 from dunefield import rules
 from dunefield.interface import How
-from hollyport import core, discovery, sidecar
+from hollyport import core, discovery, listener, sidecar
 from hollyport.http import front
+from hollyport.lifecycle import machine, steward
 
 
 def answers_twice() -> None:
@@ -102,6 +103,39 @@
     sidecar.Sidecar.stop = stop
 
 
+def keeps_its_clients() -> None:
+    listener.Listener.last_requests = lambda self, on=True: None
+    listener.Listener.empty = lambda self: None
+
+
+def says_yes_while_away() -> None:
+    machine.Machine.effects = lambda self, now, plain=machine.Machine.effects: (
+        plain(self, now)._replace(ready=True))
+
+
+def forgets_to_come_back() -> None:
+    machine.TABLE = {key: to for key, to in machine.TABLE.items() if key[1] is not machine.Event.REJOIN}
+
+
+def shuts_the_socket_for_both() -> None:
+    plain = listener.Listener.shut
+
+    def shut(self):
+        if self._shared and self._socket is not None:
+            self._socket.shutdown(2)
+        plain(self)
+
+    listener.Listener.shut = shut
+
+
+def binds_anew() -> None:
+    program.inherit.listening = lambda number, listen: None
+
+
+def drops_what_it_accepted() -> None:
+    steward.STAY_S = -10.0  # over at once, whatever is owed
+
+
 def dies() -> None:
     plain, count = core.Core.request, iter(range(10**9))
 
--- /dev/null
+++ b/tests/rehearsal/test_kit_lifecycle.py
@@ -0,0 +1,51 @@
+"""Upgrades and evacuations in the kit: the daemon passes, and each that is broken on purpose fails."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+HERE = Path(__file__).parent
+ROOT = HERE.parent.parent
+LIMIT_S = 120
+PLAYS = {
+    ("short-upgrade", "is_sound"): "",
+    ("short-upgrade", "shuts_the_socket_for_both"): "ended with 1 in mid-play",
+    ("short-upgrade", "binds_anew"): "ended with 2 before it was ready",
+    ("short-upgrade", "drops_what_it_accepted"): "rule lost broken",
+    ("short-evacuate", "is_sound"): "",
+    ("short-evacuate", "keeps_its_clients"): "clients were still on it",
+    ("short-evacuate", "says_yes_while_away"): "says yes",
+    ("short-evacuate", "forgets_to_come_back"): "did not come back",
+}
+
+
+def play(scenario: str, kind: str, folder: Path) -> tuple[int, dict]:
+    out = folder / f"{scenario}-{kind}.json"
+    daemon = f"{sys.executable} {HERE / 'broken.py'} {kind}"
+    words = [sys.executable, "-m", "rehearsal", "run", str(HERE / f"{scenario}.toml"), "--seed", "5",
+             "--json", str(out), "--quiet", "--daemon", daemon]
+    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=LIMIT_S)
+    assert out.exists(), done.stdout + done.stderr
+    return done.returncode, json.loads(out.read_text())
+
+
+@pytest.fixture(scope="module")
+def plays(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("plays")
+    with ThreadPoolExecutor(4) as pool:
+        yield {key: pool.submit(play, *key, folder) for key in PLAYS}
+
+
+@pytest.mark.parametrize(("scenario", "kind"), PLAYS)
+def test_the_daemon_passes_and_a_broken_one_fails(plays, scenario, kind):
+    code, report = plays[scenario, kind].result()
+    if kind == "is_sound":
+        assert (code, report["reasons"]) == (0, [])
+    else:
+        assert code == 1 and any(PLAYS[scenario, kind] in reason for reason in report["reasons"])
