--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -237,13 +238,13 @@
             return False
         if self._length is not None:
             return self._length > LARGE
-        return self._size > LARGE or asyncio.get_running_loop().time() - self._since > UNSURE_S
+        return self._size > LARGE or time.monotonic() - self._since > UNSURE_S
 
     def _answered(self) -> None:
         """The answer is whole."""
         self._take_no_more()  # where it came before the request was
         self._stall_s = self._usual_stall_s
-        took = asyncio.get_running_loop().time() - self._since
+        took = time.monotonic() - self._since
         reply = Reply(self._status, self._headers, b"".join(self._body), took)
         self._headers, self._body = [], []
         down, self._down = self._down, None
@@ -293,7 +294,7 @@
             self._until_close = status not in NO_BODY
         if not framed:
             raise Spoilt
-        self._status, self._since = status, asyncio.get_running_loop().time()
+        self._status, self._since = status, time.monotonic()
         self._length = int(lengths[0]) if lengths else None
         if self._until_close:
             self.reusable = False
