--- a/tests/console/test_server.py
+++ b/tests/console/test_server.py
@@ -169,3 +169,30 @@
             told = (await call(at, "/api/telemetry"))[1]
             assert (told["known_servers"], told["skipped_servers"]) == (2, 1)
     play(scene)
+
+
+@pytest.mark.parametrize("error", ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "ECONNABORTED"])
+def test_an_accept_that_fails_costs_a_pause_and_no_later_call(monkeypatch, error):
+    """Want of descriptors keeps the queue readable: the loop must neither spin nor give the console up."""
+    import errno
+
+    async def scene():
+        async with standing() as (made, port):
+            plain, fails = made._socket, 3
+
+            class Failing:
+                tried = 0
+
+                def accept(self):
+                    Failing.tried += 1
+                    if Failing.tried <= fails:
+                        raise OSError(getattr(errno, error), error)
+                    return plain.accept()
+
+                def __getattr__(self, name):
+                    return getattr(plain, name)
+
+            made._socket = Failing()
+            assert (await call(port, "/api/ready"))[0] == 200
+            assert Failing.tried > fails
+    play(scene)
