--- a/tests/rehearsal/broken.py
+++ b/tests/rehearsal/broken.py
@@ -63,6 +63,15 @@
 
 def sends_to_drained() -> None:
     discovery.LIFECYCLES = {**discovery.LIFECYCLES, "DRAINING": "up"}
+    plain = rules.Balancer._on_echo
+
+    def on_echo(self, now, event):
+        # Nor does it hear a node's own no to a probe: else a few sends at most are left to judge by.
+        if event.how == How.ERROR:
+            event = event._replace(how=How.OK, load={"inflight": 0.0, "queue": 0.0})
+        plain(self, now, event)
+
+    rules.Balancer._on_echo = on_echo
 
 
 def ignores_cold() -> None:
