SIGTERM ends a sidecar whose log nobody reads any more

Seen: four daemons of interrupted tests lived on after SIGTERM. The line on the change of state raised BrokenPipeError before the end was begun (sidecar.py, _changed).

--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import socket
 import sys
@@ -194,7 +195,8 @@
             core.closing = not effects.ready
         if self._started and (effects.closing or self._moved):
             self._moved = True  # a first yes is no news
-            print(f"life: {self.steward.machine.state.value}", file=sys.stderr, flush=True)
+            with contextlib.suppress(OSError):  # nobody may read the log any more: no reason not to end
+                print(f"life: {self.steward.machine.state.value}", file=sys.stderr, flush=True)
         if self.steward.machine.ending:
             self.ending.set()
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -169,3 +169,15 @@
         process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
     play(scene)
+
+
+def test_sigterm_ends_a_sidecar_whose_log_nobody_reads_any_more(tmp_path):
+    """Found: the line on the change of state could not be written, and the end was never begun."""
+    async def scene():
+        raw = config(listen=f"127.0.0.1:{free_port()}", known=listing(line("s1", 9)))
+        process = await start(written(tmp_path, raw))
+        assert b"listening" in await process.stderr.readline()
+        process._transport.get_pipe_transport(2).close()
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
+    play(scene)
