The end of a large answer is not cut off at a slow client; the console has its own descriptors

Found on reading the whole change: a connection that closes after its answer was ended 2 s after the last byte was handed over, and a process that ends did not wait for it; now both go on while the client takes what is left. The console's 24 callers stood in nobody's part of the descriptors.

--- a/hollyport/guest.py
+++ b/hollyport/guest.py
@@ -45,6 +45,7 @@
         self._asked = False  # one that was more than a look at readiness
         self._deaf = False  # nothing more is read from here
         self._drained = 0
+        self._unsent = 1 << 62  # of its answers, when that was looked at last
         self._left_at = 0.0  # when its last answer was written
         self._full = False  # the client does not read its answers
 
@@ -163,6 +164,15 @@
 
     # --- for the listener
 
+    def unsent(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def unsent_shrinks(self) -> bool:
+        """Whether some are left, and fewer than when this was asked last."""
+        before, self._unsent = self._unsent, self.unsent()
+        return 0 < self._unsent < before
+
     def patience(self, since: float) -> float:
         """For how long a request that has been coming in since then may go on doing so, in seconds."""
         return self._listener.whole_s
--- a/hollyport/handover/budget.py
+++ b/hollyport/handover/budget.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
+CONSOLE = 25  # the second address: its listening socket and its ring of callers (hollyport.console.server.MOST)
 UNSURE_S = 10.0  # a partner of an older version does not show itself; it has 6 s and 3.7 s to live
 
 
@@ -20,9 +21,9 @@
     memory_mb: int
 
 
-def budget(sockets: int, memory_mb: int, processes: int) -> Budget:
-    """The part of one of so many processes."""
-    own = max(sockets // processes - RESERVE, 8)
+def budget(sockets: int, memory_mb: int, processes: int, staffed: bool = False) -> Budget:
+    """The part of one of so many processes; `staffed`: each has a second address with callers of its own."""
+    own = max(sockets // processes - RESERVE - (CONSOLE if staffed else 0), 8)
     clients = own * 2 // 3
     return Budget(clients, own - clients, memory_mb // processes)
 
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -117,7 +117,9 @@
 
     def busy(self) -> bool:
         """Whether a connection is left that owes an answer or may hold an unread request."""
-        return bool(self._opening) or len(self.connections) > len(self.leaving)
+        if self._opening or len(self.connections) > len(self.leaving):
+            return True
+        return any(connection.unsent() for connection in self.leaving)
 
     # --- letting in
 
@@ -303,7 +305,10 @@
                 if connection.quiet():
                     connection.close()
         for connection in _older(self.leaving, now - LINGER_S):
-            connection.abort()
+            if connection.unsent_shrinks():
+                self.move(connection, self.leaving)  # a slow client still takes the end of its answer
+            else:
+                connection.abort()
         for connection, since in list(self.partial.items()):
             if now - since >= connection.patience(since) and connection.quiet():
                 connection.time_out()
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -55,7 +55,7 @@
         self._longest_ns = max(c.deadline_ns for c in settings.classes)
         limits = settings.limits
         self._parts = processes(0, 0.0, shared is not None)
-        part = budget(config.sockets, config.memory_mb, self._parts)
+        part = budget(config.sockets, config.memory_mb, self._parts, config.console is not None)
         clients = part.clients
         self._ledger = ledger = Ledger(part.memory_mb)
         self._presence: Presence | None = None
@@ -183,7 +183,8 @@
         parts = processes(self._presence.others(), self._loop.time() - self._began, True)
         if parts != self._parts:
             self._parts = parts
-            part = budget(self._config.sockets, self._config.memory_mb, parts)
+            config = self._config
+            part = budget(config.sockets, config.memory_mb, parts, config.console is not None)
             self._listener.resize(part.clients - self._thrift_clients, self._config.sockets // 4 // parts)
             self._upstream.resize(part.servers)
             self._ledger.resize(part.memory_mb)
--- a/tests/handover/test_presence.py
+++ b/tests/handover/test_presence.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from hollyport.handover.budget import UNSURE_S, budget, processes
+from hollyport.console.server import MOST
+from hollyport.handover.budget import CONSOLE, UNSURE_S, budget, processes
 from hollyport.handover.presence import Presence
 
 ROOT = Path(__file__).parent.parent.parent
@@ -90,3 +91,10 @@
     assert processes(0, 1.0, shared=True) == 2
     assert processes(0, UNSURE_S, shared=True) == 1
     assert processes(1, UNSURE_S, shared=True) == 2
+
+
+def test_the_second_address_has_descriptors_of_its_own():
+    """Found on reading: its ring was not taken from anybody's part."""
+    plain, staffed = budget(384, 80, 2), budget(384, 80, 2, staffed=True)
+    assert CONSOLE == MOST + 1
+    assert plain.clients + plain.servers - staffed.clients - staffed.servers == CONSOLE
