--- a/hollyport/handover/budget.py
+++ b/hollyport/handover/budget.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
-CONSOLE = 25  # the second address: its listening socket and its ring of callers (hollyport.console.server.MOST)
+CONSOLE = 25  # the second address: its listening socket and its callers (hollyport.console.server.MOST)
 UNSURE_S = 10.0  # a partner of an older version does not show itself; it has 6 s and 3.7 s to live
 
 
