Fleet: membership by SWIM with local health, small facts, signed datagrams; off unless switched on

Need: duties, leaving a hall and changes of policy stand on sidecars that know which others live. A pure state machine (hollyport/fleet: wire, view, membership, facts, member) is carried by one UDP socket (part) and played unchanged on fake time (emulator/members).

A fleet larger than a view can't find itself by a few addresses: each name needs its own there, and the file says so.

--- a/emulator/clock.py
+++ b/emulator/clock.py
@@ -13,7 +13,7 @@
 
 SECOND = 1_000_000_000
 
-Event = Callable[[], None]
+Event = Callable[[], object]
 
 
 class Clock:
--- a/hollyport/console/calls.py
+++ b/hollyport/console/calls.py
@@ -17,7 +17,10 @@
     413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
     503: "Service Unavailable",
 }  # fmt: skip
-CALLS = {b"/api/ready": b"GET", b"/api/telemetry": b"GET", b"/api/evacuate": b"PUT", b"/api/rejoin": b"PUT"}
+CALLS = {
+    b"/api/ready": b"GET", b"/api/telemetry": b"GET", b"/api/evacuate": b"PUT", b"/api/rejoin": b"PUT",
+    b"/api/fleet": b"GET",
+}  # fmt: skip
 
 
 class Verdict(NamedTuple):
--- a/hollyport/settings/options.py
+++ b/hollyport/settings/options.py
@@ -50,6 +50,7 @@
     Section("registries", "hollyport.registries.options:read"),
     Section("thrift", "hollyport.thrift.options:read"),
     Section("guards", "hollyport.guards.options:read"),
+    Section("fleet", "hollyport.fleet.options:read"),
 )
 """The features that can be switched on. Each direction of growth adds its line here."""
 
--- a/hollyport/settings/table.py
+++ b/hollyport/settings/table.py
@@ -61,6 +61,10 @@
     def table(self, key: str) -> Table | None:
         return Table(self._raw.pop(key), (*self.path, key)) if key in self._raw else None
 
+    def names(self) -> list[str]:
+        """The keys that are yet to be read."""
+        return list(self._raw)
+
     def pairs(self, key: str) -> dict[str, str]:
         raw = self._take(key, (dict,), {}, "a table")
         for name, value in raw.items():
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -32,6 +32,7 @@
 
     from hollyport.console.server import Console
     from hollyport.core.counters import Counters
+    from hollyport.fleet.part import FleetPart
     from hollyport.guards.door import Door
     from hollyport.handover.presence import Presence
     from hollyport.lists.pools import Pools
@@ -106,6 +107,7 @@
             loop, Machine(loop.time(), shared is not None), self._listeners, self._longest_ns / 1e9,
             self._changed,
         )
+        self._fleet = self._open_fleet(options)
         self._console: Console | None = None
         if config.console is not None:
             from hollyport.console.server import Console
@@ -129,6 +131,8 @@
     async def start(self) -> int:
         """Listen for the application; return the port."""
         listen = self._config.listen
+        if self._fleet is not None:
+            self._fleet.start()
         if self._console is not None and self._config.console is not None:
             self.console_port = self._console.start(self._config.console)
         if self._gateway is not None:
@@ -165,6 +169,8 @@
             self._console.close()
         if self._presence is not None:
             self._presence.leave()
+        if self._fleet is not None:
+            self._fleet.stop()
 
     def _show(self) -> None:
         """Be seen by the other process of an upgrade, and see it."""
@@ -231,6 +237,7 @@
         return {
             b"/api/ready": ready, b"/api/telemetry": telemetry,
             b"/api/evacuate": lambda: move(Event.EVACUATE), b"/api/rejoin": lambda: move(Event.REJOIN),
+            b"/api/fleet": lambda: (200, self._fleet.page()) if self._fleet is not None else (404, None),
         }  # fmt: skip
 
     def _door(self, most: int, answer: Callable[[bytes, float, bool], bytes]) -> Door | None:
@@ -265,6 +272,19 @@
             self._loop, table, settings, core, self._counters, most, self._door
         )
 
+    def _open_fleet(self, options: Options | None) -> FleetPart | None:
+        """Other sidecars, where the operators' file switches the fleet on; else none of it is loaded."""
+        table = options.sections.get("fleet") if options is not None else None
+        if options is None or table is None:
+            return None
+        from hollyport.fleet.part import FleetPart
+
+        try:
+            return FleetPart(self._loop, table, self._config.name, self._shared is not None)
+        except BadValue as error:
+            key = ".".join(map(str, ("fleet", *error.path)))
+            raise ConfigError(f"{options.path}: {key}: {error.what}") from None
+
     def _tell(self) -> None:
         """Say now and then what no client could see."""
         assert self._counters is not None
@@ -288,6 +308,11 @@
         table = options.sections.get("registries")
         if self._feed is not None and table is not None:
             self._feed.take_options(table)
+        fleet = options.sections.get("fleet")
+        if (fleet is None) != (self._fleet is None) or (
+            self._fleet is not None and fleet is not None and not self._fleet.take_options(fleet)
+        ):
+            print("options: a change of the fleet table needs a restart", file=sys.stderr, flush=True)
         for name, now in (("thrift", self._thrift), ("guards", self._guards)):
             if options.sections.get(name) != now:
                 print(f"options: a change of the {name} table needs a restart", file=sys.stderr, flush=True)
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -16,7 +16,9 @@
     ("hollyport/bodies/ledger.py", "import hollyport.bodies.flow", "No circles"),
     ("dunefield/ring.py", "import dunefield.pick", "Each decision knows"),
     ("dunefield/patience.py", "import time", "What decides does no I/O"),
-    ("emulator/worth.py", "import hollyport.core.tally", "The emulator plays the module"),
+    ("emulator/worth.py", "import hollyport.core.tally", "The emulator plays the decisions"),
+    ("hollyport/fleet/membership.py", "import time", "What the fleet decides"),
+    ("emulator/members.py", "import hollyport.fleet.part", "The emulator plays the decisions"),
     ("rehearsal/judge.py", "import hollyport.core.tally", "The kit shares wire codecs"),
 ]
 
