Kit: doors on an address that nobody draws a port of; an ended process's error named first

Cause of hosts that ended in HostedNode.begin beside busy cores: a door is bound with SO_REUSEADDR before it listens, and Linux gives such a port to anybody who binds it by number with SO_REUSEADDR. Tests hand daemons ports of 127.0.0.1 that were free a moment ago; one of those numbers was a door's by then, the daemon listened first, and the door's listen ended with EADDRINUSE (a probe shows both steps; now a test). Ruled out before: ports given twice by the kernel, outgoing connections.

Change: each host process's doors are on a loopback address of their own draw; the error names the door; and the play's message begins with the line that names the error, as readers cut off its end.

--- a/rehearsal/nodes/host.py
+++ b/rehearsal/nodes/host.py
@@ -81,7 +81,7 @@
         self.handshakes = 0
         self.connections: set[NodeConnection] = set()
         self._fillers: list[socket.socket] = []
-        self._socket = self._bound(("127.0.0.1", 0))
+        self._socket = self._bound((host.address, 0))
         self.address: tuple[str, int] = self._socket.getsockname()
         self.open = False
 
@@ -95,8 +95,12 @@
 
     def listen(self) -> None:
         """Take connections."""
+        try:
+            self._socket.listen(BACKLOG)
+        except OSError as error:
+            where = f"door {self.address[0]}:{self.address[1]}"
+            raise OSError(error.errno, f"{where}: {error.strerror}") from None
         self.open = True
-        self._socket.listen(BACKLOG)
         if self.cut:
             self._fill()
         else:
@@ -627,6 +631,12 @@
             self.samples.append([now, self.model.held, int(self.model.jammed)])
 
 
+def own_host() -> str:
+    """A loopback address that nobody else is likely to pick."""
+    draw = random.SystemRandom()
+    return f"127.{draw.randrange(1, 255)}.{draw.randrange(256)}.{draw.randrange(1, 255)}"
+
+
 class Host:
     """All nodes of this process."""
 
@@ -637,6 +647,10 @@
         self._kinds = list(self.plan.scenario.classes.values())
         self.prefix: bytes = config["prefix"].encode()
         self.tasks: set[asyncio.Task[None]] = set()
+        # Doors are bound before they listen. Meanwhile Linux gives their port to anybody who binds it by
+        # number with SO_REUSEADDR, as a daemon does to whom somebody gave a port that "was free a moment
+        # ago": such ports are of 127.0.0.1, so this process's are of an address that nobody else draws.
+        self.address = own_host()
         kind = self.plan.scenario.node
         self.connections, self.error_part = kind.connections, kind.error_part
         classes = list(self.plan.scenario.classes.values())
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import re
 import sys
 import time
 from collections.abc import Callable
@@ -55,6 +56,14 @@
     """A process of the rig is broken: the play is void."""
 
 
+def last_words(log: list[str]) -> str:
+    """What a process's log says of its end: the line that names the error comes first, as a reader may cut
+    the rest off, and whatever an ending interpreter adds comes behind it."""
+    named = [line for line in log if re.match(r"[\w.]+(Error|Exception|Interrupt|Exit)\b", line)]
+    places = [line.strip() for line in log if line.startswith("  File ")]
+    return " | ".join([*named[-1:], *places[-1:], *log[-3:]])
+
+
 class _Worker:
     """One process of the rig, seen from here."""
 
@@ -100,8 +109,8 @@
                 self.stopped.set_result(line)
             else:
                 self.heard(line)
-        log = (self._folder / f"{self.name}.log").read_text(errors="replace").splitlines()[-6:]
-        error = WorkerError(f"the rig's process {self.name} ended: " + " | ".join(log))
+        log = (self._folder / f"{self.name}.log").read_text(errors="replace").splitlines()
+        error = WorkerError(f"the rig's process {self.name} ended: {last_words(log)}")
         for future in (self.opened, self.stopped):
             if not future.done():
                 future.set_exception(error)
--- a/tests/rehearsal/test_kit_ends.py
+++ b/tests/rehearsal/test_kit_ends.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -14,6 +15,9 @@
 import psutil
 import pytest
 
+from rehearsal.nodes.host import own_host
+from rehearsal.play import last_words
+
 HERE = Path(__file__).parent
 ROOT = HERE.parent.parent
 LIMIT_S = 60
@@ -155,3 +159,24 @@
     assert report["against"] == "round-robin" and report["daemon"] is None
     assert report["attempts"] >= report["calls"] * 0.9 and report["probes"] == 0
     assert os.path.exists(play.out)
+
+
+def test_the_line_that_names_an_error_comes_first_whatever_follows_it():
+    log = ["Traceback (most recent call last):", '  File "host.py", line 88, in listen', "    self._socket.listen()",
+           "OSError: [Errno 98] door 127.3.4.5:6: Address already in use", *["Task was destroyed"] * 9]  # fmt: skip
+    assert last_words(log).startswith("OSError: [Errno 98] door 127.3.4.5:6")
+    assert last_words([]) == ""
+
+
+def test_a_port_that_is_bound_and_does_not_listen_yet_is_anybodys_and_doors_are_out_of_their_way():
+    """What ended hosts beside busy cores: a daemon of another test got the number of a door's port as a
+    free one."""
+    with socket.socket() as door, socket.socket() as taker:
+        for each in (door, taker):
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        door.bind(("127.0.0.1", 0))
+        taker.bind(door.getsockname())
+        taker.listen()
+        with pytest.raises(OSError, match="in use"):
+            door.listen()
+    assert len({own_host() for _ in range(50)}) > 45 and not own_host().startswith("127.0.")
