--- /dev/null
+++ b/command/__init__.py
@@ -0,0 +1,1 @@
+"""The `hollyport` command: one word for what the project has."""
--- a/emulator/members.py
+++ b/emulator/members.py
@@ -142,6 +142,7 @@
         self.doubled = 0.0
         self.reordered = 0.0  # part that comes up to a second late
         self.seen: list[Seen] = []
+        self.stalled: set[str] = set()  # names that stall by plan: what is held of them is no mistake
         self.at: dict[str, Process] = {}  # by address
         self.running: dict[str, Process] = {}  # the latest of each name
         self.carried = self.carried_bytes = self.made = 0
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -31,7 +31,7 @@
 
 
 def copied(folder: Path) -> Path:
-    for name in ("dunefield", "hollyport", "emulator", "rehearsal"):
+    for name in ("command", "dunefield", "hollyport", "emulator", "rehearsal"):
         shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
     shutil.copy(ROOT / ".importlinter", folder)
     return folder
