--- a/hollyport/fleet/membership.py
+++ b/hollyport/fleet/membership.py
@@ -70,7 +70,7 @@
 
 
 class Peer:
-    """What is held of one other member. About 300 bytes, and 250 more while suspected."""
+    """What is held of one other member: 1.3 kB with all that belongs to it, measured over 20,000 members."""
 
     __slots__ = (
         "name",
