--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -227,3 +227,23 @@
         target.member.handle(target.now(), asker.member._encode(0.0, Send("m0:1", Kind.PING, 1)))
     assert target.member.sent - before <= target.member.membership.rules.replies + 5
     assert target.member.refused["flood"] >= count - target.member.membership.rules.replies - 5
+
+
+def test_a_fleet_is_renamed_in_service_and_another_fleet_with_the_same_key_is_nobody():
+    made = world(1)
+
+    def step(name, *also):
+        for member in sorted(NAMES):
+            made.running[member].member.fleet = name
+            made.running[member].member.fleets = (name, *also)
+            made.run(0.3)
+
+    step("emulated", "new")
+    step("new", "emulated")
+    step("new")
+    assert made.agreed() and told(made)["dead"] == 0
+    assert sum(p.member.refused["fleet"] for p in made.running.values()) == 0
+    made.running["m3"].member.fleet = "another"
+    made.run(5)
+    assert all(made.holds(name, "m3") == "dead" for name in NAMES - {"m3"})
+    assert sum(p.member.refused["fleet"] for p in made.running.values()) > 50
