Fleet: a stall is lateness, not quiet; other times go with the period; a replaced process's facts end

A member took itself for stalled when nothing had run it for 0.6 s. Since it wakes only when something is due, one that is cut off (longer periods by local health) or that has period_s over 0.6 was not run for so long by itself: cut off for 40 s it told six stalls, forgot each time that it was alone, and buried four others; at a period of 2 s it told 97 stalls and knew nobody. It counts from when it wanted to run now, and the other times go with the period (0.1 to 5 s).

Also: a process that was suspected when the next one came left its facts behind (retired only where it was held alive); an address that the table changes now counts for a member that is gone; names that are taken out lose their facts; a parameter that nothing read. Each has a test that failed before.

--- a/hollyport/fleet/member.py
+++ b/hollyport/fleet/member.py
@@ -109,14 +109,22 @@
         )
 
     def _owner_lives(self, now: float, fact: wire.Fact) -> bool:
-        """Facts of one that has left, of an incarnation from before its end, or of two under one name are
-        none."""
+        """Facts of one that has left, of a process that another has replaced, or of two under one name are
+        none. An owner tells all of its own anew under each incarnation, so none is lost."""
         peer = self.membership.peers.get(fact.owner)
         if peer is None or peer.status is None:
             return True  # out of view: its facts end by their time
         if now < peer.twins:
             return False
-        return peer.status in (Status.ALIVE, Status.SUSPECT) or fact.incarnation > peer.incarnation
+        if peer.status in (Status.ALIVE, Status.SUSPECT):
+            return fact.incarnation >= peer.first
+        return fact.incarnation > peer.incarnation
+
+    def take(self, now: float, universe: Universe) -> None:
+        """Hold to another universe of names: those that it doesn't have are forgotten, with their facts."""
+        self.membership.take(universe)
+        for owner in {held.owner for held in self.facts.all(now)} - universe.hall.keys():
+            self.facts.retire(now, owner)
 
     def leave(self, now: float) -> None:
         """Say that this member goes."""
--- a/hollyport/fleet/membership.py
+++ b/hollyport/fleet/membership.py
@@ -34,7 +34,7 @@
     confirmations: int = 3
     again: int = 8  # members that ask a suspect again each period, over the whole fleet
     health_most: int = 8
-    stall: float = 0.6  # a member that has not run for so long was itself stalled
+    stall: float = 0.6  # a member that runs so much later than it wanted to was itself stalled
     sober: float = 1.0  # for so long it says nothing bad of others then
     quiet: float = 2.0  # without any answer for so long, a member holds itself for cut off
     ask: float = 0.5  # how often one that is dead or unknown is asked
@@ -49,6 +49,15 @@
     refute: float = 0.1  # at least so long between two new incarnations of one's own
     view: int = 256  # members kept in view
 
+    @classmethod
+    def of(cls, period: float, view: int = 256) -> Rules:
+        """All times in proportion to the period, but for the least that a busy machine stalls by itself."""
+        plain = cls()
+        times = ("timeout", "suspicion_min", "suspicion_max", "sober", "quiet", "ask", "eager", "eager_for")
+        scale = period / plain.period
+        scaled = {name: getattr(plain, name) * scale for name in (*times, "gossip", "refute")}
+        return cls(period=period, stall=plain.stall * max(1.0, scale), view=view, **scaled)
+
 
 class Send(NamedTuple):
     """A datagram to be filled up and sent. `first` are states that have to be in it."""
@@ -88,12 +97,14 @@
         "suspicion",
         "late",
         "checked",
+        "first",
     )
 
     def __init__(self, name: str, address: str) -> None:
         self.name, self.address = name, address
         self.status: Status | None = None  # None: nothing is known
         self.incarnation = self.process = 0
+        self.first = 0  # the lowest incarnation that is known of the process
         self.heir = False
         self.since = -math.inf  # of the status
         self.proof = -math.inf  # when an answer came from it to a question of mine
@@ -191,6 +202,7 @@
     _idle: list[str] = field(default_factory=list)  # for the round of old states
     _seq: int = 0
     _last: float = 0.0
+    _due: float = 0.0  # when it wanted to run next
     _next_probe: float = 0.0
     _next_ask: float = 0.0
     _next_gossip: float = 0.0
@@ -207,7 +219,7 @@
     def start(self, now: float) -> None:
         """Begin; nothing is known but names and some addresses."""
         self._seq = self.draw.getrandbits(31)
-        self._last = self._began = self._heard = self._replied = now
+        self._last = self._due = self._began = self._heard = self._replied = now
         self._replies = self.rules.replies
         self._next_probe = now + self.rules.period * self.draw.random()
         self._next_ask = now + self.rules.eager * self.draw.random()
@@ -220,8 +232,10 @@
         seen = universe.view(self.own.name, self.rules.view)
         for name in [name for name in self.peers if name not in seen]:
             self._forget(name)
-        for name in sorted(seen - self.peers.keys()):
-            self.peers[name] = Peer(name, universe.address.get(name, ""))
+        for name in sorted(seen):
+            peer = self.peers.setdefault(name, Peer(name, ""))
+            if peer.status not in (Status.ALIVE, Status.SUSPECT):  # whoever lives has told where it is
+                peer.address = universe.address.get(name, peer.address)
         self._unknown = sum(peer.status is None for peer in self.peers.values())
         self._order.clear()
         self._live = None
@@ -257,6 +271,10 @@
         """When `tick` is wanted next."""
         if self.own.left:
             return math.inf
+        self._due = self._next()
+        return self._due
+
+    def _next(self) -> float:
         # Nobody is to be asked whether it is back while all are there.
         ask = self._next_ask if len(self._alive()) < len(self.peers) else math.inf
         gossip = self._next_gossip if self._news else math.inf
@@ -274,8 +292,8 @@
     # --- time
 
     def _pass(self, now: float) -> None:
-        """Time has gone on. If this member did not run meanwhile, what it holds of others is not evidence."""
-        gap, self._last = now - self._last, now
+        """Time has gone on. If this member was not run when it wanted to, what it holds is not evidence."""
+        gap, self._last = now - max(self._last, self._due), now
         if gap <= self.rules.stall:
             return
         self.events.append(Told("stalled", {"seconds": round(gap, 3)}))
@@ -433,7 +451,7 @@
         if said.sender == own.name:
             if said.process == own.process:
                 return "echo"
-            self._namesake(now, said.process, said.incarnation, bool(said.flags & HEIR), direct=True)
+            self._namesake(now, said.process, said.incarnation, bool(said.flags & HEIR))
             return ""
         peer = self.peers.get(said.sender)
         if peer is None:
@@ -502,7 +520,7 @@
 
     def _answer(self, now: float, said: Datagram, address: str, notice: State | None) -> bool:
         """Answer a question; False where there are too many of them to answer."""
-        if said.kind == Kind.TELL or said.kind not in (Kind.PING, Kind.ASK):
+        if said.kind not in (Kind.PING, Kind.ASK):
             if notice is not None and address and self._may_reply(now):
                 self.sends.append(Send(address, Kind.TELL, 0, first=(notice,)))
             return True
@@ -634,9 +652,7 @@
         """Somebody tells of me. What is wrong is refuted by a new incarnation, but not one a message."""
         own = self.own
         if state.process != own.process:
-            self._namesake(
-                now, state.process, state.incarnation, state.heir, direct=False, status=state.status
-            )
+            self._namesake(now, state.process, state.incarnation, state.heir, state.status)
             return
         if own.left or state.status == Status.ALIVE or state.incarnation < own.incarnation:
             return
@@ -651,7 +667,7 @@
         self._spread(own.name, self.state())
 
     def _namesake(
-        self, now: float, process: int, incarnation: int, heir: bool, direct: bool, status: int = 0
+        self, now: float, process: int, incarnation: int, heir: bool, status: int = Status.ALIVE
     ) -> None:
         """Another process has my name: the one before me, one that takes over from me, or a mistake."""
         own = self.own
@@ -686,9 +702,9 @@
                 self._late(now, peer)  # no replay: nobody could have seen this incarnation before
             if before is not None:
                 peer.former, peer.replaced = peer.process, now
-                if status is Status.ALIVE and before is Status.ALIVE and now >= peer.twins:
+                if before in (Status.ALIVE, Status.SUSPECT) and now >= peer.twins:
                     self.events.append(Told("restarted", {"member": peer.name, "incarnation": incarnation}))
-            peer.process, peer.window = process, Window()
+            peer.process, peer.window, peer.first = process, Window(), incarnation
         peer.window = peer.window or Window()
         peer.incarnation, peer.heir = incarnation, heir
         if address:
--- a/hollyport/fleet/options.py
+++ b/hollyport/fleet/options.py
@@ -119,7 +119,7 @@
         listen,
         _address(advertise, ("advertise",)) if advertise else "",
         int(table.number("datagram_bytes", 1200, 256, 1200)),
-        table.number("period_s", 0.25, 0.05, 60.0),
+        table.number("period_s", 0.25, 0.1, 5.0),
         int(table.number("view", 256, 8, 4096)),
         int(table.number("facts", 1024, 16, 65536)),
     )
--- a/hollyport/fleet/part.py
+++ b/hollyport/fleet/part.py
@@ -52,7 +52,7 @@
         if own not in universe.hall:
             raise BadValue(("member",), f"halls doesn't name this sidecar, {own!r}")
         process = int.from_bytes(os.urandom(8), "big") >> 1 | 1
-        rules = Rules(period=options.period_s, timeout=options.period_s * 0.4, view=options.view)
+        rules = Rules.of(options.period_s, options.view)
         self.member = Member(
             options.name, Own(own, process, wall_ms(), "", heir), universe, options.keys, rules,
             random.Random(process), options.datagram_bytes, options.also, options.facts,
@@ -149,7 +149,7 @@
             self._options = options
             member.keys = options.keys
             member.fleet, member.fleets = options.name, (options.name, *options.also)
-            member.membership.take(universe)
+            member.take(clock(), universe)
             self._log.tell("reloaded", names=len(universe), keys=len(options.keys))
         return fits
 
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -488,7 +488,7 @@
 class FleetPart(Piece):
     """Daemons know of each other, and what they hold of each other is judged."""
 
-    period_s: float = Field(default=0.25, ge=0.05)
+    period_s: float = Field(default=0.25, ge=0.1, le=5.0)
     datagram_bytes: int = Field(default=1200, ge=256, le=1200)
     known_s: float = Field(default=3.0, gt=0.0, description="until all hold one that died for dead")
     agree_s: float = Field(default=3.0, gt=0.0, description="until views agree once nothing fails any more")
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -8,6 +8,7 @@
 
 from emulator.members import World, universe
 from hollyport.fleet.membership import Rules, Send
+from hollyport.fleet.view import Universe
 from hollyport.fleet.wire import Kind
 
 SEEDS = (1, 2, 3)
@@ -178,6 +179,49 @@
     assert made.until(made.agreed, 2.0) <= 2.0
 
 
+@pytest.mark.parametrize("period", [0.1, 0.25, 2.0])
+def test_one_that_is_cut_off_and_slow_to_ask_is_not_taken_for_stalled_and_each_period_keeps_its_bounds(
+    period,
+):
+    scale = period / 0.25
+    made = World(universe(12), seed=1, rules=Rules.of(period))
+    made.start(made.universe.hall, 0.5 * scale)
+    made.run(5 * scale)
+    assert made.agreed()
+    made.seen.clear()
+    made.cut = lambda here, there: "m3" in (here, there)
+    made.run(40 * scale)
+    assert told(made)["stalled"] == 0 and told(made, "m3")["alone"] == 1 and told(made, "m3")["dead"] == 0
+    heal(made, 4.0 * scale)
+    made.kill("m4")
+    dead = lambda: all(made.holds(name, "m4") == "dead" for name in made.running)  # noqa: E731
+    assert made.until(dead, 4.0 * scale) <= 4.0 * scale
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_facts_of_a_process_that_was_suspected_when_the_next_one_came_end(seed):
+    made = world(seed)
+    old = made.running["m3"]
+    old.member.tell(old.now(), "key", b"old", 60.0)
+    made.run(2)
+    made.kill("m3")
+    assert made.until(lambda: made.holds("m0", "m3") == "suspect", 5.0) <= 5.0
+    made.begin("m3")
+    made.run(2)
+    assert made.agreed()
+    assert not [h for p in made.running.values() for h in p.member.told(p.now(), "key")]
+
+
+def test_an_address_that_the_table_changes_counts_for_one_that_is_gone():
+    made = world(1)
+    made.kill("m4")
+    made.run(5)
+    moved = Universe({"hall-0": [(n, f"{n}:9" if n == "m4" else f"{n}:1") for n in sorted(NAMES)]})
+    made.running["m0"].member.take(made.running["m0"].now(), moved)
+    assert made.running["m0"].member.membership.peers["m4"].address == "m4:9"
+    assert made.running["m0"].member.membership.peers["m5"].address == "m5:1"
+
+
 def test_clocks_that_run_five_in_a_hundred_wrongly_bury_nobody():
     made = world(1, rates={"m0": 1.05, "m1": 0.95})
     made.run(60)
@@ -211,7 +255,7 @@
     made = world(1)
     fewer = universe(11)
     for name in NAMES - {"m11"}:
-        made.running[name].member.membership.take(fewer)
+        made.running[name].member.take(made.running[name].now(), fewer)
     made.run(1)
     assert all("m11" not in made.running[n].member.membership.peers for n in NAMES - {"m11"})
     assert sum(made.running[n].member.refused["stranger"] for n in NAMES - {"m11"}) > 0
