Fleet part: no name is looked up, a fault of its own ends nothing; facts and their changes for other parts

An address told by another, or advertise in the table, could be a name: sendto would have looked it up on the loop that serves requests. Only literals are sent to and taken in the table. A fault in the part ended its timer without a word, though its docstring said otherwise: it is told (event fault) and the part goes on. The next parts had to reach into the member to tell a fact, and nothing set the timer then: live, tell, withdraw, told and fact_changed are the interface. A timer that an answer made needless is set anew in place of waking the loop.

The second address sent what the kernel took at once and lost the rest: a page of a large view with facts is longer (tests: 8 MB, also to a caller that half-closes; both fail without the change).

--- a/hollyport/console/server.py
+++ b/hollyport/console/server.py
@@ -141,7 +141,10 @@
             except OSError:
                 data = b""
             if not data:
-                self._end(caller)
+                if caller.rest:
+                    self._loop.remove_reader(caller.sock.fileno())  # it has said all, and still reads
+                else:
+                    self._end(caller)
                 return
             if not caller.answered:
                 verdict = caller.reader.feed(data)
@@ -160,11 +163,22 @@
         self._send(caller, made)
 
     def _send(self, caller: Caller, data: bytes) -> None:
-        """The kernel takes an answer whole, or its caller does not read and loses the rest."""
+        """What the kernel does not take at once follows as the caller reads, until it is put out."""
         caller.answered = True
+        caller.rest = data
+        self._go_on(caller)
+        if caller.rest and caller.sock.fileno() >= 0:
+            self._loop.add_writer(caller.sock.fileno(), self._go_on, caller)
+
+    def _go_on(self, caller: Caller) -> None:
         try:
-            caller.sock.send(data)
-            caller.sock.shutdown(socket.SHUT_WR)  # a close while something is unread would reset the answer
+            caller.rest = caller.rest[caller.sock.send(caller.rest) :]
+            if not caller.rest:
+                self._loop.remove_writer(caller.sock.fileno())
+                # A close while something is unread would reset the answer.
+                caller.sock.shutdown(socket.SHUT_WR)
+        except (BlockingIOError, InterruptedError):
+            return
         except OSError:
             self._end(caller)
 
@@ -172,6 +186,7 @@
         number = caller.sock.fileno()
         if number >= 0 and self._ring.pop(number, None) is not None:
             self._loop.remove_reader(number)
+            self._loop.remove_writer(number)
             caller.sock.close()
 
     def _sweep(self) -> None:
--- a/hollyport/fleet/log.py
+++ b/hollyport/fleet/log.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from typing import Any
 
@@ -31,6 +32,7 @@
     "reloaded": ("names", "keys"),
     "send_failed": ("error",),
     "left_out": ("lines",),
+    "fault": ("error", "count"),
     "ended": (),
 }
 """Every event with its own fields; `event`, `member_name`, `fleet` and `mono_ns` stand in each line.
@@ -49,6 +51,10 @@
         self._render = structlog.processors.JSONRenderer()
         self._fixed = {"fleet": fleet, "member_name": member}
 
+    def rename(self, fleet: str) -> None:
+        """Lines from now on are of a fleet of another name."""
+        self._fixed["fleet"] = fleet
+
     def tell(self, event: str, **fields: Any) -> None:
         """Write one line; ValueError where its fields are not those of the table."""
         if tuple(fields) != EVENTS[event]:
@@ -79,8 +85,6 @@
 
 
 def _writable(descriptor: int) -> bool:
-    import select
-
     poll = select.poll()
     poll.register(descriptor, select.POLLOUT)
     return any(mask & select.POLLOUT for _, mask in poll.poll(0))
--- a/hollyport/fleet/options.py
+++ b/hollyport/fleet/options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -37,14 +38,12 @@
 
 
 def _address(text: str, path: tuple[str | int, ...]) -> str:
-    host, colon, port = text.rpartition(":")
-    if (
-        not colon
-        or not host
-        or not (port.isascii() and port.isdigit())
-        or int(port) > 65535
-        or len(text) > 64
-    ):
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))  # a name would have to be looked up, and that takes time
+    except ValueError:
+        host = ""
+    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535 or len(text) > 64:
         raise BadValue(path, f"must be HOST:PORT, with an IP literal, is {text!r}")
     return text
 
--- a/hollyport/fleet/part.py
+++ b/hollyport/fleet/part.py
@@ -7,11 +7,12 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import os
 import random
 import socket
 import time
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 from hollyport.fleet.log import Log
 from hollyport.fleet.member import Member, page
@@ -21,13 +22,17 @@
 from hollyport.settings.options import BadValue
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
+
+    from hollyport.fleet.facts import Held
 
 BUFFER = 1 << 18  # of the socket, so that a burst finds room
 BATCH = 64  # datagrams read in a row: requests go on between
 REBIND_S = 2.0  # how often an heir tries for the address that its predecessor still has
 REFUSED_S = 10.0  # how often it is told what was refused
 STEP_S = 0.002  # timers that lie closer together run as one
+AGAIN_S = 0.5  # after a fault of this program in a timer
+PLACES = 4096  # addresses that are kept as read
 
 
 def clock() -> float:
@@ -40,6 +45,19 @@
     return time.time_ns() // 1_000_000
 
 
+def place(address: str) -> tuple[str, int] | None:
+    """An address as a socket takes it; None for one that is no IP literal with a port. Others tell
+    addresses, and a name among them would be looked up, which holds up the loop and with it requests."""
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        return None
+    return (host, number) if 0 < number < 65536 else None
+
+
 class FleetPart:
     """Runs one member."""
 
@@ -63,8 +81,13 @@
         self._timer_at = 0.0
         self._told = dict(self.member.refused)
         self._failed = ""  # why sending failed last: told once, not each time
+        self._places: dict[str, tuple[str, int] | None] = {}
+        self.faults = 0  # of this program, in the fleet part: told, and nothing else ends
         self.changed: Callable[[], None] = lambda: None
         """Called when what is known of others has changed."""
+        self.member.facts.changed = self._fact_changed
+        self.fact_changed: Callable[[str, str], None] = lambda owner, key: None
+        """Called with owner and key when a fact appears, changes its value or ends."""
 
     # --- life
 
@@ -150,6 +173,7 @@
             member.keys = options.keys
             member.fleet, member.fleets = options.name, (options.name, *options.also)
             member.take(clock(), universe)
+            self._log.rename(options.name)
             self._log.tell("reloaded", names=len(universe), keys=len(options.keys))
         return fits
 
@@ -157,8 +181,40 @@
         """For the second address."""
         return page(self.member, clock())
 
+    # --- what other parts use
+
+    def live(self) -> list[str]:
+        """Other members that are held for alive, and are believed."""
+        return self.member.membership.live()
+
+    def tell(self, key: str, value: bytes, life_s: float) -> None:
+        """Tell all a fact until it is withdrawn; ValueError on one that is too large."""
+        self.member.tell(clock(), key, value, life_s)
+        self._after()
+
+    def withdraw(self, key: str) -> None:
+        """End a fact of one's own everywhere."""
+        self.member.withdraw(clock(), key)
+        self._after()
+
+    def told(self, key: str) -> Iterator[Held]:
+        """Each member's fact under a key, own word included."""
+        return self.member.told(clock(), key)
+
+    def _fact_changed(self, owner: str, key: str) -> None:
+        self.fact_changed(owner, key)
+
     # --- events
 
+    def _guarded(self, step: Callable[[], None]) -> None:
+        """A fault of the fleet part costs what was being done, and neither the part nor the process."""
+        try:
+            step()
+        except Exception as error:
+            self.faults += 1
+            if self.faults <= 10 or self.faults % 1000 == 0:
+                self._log.tell("fault", error=f"{type(error).__name__}: {error}"[:200], count=self.faults)
+
     def _read(self) -> None:
         for _ in range(BATCH):
             if self._socket is None:
@@ -169,15 +225,26 @@
                 break
             except OSError:
                 continue  # what an ICMP answer to something sent leaves behind
-            self.member.handle(clock(), data)
+            self._guarded(lambda data=data: self._take_in(data))  # type: ignore[misc]
         self._after()
 
+    def _take_in(self, data: bytes) -> None:
+        self.member.handle(clock(), data)
+
     def _tick(self) -> None:
         self._timer = None
-        self.member.tick(clock())
+        faults = self.faults
+        self._guarded(lambda: self.member.tick(clock()))
+        if self.faults > faults:
+            # What is due may be what failed: not at once again.
+            self._timer_at = clock() + AGAIN_S
+            self._timer = self._loop.call_later(AGAIN_S, self._tick)
         self._after()
 
     def _after(self) -> None:
+        self._guarded(self._go_on)
+
+    def _go_on(self) -> None:
         self._send()
         events, self.member.events = self.member.events, []
         for event in events:
@@ -188,8 +255,10 @@
             return
         due = self.member.due()
         if self._timer is not None:
-            if due >= self._timer_at - STEP_S:
-                return  # it runs in time; or a little early, and sets itself anew
+            # An answer that came does away with a timer: it would wake the loop for nothing, so it is set
+            # anew.
+            if abs(due - self._timer_at) < STEP_S:
+                return
             self._timer.cancel()
         wait = max(STEP_S, due - clock())
         self._timer_at = clock() + wait
@@ -200,16 +269,25 @@
         if self._socket is None:
             return
         for address, data in out:
-            host, _, port = address.rpartition(":")
+            if address not in self._places:
+                if len(self._places) >= PLACES:
+                    self._places.clear()
+                self._places[address] = place(address)
+            at = self._places[address]
+            if at is None:
+                self._failing(f"{address!r} is no address")
+                continue
             try:
-                self._socket.sendto(data, (host.strip("[]"), int(port)))
+                self._socket.sendto(data, at)
             except (BlockingIOError, InterruptedError):
                 continue  # a datagram may be lost anywhere
-            except (OSError, ValueError, OverflowError) as error:
-                # An address that another told may be nonsense; and a network may be gone.
-                if (why := type(error).__name__) != self._failed:
-                    self._failed = why
-                    self._log.tell("send_failed", error=" ".join(str(error).split())[:200])
+            except OSError as error:
+                self._failing(" ".join(str(error).split()))
+
+    def _failing(self, why: str) -> None:
+        if why != self._failed:
+            self._failed = why
+            self._log.tell("send_failed", error=why[:200])
 
     def _tell_refused(self) -> None:
         if self._socket is None:
@@ -218,5 +296,5 @@
         counts = {why: now[why] - self._told[why] for why in now if now[why] > self._told[why]}
         if counts:
             self._told = dict(now)
-            self._log.tell("refused", counts=cast(Any, counts))
+            self._log.tell("refused", counts=counts)
         self._loop.call_later(REFUSED_S, self._tell_refused)
--- a/tests/console/test_server.py
+++ b/tests/console/test_server.py
@@ -46,6 +46,25 @@
     return made
 
 
+@pytest.mark.parametrize("half_closed", [False, True])
+def test_an_answer_that_the_kernel_does_not_take_at_once_comes_whole(half_closed):
+    async def scene():
+        text = "x" * 8_000_000
+        async with standing({b"/api/fleet": lambda: (200, {"page": text})}) as (made, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /api/fleet HTTP/1.1\r\nHost: c\r\n\r\n")
+            if half_closed:
+                writer.write_eof()
+            async with asyncio.timeout(10):
+                got = await reader.read()
+            writer.close()
+            assert json.loads(got.partition(b"\r\n\r\n")[2]) == {"page": text}
+            for _ in range(200):
+                await asyncio.sleep(0)
+            assert made.callers <= 1
+    play(scene)
+
+
 @pytest.mark.parametrize("say", [b"", b"GET /api/re"], ids=["nothing", "half a call"])
 def test_an_honest_call_is_answered_behind_a_thousand_that_stay(say):
     """A ring that waited for its callers would keep it out for as long as they stay."""
