--- a/hollyport/fleet/part.py
+++ b/hollyport/fleet/part.py
@@ -36,7 +36,7 @@
 
 
 def clock() -> float:
-    """Seconds of this machine's monotonic clock. The rehearsal kit puts one here that runs wrongly."""
+    """Seconds of this machine's monotonic clock. Tests put one here that runs wrongly."""
     return time.monotonic()
 
 
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -50,7 +50,8 @@
         for other, hall in enumerate(plan.daemons):
             halls.setdefault(plan.halls[hall], []).append(f"d{other}@{self._first[other]}")
         lines = [
-            "[fleet]", f'name = "{NAME}"', f'member = "d{number}"', f'keys = "{self._keys}"',
+            "[fleet]",
+            f'name = "{NAME}-{number % part.fleets}"', f'member = "d{number}"', f'keys = "{self._keys}"',
             f'listen = "{self._real[number]}"', f'advertise = "{self._fronts[number]}"',
             f"period_s = {part.period_s}", f"datagram_bytes = {part.datagram_bytes}", "[fleet.halls]",
             *(f"{json.dumps(hall)} = {json.dumps(names)}" for hall, names in halls.items()),
--- a/rehearsal/history.py
+++ b/rehearsal/history.py
@@ -34,7 +34,7 @@
     def __init__(self, plan: Plan, records: Records) -> None:
         part = plan.scenario.fleet
         assert part is not None
-        self.plan, self.count = plan, len(plan.daemons)
+        self.plan, self.count, self._fleets = plan, len(plan.daemons), part.fleets
         self.known_us, self.agree_us = int(part.known_s * 1e6), int(part.agree_s * 1e6)
         self.end = int(plan.seconds * 1e6)
         self.up: dict[int, list[Span]] = {n: [] for n in range(self.count)}  # from ready to its end
@@ -84,6 +84,10 @@
                 self.links.append((number, Span(began.pop(number), t)))
         self.links += [(number, Span(t, self.end)) for number, t in began.items()]
 
+    def same(self, one: int, other: int) -> bool:
+        """Whether two are of one fleet."""
+        return (one - other) % self._fleets == 0
+
     def number(self, name: str) -> int | None:
         """The number of a daemon by its name; None for one that is not of this play."""
         digits = name.removeprefix("d")
@@ -107,7 +111,11 @@
         for number, span in self.links:
             rule = self._rules[number]
             if span.start < end and start < span.end and rule.fault.lost >= 0.9:
-                touched = rule.here | rule.there if len(rule.here) >= self.count / 2 else rule.here
+                # The smaller side is what is cut off; of two halves neither can be called the fleet.
+                here, there = len(rule.here), len(rule.there)
+                touched = (
+                    rule.here if here < there else rule.there if there < here else rule.here | rule.there
+                )
                 if n in touched:
                     return False
         return True
--- a/rehearsal/invariants/agreement.py
+++ b/rehearsal/invariants/agreement.py
@@ -21,6 +21,8 @@
         for who in live:
             for n in range(history.count):
                 status = history.held(who, n, at)
+                if not history.same(who, n):
+                    continue
                 if n == who or status == ("alive" if n in live else status if status in GONE else ""):
                     continue
                 if n not in live and status == "unknown":
--- a/rehearsal/invariants/deaths.py
+++ b/rehearsal/invariants/deaths.py
@@ -14,7 +14,9 @@
             if until > history.end or any(died <= span.start < until for span in history.up[n]):
                 continue
             for who in range(history.count):
-                if who == n or not history.whole(who, died, until) or not history.reached(who, died, until):
+                if who == n or not history.same(who, n):
+                    continue
+                if not history.whole(who, died, until) or not history.reached(who, died, until):
                     continue
                 if history.held(who, n, until) not in GONE:
                     held = f"d{who} holds it {history.held(who, n, until)}"
@@ -34,7 +36,8 @@
                 continue
             if not history.reached(n, began - history.known_us, t):
                 continue
-            judges = [who for who in range(history.count) if who != n and history.runs(who, t)]
+            others = [who for who in range(history.count) if who != n and history.same(who, n)]
+            judges = [who for who in others if history.runs(who, t)]
             holding = [w for w in judges if any(s.start <= began and t <= s.end and status in GONE
                                                 for s, status in history.holds(w, n))]  # fmt: skip
             if len(holding) * 2 > len(judges):
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -492,6 +492,7 @@
     datagram_bytes: int = Field(default=1200, ge=256, le=1200)
     known_s: float = Field(default=3.0, gt=0.0, description="until all hold one that died for dead")
     agree_s: float = Field(default=3.0, gt=0.0, description="until views agree once nothing fails any more")
+    fleets: int = Field(default=1, ge=1, le=4, description="fleets of other names that share key and lines")
 
 
 class Criteria(Piece):
--- a/tests/registries/test_defences.py
+++ b/tests/registries/test_defences.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import json
-import subprocess
-import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
+from plays import played
 
 HERE = Path(__file__).parent
-ROOT = HERE.parent.parent
 AT_ONCE = 5  # plays side by side: each is mostly waiting
-LIMIT_S = 120
 
 PLAYS = {
     # scenario: (what is taken out, what a reason must say)
@@ -25,23 +21,8 @@
 
 
 def play(scenario: str, kind: str, folder: Path) -> tuple[int, dict]:
-    out = folder / f"{scenario}-{kind}.json"
-    words = [
-        sys.executable,
-        "-m",
-        "rehearsal",
-        "run",
-        str(HERE / f"{scenario}.toml"),
-        "--seed",
-        "3",
-        "--quiet",
-    ]
-    words += ["--json", str(out)]
-    if kind:
-        words += ["--daemon", f"{sys.executable} {HERE / 'undefended.py'} {kind}"]
-    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=LIMIT_S)
-    assert out.exists(), done.stdout + done.stderr
-    return done.returncode, json.loads(out.read_text())
+    daemon = f"{HERE / 'undefended.py'} {kind}" if kind else ""
+    return played(str(HERE / f"{scenario}.toml"), folder, daemon, ("--seed", "3"))
 
 
 @pytest.fixture(scope="module")
--- a/tests/thrift/test_scenarios.py
+++ b/tests/thrift/test_scenarios.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import json
-import subprocess
-import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
+from plays import played
 
 HERE = Path(__file__).parent
-ROOT = HERE.parent.parent
 AT_ONCE = 4  # plays side by side: each is mostly waiting
-LIMIT_S = 120
 
 PLAYS = {
     # scenario: (the seeded bug, what a reason must say)
@@ -24,14 +20,8 @@
 
 
 def play(scenario: str, kind: str, folder: Path) -> tuple[int, dict]:
-    out = folder / f"{scenario}-{kind}.json"
-    words = [sys.executable, "-m", "rehearsal", "run", str(HERE / f"{scenario}.toml"), "--quiet"]
-    words += ["--seed", "3", "--json", str(out)]
-    if kind:
-        words += ["--daemon", f"{sys.executable} {HERE / 'seeded.py'} {kind}"]
-    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=LIMIT_S)
-    assert out.exists(), done.stdout + done.stderr
-    return done.returncode, json.loads(out.read_text())
+    daemon = f"{HERE / 'seeded.py'} {kind}" if kind else ""
+    return played(str(HERE / f"{scenario}.toml"), folder, daemon, ("--seed", "3"))
 
 
 @pytest.fixture(scope="module")
