--- a/hollyport/fleet/options.py
+++ b/hollyport/fleet/options.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +14,7 @@
 LEAST_KEY = 16  # bytes
 MOST_KEY = 64  # what BLAKE2b takes
 MOST_NAME = 64
+PEERS_BYTES = 256  # what the platform carries between sidecars
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +32,25 @@
     period_s: float = 0.25
     view: int = 256
     facts: int = 1024
+    peers: bool = False  # the platform's configuration tells who is there, and where
 
     def fixed(self) -> tuple[Any, ...]:
         """What a running member can't change."""
-        return (self.member, self.listen, self.advertise, self.period_s, self.view, self.facts)
+        return (self.member, self.listen, self.advertise, self.period_s, self.view, self.facts, self.peers)
+
+    def of_platform(self, allowed: bool, listen: Any, peers: Any, index: int) -> FleetOptions:
+        """With what the platform's configuration tells of sidecars of this tier: names are their numbers.
+        Raise BadValue where its settings don't allow datagrams, or the configuration doesn't tell."""
+        if not allowed:
+            raise BadValue(("peers",), "the platform's settings allow no datagrams between sidecars")
+        try:
+            addresses = [_address(peer, ()) for peer in peers]
+            where = _address(listen, ())
+            own = addresses[index]
+        except (BadValue, TypeError, AttributeError, IndexError):
+            raise BadValue(("peers",), "the configuration's peer_listen, peers and index don't fit") from None
+        tier = tuple((str(number), address) for number, address in enumerate(addresses))
+        return replace(self, halls=(("tier", tier),), member=str(index), listen=where, advertise=own)
 
 
 def _address(text: str, path: tuple[str | int, ...]) -> str:
@@ -107,24 +123,29 @@
     table.must(
         0 < len(name) <= MOST_NAME, "name", f"must be a text of 1 to {MOST_NAME} characters, is {name!r}"
     )
+    peers = table.flag("peers", False)
     listen = _address(table.text("listen", "127.0.0.1:0"), ("listen",))
     advertise = table.text("advertise")
+    size = table.number("datagram_bytes", PEERS_BYTES if peers else 1200, 256, PEERS_BYTES if peers else 1200)
+    halls = table.table("halls")
+    table.must(not (peers and halls is not None), "halls", "peers = true takes them from the configuration")
     made = FleetOptions(
         name,
-        _halls(table.table("halls")),
+        () if peers else _halls(halls),
         _keys(table.text("keys"), ("keys",)),
         table.texts("also"),
         table.text("member"),
         listen,
         _address(advertise, ("advertise",)) if advertise else "",
-        int(table.number("datagram_bytes", 1200, 256, 1200)),
+        int(size),
         table.number("period_s", 0.25, 0.1, 5.0),
         int(table.number("view", 256, 8, 4096)),
         int(table.number("facts", 1024, 16, 65536)),
+        peers,
     )
     table.done()
-    halls = [member for _, members in made.halls for member in members]
-    if len(halls) > made.view + 1 and not all(address for _, address in halls):
+    named = [member for _, members in made.halls for member in members]
+    if len(named) > made.view + 1 and not all(address for _, address in named):
         # Whoever is met first could not tell a newcomer where those in its view are.
-        raise BadValue(("view",), f"names {made.view} of {len(halls)}: then each name needs its @HOST:PORT")
+        raise BadValue(("view",), f"names {made.view} of {len(named)}: then each name needs its @HOST:PORT")
     return made
--- a/hollyport/settings/config.py
+++ b/hollyport/settings/config.py
@@ -34,6 +34,8 @@
     settings: Settings
     console: Address | None = None  # the second address; None: there is none
     memory_mb: int = 192
+    peer_listen: Any = None  # of the platform's datagrams between sidecars; read by the fleet part alone
+    peers: Any = None
     accept_fd: int | None = None  # the descriptor of a listening socket that the platform holds
 
 
@@ -92,6 +94,8 @@
         settings=settings,
         console=_address({"console": told}, "console") if told else None,
         memory_mb=int(memory),
+        peer_listen=raw.get("peer_listen"),
+        peers=raw.get("peers"),
         accept_fd=_descriptor(env.get("NODE_ACCEPT_FD")),
     )
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -280,11 +280,26 @@
         from hollyport.fleet.part import FleetPart
 
         try:
+            table = self._fleet_table(table)
             return FleetPart(self._loop, table, self._config.name, self._shared is not None)
         except BadValue as error:
             key = ".".join(map(str, ("fleet", *error.path)))
             raise ConfigError(f"{options.path}: {key}: {error.what}") from None
 
+    def _fleet_takes(self, table: Any) -> bool:
+        assert self._fleet is not None
+        try:
+            return self._fleet.take_options(self._fleet_table(table))
+        except BadValue:
+            return False
+
+    def _fleet_table(self, table: Any) -> Any:
+        """With the platform's own list of sidecars, where the table asks for it."""
+        if not table.peers:
+            return table
+        settings, config = self._settings, self._config
+        return table.of_platform(settings.limits.peers, config.peer_listen, config.peers, settings.index)
+
     def _tell(self) -> None:
         """Say now and then what no client could see."""
         assert self._counters is not None
@@ -310,7 +325,7 @@
             self._feed.take_options(table)
         fleet = options.sections.get("fleet")
         if (fleet is None) != (self._fleet is None) or (
-            self._fleet is not None and fleet is not None and not self._fleet.take_options(fleet)
+            fleet is not None and not self._fleet_takes(fleet)
         ):
             print("options: a change of the fleet table needs a restart", file=sys.stderr, flush=True)
         for name, now in (("thrift", self._thrift), ("guards", self._guards)):
--- a/tests/fleet/test_part.py
+++ b/tests/fleet/test_part.py
@@ -208,3 +208,29 @@
 
     asyncio.run(play())
     assert any(json.loads(row)["event"] == "fault" for row in capfd.readouterr().err.splitlines())
+
+
+def test_the_platforms_own_list_of_sidecars_stands_for_halls_where_its_settings_allow_it(keys):
+    told = read({"name": "f", "keys": str(keys), "peers": True})
+    peers = [f"10.3.0.{n}:7946" for n in range(3)]
+    made = told.of_platform(True, "10.0.0.4:7946", peers, 1)
+    assert (made.member, made.listen, made.advertise, made.datagram_bytes) == (
+        "1",
+        "10.0.0.4:7946",
+        peers[1],
+        256,
+    )
+    assert made.halls == (("tier", tuple((str(n), peer) for n, peer in enumerate(peers))),)
+    here = "10.0.0.4:7946"
+    named = [*peers, "name:1"]
+    for wrong in (
+        (False, here, peers, 1),
+        (True, None, peers, 1),
+        (True, here, None, 1),
+        (True, here, peers, 3),
+        (True, here, named, 1),
+    ):
+        with pytest.raises(BadValue):
+            told.of_platform(*wrong)
+    with pytest.raises(BadValue):
+        read(table(keys, peers=True))
