--- a/command/cli.py
+++ b/command/cli.py
@@ -137,9 +137,9 @@
         rows.append(row)
         if json_file is not None:
             json_file.write_text(json.dumps(rows, indent=2) + "\n", encoding="utf-8")
-    table = Table(*rows[0], box=None)
-    for row in rows:
-        table.add_row(*(f"{value:g}" for value in row.values()))
+    table = Table("members", *(f"{row['members']:g}" for row in rows), box=None)
+    for name in list(rows[0])[1:]:
+        table.add_row(name, *(f"{row[name]:g}" for row in rows))
     OUT.print(table)
     if png_file is not None:
         draw(rows, png_file)
