--- a/hollyport/nodes/upstream.py
+++ b/hollyport/nodes/upstream.py
@@ -42,6 +42,7 @@
         self._connection: Carrier | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._over = False
+        self.touched = False  # something of it may have been written
         self._timer: asyncio.TimerHandle | None = None
         self._growing = False  # its request is still coming: the time to answer has not begun
         self._begun = False  # its answer is being passed on: the time to begin has been kept
@@ -94,6 +95,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._connection = connection
+        self.touched = True
         connection.on_written = self.on_written
         if self.on_begun is not None:
             connection.on_begun = self._answer_begun
@@ -190,6 +192,10 @@
                 target.idle.pop(0).close()
                 beyond -= 1
 
+    def keep(self, idle_s: float) -> None:
+        """Retire connections that have been idle for so long from now on, in seconds."""
+        self._idle_s = idle_s
+
     # --- the list
 
     def update(
--- /dev/null
+++ b/orchard/faults.py
@@ -0,0 +1,55 @@
+"""The closed list of what can go wrong for a caller, and the answer to each kind."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class Fault(enum.IntEnum):
+    """One kind of failure; the numbers also travel between stiles."""
+
+    REFUSED = 1  # has not run and never will: come back
+    FULL = 2  # likewise, as the server's queue is full
+    LEAVING = 3  # likewise, as that server leaves
+    NO_SERVER = 4  # likewise, as no server is known
+    BROKEN = 5  # it may have run; the answer is lost
+    LATE = 6  # it may have run; time is up
+    AT_WORK = 7  # another request with its key runs
+    LOST_KEY = 8  # one with its key ran, or may have, and left no answer
+    NO_ROUTE = 9
+    BAD = 10
+    TOO_LARGE = 11
+    INVALID = 12  # a configuration that can't be taken
+    NO_QUORUM = 13  # too few barns could be asked
+    NOT_HERE = 14
+    OWN = 15
+
+
+class Answer(NamedTuple):
+    """What the caller is told."""
+
+    status: int
+    promise: bool  # whether the status says that nothing ran
+    text: bytes
+
+
+ANSWERS: dict[Fault, Answer] = {
+    Fault.REFUSED: Answer(503, True, b"refused\n"),
+    Fault.FULL: Answer(503, True, b"full\n"),
+    Fault.LEAVING: Answer(503, True, b"leaving\n"),
+    Fault.NO_SERVER: Answer(503, True, b"no server\n"),
+    Fault.BROKEN: Answer(502, False, b"failed\n"),
+    Fault.LATE: Answer(504, False, b"late\n"),
+    Fault.AT_WORK: Answer(409, False, b"at work\n"),
+    Fault.LOST_KEY: Answer(502, False, b"its answer is lost\n"),
+    Fault.NO_ROUTE: Answer(404, False, b"no route\n"),
+    Fault.BAD: Answer(400, False, b"bad request\n"),
+    Fault.TOO_LARGE: Answer(413, False, b"too large\n"),
+    Fault.INVALID: Answer(400, False, b"invalid\n"),
+    Fault.NO_QUORUM: Answer(503, True, b"no quorum\n"),
+    Fault.NOT_HERE: Answer(404, False, b"not here\n"),
+    Fault.OWN: Answer(500, False, b"own error\n"),
+}
+PROMISES = frozenset(kind for kind, answer in ANSWERS.items() if answer.promise)
+"""Kinds that are told only where nothing has run and nothing will."""
--- /dev/null
+++ b/orchard/furrow.py
@@ -0,0 +1,203 @@
+"""Furrows: held TCP connections between the system's processes, carrying cbor2 messages.
+
+A message is a list that begins with its kind. It goes as four bytes of length and the encoding. Whoever has
+heard nothing for a while asks; one that stays silent is given up, also where a cut says nothing (RFC 5482 for
+TCP_USER_TIMEOUT, where the kernel has it).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import cbor2
+from loguru import logger
+
+from orchard.settings import Address
+
+PING, PONG = 0, 1
+MOST = 80 << 20  # bytes of one message
+ASK_S = 1.0  # after so long a silence the other side is asked
+DEAD_S = 2.4  # and after so long it is given up
+DIAL_S = 0.8
+FIRST_PAUSE_S, LAST_PAUSE_S = 0.05, 0.8
+
+Heard = Callable[["Furrow", list[Any]], None]
+
+
+class Furrow(asyncio.Protocol):
+    """One connection, either end."""
+
+    def __init__(self, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None]) -> None:
+        self._heard, self._up, self._down = heard, up, down
+        self._transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
+        self._rest = bytearray()
+        self._out: list[bytes] = []
+        self._due = False
+        self._at = 0.0  # when something was heard last
+        self._timer: asyncio.TimerHandle | None = None
+        self.open = False
+        self.peer: Any = None  # for the owner
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if hasattr(socket, "TCP_USER_TIMEOUT"):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(DEAD_S * 1000))
+        self.open = True
+        self._at = self._loop.time()
+        self._timer = self._loop.call_later(ASK_S, self._watch)
+        self._up(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        if not self.open:
+            return
+        self.open = False
+        if self._timer is not None:
+            self._timer.cancel()
+        self._out = []
+        self._down(self)
+
+    def end(self) -> None:
+        """Close at once; what is on its way is lost."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._close()
+
+    def _watch(self) -> None:
+        quiet = self._loop.time() - self._at
+        if quiet >= DEAD_S:
+            self.end()
+            return
+        if quiet >= ASK_S * 0.95:
+            self.send([PING])
+        self._timer = self._loop.call_later(ASK_S, self._watch)
+
+    def data_received(self, data: bytes) -> None:
+        self._at = self._loop.time()
+        rest = self._rest
+        rest += data
+        at, size = 0, len(rest)
+        while size - at >= 4:
+            length = int.from_bytes(rest[at:at + 4], "big")
+            if length > MOST:
+                self.end()
+                return
+            if size - at - 4 < length:
+                break
+            try:
+                message = cbor2.loads(bytes(rest[at + 4:at + 4 + length]))
+                kind = message[0]
+            except Exception:
+                logger.warning("a message that can't be read; the furrow is closed")
+                self.end()
+                return
+            at += 4 + length
+            if kind == PING:
+                self.send([PONG])
+            elif kind != PONG:
+                try:
+                    self._heard(self, message)
+                except Exception:
+                    logger.exception("a message could not be handled")
+            if not self.open:
+                return
+        if at:
+            del rest[:at]
+
+    def send(self, message: list[Any]) -> None:
+        """Write a message; what is sent to a closed furrow is lost, which its owner has been told."""
+        self.put(pack(message))
+
+    def put(self, packed: bytes) -> None:
+        """The same for one that is packed already. What is written in one turn goes out together."""
+        if not self.open:
+            return
+        self._out.append(packed)
+        if not self._due:
+            self._due = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._due = False
+        out, self._out = self._out, []
+        if self._transport is not None and out and not self._transport.is_closing():
+            self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+
+    def unsent(self) -> int:
+        """Bytes that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+
+def pack(message: list[Any]) -> bytes:
+    """A message as it goes over a furrow."""
+    data = cbor2.dumps(message)
+    return len(data).to_bytes(4, "big") + data
+
+
+class Dial:
+    """Keeps one furrow to an address, opened again whenever it has ended."""
+
+    def __init__(
+        self, address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None]
+    ) -> None:
+        self.address = address
+        self._heard, self._on_up, self._on_down = heard, up, down
+        self.furrow: Furrow | None = None
+        self._again = asyncio.Event()
+        self._stopped = False
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """Keep it no more."""
+        self._stopped = True
+        self._task.cancel()
+        if self.furrow is not None:
+            self.furrow.end()
+
+    def _up(self, furrow: Furrow) -> None:
+        self.furrow = furrow
+        self._on_up(furrow)
+
+    def _down(self, furrow: Furrow) -> None:
+        if self.furrow is furrow:
+            self.furrow = None
+        self._again.set()
+        self._on_down(furrow)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        pause = FIRST_PAUSE_S
+        while not self._stopped:
+            self._again.clear()
+            try:
+                async with asyncio.timeout(DIAL_S):
+                    await loop.create_connection(
+                        lambda: Furrow(self._heard, self._up, self._down), *self.address
+                    )
+            except (OSError, TimeoutError):
+                pass
+            else:
+                began = loop.time()
+                await self._again.wait()
+                if loop.time() - began > LAST_PAUSE_S:
+                    pause = FIRST_PAUSE_S
+            await asyncio.sleep(pause * (0.75 + random.random() / 2))
+            pause = min(2 * pause, LAST_PAUSE_S)
+
+
+async def listen(
+    address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None]
+) -> asyncio.Server:
+    """Take furrows that others dial."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: Furrow(heard, up, down), address.host, address.port, backlog=512)
--- /dev/null
+++ b/orchard/keys.py
@@ -0,0 +1,184 @@
+"""Operations by key: what one barn has granted, and what a claimant makes of several answers. No I/O.
+
+A claim is a lock by quorum: each barn grants a key to the first token that it has on its disk, and takes a
+grant back only at the word of whoever holds that token and knows that nothing ran with it. A token that so
+many barns granted that any two such sets share one may run; no second one ever has as many within the
+window. Times are seconds of one clock; ages travel, never times of day.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+
+class Mark(enum.IntEnum):
+    """How far an operation is."""
+
+    CLAIMED = 1
+    DONE = 2
+    BROKEN = 3  # it may have run, and left no answer
+
+
+class Grant(NamedTuple):
+    """What a barn knows of one key."""
+
+    token: str
+    mark: Mark
+    until: float  # when a claim without an answer is over
+    expires: float
+    answer: Any = None  # status, headers, body
+
+
+class Registry:
+    """The grants of one barn."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window = window_s
+        self._grants: OrderedDict[str, Grant] = OrderedDict()  # by when they were first granted
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    def look(self, now: float, key: str) -> Grant | None:
+        """What stands for a key."""
+        self._expire(now)
+        grant = self._grants.get(key)
+        if grant is not None and grant.mark == Mark.CLAIMED and now >= grant.until:
+            grant = self._grants[key] = grant._replace(mark=Mark.BROKEN)
+        return grant
+
+    def claim(self, now: float, key: str, token: str, left_s: float) -> tuple[Grant, bool]:
+        """Grant a key to a token, if it is free or the token's own; what stands, and whether it is new."""
+        grant = self.look(now, key)
+        if grant is not None:
+            return grant, False
+        grant = self._grants[key] = Grant(token, Mark.CLAIMED, now + left_s, now + self._window)
+        return grant, True
+
+    def done(self, now: float, key: str, token: str, answer: Any) -> bool:
+        """The answer of the operation that a token ran. True where that is news."""
+        grant = self.look(now, key)
+        if grant is not None and grant.mark == Mark.DONE:
+            return False
+        expires = grant.expires if grant is not None else now + self._window
+        self._grants[key] = Grant(token, Mark.DONE, now, expires, answer)
+        return True
+
+    def broke(self, now: float, key: str, token: str) -> bool:
+        """It may have run, and there is no answer."""
+        grant = self.look(now, key)
+        if grant is None or grant.token != token or grant.mark != Mark.CLAIMED:
+            return False
+        self._grants[key] = grant._replace(mark=Mark.BROKEN)
+        return True
+
+    def free(self, now: float, key: str, token: str) -> bool:
+        """Nothing ran with a token, and nothing will."""
+        grant = self._grants.get(key)
+        if grant is None or grant.token != token or grant.mark == Mark.DONE:
+            return False
+        del self._grants[key]
+        return True
+
+    def _expire(self, now: float) -> None:
+        """A few of the oldest at a time, so that nothing ever stalls on it."""
+        for _ in range(4):
+            if not self._grants:
+                return
+            key, grant = next(iter(self._grants.items()))
+            if now < grant.expires:
+                return
+            del self._grants[key]
+
+    # --- for disks and other barns
+
+    def rows(self, now: float) -> list[list[Any]]:
+        """All that stands, with ages in place of times."""
+        return [row_of(now, key, grant) for key, grant in self._grants.items()]
+
+    def row(self, now: float, key: str) -> list[Any]:
+        """One of them."""
+        return row_of(now, key, self._grants[key])
+
+    def take(self, now: float, rows: Iterable[list[Any]]) -> None:
+        """Merge what a disk or another barn knows: an answer wins over a claim, a claim over nothing."""
+        for key, token, mark, until, expires, answer in rows:
+            grant = Grant(token, Mark(mark), now + until, now + expires, answer)
+            mine = self._grants.get(key)
+            if mine is None or grant.mark == Mark.DONE and mine.mark != Mark.DONE:
+                self._grants[key] = grant
+
+
+def row_of(now: float, key: str, grant: Grant) -> list[Any]:
+    """A grant as it travels."""
+    return [key, grant.token, int(grant.mark), grant.until - now, grant.expires - now, grant.answer]
+
+
+class Verdict(enum.Enum):
+    """What a claimant makes of the answers so far."""
+
+    WAIT = 0
+    RUN = 1
+    REPEAT = 2  # an answer is there
+    AT_WORK = 3
+    LOST = 4
+    AGAIN = 5  # nobody has it, and not enough were free: give back and come again
+
+
+@dataclass
+class Claim:
+    """One claimant's count. `barns` are asked, `enough` must grant, all within `limit_s` of the start."""
+
+    barns: int
+    enough: int
+    started: float
+    limit_s: float
+    answer: Any = None
+    _mine: set[str] = field(default_factory=set)
+    _others: dict[str, set[str]] = field(default_factory=dict)
+    _marks: dict[str, Mark] = field(default_factory=dict)
+    _failed: set[str] = field(default_factory=set)
+
+    def granted(self, barn: str) -> None:
+        """A barn has it on its disk for this token."""
+        self._mine.add(barn)
+
+    def held(self, barn: str, token: str, mark: Mark, answer: Any) -> None:
+        """A barn holds it for another."""
+        self._others.setdefault(token, set()).add(barn)
+        self._marks[token] = max(mark, self._marks.get(token, Mark.CLAIMED))
+        if mark == Mark.DONE:
+            self.answer = answer
+            self._marks[token] = Mark.DONE
+
+    def failed(self, barn: str) -> None:
+        """A barn can't grant anything."""
+        if barn not in self._mine and not any(barn in held for held in self._others.values()):
+            self._failed.add(barn)
+
+    silent = failed  # nor one that has said nothing in time
+
+    def verdict(self, now: float) -> Verdict:
+        """As far as the answers go. A round that took too long grants nothing: a barn that lost its disk
+        waits for as long before it counts, so whatever was granted in time is known to those it asks."""
+        if self.answer is not None:
+            return Verdict.REPEAT
+        in_time = now - self.started <= self.limit_s
+        if len(self._mine) >= self.enough and in_time:
+            return Verdict.RUN
+        others = set[str]().union(*self._others.values()) if self._others else set[str]()
+        open_ = self.barns - len(self._mine) - len(others) - len(self._failed)
+        if len(self._mine) + open_ >= self.enough and in_time:
+            return Verdict.WAIT
+        for token, barns in self._others.items():
+            if len(barns) + open_ >= self.enough or len(barns) >= self.enough:
+                if self._marks[token] == Mark.BROKEN:
+                    return Verdict.LOST
+                if len(barns) >= self.enough or not in_time or not open_:
+                    return Verdict.AT_WORK
+                return Verdict.WAIT
+        return Verdict.AGAIN
--- /dev/null
+++ b/orchard/plot.py
@@ -0,0 +1,228 @@
+"""The plot beside a stile: its one server, the connections to it, and the calls that wait for it in order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from dunefield.budget import STEPS, Budget
+from dunefield.interface import IDLE_SHARE, How
+from hollyport.http.back import HttpBack, Reply
+from hollyport.nodes.upstream import Exchange, Upstream
+from hollyport.settings.config import Address as NodeAddress
+from orchard.faults import Fault
+from orchard.settings import Address
+
+FIRST_BACKOFF_NS, LAST_BACKOFF_NS = 100_000_000, 2_000_000_000
+KEPT_S = 15.0  # idle connections are retired from IDLE_SHARE of this on, or of what the server tells
+PROMISING = frozenset({b"503", b"429", b"421", b"408", b"400"})
+HOP_S = 0.004  # kept back of a deadline for the way home
+
+
+class Job:
+    """One call for the server. `done` is told once: fault (None: answered), whether it arrived, reply."""
+
+    __slots__ = ("make", "tid", "deadline", "patience", "size", "done", "trial", "exchange", "began", "over")
+
+    def __init__(
+        self, make: Callable[[float, str], bytes], tid: bytes, deadline: float, patience: float,
+        done: Callable[[Fault | None, bool, Reply | None], None],
+    ) -> None:
+        self.make, self.tid, self.deadline, self.patience, self.done = make, tid, deadline, patience, done
+        self.trial = self.over = False
+        self.exchange: Exchange | None = None
+        self.began = 0.0
+
+
+class Plot:
+    """One server as its own stile sees it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, most: int) -> None:
+        self._loop = loop
+        self._address = NodeAddress(address.host, address.port)
+        self._back = HttpBack(False)
+        self.upstream = Upstream(loop, 1_000_000_000, int(KEPT_S * 1e9), most, 2.0, self._back)
+        self.instance = ""
+        self.lives: dict[str, int] = {}  # by id: the last number that a beat carried
+        self.slots = 1
+        self.open = False
+        self.max_conns = STEPS
+        self.cold_until = 0.0
+        self.budget = self._new_budget()
+        self.queue: deque[Job] = deque()
+        self.out = 0
+        self.mean = 0.05  # seconds to an answer, of late
+        self._timer: asyncio.TimerHandle | None = None
+
+    def _new_budget(self) -> Budget:
+        return Budget(min(STEPS, self.slots, self.max_conns), FIRST_BACKOFF_NS, LAST_BACKOFF_NS)
+
+    def life(self, instance: str, slots: int, cold_s: float, is_open: bool) -> None:
+        """What the server told of itself. A new id is a new process: nothing learned of the old one holds."""
+        self.cold_until = self._loop.time() + cold_s
+        if instance != self.instance or slots != self.slots:
+            fresh = instance != self.instance
+            if fresh and self.instance:
+                self.upstream.remove(self.instance)
+            self.instance, self.slots = instance, slots
+            if fresh:
+                self.budget = self._new_budget()
+                self.upstream.update(instance, self._address, 0, True)
+            self.budget.most = min(STEPS, slots, self.max_conns)
+        self.open = is_open
+        if not is_open:
+            self.turn_away(Fault.LEAVING)
+        self._pump()
+
+    def limit(self, max_conns: int) -> None:
+        """What the configuration allows."""
+        self.max_conns = max_conns
+        self.budget.most = max(1, min(STEPS, self.slots, max_conns))
+
+    def gone(self) -> None:
+        """The server has ended, or another has its address."""
+        self.open = False
+        if self.instance:
+            self.upstream.remove(self.instance)
+        self.instance = ""
+        self.turn_away(Fault.LEAVING)
+
+    def turn_away(self, fault: Fault) -> None:
+        """Give back all that waits."""
+        queue, self.queue = self.queue, deque()
+        for job in queue:
+            self._end(job, fault, False)
+
+    def wait(self) -> float:
+        """Seconds until a call that came now would go, about."""
+        room = self.budget.room
+        if self.out < room:
+            return 0.0
+        return (len(self.queue) + 1) * self.mean / max(1, room)
+
+    def submit(self, job: Job) -> None:
+        """Take a call; it goes at once, waits in order, or is given back."""
+        now = self._loop.time()
+        if not self.open or not self.instance:
+            self._end(job, Fault.LEAVING, False)
+            return
+        if not self.budget.k and (self.budget.trial or now * 1e9 < self.budget.retry_at):
+            self._end(job, Fault.FULL, False)  # nothing can take it soon
+            return
+        if now + self.wait() > job.patience:
+            self._pump()
+            if self.out >= self.budget.room:
+                self._end(job, Fault.FULL, False)
+                return
+        self.queue.append(job)
+        self._pump()
+
+    def withdraw(self, job: Job) -> None:
+        """Nobody waits for it any more: one that was not sent never will be."""
+        if job in self.queue:
+            self.queue.remove(job)
+            job.over = True
+
+    def _pump(self) -> None:
+        now = self._loop.time()
+        while self.queue:
+            job = self.queue[0]
+            if now >= job.patience:
+                self.queue.popleft()
+                self._end(job, Fault.FULL, False)
+                continue
+            goes, trial = self.budget.verdict(int(now * 1e9), self.out)
+            if not goes:
+                break
+            self.queue.popleft()
+            self._send(now, job, trial)
+        self._arm()
+
+    def _arm(self) -> None:
+        if self._timer is None and self.queue:
+            now = self._loop.time()
+            at = min(job.patience for job in self.queue)
+            if not self.budget.trial and self.budget.retry_at > now * 1e9:
+                at = min(at, self.budget.retry_at / 1e9)
+            self._timer = self._loop.call_later(max(0.001, at - now), self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        self._pump()
+
+    def _send(self, now: float, job: Job, trial: bool) -> None:
+        left = job.deadline - now
+        instance = self.instance
+        if left <= HOP_S:
+            self.budget.withdrawn(trial)
+            self._end(job, Fault.FULL, False)
+            return
+        exchange = self.upstream.exchange(
+            instance, lambda: job.make(job.deadline - self._loop.time(), instance), left,
+            lambda how, answer: self._ended(job, instance, how, answer),
+        )
+        if exchange is None:
+            self.budget.withdrawn(trial)
+            self._end(job, Fault.LEAVING, False)
+            return
+        job.trial, job.exchange, job.began = trial, exchange, now
+        if trial:
+            self.budget.trial = True
+        self.out += 1
+        exchange.start()
+
+    def _ended(self, job: Job, instance: str, how: How, answer: Any) -> None:
+        self.out -= 1
+        now = self._loop.time()
+        budget, current = self.budget, instance == self.instance
+        reply: Reply | None = answer
+        trial = job.trial and current
+        if reply is not None and reply.header(b"x-attempt-id") not in (None, job.tid):
+            reply, how = None, How.RESET  # another call's answer: what became of this one is not known
+        if reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
+            if current:
+                budget.failed(int(now * 1e9), trial, random.random)
+                if reply.status == 421:
+                    self.gone()
+                else:
+                    budget.full(self.out + 1)
+            self._end(job, Fault.LEAVING if reply.status == 421 else Fault.FULL, True, reply)
+        elif reply is not None and (reply.header(b"x-server-seal") is not None or reply.status >= 400):
+            if current:
+                self._learn(reply)
+                budget.served(trial)
+                self.mean += (now - job.began - self.mean) * 0.1
+            self._end(job, None, True, reply)
+        else:
+            fault, arrived = Fault.BROKEN, True
+            if how == How.TIMEOUT:
+                fault = Fault.LATE
+            elif how in (How.MOOT, How.CONNECT_FAILED) and not self._written(job):
+                fault, arrived = Fault.FULL, False
+            if current and how == How.MOOT:
+                budget.withdrawn(trial)
+            elif current:
+                budget.failed(int(now * 1e9), trial, random.random)
+                if how in (How.CONNECT_FAILED, How.RESET):
+                    budget.broken(int(now * 1e9), random.random)
+            self._end(job, fault, arrived)
+        self._pump()
+
+    @staticmethod
+    def _written(job: Job) -> bool:
+        """Whether anything of the call may have reached the server."""
+        return job.exchange is not None and job.exchange.touched
+
+    def _learn(self, reply: Reply) -> None:
+        """How long the server keeps idle connections, where it tells."""
+        kept = reply.header(b"keep-alive")
+        if kept is not None and kept.startswith(b"timeout=") and kept[8:].isdigit():
+            self.upstream.keep(min(KEPT_S, float(kept[8:]) * 1.5) * IDLE_SHARE)
+
+    def _end(self, job: Job, fault: Fault | None, arrived: bool, reply: Reply | None = None) -> None:
+        if not job.over:
+            job.over = True
+            job.done(fault, arrived, reply)
--- /dev/null
+++ b/orchard/stile.py
@@ -0,0 +1,594 @@
+"""A stile: the sidecar of the mesh. Requests begin here, and go to a server by the stile beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from loguru import logger
+
+from hollyport.guests.listener import Listener
+from hollyport.http import heads
+from hollyport.http.back import Reply
+from hollyport.http.message import Message
+from orchard import catalog, front, furrow
+from orchard.catalog import Item, Route
+from orchard.faults import ANSWERS, PROMISES, Fault
+from orchard.furrow import Dial, Furrow, pack
+from orchard.keys import Claim, Mark, Verdict
+from orchard.pick import Bed, choose
+from orchard.plot import Job, Plot
+from orchard.quorum import Voters
+from orchard.settings import Address, Settings, seconds
+from orchard.spend import Spend
+from orchard.words import Record, Word
+
+OURS = heads.NOT_FORWARDED | {b"x-deadline-ms", b"x-expect-instance", b"x-caller-service", b"x-timeout"}
+CLAIM_S = 1.0  # a claim's round is void after so long
+PATIENCE = 0.25  # part of a request's aim that it may wait unsent, beyond which that has a price
+LEAST_PATIENCE_S = 0.02
+NO_PROMISE = frozenset({408, 421, 429, 503})  # from a server that does not say X-Not-Run: it may have run
+JSON = [(b"Content-Type", b"application/json")]
+LEAVE_S = 2.6  # after SIGTERM, until the platform has missed two answers on readiness
+
+
+class Trip:
+    """One request that began here, until its one answer."""
+
+    __slots__ = ("message", "route", "service", "deadline", "aim_at", "ask", "tid", "key", "bed", "tried",
+                 "arrivals", "timer", "over", "unsure", "began", "number", "body")  # fmt: skip
+
+    def __init__(self, message: Message, route: Route, service: str, deadline: float, aim_at: float) -> None:
+        self.message, self.route, self.service = message, route, service
+        self.deadline, self.aim_at = deadline, aim_at
+        self.tid = message.header(b"x-attempt-id") or b""
+        self.key = (message.header(b"x-operation-key") or b"").decode("latin-1")
+        self.bed: Bed | None = None
+        self.tried: list[Bed] = []
+        self.arrivals = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.over = False
+        self.unsure = False  # it may have run
+        self.began = 0.0
+        self.number = 0
+        self.body = message.body
+
+
+class Stile:
+    """One process of the role."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        assert settings.app is not None
+        self.me = settings.name
+        self.items = catalog.EMPTY
+        self.table = catalog.NOTHING
+        self.voters: tuple[str, ...] = ()
+        self._enough = 1
+        self.plot = Plot(self.loop, settings.app, 64)
+        self.beds: dict[str, Bed] = {}
+        self.lists: dict[str, list[Bed]] = {}
+        self._records: dict[str, list[Any]] = {}
+        self._life, self._number = time.time_ns() // 1_000_000, 0
+        self._barn_dials: dict[str, Dial] = {}
+        self._barns: dict[str, Furrow] = {}
+        self._bed_dials: dict[str, Dial] = {}
+        self._bed_links: dict[str, Furrow] = {}
+        self._asks: dict[int, Trip] = {}
+        self._next = 0
+        self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
+        self._spends: dict[str, Spend] = {}
+        self._jobs: dict[tuple[Furrow, int], Job] = {}
+        self._callers: set[Furrow] = set()
+        self._open_trips = self._open_jobs = 0
+        self.leaving = False
+        self._doors: list[Listener] = []
+        self._random = random.random
+
+    async def start(self) -> None:
+        """Listen, and find the barns."""
+        settings = self.settings
+        assert settings.outbound and settings.ready and settings.control
+        self._server = await furrow.listen(settings.furrow, self._hear, self._callers.add, self._left)
+        self._doors = [
+            await front.open_door(settings.outbound, self.serve, self._hung_up, settings.max_fds // 2),
+            await front.open_door(settings.control, self.beat, None, 64),
+            await front.open_door(settings.ready, self.readiness, None, 64),
+        ]
+        for seed in settings.seed_furrows:
+            self._know_barn(seed)
+        logger.info("stile listens")
+
+    async def stop(self) -> None:
+        """Take no new work, answer what was read, then end; always within the platform's grace."""
+        began = self.loop.time()
+        grace = self.settings.bound("grace", 6.0)
+        self.leaving = True
+        self._tell_record()
+        self._doors[0].last_requests()
+        while self.loop.time() < began + grace - 0.5:
+            await asyncio.sleep(0.05)
+            calm = not self._open_trips and not self._open_jobs
+            if calm and self.loop.time() > began + LEAVE_S:
+                break
+        self._doors[0].shut()
+        self._doors[0].empty()
+        while (self._open_trips or self._doors[0].busy()) and self.loop.time() < began + grace - 0.3:
+            await asyncio.sleep(0.02)
+
+    # --- the platform and the server beside
+
+    def readiness(self, message: Message) -> None:
+        """Whether clients may be sent here."""
+        if message.target.partition(b"?")[0] != b"/-/readiness":
+            message.answer(404)
+            return
+        ready = not self.leaving and bool(self.table.hosts) and any(self.lists.values())
+        message.answer(200 if ready else 503)
+
+    def beat(self, message: Message) -> None:
+        """What the server beside tells of itself."""
+        path = message.target.partition(b"?")[0]
+        if not path.startswith(b"/-/instances/") or message.method not in (b"PUT", b"DELETE"):
+            message.answer(ANSWERS[Fault.NOT_HERE].status)
+            return
+        instance = path[len(b"/-/instances/"):].decode("latin-1")
+        plot = self.plot
+        if message.method == b"DELETE":
+            plot.lives[instance] = 1 << 62
+            if plot.instance == instance:
+                plot.gone()
+                self._tell_record()
+            message.answer(200, b"{}", JSON)
+            return
+        try:
+            told = json.loads(message.body)
+            number, slots = int(told.get("call_seq", 0)), int(told.get("slots", 1))
+            service, state = str(told["service"]), str(told.get("state", "ready"))
+            cold = seconds(told.get("cold_left", "0ms"))
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+            message.answer(ANSWERS[Fault.BAD].status)
+            return
+        if number <= plot.lives.get(instance, -1):
+            message.answer(200, b"{}", JSON)  # a late one: what it says is known
+            return
+        fresh = instance not in plot.lives
+        if not fresh and instance != plot.instance:
+            message.answer(200, b"{}", JSON)  # of a life that is over
+            return
+        plot.lives[instance] = number
+        if service != self.settings.service:
+            logger.warning("a server of another service beats here", service=service)
+            message.answer(ANSWERS[Fault.BAD].status)
+            return
+        before = (plot.instance, plot.open, plot.slots)
+        plot.life(instance, max(1, slots), cold, state == "ready")
+        if (plot.instance, plot.open, plot.slots) != before:
+            self._tell_record()
+        message.answer(200, b"{}", JSON)
+
+    def _record(self) -> list[Any]:
+        plot, settings = self.plot, self.settings
+        self._number += 1
+        cold = max(0.0, plot.cold_until - self.loop.time())
+        return [
+            self.me, settings.furrow.text, settings.zone, settings.service, plot.instance, plot.slots,
+            plot.open and not self.leaving, cold, self._life, self._number,
+        ]
+
+    def _tell_record(self) -> None:
+        """Tell all that have to know what can be had here."""
+        record = self._record()
+        self._take_record(record)
+        packed = pack([Word.STILE, record])
+        for link in self._barns.values():
+            link.put(packed)
+        packed = pack([Word.LEAVING, record])
+        for link in self._callers:
+            link.put(packed)
+
+    # --- barns
+
+    def _know_barn(self, address: str) -> None:
+        if address in self._barn_dials:
+            return
+        host, _, port = address.rpartition(":")
+        self._barn_dials[address] = Dial(
+            Address(host, int(port)), self._hear, partial(self._barn_up, address),
+            partial(self._barn_down, address),
+        )
+
+    def _barn_up(self, address: str, link: Furrow) -> None:
+        link.peer = address
+        self._barns[address] = link
+        link.send([Word.STILE, self._record()])
+
+    def _barn_down(self, address: str, link: Furrow) -> None:
+        if self._barns.get(address) is link:
+            del self._barns[address]
+        for claim, then in list(self._claims.values()):
+            claim.failed(address)
+            then(claim)
+
+    def _take_items(self, rows: list[list[Any]]) -> None:
+        items = catalog.merge(self.items, (Item(*row) for row in rows))
+        if items is self.items:
+            return
+        self.items = items
+        self.table, wrong = catalog.table(items)
+        for text in wrong:
+            logger.warning("held out: {}", text)
+        cluster = self.table.clusters.get(self.settings.service)
+        if cluster is not None:
+            self.plot.limit(cluster.max_conns)
+
+    # --- other stiles
+
+    def _take_record(self, record: list[Any]) -> None:
+        node = record[Record.NODE]
+        known = self._records.get(node)
+        if known is not None and record[Record.LIFE:] <= known[Record.LIFE:]:
+            return
+        self._records[node] = record
+        bed = self.beds.get(node)
+        service = record[Record.SERVICE]
+        if bed is not None and bed.service != service:
+            self._drop_bed(node)
+            bed = None
+        if bed is None:
+            bed = self.beds[node] = Bed(node, service)
+            self.lists.setdefault(service, []).append(bed)
+        if bed.instance != record[Record.INSTANCE]:
+            bed.latency = bed.closed_until = 0.0
+        bed.instance, bed.slots = record[Record.INSTANCE], record[Record.SLOTS]
+        bed.draining = not record[Record.OPEN]
+        bed.cold_until = self.loop.time() + record[Record.COLD]
+        if node != self.me and bed.link != record[Record.LINK]:
+            old = self._bed_dials.pop(node, None)
+            if old is not None:
+                old.stop()
+            bed.link = record[Record.LINK]
+            host, _, port = bed.link.rpartition(":")
+            self._bed_dials[node] = Dial(
+                Address(host, int(port)), self._hear, partial(self._bed_up, node),
+                partial(self._bed_down, node),
+            )
+
+    def _drop_bed(self, node: str) -> None:
+        bed = self.beds.pop(node, None)
+        self._records.pop(node, None)
+        dial = self._bed_dials.pop(node, None)
+        if bed is not None:
+            self.lists[bed.service].remove(bed)
+        if dial is not None:
+            dial.stop()
+
+    def _gone(self, node: str, life: int) -> None:
+        """A barn has not seen a stile for long; where there is no furrow to it either, it is forgotten."""
+        record = self._records.get(node)
+        same = record is not None and record[Record.LIFE] == life
+        if node != self.me and same and node not in self._bed_links:
+            self._drop_bed(node)
+
+    def _bed_up(self, node: str, link: Furrow) -> None:
+        link.peer = node
+        self._bed_links[node] = link
+
+    def _bed_down(self, node: str, link: Furrow) -> None:
+        if self._bed_links.get(node) is link:
+            del self._bed_links[node]
+        for number, trip in list(self._asks.items()):
+            if trip.bed is not None and trip.bed.node == node:
+                self._told(number, Fault.BROKEN, True, 0, [], b"")
+
+    def _left(self, link: Furrow) -> None:
+        self._callers.discard(link)
+
+    def _usable(self, bed: Bed) -> bool:
+        reached = bed.node in self._bed_links or bed.node == self.me
+        return reached and bool(bed.instance) and not bed.draining
+
+    # --- messages
+
+    def _hear(self, link: Furrow, message: list[Any]) -> None:
+        word = message[0]
+        if word == Word.ASK:
+            self._asked(link, message[1], message[2])
+        elif word == Word.TOLD:
+            self._told(*message[1:])
+        elif word == Word.CLAIMED:
+            self._claimed(link, *message[1:])
+        elif word == Word.ITEMS:
+            self._take_items(message[2])
+            link.send([Word.ACK, message[1]])
+        elif word == Word.BEDS:
+            for record in message[1]:
+                if record[Record.NODE] != self.me:
+                    self._take_record(record)
+        elif word == Word.LEAVING:
+            if message[1][Record.NODE] != self.me:
+                self._take_record(message[1])
+        elif word == Word.BARNS:
+            for address in message[1]:
+                self._know_barn(address)
+        elif word == Word.VOTERS:
+            told = Voters(message[1], tuple(message[2]))
+            self.voters = told.names
+            self._enough = told.write
+        elif word == Word.GONE:
+            self._gone(message[1], message[2])
+
+    # --- a request that begins here
+
+    def serve(self, message: Message) -> None:
+        """Take a request of a client or of the server beside."""
+        now = self.loop.time()
+        host = (message.header(b"host") or b"").decode("latin-1").lower()
+        host = host.partition(":")[0]
+        route = self.table.route(host, message.target.partition(b"?")[0].decode("latin-1"))
+        if route is None:
+            self._answer_fault(message, Fault.NO_ROUTE if self.table.hosts else Fault.NO_SERVER, now + 1.0)
+            return
+        left = route.timeout
+        told = message.header(b"x-deadline-ms")
+        if told is not None:
+            try:
+                left = min(left, float(told) / 1000.0)
+            except ValueError:
+                self._answer_fault(message, Fault.BAD, now)
+                return
+        if len(message.body) > self.table.limits.body:
+            self._answer_fault(message, Fault.TOO_LARGE, now)
+            return
+        service = route.targets[0][0]
+        if len(route.targets) > 1:
+            at = self._random() * route.targets[-1][1]
+            service = next(name for name, edge in route.targets if at < edge)
+        trip = Trip(message, route, service, now + left, now + min(route.aim, left))
+        trip.began = now
+        message.tid = "open"
+        self._spend(service).asked(now)
+        self._open_trips += 1
+        trip.timer = self.loop.call_later(left, self._late, trip)
+        self._go(trip)
+
+    def _spend(self, service: str) -> Spend:
+        spend = self._spends.get(service)
+        if spend is None:
+            bound = self.settings.bound
+            spend = self._spends[service] = Spend(
+                bound("retry_ratio", 0.2), bound("retry_window", 10.0), bound("retry_slack", 0.0)
+            )
+        return spend
+
+    def _go(self, trip: Trip) -> None:
+        now = self.loop.time()
+        bed = choose(now, self.lists.get(trip.service, ()), trip.tried, self._random, self._usable)
+        if bed is None:
+            self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
+            return
+        trip.bed = bed
+        trip.tried.append(bed)
+        bed.inflight += 1
+        self._next += 1
+        trip.number = self._next
+        self._asks[trip.number] = trip
+        message = trip.message
+        named = _named(message)
+        headers = [pair for pair in message.headers if pair[0] not in OURS and pair[0] not in named]
+        patience = max(LEAST_PATIENCE_S, (trip.aim_at - trip.began) * PATIENCE - (now - trip.began))
+        ask = [
+            trip.service, self.settings.service, message.method, message.target, headers, trip.body,
+            trip.deadline - now, patience, trip.tid, trip.key if trip.route.variant == "idempotent" else "",
+            trip.number,
+        ]
+        if bed.node == self.me:
+            self._run(ask, partial(self._told, trip.number))
+        else:
+            self._bed_links[bed.node].send([Word.ASK, trip.number, ask])
+
+    def _told(
+        self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes
+    ) -> None:
+        """What became of a request at the stile beside a server."""
+        trip = self._asks.pop(number, None)
+        if trip is None:
+            return
+        bed = trip.bed
+        assert bed is not None
+        now = self.loop.time()
+        bed.inflight -= 1
+        if not fault:
+            bed.answered(now - trip.began)
+            self._finish(trip)
+            trip.message.answer(status, body, [(bytes(k), bytes(v)) for k, v in headers])
+            return
+        kind = Fault(fault)
+        trip.arrivals += arrived
+        if kind in PROMISES:
+            bed.closed_until = now + 0.05
+        elif kind != Fault.AT_WORK:
+            trip.unsure = True
+        if trip.over:
+            return
+        again = kind in PROMISES or (trip.route.variant == "pure" and kind == Fault.BROKEN)
+        if (
+            again and len(trip.tried) < max(2, trip.route.attempts) and trip.arrivals < trip.route.attempts
+            and now < trip.deadline - 0.01 and self._spend(trip.service).take(now, len(self.beds))
+        ):
+            self._go(trip)
+            return
+        self._end(trip, Fault.BROKEN if trip.unsure and kind in PROMISES else kind)
+
+    def _late(self, trip: Trip) -> None:
+        self._end(trip, Fault.LATE)
+
+    def _end(self, trip: Trip, fault: Fault) -> None:
+        if trip.over:
+            return
+        self._finish(trip)
+        self._answer_fault(trip.message, fault, trip.deadline, trip.aim_at - trip.began)
+
+    def _finish(self, trip: Trip) -> None:
+        trip.over = True
+        self._open_trips -= 1
+        if trip.timer is not None:
+            trip.timer.cancel()
+
+    def _answer_fault(self, message: Message, fault: Fault, deadline: float, aim: float = 0.2) -> None:
+        answer = ANSWERS[fault]
+        headers = []
+        if answer.promise:
+            headers = [(b"Retry-After", b"%.3f" % (aim * (0.05 + 0.15 * self._random())))]
+        message.answer(answer.status, answer.text, headers)
+
+    def _hung_up(self, message: Message) -> None:
+        """The client has left. What runs is left to run; its answer goes nowhere."""
+        for trip in self._asks.values():
+            if trip.message is message and not trip.over:
+                self._finish(trip)
+                return
+
+    # --- a request for the server beside
+
+    def _asked(self, link: Furrow, number: int, ask: list[Any]) -> None:
+        self._run(ask, lambda *told: link.send([Word.TOLD, number, *told]))
+
+    def _run(self, ask: list[Any], tell: Callable[..., None]) -> None:
+        service, caller, method, target, headers, body, left, patience, tid, key, number = ask
+        now = self.loop.time()
+        plot = self.plot
+        if service != self.settings.service or not plot.open:
+            tell(Fault.LEAVING, False, 0, [], b"")
+            return
+        self._open_jobs += 1
+        deadline = now + left
+        head = heads.forwarded(method, target, [(bytes(k), bytes(v)) for k, v in headers], body)
+
+        def make(left_s: float, instance: str) -> bytes:
+            return b"%sX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\nX-Caller-Service: %s\r\n\r\n%s" % (
+                head, max(1, int(left_s * 1000)), instance.encode(), caller.encode(), body,
+            )
+
+        token = f"{self.me}/{self._life}/{self._fresh()}" if key else ""
+
+        def done(fault: Fault | None, arrived: bool, reply: Reply | None) -> None:
+            self._open_jobs -= 1
+            found = self._judge(fault, reply)
+            if key:
+                self._close_key(key, token, found, reply)
+            if found is not None or reply is None:
+                tell(int(found or Fault.BROKEN), arrived, 0, [], b"")
+            else:
+                tell(0, arrived, reply.status, heads.returned(reply.headers), reply.body)
+
+        job = Job(make, tid, deadline, min(deadline, now + patience), done)
+        if not key:
+            plot.submit(job)
+            return
+        self._claim(key, token, left, job, tell)
+
+    def _fresh(self) -> int:
+        self._next += 1
+        return self._next
+
+    @staticmethod
+    def _judge(fault: Fault | None, reply: Reply | None) -> Fault | None:
+        """What a client may be told of an outcome; None where the reply is the server's whole answer."""
+        if fault is not None or reply is None:
+            return fault or Fault.BROKEN
+        coded = reply.header(b"content-encoding") is not None
+        sealed = reply.header(b"x-server-seal") is not None
+        if (200 <= reply.status < 300 and not sealed) or coded or reply.status in NO_PROMISE:
+            return Fault.BROKEN
+        if reply.status < 200 or 300 <= reply.status < 400:
+            return Fault.BROKEN
+        return None
+
+    # --- keys
+
+    def _claim(self, key: str, token: str, left: float, job: Job, tell: Callable[..., None]) -> None:
+        """Have a key granted by enough barns; only then the call may go."""
+        now = self.loop.time()
+        number = self._fresh()
+        claim = Claim(len(self.voters), self._enough, now, CLAIM_S)
+        links = [(name, self._barns.get(name)) for name in self.voters]
+        packed = pack([Word.CLAIM, number, key, token, left + 0.5])
+
+        def then(claim: Claim) -> None:
+            verdict = claim.verdict(self.loop.time())
+            if verdict == Verdict.WAIT or number not in self._claims:
+                return
+            del self._claims[number]
+            timer.cancel()
+            if verdict == Verdict.RUN:
+                self.plot.submit(job)
+                return
+            self._open_jobs -= 1
+            self._to_barns([Word.FREE, key, token])
+            if verdict == Verdict.REPEAT:
+                status, headers, body = claim.answer
+                tell(0, False, status, headers, body)
+                return
+            fault = {Verdict.AT_WORK: Fault.AT_WORK, Verdict.LOST: Fault.LOST_KEY}.get(verdict, Fault.REFUSED)
+            tell(int(fault), False, 0, [], b"")
+
+        timer = self.loop.call_later(min(CLAIM_S, max(0.01, left)) + 0.01, partial(self._claim_late, number))
+        self._claims[number] = (claim, then)
+        for name, link in links:
+            if link is None:
+                claim.failed(name)
+            else:
+                link.put(packed)
+        then(claim)
+
+    def _claim_late(self, number: int) -> None:
+        found = self._claims.get(number)
+        if found is not None:
+            claim, then = found
+            for name in self.voters:
+                claim.silent(name)
+            then(claim)
+
+    def _claimed(self, link: Furrow, number: int, outcome: int, token: str, mark: int, answer: Any) -> None:
+        found = self._claims.get(number)
+        if found is None:
+            return
+        claim, then = found
+        if outcome == 1:
+            claim.granted(link.peer)
+        elif outcome == 0:
+            claim.held(link.peer, token, Mark(mark), answer)
+        else:
+            claim.failed(link.peer)
+        then(claim)
+
+    def _close_key(self, key: str, token: str, fault: Fault | None, reply: Reply | None) -> None:
+        if fault is None and reply is not None:
+            answer = [reply.status, heads.returned(reply.headers), reply.body]
+            self._to_barns([Word.DONE, key, token, answer])
+        elif fault in PROMISES:
+            self._to_barns([Word.FREE, key, token])
+        else:
+            self._to_barns([Word.BROKE, key, token])
+
+    def _to_barns(self, message: list[Any]) -> None:
+        packed = pack(message)
+        for name in self.voters:
+            link = self._barns.get(name)
+            if link is not None:
+                link.put(packed)
+
+
+def _named(message: Message) -> frozenset[bytes]:
+    """Headers that a request's Connection header keeps to that connection."""
+    told = message.header(b"connection")
+    if told is None or told.lower() in (b"close", b"keep-alive"):
+        return frozenset()
+    return frozenset(part.strip().lower() for part in told.split(b","))
