--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -19,6 +19,9 @@
     ("emulator/worth.py", "import hollyport.core.tally", "The emulator plays the decisions"),
     ("hollyport/fleet/membership.py", "import time", "What the fleet decides"),
     ("emulator/members.py", "import hollyport.fleet.part", "The emulator plays the decisions"),
+    ("orchard/keys.py", "import time", "What the mesh decides"),
+    ("orchard/plot.py", "import orchard.stile", "The mesh stands above"),
+    ("hollyport/core/ids.py", "import orchard.pick", "Nothing beneath"),
     ("rehearsal/judge.py", "import hollyport.core.tally", "The kit shares wire codecs"),
 ]
 
@@ -31,7 +34,7 @@
 
 
 def copied(folder: Path) -> Path:
-    for name in ("command", "dunefield", "hollyport", "emulator", "rehearsal"):
+    for name in ("command", "dunefield", "hollyport", "orchard", "emulator", "rehearsal"):
         shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
     shutil.copy(ROOT / ".importlinter", folder)
     return folder
