--- /dev/null
+++ b/tests/orchard/test_orchard_api.py
@@ -0,0 +1,300 @@
+"""The mesh's calls as docs/api/mesh.json tells them, and the code: neither says what the other does not."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import re
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hollyport.http.message import Message
+from orchard import barn as barns
+from orchard import catalog, settings
+from orchard.barn import Barn
+from orchard.quorum import Voters
+from orchard.stile import Stile
+
+FILE = json.loads((Path(__file__).parents[2] / "docs" / "api" / "mesh.json").read_text())
+SCHEMAS = FILE["components"]["schemas"]
+METHODS = ("get", "put", "post", "patch", "delete")
+OPERATIONS = [(path, method, entry[method]) for path, entry in FILE["paths"].items() for method in METHODS
+              if method in entry]
+CHANGE = FILE["paths"]["/-/config"]["patch"]["requestBody"]["content"]["application/json"]["example"]
+BEAT = FILE["paths"]["/-/instances/{id}"]["put"]["requestBody"]["content"]["application/json"]["example"]
+SETTINGS = """
+node_name = "n1"
+ip = "192.0.2.1"
+port_range = [7000, 7001]
+app_addr = "192.0.2.1:9000"
+service = "berths"
+"""
+ME = "192.0.2.1:7000"
+STRANGE = ("/", "/-/", "/-/other", "/-/config/x", "/-/instances", "/-/readiness/")
+
+
+class Ear:
+    """Hears the one answer to a request."""
+
+    def __init__(self) -> None:
+        self.status, self.body, self.headers = 0, b"", []  # type: ignore[var-annotated]
+
+    def answer(self, message: Message, status: int, body: bytes, headers: list[Any]) -> None:
+        assert not self.status, "answered twice"
+        self.status, self.body, self.headers = status, body, headers
+
+    def flow(self, message: Message, answer: Any) -> None:
+        raise AssertionError
+
+
+class Disk:
+    """Takes each record at once, or none."""
+
+    def __init__(self, well: bool = True) -> None:
+        self.well = well
+
+    def put(self, record: Any, done: Callable[[bool], None] | None = None) -> None:
+        if done is not None:
+            done(self.well)
+
+
+def make_barn(voters: tuple[str, ...] = (ME,), well: bool = True) -> Barn:
+    made = Barn(settings.read(SETTINGS).ok)
+    made._granary = Disk(well)  # type: ignore[assignment]
+    made.counts = True
+    if voters:
+        made.voters = Voters(1, voters)
+    return made
+
+
+async def call(serve: Callable[[Message], None], method: str, path: str, body: Any = None) -> Ear:
+    """One request through a role's own dispatch."""
+    ear = Ear()
+    message = Message(ear)  # type: ignore[arg-type]
+    message.method, message.target = method.upper().encode(), path.encode()
+    message.body = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+    serve(message)
+    for _ in range(100):
+        if ear.status:
+            break
+        await asyncio.sleep(0)  # turns of the loop, no time
+    assert ear.status, "not answered"
+    return ear
+
+
+def doors() -> dict[tuple[str, str], Callable[[Message], None]]:
+    """By role and address: what answers there."""
+    stile = Stile(settings.read(SETTINGS).ok)
+    return {
+        ("barn", "control"): make_barn().serve, ("stile", "control"): stile.beat,
+        ("stile", "ready"): stile.readiness,
+    }
+
+
+def told(path: str, method: str, role: str, door: str) -> bool:
+    """Whether the file says that it is answered there."""
+    return any((path, method) == (p, m) and op["x-door"].get(role) == door for p, m, op in OPERATIONS)
+
+
+def test_each_door_answers_what_the_file_says_and_404_to_all_else() -> None:
+    async def play() -> None:
+        for (role, door), serve in doors().items():
+            for path in [*FILE["paths"], *STRANGE]:
+                for method in METHODS:
+                    body = {"put": BEAT, "patch": CHANGE}.get(method)
+                    ear = await call(serve, method, path.replace("{id}", "i-1") + "?q=1", body)
+                    if told(path, method, role, door):
+                        assert ear.status == 200 or path == "/-/readiness" and ear.status == 503
+                    elif path != "/-/readiness" or (role, door) == ("stile", "control"):
+                        assert ear.status == 404, (role, door, method, path)
+
+    asyncio.run(play())
+
+
+def test_roles_and_doors_of_the_file_exist() -> None:
+    known = {("barn", "control"), ("stile", "control"), ("stile", "ready")}
+    for _, _, operation in OPERATIONS:
+        assert set(operation["x-role"]) == set(operation["x-door"])
+        assert set(operation["x-door"].items()) <= known
+
+
+def said(path: str, method: str, ear: Ear) -> int:
+    """An answer's status, once it is one that the file tells, with its headers and its body."""
+    entry = FILE["paths"][path][method]["responses"][str(ear.status)]
+    headers = dict(ear.headers)
+    retry = entry.get("headers", {}).get("Retry-After")
+    assert (b"Retry-After" in headers) == (retry is not None)
+    if retry is not None:
+        assert headers[b"Retry-After"].decode() == retry["schema"]["const"]
+    if "content" in entry:
+        assert headers[b"Content-Type"] == b"application/json" and isinstance(json.loads(ear.body), dict)
+    return ear.status
+
+
+def test_every_answer_that_the_file_tells_is_given(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(barns, "ROUND_S", 0.0)
+    seen: dict[tuple[str, str], set[int]] = {(path, method): set() for path, method, _ in OPERATIONS}
+
+    async def ask(serve: Callable[[Message], None], method: str, path: str, body: Any = None) -> Ear:
+        ear = await call(serve, method, path.replace("{id}", "i-1"), body)
+        seen[path, method].add(said(path, method, ear))
+        return ear
+
+    async def play() -> None:
+        config, instance = "/-/config", "/-/instances/{id}"
+        well = make_barn()
+        await ask(well.serve, "patch", config, CHANGE)
+        whole = json.loads((await ask(well.serve, "get", config)).body)
+        by_host = sorted(CHANGE["upserts"]["listener_list"], key=lambda listener: listener["hostname"])
+        by_name = sorted(CHANGE["upserts"]["cluster_list"], key=lambda cluster: cluster["name"])
+        assert whole == {**CHANGE["upserts"], "listener_list": by_host, "cluster_list": by_name}
+        await ask(well.serve, "patch", config, b"{")
+        unknown = {"upserts": {"listener_list": CHANGE["upserts"]["listener_list"]}}
+        assert (await ask(make_barn().serve, "patch", config, unknown)).status == 400
+        await ask(make_barn(()).serve, "patch", config, CHANGE)
+        assert (await ask(make_barn(well=False).serve, "patch", config, CHANGE)).status == 503
+        assert (await ask(make_barn((ME, "192.0.2.2:7000")).serve, "get", config)).status == 200
+        await ask(make_barn((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", config)
+        await ask(well.serve, "get", "/-/readiness")
+        assert (await ask(make_barn(()).serve, "get", "/-/readiness")).status == 503
+        stile = Stile(settings.read(SETTINGS).ok)
+        await ask(stile.readiness, "get", "/-/readiness")
+        stile._take_items([list(item) for item in catalog.read(json.dumps(CHANGE).encode()).ok])
+        await ask(stile.beat, "put", instance, BEAT)
+        assert (await ask(stile.readiness, "get", "/-/readiness")).status == 200
+        await ask(stile.beat, "put", instance, {**BEAT, "call_seq": 1})
+        await ask(stile.beat, "put", instance, {**BEAT, "service": "other", "call_seq": 99})
+        await ask(stile.beat, "delete", instance)
+
+    asyncio.run(play())
+    assert seen == {(path, method): set(map(int, op["responses"])) for path, method, op in OPERATIONS}
+
+
+# --- schemas
+
+
+def followed(schema: dict[str, Any]) -> dict[str, Any]:
+    """A schema, where it stands by name the named one."""
+    name = schema.get("$ref", "").rpartition("/")[2]
+    return {**SCHEMAS[name], **schema} if name else schema
+
+
+Way = tuple[Any, ...]
+
+
+def places(schema: dict[str, Any], value: Any, way: Way = ()) -> Iterator[tuple[dict[str, Any], Way]]:
+    """Every place of an example, with what the file says of it."""
+    schema = followed(schema)
+    yield schema, way
+    if isinstance(value, dict):
+        assert set(value) <= set(schema["properties"]), f"{way}: the file does not tell of a field"
+        for key, inner in value.items():
+            yield from places(schema["properties"][key], inner, (*way, key))
+    elif isinstance(value, list):
+        for at, inner in enumerate(value):
+            yield from places(schema["items"], inner, (*way, at))
+
+
+def changed(example: Any, way: Way, value: Any = None, drop: bool = False) -> Any:
+    """The example with one place changed, or taken out."""
+    made = copy.deepcopy(example)
+    at = made
+    for part in way[:-1]:
+        at = at[part]
+    if drop:
+        del at[way[-1]]
+    else:
+        at[way[-1]] = value
+    return made
+
+
+def taken(change: Any) -> bool:
+    return bool(catalog.read(json.dumps(change).encode()).is_ok())
+
+
+PLACES = list(places({"$ref": "#/components/schemas/Change"}, CHANGE))
+
+
+def test_the_example_is_taken_and_shows_every_field() -> None:
+    assert taken(CHANGE)
+    shown: dict[str, set[str]] = {}
+    for schema, way in PLACES:
+        if "properties" in schema:
+            at = CHANGE
+            for part in way:
+                at = at[part]
+            shown.setdefault(schema["description"], set()).update(at)
+    for schema, _ in PLACES:
+        assert set(schema.get("properties", ())) == shown.get(schema.get("description", ""), set())
+
+
+def test_required_fields_are_demanded_and_others_are_not() -> None:
+    for schema, way in PLACES:
+        if "properties" not in schema:
+            continue
+        at = CHANGE
+        for part in way:
+            at = at[part]
+        for key in at:
+            left = set(at) - {key}
+            choices = [set(choice["required"]) for choice in schema.get("anyOf", [{"required": []}])]
+            enough = set(schema.get("required", ())) <= left and any(choice <= left for choice in choices)
+            assert taken(changed(CHANGE, (*way, key), drop=True)) == enough, (*way, key)
+
+
+def test_values_that_the_file_rules_out_are_refused() -> None:
+    tried = 0
+    for schema, way in PLACES:
+        bad: list[Any] = []
+        if "pattern" in schema:
+            bad += [text for text in ("", " ", "no", "r1x", "-1s") if not re.search(schema["pattern"], text)]
+        if "enum" in schema:
+            bad += ["no"]
+        if "minimum" in schema:
+            bad += [schema["minimum"] - 1, "1", True]
+        if "exclusiveMaximum" in schema:
+            bad += [schema["exclusiveMaximum"]]
+        if "minLength" in schema:
+            bad += ["", 7]
+        if "minItems" in schema:
+            bad += [[]]
+        if schema.get("type") in ("object", "array") and way:
+            bad += ["no"]
+        for value in bad:
+            assert not taken(changed(CHANGE, way, value)), (way, value)
+        tried += len(bad)
+    assert tried > 100
+
+
+def test_variants_and_every_one_of_them() -> None:
+    variants = SCHEMAS["Rule"]["properties"]["variant"]["enum"]
+    assert tuple(variants) == catalog.VARIANTS
+    way = ("upserts", "listener_list", 0, "rule_set", 0, "variant")
+    assert all(taken(changed(CHANGE, way, variant)) for variant in variants)
+
+
+def test_patterns_are_the_code_s_own() -> None:
+    assert SCHEMAS["Revision"]["pattern"] == f"^{catalog.VERSION.pattern}$"
+    assert SCHEMAS["Duration"]["pattern"] == f"^{settings.DURATION.pattern}$"
+
+
+def test_beats_demand_what_the_file_says() -> None:
+    schema = SCHEMAS["Beat"]
+    assert set(BEAT) == set(schema["properties"])
+
+    async def play() -> None:
+        for key in BEAT:
+            stile = Stile(settings.read(SETTINGS).ok)
+            body = {name: value for name, value in BEAT.items() if name != key}
+            ear = await call(stile.beat, "put", "/-/instances/i-1", body)
+            assert ear.status == (400 if key in schema["required"] else 200), key
+        for state in schema["properties"]["state"]["enum"]:
+            stile = Stile(settings.read(SETTINGS).ok)
+            await call(stile.beat, "put", "/-/instances/i-1", {**BEAT, "state": state})
+            assert stile.plot.open == (state == "ready")
+
+    asyncio.run(play())
