--- a/hollyport/guests/listener.py
+++ b/hollyport/guests/listener.py
@@ -93,6 +93,10 @@
         """Hold at most so many connections from now on; those that are open go on."""
         self.most, self._crowd = most, crowd
 
+    def patience(self, whole_s: float, keep_s: float) -> None:
+        """How long a request may be coming in, and a connection idle between requests, from now on."""
+        self.whole_s, self._keep_s = whole_s, keep_s
+
     def last_requests(self, on: bool = True) -> None:
         """Whether each answer closes its connection, from now on."""
         self.stopping = on
--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -317,12 +317,18 @@
             raise Spoilt
         self._body.append(body)
 
+    def _foreign(self, name: bytes, value: bytes) -> bool:
+        return any(key == name and found != value for key, found in self._headers)
+
     def on_message_complete(self) -> None:
         parser = self._parser
         assert parser is not None
         status = parser.get_status_code()
         if status < 200:
             return  # 1xx: the answer is still to come
+        if self.expect is not None and self._foreign(*self.expect):
+            self.reusable = False  # a late answer to a request before this one: the own one may still come
+            return
         # Asked here and not after feed_data: the parser forgets the message's framing when it ends, and then
         # says that no connection can be kept.
         self.reusable = self.reusable and parser.should_keep_alive()
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -64,6 +64,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._error = 0
+        self._max_body, self._max_head = MAX_BODY, MAX_HEAD
         self._stopped = False  # the large body that is being read waits for its node
         self._paced = 0.0, 0  # how far it was, when it was looked at last
         self._down: Flow | None = None  # the large answer that is being passed on
@@ -110,7 +111,7 @@
         except httptools.HttpParserError:  # also what a callback refused, CONNECT and upgrades
             self._error = self._error or 400
         # Counted raw: a header that never ends would only grow inside the parser.
-        if self._in_head and self._raw > MAX_HEAD:
+        if self._in_head and self._raw > self._max_head:
             self._error = self._error or 431
         # Where a request in this piece was answered with an error, what follows it gets no second one.
         if self._error and not self._deaf:
@@ -195,7 +196,7 @@
             or hosts > 1 or (not hosts and version == "1.1") or version not in ("1.0", "1.1")
         ):
             self._error = 400
-        elif lengths and int(lengths[0]) > MAX_BODY:
+        elif lengths and int(lengths[0]) > self._max_body:
             self._error = 413
         else:
             message.length = int(lengths[0]) if lengths else None
@@ -213,7 +214,7 @@
         self._size += len(body)
         message = self._message
         assert message is not None
-        if self._size > MAX_BODY:
+        if self._size > self._max_body:
             self._error = 413
             raise Refused
         if message.flow is not None:
--- a/hollyport/nodes/carrier.py
+++ b/hollyport/nodes/carrier.py
@@ -36,6 +36,7 @@
         self.spoilt = False  # the last answer was no answer
         self.reusable = True
         self.idle_since = 0.0
+        self.expect: tuple[bytes, bytes] | None = None  # header and value by which an answer is known, if set
         self.on_written: Callable[[], None] | None = None  # told once the kernel has the last byte
         self.on_begun: Callable[[Any], None] | None = None  # told of an answer passed on as it comes
 
--- a/hollyport/nodes/upstream.py
+++ b/hollyport/nodes/upstream.py
@@ -46,6 +46,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._growing = False  # its request is still coming: the time to answer has not begun
         self._begun = False  # its answer is being passed on: the time to begin has been kept
+        self.expect: tuple[bytes, bytes] | None = None  # header and value of its own answer
         self.on_begun: Callable[[Any], None] | None = None  # told of an answer passed on as it comes
         self.on_written: Callable[[], None] | None = None  # told once the last byte is written, where wanted
 
@@ -97,6 +98,8 @@
         self._connection = connection
         self.touched = True
         connection.on_written = self.on_written
+        if self.expect is not None:
+            connection.expect = self.expect
         if self.on_begun is not None:
             connection.on_begun = self._answer_begun
         connection.send(self._make(), self._replied)
--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -17,11 +17,13 @@
 from orchard.furrow import Dial, Furrow, pack
 from orchard.granary import Granary
 from orchard.keys import Registry, row_of
-from orchard.quorum import NOBODY, Voters
+from orchard.quorum import NOBODY, Turn, Voters
 from orchard.settings import Address, Settings
 from orchard.words import Record, Word
 
-ROUND_S = 0.7  # how long a round waits: the operator waits a second
+ROUND_S = 0.4  # how long a round waits: the operator waits a second, and a change takes two
+TURN_S = 1.2  # how long a writer's turn lasts where it says nothing more
+ANSWER_S = 0.9  # an operator's call is answered within this
 GATHER_S = 0.4  # nobody new for so long: the first voters are all there
 AGREE_S = 1.0  # how often barns compare what they have
 FORGET_S = 6.0  # a stile's record outlasts its furrow by so much
@@ -63,6 +65,8 @@
         self.keys = Registry(settings.bound("key_window", 60.0))
         self.voters = NOBODY
         self.counts = False
+        self._turn = Turn(TURN_S)
+        self._told_epochs: dict[str, int] = {}  # by barn: the epoch that it has told
         self._granary = Granary(settings.data_dir or "/tmp/granary", self._state)
         self._dials: dict[str, Dial] = {}
         self._linked: dict[str, Furrow] = {}
@@ -105,7 +109,10 @@
         steady clock does not outlast the process."""
         rows: list[Item] = []
         now = self._now()
-        for record in self._granary.load():
+        records = self._granary.load()
+        # At the first start, or where this process ended before anything was written at all.
+        self._fresh = not records
+        for record in records:
             what = record[0]
             if what == "item":
                 rows.append(Item(*record[1]))
@@ -143,9 +150,9 @@
     async def _begin(self) -> None:
         """The first voters, or what a lost disk held."""
         seeds = self.settings.seed_furrows
-        if self.settings.first_start and not self.voters.epoch and seeds and seeds[0] == self.me:
+        if not self.voters.epoch and seeds and seeds[0] == self.me and self._fresh:
             while not self.voters.epoch:
-                met = all(seed in self._linked for seed in seeds if seed != self.me)
+                met = all(self._told_epochs.get(seed) == 0 for seed in seeds if seed != self.me)
                 if met and self.loop.time() > self._newest_barn + GATHER_S:
                     self._elect(Voters(1, tuple(sorted({self.me, *self._dials}))))
                     break
@@ -181,9 +188,9 @@
     async def stop(self) -> None:
         """Answer what is under way, then end."""
         self.stopping = True
-        self._door.last_requests()
+        self._door.listener.last_requests()
         await asyncio.sleep(0.3)
-        self._door.shut()
+        self._door.listener.shut()
 
     # --- other barns
 
@@ -263,13 +270,17 @@
             if found is not None and found[1](message):
                 found[0].yes()
         elif word == Word.SYNC:
-            link.send([Word.SYNCED, message[1], self.counts, self._missing(message[2])])
+            yes = self.counts and (not message[3] or self._turn.take(self.loop.time(), message[3]))
+            link.send([Word.SYNCED, message[1], yes, self._missing(message[2])])
         elif word == Word.PUT:
-            self._store(message[2], lambda ok: link.send([Word.HAVE, message[1], ok]))
+            self._write(message[2], message[3], lambda ok: link.send([Word.HAVE, message[1], ok]))
+        elif word == Word.OVER:
+            self._turn.over(message[1])
         elif word == Word.KEYS:
             rows = self.keys.rows(self._now()) if self.counts else []
             link.send([Word.KEYED, message[1], self.counts, rows])
         elif word == Word.BARN:
+            self._told_epochs[message[1]] = message[2][0]
             self._know(message[1])
             for address in message[3]:
                 self._know(address)
@@ -315,16 +326,27 @@
             return
         self._granary.put(["item", list(self.items[names[-1]])], lambda ok: done(ok))
 
-    async def _sync(self, need: int, own: bool = True) -> bool:
-        """Hear from so many barns that count what they have and this one has not."""
+    def _write(self, rows: list[list[Any]], token: str, done: Callable[[bool], None]) -> None:
+        """Take a write, if it is its writer's turn here."""
+        if not self.counts or not self._turn.holds(token):
+            done(False)
+            return
+        self._store(rows, done)
+
+    async def _sync(self, need: int, own: bool = True, token: str = "") -> bool:
+        """Hear from so many barns that count what they have and this one has not; with a token, have them
+        give its writer the turn."""
         def take(message: list[Any]) -> bool:
             for item in self._take(message[3]):
                 self._granary.put(["item", list(item)])
             return bool(message[2])
 
         versions = {item.name: item.version for item in self.items.values()}
-        number, made = self._round(need - (own and self.counts and self.me in self.voters.names), take)
-        packed = pack([Word.SYNC, number, versions])
+        mine = own and self.counts and self.me in self.voters.names
+        if token and mine:
+            mine = self._turn.take(self.loop.time(), token)
+        number, made = self._round(need - mine, take)
+        packed = pack([Word.SYNC, number, versions, token])
         for link in self._voting():
             link.put(packed)
         try:
@@ -346,15 +368,14 @@
         finally:
             del self._rounds[number]
 
-    async def _put(self, names: list[str]) -> bool:
-        """Have what stands for these names on enough disks."""
+    async def _put(self, rows: list[list[Any]], token: str) -> bool:
+        """Have these items on enough disks."""
         number, made = self._round(self.voters.write, lambda message: bool(message[2]))
-        rows = [list(self.items[name]) for name in names]
-        packed = pack([Word.PUT, number, rows])
+        packed = pack([Word.PUT, number, rows, token])
         for link in self._voting():
             link.put(packed)
-        if self.me in self.voters.names and self.counts:
-            self._store(rows, lambda ok: made.yes() if ok else None)
+        if self.me in self.voters.names:
+            self._write(rows, token, lambda ok: made.yes() if ok else None)
         try:
             return await made.enough(ROUND_S)
         finally:
@@ -375,7 +396,7 @@
 
             number, made = self._round(1, take)
             versions = {item.name: item.version + 1 for item in self.items.values()}
-            random.choice(links).send([Word.SYNC, number, versions])
+            random.choice(links).send([Word.SYNC, number, versions, ""])
             await made.enough(ROUND_S)
             del self._rounds[number]
 
@@ -387,6 +408,8 @@
         self._stiles[link] = node
         known = self._records.get(node)
         news = known is None or record[Record.LIFE:] > known[Record.LIFE:]
+        if fresh and known is not None and known[Record.LIFE] > record[Record.LIFE]:
+            link.send([Word.LIFE, known[Record.LIFE]])
         if news:
             self._records[node] = record
         if fresh:
@@ -459,21 +482,39 @@
         if read.is_error():
             self._refuse(message, Fault.INVALID, read.error)
             return
-        items = read.ok
-        if not self.voters.epoch or not await self._sync(self.voters.read):
-            self._refuse(message, Fault.NO_QUORUM)
-            return
-        merged = catalog.merge(self.items, items)
-        wrong = set(catalog.table(merged)[1]) - set(catalog.table(self.items)[1])
-        if wrong:
-            self._refuse(message, Fault.INVALID, "; ".join(sorted(wrong)))
+        ends = self.loop.time() + ANSWER_S
+        while True:
+            self._next += 1
+            token = f"{self.me}/{self._anchor}/{self._next}"
+            if self.voters.epoch and await self._sync(self.voters.write, token=token):
+                break
+            self._over(token)
+            if self.loop.time() > ends - ROUND_S:
+                self._refuse(message, Fault.NO_QUORUM)
+                return
+            await asyncio.sleep(0.02 + 0.06 * random.random())  # another's turn, or too few are there
+        change = catalog.change(self.items, read.ok)
+        if change.is_error():
+            self._over(token)
+            self._refuse(message, Fault.INVALID, change.error)
             return
-        self._take([list(item) for item in items])
-        if await self._put([item.name for item in items]):
+        # What stands in place of an older one has to last as well: the call's answer says so for each name.
+        news = {item.name: item for item in change.ok}
+        rows = [list(news.get(item.name) or self.items[item.name]) for item in read.ok]
+        taken = await self._put(rows, token)
+        self._over(token)
+        if taken:
+            self._take(rows)
             message.answer(200, b"{}", [(b"Content-Type", b"application/json")])
         else:
             self._refuse(message, Fault.NO_QUORUM)
 
+    def _over(self, token: str) -> None:
+        self._turn.over(token)
+        packed = pack([Word.OVER, token])
+        for link in self._voting():
+            link.put(packed)
+
     async def _get(self, message: Message) -> None:
         if not self.voters.epoch or not await self._sync(self.voters.read):
             self._refuse(message, Fault.NO_QUORUM)
--- a/orchard/catalog.py
+++ b/orchard/catalog.py
@@ -16,7 +16,7 @@
 
 from orchard.settings import seconds
 
-VERSION = re.compile(r"r([0-9]{1,18})")
+VERSION = re.compile(r"r([0-9]{1,40})")
 SLACK_S = 60.0  # a target that exceeds its route's time-out by so much is a mistake
 VARIANTS = ("pure", "effectful", "idempotent", "upload")
 
@@ -46,6 +46,19 @@
     return items.update(best) if best else items
 
 
+def change(items: Items, call: Iterable[Item]) -> Result[tuple[Item, ...], str]:
+    """What of an operator's call has an effect on what stands, or why it is invalid there.
+
+    A version that is lower than what stands or equal to it has no effect. Serialised by the caller: two
+    changes that are checked against the same state could each be valid, and clash.
+    """
+    news = tuple(item for item in call if item.name not in items or item.version > items[item.name].version)
+    names = {item.name for item in news}
+    wrong = table(items.update({item.name: item for item in news}))[1]
+    clashes = [clash.text for clash in wrong if clash.names & names]
+    return Error("; ".join(sorted(clashes))) if clashes else Ok(news)
+
+
 def version(value: Any) -> int:
     """The number of a version as text; ValueError where it is none."""
     found = VERSION.fullmatch(value) if isinstance(value, str) else None
@@ -100,22 +113,20 @@
         raw = json.loads(body)
         if not isinstance(raw, dict) or not ({"upserts", "removals"} & raw.keys()):
             raise ValueError("neither upserts nor removals")
-        upserts, removals = raw.get("upserts") or {}, raw.get("removals") or {}
+        upserts, removals = raw.get("upserts", {}), raw.get("removals", {})
         if not isinstance(upserts, dict) or not isinstance(removals, dict):
             raise ValueError("upserts or removals is no object")
         found: dict[str, Item] = {}
         for item in _sets(upserts):
             if item.name in found:
                 raise ValueError(f"{item.name} is there twice")
+            build(item)
             found[item.name] = item
         for key, kind in (("route_list", "route"), ("service_list", "service")):
             for dropped in _lists(removals, key):
                 item = Item(f"{kind}/{_named(dropped)}", version(dropped.get("revision")))
                 if item.beats(found.get(item.name)):
                     found[item.name] = item
-        for item in found.values():
-            if item.content:
-                build(item)
     except (ValueError, RecursionError) as error:
         return Error(str(error))
     return Ok(tuple(found.values()))
@@ -236,11 +247,19 @@
 _built: dict[Item, Route | Cluster | Limits] = {}
 
 
-def table(items: Items) -> tuple[Table, list[str]]:
+class Clash(NamedTuple):
+    """Why a route is held out of force, and the items that it is about."""
+
+    names: frozenset[str]
+    text: str
+
+
+def table(items: Items) -> tuple[Table, list[Clash]]:
     """The snapshot that items make, and what of them is held out, as two at one place or of no service."""
     hosts: dict[str, dict[str, Route]] = {}
     clusters: dict[str, Cluster] = {}
-    limits, wrong = Limits(), []
+    limits = Limits()
+    wrong: list[Clash] = []
     routes: list[Route] = []
     if len(_built) > 4 * len(items) + 64:
         _built.clear()
@@ -259,11 +278,13 @@
     for route in sorted(routes, key=lambda r: r.name):
         missing = [name for name, _ in route.targets if name not in clusters]
         if missing:
-            wrong.append(f"route {route.name} names the unknown service {missing[0]}")
+            about = frozenset((f"route/{route.name}", f"service/{missing[0]}"))
+            wrong.append(Clash(about, f"route {route.name} names the unknown service {missing[0]}"))
             continue
         other = hosts.setdefault(route.host, {}).setdefault(route.prefix, route)
         if other is not route:
-            wrong.append(f"routes {other.name} and {route.name} share host and prefix")
+            about = frozenset((f"route/{route.name}", f"route/{other.name}"))
+            wrong.append(Clash(about, f"routes {other.name} and {route.name} share host and prefix"))
     sorted_hosts = {
         host: tuple(sorted(found.items(), key=lambda pair: -len(pair[0]))) for host, found in hosts.items()
     }
--- a/orchard/front.py
+++ b/orchard/front.py
@@ -10,7 +10,7 @@
 
 from hollyport.bodies.ledger import Ledger
 from hollyport.guests.listener import Listener
-from hollyport.http.front import ClientConnection
+from hollyport.http.front import MAX_BODY, MAX_HEAD, ClientConnection
 from hollyport.http.message import Message
 from orchard.settings import Address
 
@@ -19,10 +19,18 @@
 
 
 class Door:
-    """What its connections need to know."""
+    """A listening address, and what its connections need to know."""
+
+    listener: Listener
 
     def __init__(self, serve: Callable[[Message], None], hangup: Callable[[Message], None]) -> None:
         self.serve, self.hangup = serve, hangup
+        self.max_body, self.max_head = MAX_BODY, MAX_HEAD  # of connections made from now on
+
+    def limit(self, head: int, body: int, head_s: float, idle_s: float) -> None:
+        """What a client may send, and how long it may take or stay idle, in bytes and seconds."""
+        self.max_head, self.max_body = head, body
+        self.listener.patience(head_s, idle_s)
 
 
 class Caller(ClientConnection):
@@ -31,6 +39,7 @@
     def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop, door: Door) -> None:
         super().__init__(listener, loop, door, _nothing, {}, LEDGER)  # type: ignore[arg-type]
         self._door = door
+        self._max_body, self._max_head = door.max_body, door.max_head
 
     def _read_terms(self, message: Message) -> None:
         """Bodies of any size are read whole."""
@@ -53,10 +62,10 @@
 async def open_door(
     address: Address, serve: Callable[[Message], None], hangup: Callable[[Message], None] | None = None,
     most: int = MOST,
-) -> Listener:
+) -> Door:
     """Listen at an address."""
     loop = asyncio.get_running_loop()
     door = Door(serve, hangup or (lambda message: None))
-    listener = Listener(lambda house: Caller(house, loop, door), most, most)
-    await listener.start(loop, address.host, address.port)
-    return listener
+    door.listener = Listener(lambda house: Caller(house, loop, door), most, most)
+    await door.listener.start(loop, address.host, address.port)
+    return door
--- a/orchard/plot.py
+++ b/orchard/plot.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import random
 from collections import deque
 from collections.abc import Callable
@@ -19,19 +20,24 @@
 FIRST_BACKOFF_NS, LAST_BACKOFF_NS = 100_000_000, 2_000_000_000
 KEPT_S = 15.0  # idle connections are retired from IDLE_SHARE of this on, or of what the server tells
 PROMISING = frozenset({b"503", b"429", b"421", b"408", b"400"})
+PROBE_S = 1.0
 HOP_S = 0.004  # kept back of a deadline for the way home
 
 
 class Job:
-    """One call for the server. `done` is told once: fault (None: answered), whether it arrived, reply."""
+    """One call for the server. `done` is told once: fault (None: answered), whether it arrived, reply.
 
-    __slots__ = ("make", "tid", "deadline", "patience", "size", "done", "trial", "exchange", "began", "over")
+    `due` is the last start that makes an answer in time likely, `last` the last one that makes any likely.
+    """
+
+    __slots__ = ("make", "tid", "deadline", "due", "last", "done", "trial", "exchange", "began", "over")
 
     def __init__(
-        self, make: Callable[[float, str], bytes], tid: bytes, deadline: float, patience: float,
+        self, make: Callable[[float, str], bytes], tid: bytes, deadline: float, due: float, last: float,
         done: Callable[[Fault | None, bool, Reply | None], None],
     ) -> None:
-        self.make, self.tid, self.deadline, self.patience, self.done = make, tid, deadline, patience, done
+        self.make, self.tid, self.done = make, tid, done
+        self.deadline, self.due, self.last = deadline, due, last
         self.trial = self.over = False
         self.exchange: Exchange | None = None
         self.began = 0.0
@@ -47,15 +53,19 @@
         self.upstream = Upstream(loop, 1_000_000_000, int(KEPT_S * 1e9), most, 2.0, self._back)
         self.instance = ""
         self.lives: dict[str, int] = {}  # by id: the last number that a beat carried
+        self.over: set[str] = set()  # ids of lives that have ended
         self.slots = 1
         self.open = False
         self.max_conns = STEPS
         self.cold_until = 0.0
         self.budget = self._new_budget()
-        self.queue: deque[Job] = deque()
+        self.queue: list[tuple[float, int, Job]] = []  # a heap, by when a start is due
+        self.late: deque[Job] = deque()  # in arrival order: they go when nobody waits who can be in time
+        self._count = 0
         self.out = 0
         self.mean = 0.05  # seconds to an answer, of late
         self._timer: asyncio.TimerHandle | None = None
+        self.replaced: Callable[[str], None] = lambda instance: None  # told of another server at the address
 
     def _new_budget(self) -> Budget:
         return Budget(min(STEPS, self.slots, self.max_conns), FIRST_BACKOFF_NS, LAST_BACKOFF_NS)
@@ -66,6 +76,7 @@
         if instance != self.instance or slots != self.slots:
             fresh = instance != self.instance
             if fresh and self.instance:
+                self.over.add(self.instance)
                 self.upstream.remove(self.instance)
             self.instance, self.slots = instance, slots
             if fresh:
@@ -77,6 +88,22 @@
             self.turn_away(Fault.LEAVING)
         self._pump()
 
+    def probe(self, path: str, found: Callable[[str], None]) -> None:
+        """Ask the server who it is, where no beat has told yet; `found` gets its id, if it is well."""
+        name = "probe"
+        self.upstream.update(name, self._address, 0, True)
+        request = b"GET %s HTTP/1.1\r\nHost: stile\r\n\r\n" % path.encode()
+
+        def ended(how: How, answer: Any) -> None:
+            self.upstream.remove(name)
+            reply: Reply | None = answer
+            told = reply.header(b"x-instance-id") if reply is not None and reply.status == 200 else None
+            found(told.decode("latin-1") if told else "")
+
+        exchange = self.upstream.exchange(name, lambda: request, PROBE_S, ended)
+        if exchange is not None:
+            exchange.start()
+
     def limit(self, max_conns: int) -> None:
         """What the configuration allows."""
         self.max_conns = max_conns
@@ -86,14 +113,16 @@
         """The server has ended, or another has its address."""
         self.open = False
         if self.instance:
+            self.over.add(self.instance)
             self.upstream.remove(self.instance)
         self.instance = ""
         self.turn_away(Fault.LEAVING)
 
     def turn_away(self, fault: Fault) -> None:
         """Give back all that waits."""
-        queue, self.queue = self.queue, deque()
-        for job in queue:
+        queue, self.queue = self.queue, []
+        late, self.late = self.late, deque()
+        for job in (*(entry[2] for entry in queue), *late):
             self._end(job, fault, False)
 
     def wait(self) -> float:
@@ -101,10 +130,15 @@
         room = self.budget.room
         if self.out < room:
             return 0.0
-        return (len(self.queue) + 1) * self.mean / max(1, room)
+        return (len(self.queue) + len(self.late) + 1) * self.mean / max(1, room)
+
+    def _ahead(self, due: float) -> float:
+        """The same for one with this due time: only what is due before it counts."""
+        before = sum(1 for entry in self.queue if entry[0] <= due)
+        return (before + 1) * self.mean / max(1, self.budget.room)
 
     def submit(self, job: Job) -> None:
-        """Take a call; it goes at once, waits in order, or is given back."""
+        """Take a call; it goes at once, waits by when it is due, or is given back."""
         now = self._loop.time()
         if not self.open or not self.instance:
             self._end(job, Fault.LEAVING, False)
@@ -112,45 +146,61 @@
         if not self.budget.k and (self.budget.trial or now * 1e9 < self.budget.retry_at):
             self._end(job, Fault.FULL, False)  # nothing can take it soon
             return
-        if now + self.wait() > job.patience:
-            self._pump()
-            if self.out >= self.budget.room:
-                self._end(job, Fault.FULL, False)
-                return
-        self.queue.append(job)
+        if self.out >= self.budget.room:
+            # What is refused is refused at once: kept to be refused later, it would cost its client time.
+            starts = now + self._ahead(job.due)
+            if starts > job.due and now + self.wait() > job.last:
+                self._pump()
+                if self.out >= self.budget.room:
+                    self._end(job, Fault.FULL, False)
+                    return
+        self._count += 1
+        heapq.heappush(self.queue, (job.due, self._count, job))
         self._pump()
 
-    def withdraw(self, job: Job) -> None:
-        """Nobody waits for it any more: one that was not sent never will be."""
-        if job in self.queue:
-            self.queue.remove(job)
-            job.over = True
+    def _next(self, now: float) -> Job | None:
+        """The call to go next; those that can't be in time any more step back behind all that can."""
+        while self.queue and (self.queue[0][2].over or now > self.queue[0][0]):
+            job = heapq.heappop(self.queue)[2]
+            if not job.over:
+                self.late.append(job)
+        if self.queue:
+            return self.queue[0][2]
+        while self.late:
+            job = self.late[0]
+            if now <= job.last and not job.over:
+                return job
+            self.late.popleft()
+            self._end(job, Fault.FULL, False)
+        return None
 
     def _pump(self) -> None:
         now = self._loop.time()
-        while self.queue:
-            job = self.queue[0]
-            if now >= job.patience:
-                self.queue.popleft()
-                self._end(job, Fault.FULL, False)
-                continue
+        while (job := self._next(now)) is not None:
             goes, trial = self.budget.verdict(int(now * 1e9), self.out)
             if not goes:
                 break
-            self.queue.popleft()
+            if self.queue and self.queue[0][2] is job:
+                heapq.heappop(self.queue)
+            else:
+                self.late.popleft()
             self._send(now, job, trial)
         self._arm()
 
     def _arm(self) -> None:
-        if self._timer is None and self.queue:
+        if self._timer is None and (self.queue or self.late):
             now = self._loop.time()
-            at = min(job.patience for job in self.queue)
+            at = min([entry[2].last for entry in self.queue] + [job.last for job in self.late])
             if not self.budget.trial and self.budget.retry_at > now * 1e9:
                 at = min(at, self.budget.retry_at / 1e9)
             self._timer = self._loop.call_later(max(0.001, at - now), self._look)
 
     def _look(self) -> None:
         self._timer = None
+        now = self._loop.time()
+        for job in [job for job in self.late if now > job.last]:
+            self.late.remove(job)
+            self._end(job, Fault.FULL, False)
         self._pump()
 
     def _send(self, now: float, job: Job, trial: bool) -> None:
@@ -168,6 +218,7 @@
             self.budget.withdrawn(trial)
             self._end(job, Fault.LEAVING, False)
             return
+        exchange.expect = (b"x-attempt-id", job.tid)
         job.trial, job.exchange, job.began = trial, exchange, now
         if trial:
             self.budget.trial = True
@@ -180,13 +231,12 @@
         budget, current = self.budget, instance == self.instance
         reply: Reply | None = answer
         trial = job.trial and current
-        if reply is not None and reply.header(b"x-attempt-id") not in (None, job.tid):
-            reply, how = None, How.RESET  # another call's answer: what became of this one is not known
         if reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
             if current:
                 budget.failed(int(now * 1e9), trial, random.random)
                 if reply.status == 421:
                     self.gone()
+                    self.replaced((reply.header(b"x-instance-id") or b"").decode("latin-1"))
                 else:
                     budget.full(self.out + 1)
             self._end(job, Fault.LEAVING if reply.status == 421 else Fault.FULL, True, reply)
--- a/orchard/quorum.py
+++ b/orchard/quorum.py
@@ -28,3 +28,31 @@
 
 
 NOBODY = Voters(0, ())
+
+
+class Turn:
+    """One barn's word on whose turn it is to write: one writer at a time, for a while.
+
+    A write is taken only from the writer whose turn still stands here. Any two sets of as many barns as a
+    write needs share one, so no write gets through beside another that did not see it. What was promised is
+    forgotten when the process ends: then the writer's write is refused here, which is safe.
+    """
+
+    def __init__(self, lasts_s: float) -> None:
+        self._lasts, self._token, self._until = lasts_s, "", 0.0
+
+    def take(self, now: float, token: str) -> bool:
+        """Give the turn, unless another has it."""
+        if self._token not in ("", token) and now < self._until:
+            return False
+        self._token, self._until = token, now + self._lasts
+        return True
+
+    def holds(self, token: str) -> bool:
+        """Whether the turn is still this writer's."""
+        return token == self._token
+
+    def over(self, token: str) -> None:
+        """The writer is done."""
+        if token == self._token:
+            self._token = ""
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from hollyport.guests.listener import Listener
+from dunefield.budget import STEPS
 from hollyport.http import heads
 from hollyport.http.back import Reply
 from hollyport.http.message import Message
@@ -30,8 +30,9 @@
 
 OURS = heads.NOT_FORWARDED | {b"x-deadline-ms", b"x-expect-instance", b"x-caller-service", b"x-timeout"}
 CLAIM_S = 1.0  # a claim's round is void after so long
-PATIENCE = 0.25  # part of a request's aim that it may wait unsent, beyond which that has a price
-LEAST_PATIENCE_S = 0.02
+PATIENCE = 0.25  # part of a request's aim that it may wait unsent at no price
+LAST = 0.5  # part of a request's time that it may wait unsent, where it can't be in time any more
+LEAST_CLOSED_S, MOST_CLOSED_S = 0.02, 0.2  # how long a pool that was told full is passed over
 NO_PROMISE = frozenset({408, 421, 429, 503})  # from a server that does not say X-Not-Run: it may have run
 JSON = [(b"Content-Type", b"application/json")]
 LEAVE_S = 2.6  # after SIGTERM, until the platform has missed two answers on readiness
@@ -87,8 +88,10 @@
         self._jobs: dict[tuple[Furrow, int], Job] = {}
         self._callers: set[Furrow] = set()
         self._open_trips = self._open_jobs = 0
-        self.leaving = False
-        self._doors: list[Listener] = []
+        self.leaving = self._probed = False
+        self._doors: list[front.Door] = []
+        self._most_stiles = 0
+        self.plot.replaced = self._adopt
         self._random = random.random
 
     async def start(self) -> None:
@@ -111,15 +114,15 @@
         grace = self.settings.bound("grace", 6.0)
         self.leaving = True
         self._tell_record()
-        self._doors[0].last_requests()
+        self._doors[0].listener.last_requests()
         while self.loop.time() < began + grace - 0.5:
             await asyncio.sleep(0.05)
             calm = not self._open_trips and not self._open_jobs
             if calm and self.loop.time() > began + LEAVE_S:
                 break
-        self._doors[0].shut()
-        self._doors[0].empty()
-        while (self._open_trips or self._doors[0].busy()) and self.loop.time() < began + grace - 0.3:
+        self._doors[0].listener.shut()
+        self._doors[0].listener.empty()
+        while (self._open_trips or self._doors[0].listener.busy()) and self.loop.time() < began + grace - 0.3:
             await asyncio.sleep(0.02)
 
     # --- the platform and the server beside
@@ -135,13 +138,14 @@
     def beat(self, message: Message) -> None:
         """What the server beside tells of itself."""
         path = message.target.partition(b"?")[0]
-        if not path.startswith(b"/-/instances/") or message.method not in (b"PUT", b"DELETE"):
+        named = path.startswith(b"/-/instances/") and len(path) > len(b"/-/instances/")
+        if not named or message.method not in (b"PUT", b"DELETE"):
             message.answer(ANSWERS[Fault.NOT_HERE].status)
             return
         instance = path[len(b"/-/instances/"):].decode("latin-1")
         plot = self.plot
         if message.method == b"DELETE":
-            plot.lives[instance] = 1 << 62
+            plot.over.add(instance)
             if plot.instance == instance:
                 plot.gone()
                 self._tell_record()
@@ -158,21 +162,28 @@
         if number <= plot.lives.get(instance, -1):
             message.answer(200, b"{}", JSON)  # a late one: what it says is known
             return
-        fresh = instance not in plot.lives
-        if not fresh and instance != plot.instance:
-            message.answer(200, b"{}", JSON)  # of a life that is over
+        if instance in plot.over:
+            message.answer(200, b"{}", JSON)  # a late one of a life that has ended
             return
-        plot.lives[instance] = number
         if service != self.settings.service:
             logger.warning("a server of another service beats here", service=service)
             message.answer(ANSWERS[Fault.BAD].status)
             return
+        plot.lives[instance] = number
         before = (plot.instance, plot.open, plot.slots)
         plot.life(instance, max(1, slots), cold, state == "ready")
         if (plot.instance, plot.open, plot.slots) != before:
             self._tell_record()
         message.answer(200, b"{}", JSON)
 
+    def _adopt(self, instance: str) -> None:
+        """A server's id that no beat has told yet: a stile that started anew need not wait for the next."""
+        plot = self.plot
+        if instance and not plot.instance and instance not in plot.over:
+            logger.info("the server says who it is", instance=instance)
+            plot.life(instance, STEPS, 0.0, True)
+            self._tell_record()
+
     def _record(self) -> list[Any]:
         plot, settings = self.plot, self.settings
         self._number += 1
@@ -222,11 +233,16 @@
             return
         self.items = items
         self.table, wrong = catalog.table(items)
-        for text in wrong:
-            logger.warning("held out: {}", text)
+        for clash in wrong:
+            logger.warning("held out: {}", clash.text)
         cluster = self.table.clusters.get(self.settings.service)
         if cluster is not None:
             self.plot.limit(cluster.max_conns)
+            if not self.plot.instance and not self._probed:
+                self._probed = True
+                self.plot.probe(cluster.health, self._adopt)
+        limits = self.table.limits
+        self._doors[0].limit(limits.head, limits.body, limits.head_s, limits.idle_s)
 
     # --- other stiles
 
@@ -236,6 +252,7 @@
         if known is not None and record[Record.LIFE:] <= known[Record.LIFE:]:
             return
         self._records[node] = record
+        self._most_stiles = max(self._most_stiles, len(self._records))
         bed = self.beds.get(node)
         service = record[Record.SERVICE]
         if bed is not None and bed.service != service:
@@ -321,6 +338,10 @@
             told = Voters(message[1], tuple(message[2]))
             self.voters = told.names
             self._enough = told.write
+        elif word == Word.LIFE:
+            if message[1] >= self._life:  # a clock has stepped back since the process before
+                self._life = message[1] + 1
+                self._tell_record()
         elif word == Word.GONE:
             self._gone(message[1], message[2])
 
@@ -382,11 +403,10 @@
         message = trip.message
         named = _named(message)
         headers = [pair for pair in message.headers if pair[0] not in OURS and pair[0] not in named]
-        patience = max(LEAST_PATIENCE_S, (trip.aim_at - trip.began) * PATIENCE - (now - trip.began))
+        key = trip.key if trip.route.variant == "idempotent" else ""
         ask = [
             trip.service, self.settings.service, message.method, message.target, headers, trip.body,
-            trip.deadline - now, patience, trip.tid, trip.key if trip.route.variant == "idempotent" else "",
-            trip.number,
+            trip.deadline - now, trip.aim_at - now, trip.tid, key, trip.number,
         ]
         if bed.node == self.me:
             self._run(ask, partial(self._told, trip.number))
@@ -394,7 +414,8 @@
             self._bed_links[bed.node].send([Word.ASK, trip.number, ask])
 
     def _told(
-        self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes
+        self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes,
+        wait: float = 0.0,
     ) -> None:
         """What became of a request at the stile beside a server."""
         trip = self._asks.pop(number, None)
@@ -404,6 +425,8 @@
         assert bed is not None
         now = self.loop.time()
         bed.inflight -= 1
+        if wait:
+            bed.closed_until = now + min(wait, MOST_CLOSED_S)
         if not fault:
             bed.answered(now - trip.began)
             self._finish(trip)
@@ -412,7 +435,7 @@
         kind = Fault(fault)
         trip.arrivals += arrived
         if kind in PROMISES:
-            bed.closed_until = now + 0.05
+            bed.closed_until = max(bed.closed_until, now + LEAST_CLOSED_S)
         elif kind != Fault.AT_WORK:
             trip.unsure = True
         if trip.over:
@@ -420,7 +443,7 @@
         again = kind in PROMISES or (trip.route.variant == "pure" and kind == Fault.BROKEN)
         if (
             again and len(trip.tried) < max(2, trip.route.attempts) and trip.arrivals < trip.route.attempts
-            and now < trip.deadline - 0.01 and self._spend(trip.service).take(now, len(self.beds))
+            and now < trip.deadline - 0.01 and self._spend(trip.service).take(now, self._most_stiles)
         ):
             self._go(trip)
             return
@@ -458,10 +481,10 @@
     # --- a request for the server beside
 
     def _asked(self, link: Furrow, number: int, ask: list[Any]) -> None:
-        self._run(ask, lambda *told: link.send([Word.TOLD, number, *told]))
+        self._run(ask, lambda *told: link.send([Word.TOLD, number, *told, self.plot.wait()]))
 
     def _run(self, ask: list[Any], tell: Callable[..., None]) -> None:
-        service, caller, method, target, headers, body, left, patience, tid, key, number = ask
+        service, caller, method, target, headers, body, left, aim, tid, key, number = ask
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
@@ -488,7 +511,10 @@
             else:
                 tell(0, arrived, reply.status, heads.returned(reply.headers), reply.body)
 
-        job = Job(make, tid, deadline, min(deadline, now + patience), done)
+        # The last start for an answer in time, and the last for one at all: half of what is left, as a client
+        # that is refused may still be served elsewhere.
+        due = now + max(aim - plot.mean, aim * PATIENCE)
+        job = Job(make, tid, deadline, due, max(due, now + left * LAST), done)
         if not key:
             plot.submit(job)
             return
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -16,10 +16,12 @@
     ACK = 21  # number
     BEDS = 22  # records of stiles
     GONE = 23  # node, incarnation
-    SYNC = 30  # round, versions by name
-    SYNCED = 31  # round, whether the barn counts, rows of items that were not told
-    PUT = 32  # round, rows of items
+    LIFE = 24  # a barn to a stile: a record of its name and a later life is known
+    SYNC = 30  # round, versions by name, token of a writer or nothing
+    SYNCED = 31  # round, whether the barn counts and is the writer's, rows of items that were not told
+    PUT = 32  # round, rows of items, token of the writer
     HAVE = 33  # round, whether they are on the disk
+    OVER = 36  # token: its writer is done
     KEYS = 34  # round
     KEYED = 35  # round, whether the barn counts, rows of grants
     CLAIM = 40  # claim, key, token, seconds left
@@ -28,7 +30,7 @@
     BROKE = 43  # key, token
     FREE = 44  # key, token
     ASK = 50  # number, request
-    TOLD = 51  # number, fault (0: none), whether a server saw it, status or seconds to wait, headers, body
+    TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds of waiting
     LEAVING = 52  # record: a stile to those that send to it
 
 
--- /dev/null
+++ b/tests/orchard/test_orchard_budget.py
@@ -0,0 +1,258 @@
+"""What one server is sent at once, what all stiles together may send again, and which server is picked."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dunefield.budget import STEPS, Budget
+from orchard.pick import DRAWS, Bed, choose
+from orchard.spend import Spend
+
+MS = 1_000_000
+
+
+def budget(most=STEPS):
+    return Budget(most, 100 * MS, 1000 * MS)
+
+
+def grow(made, to):
+    """Served trials until k stands at a step."""
+    while made.k < to:
+        assert made.verdict(0, made.room) == (True, True)
+        made.trial = True
+        made.served(True)
+
+
+def middle():
+    return 0.5
+
+
+# --- one server
+
+
+def test_k_begins_at_one_and_each_served_trial_adds_a_step_up_to_the_clamp():
+    made = budget(4)
+    assert (made.k, made.room) == (1, 1)
+    for k in (2, 3, 4):
+        grow(made, k)
+        assert made.room == k
+    assert made.verdict(0, 3) == (True, False)
+    assert made.verdict(0, 4) == (False, False)
+    made.served(False)
+    made.served(True)
+    assert made.k == 4
+    assert Budget(0, 1, 2).room == 1
+
+
+def test_there_is_one_trial_at_a_time():
+    made = budget()
+    assert made.verdict(0, 1) == (True, True)
+    made.trial = True
+    assert made.verdict(0, 1) == (False, False)
+    assert made.verdict(0, 0) == (True, False)
+    made.withdrawn(False)
+    assert made.trial
+    made.withdrawn(True)
+    assert not made.trial and made.k == 1 and made.backoff == 0
+    assert made.verdict(0, 1) == (True, True)
+
+
+def test_backoff_blocks_growth_and_nothing_else():
+    made = budget()
+    grow(made, 3)
+    made.trial = True
+    made.failed(0, True, middle)
+    assert made.k == 3 and made.retry_at == 100 * MS
+    assert made.verdict(1, 2) == (True, False)
+    assert made.verdict(100 * MS - 1, 3) == (False, False)
+    assert made.verdict(100 * MS, 3) == (True, True)
+
+
+def test_backoff_doubles_to_its_last_and_is_forgotten_with_a_served_trial():
+    made = budget()
+    waits = []
+    for _ in range(6):
+        made.failed(0, True, middle)
+        waits.append(made.backoff // MS)
+    assert waits == [100, 200, 400, 800, 1000, 1000]
+    made.failed(0, True, lambda: 0.0)
+    assert made.retry_at == 750 * MS
+    made.failed(0, False, middle)
+    assert made.retry_at == 750 * MS
+    made.served(True)
+    assert made.backoff == made.retry_at == 0
+
+
+def test_at_zero_one_trial_goes_once_the_backoff_is_over():
+    made = budget()
+    grow(made, 2)
+    made.broken(0, middle)
+    assert made.k == 1 and made.backoff == 0
+    made.broken(0, middle)
+    assert made.k == 0 and made.room == 0 and made.retry_at == 100 * MS
+    made.broken(0, middle)
+    assert made.k == 0 and made.backoff == 100 * MS
+    assert made.verdict(100 * MS - 1, 0) == (False, False)
+    assert made.verdict(100 * MS, 0) == (True, True)
+    made.trial = True
+    assert made.verdict(100 * MS, 0) == (False, False)
+    made.served(True)
+    assert made.k == 1 and made.verdict(100 * MS, 0) == (True, False)
+
+
+def test_an_answer_that_it_is_full_lowers_the_figure_and_served_calls_raise_it():
+    made = budget()
+    grow(made, 6)
+    made.full(4)
+    assert made.figure == 3.5 and made.room == 3 and made.k == 6
+    assert made.verdict(0, 3) == (False, False)
+    for _ in range(5):
+        made.full(1)
+    assert made.figure == 1.0 and made.room == 1
+    for _ in range(100):
+        made.served(False)
+    assert made.figure == 10.0 and made.room == 6
+
+
+@given(st.integers(1, 12), st.lists(st.tuples(
+    st.sampled_from(("go", "served", "failed", "full", "broken", "withdrawn")), st.integers(0, 300)),
+    max_size=60))
+def test_calls_that_are_out_keep_to_the_budget_whatever_happens(most, events):
+    made, now, out = budget(most), 0, []
+    for what, step in events:
+        now += step * MS
+        if what == "go":
+            may, trial = made.verdict(now, len(out))
+            if may:
+                assert trial == (len(out) >= made.room)
+                assert not (trial and (made.trial or now < made.retry_at))
+                made.trial = made.trial or trial
+                out.append(trial)
+        elif out:
+            trial = out.pop(0)
+            if what == "served":
+                made.served(trial)
+            elif what == "withdrawn":
+                made.withdrawn(trial)
+            else:
+                made.failed(now, trial, middle)
+            if what == "full":
+                made.full(len(out))
+            if what == "broken":
+                made.broken(now, middle)
+        assert 0 <= made.k <= most and 1.0 <= made.figure <= most
+        assert made.trial == any(out) and sum(out) <= 1
+        if not out:
+            assert made.verdict(max(now, made.retry_at), 0)[0], "it never shuts for good"
+
+
+# --- all stiles
+
+
+@given(
+    st.integers(1, 4), st.sampled_from((0.0, 0.1, 0.25, 1.0)), st.sampled_from((0, 1, 8)),
+    st.lists(st.tuples(st.integers(0, 40), st.integers(0, 3), st.integers(0, 6)), max_size=120),
+)
+def test_the_sum_over_all_stiles_keeps_below_the_ratio(stiles, ratio, slack, events):
+    window = 16.0
+    spends = [Spend(ratio, window, slack) for _ in range(stiles)]
+    now, asked, spent = 0.0, [], []
+    for step, who, tries in events:
+        now += step / 8
+        spend = spends[who % stiles]
+        spend.asked(now)
+        asked.append(now)
+        spent += [now for _ in range(tries) if spend.take(now, stiles)]
+
+    def count(times, end):
+        return sum(end - window <= at <= end for at in times)
+
+    for end in sorted({*asked, *(at + window for at in asked)}):
+        most = max(count(asked, end), count(asked, end - window / 2), count(asked, end - window))
+        assert count(spent, end) <= ratio * most + slack
+
+
+def test_under_steady_load_a_useful_part_is_given():
+    spend = Spend(0.2, 10.0, 0.0)
+    given_ = 0
+    for i in range(1000):
+        spend.asked(i / 10)
+        given_ += spend.take(i / 10, 5)
+    assert 80 <= given_ <= 200
+
+
+def test_with_no_requests_only_the_slack_is_given_and_comes_back_after_the_window():
+    spend = Spend(0.2, 10.0, 8.0)
+    assert [spend.take(0.0, 2) for _ in range(3)] == [True, True, False]
+    assert not spend.take(10.0, 2)
+    assert spend.take(10.1, 2)
+    assert not Spend(0.2, 10.0, 0.0).take(0.0, 1)
+
+
+# --- the pick
+
+
+def beds(*inflight):
+    made = []
+    for i, count in enumerate(inflight):
+        bed = Bed(f"n{i}", "s")
+        bed.inflight = count
+        made.append(bed)
+    return made
+
+
+def draws(*places, size):
+    """A random source that draws these places in turn, then goes on from the first."""
+    turn = iter(places * DRAWS)
+    return lambda: (next(turn) + 0.5) / size
+
+
+def anyone(bed):
+    return True
+
+
+def test_the_less_loaded_of_two_is_taken_and_no_third_is_looked_at():
+    made = beds(5, 2, 0)
+    assert choose(0.0, made, (), draws(0, 1, size=3), anyone) is made[1]
+    assert choose(0.0, made, (), draws(1, 0, size=3), anyone) is made[1]
+    assert choose(0.0, made, (), draws(0, 2, size=3), anyone) is made[2]
+
+
+def test_a_tie_goes_by_latency():
+    made = beds(1, 1)
+    made[0].answered(0.2)
+    made[1].answered(0.1)
+    assert choose(0.0, made, (), draws(0, 1, size=2), anyone) is made[1]
+    made[1].answered(5.0)
+    assert made[1].latency == pytest.approx(0.1 + 4.9 * 0.2)
+    assert choose(0.0, made, (), draws(0, 1, size=2), anyone) is made[0]
+
+
+def test_a_closed_bed_is_passed_over_until_its_time():
+    made = beds(0, 5, 9)
+    made[0].closed_until = 1.0
+    assert choose(0.5, made, (), draws(0, 1, 2, size=3), anyone) is made[1]
+    assert choose(1.0, made, (), draws(0, 1, 2, size=3), anyone) is made[0]
+
+
+def test_where_all_are_closed_one_is_taken_all_the_same():
+    made = beds(3, 1)
+    for bed in made:
+        bed.closed_until = 9.0
+    assert choose(0.0, made, (), draws(0, 1, size=2), anyone) in made
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans(), st.booleans()), max_size=6), st.randoms())
+def test_tried_and_unusable_ones_are_never_taken_and_any_other_is_found(rows, random):
+    made = beds(*(row[0] for row in rows))
+    tried = [bed for bed, row in zip(made, rows, strict=True) if row[1]]
+    good = [bed for bed, row in zip(made, rows, strict=True) if row[2]]
+    took = choose(0.0, made, tried, random.random, lambda bed: bed in good)
+    left = [bed for bed in good if bed not in tried]
+    assert took in left if left else took is None
+
+
+def test_the_only_one_left_is_found_though_no_draw_hits_it():
+    made = beds(0, 0, 4)
+    assert choose(0.0, made, made[:2], draws(0, 1, size=3), anyone) is made[2]
+    assert choose(0.0, (), (), draws(0, size=1), anyone) is None
--- /dev/null
+++ b/tests/orchard/test_orchard_keys.py
@@ -0,0 +1,329 @@
+"""Keys: what a barn grants, what a claimant makes of the answers, and all ways two claimants can meet."""
+
+import pytest
+
+from orchard.keys import Claim, Grant, Mark, Registry, Verdict, row_of
+
+LIMIT = 1.0
+STEP = 1.5  # longer than a round
+
+
+def registry():
+    return Registry(60.0)
+
+
+# --- one barn
+
+
+def test_a_key_goes_to_the_first_token_and_again_only_to_it():
+    made = registry()
+    assert made.claim(0.0, "k", "a", 5.0) == (Grant("a", Mark.CLAIMED, 5.0, 60.0), True)
+    assert made.claim(1.0, "k", "b", 5.0) == (Grant("a", Mark.CLAIMED, 5.0, 60.0), False)
+    assert made.claim(2.0, "k", "a", 5.0) == (Grant("a", Mark.CLAIMED, 5.0, 60.0), False)
+    assert made.claim(2.0, "other", "b", 5.0)[1]
+    assert len(made) == 2
+
+
+def test_an_answer_stays_whoever_asks_and_whatever_is_told_later():
+    made = registry()
+    made.claim(0.0, "k", "a", 5.0)
+    assert made.done(1.0, "k", "a", [200, [], b"x"])
+    assert not made.done(2.0, "k", "a", [500, [], b"y"])
+    assert not made.broke(2.0, "k", "a")
+    assert not made.free(2.0, "k", "a")
+    grant, fresh = made.claim(30.0, "k", "b", 5.0)
+    assert not fresh and grant.mark == Mark.DONE and grant.answer == [200, [], b"x"]
+
+
+def test_an_answer_is_kept_where_no_claim_was_and_over_another_claim():
+    made = registry()
+    assert made.done(0.0, "k", "a", [200, [], b"x"])
+    made.claim(0.0, "l", "b", 5.0)
+    assert made.done(1.0, "l", "a", [201, [], b""])
+    assert made.look(1.0, "k").answer == [200, [], b"x"]
+    assert made.look(1.0, "l")[:2] == ("a", Mark.DONE)
+
+
+def test_a_claim_without_an_answer_is_broken_when_its_time_is_over():
+    made = registry()
+    made.claim(0.0, "k", "a", 5.0)
+    assert made.look(4.9, "k").mark == Mark.CLAIMED
+    assert made.claim(5.0, "k", "b", 5.0) == (Grant("a", Mark.BROKEN, 5.0, 60.0), False)
+    assert made.done(6.0, "k", "a", [200, [], b""])
+    assert made.look(6.0, "k").mark == Mark.DONE
+
+
+def test_only_the_holder_breaks_or_frees_its_claim():
+    made = registry()
+    made.claim(0.0, "k", "a", 5.0)
+    assert not made.free(1.0, "k", "b") and not made.broke(1.0, "k", "b") and not made.free(1.0, "no", "a")
+    assert made.broke(1.0, "k", "a") and not made.broke(1.0, "k", "a")
+    assert made.look(1.0, "k").mark == Mark.BROKEN
+    made.claim(0.0, "l", "a", 5.0)
+    assert made.free(1.0, "l", "a") and made.look(1.0, "l") is None
+    assert made.claim(1.0, "l", "b", 5.0)[1]
+    assert not made.free(1.0, "l", "a")
+
+
+def test_everything_is_forgotten_after_the_window():
+    made = registry()
+    for i in range(12):
+        made.claim(float(i), f"k{i}", "a", 5.0)
+    made.done(20.0, "k3", "a", [200, [], b""])
+    assert made.look(59.9, "k0") is not None
+    assert made.look(60.0, "k0") is None and made.look(60.0, "k1") is not None
+    for i in range(12):
+        assert made.look(70.0 + i, f"k{i}") is None or i > 10 + i
+    made.look(90.0, "k0")
+    assert len(made) == 0
+
+
+def test_rows_carry_ages_so_another_clock_takes_them_as_they_are():
+    one, other = registry(), registry()
+    one.claim(100.0, "k", "a", 5.0)
+    one.done(101.0, "l", "b", [200, [], b"x"])
+    other.take(7.0, one.rows(102.0))
+    assert other.rows(7.0) == one.rows(102.0) == [one.row(102.0, "k"), one.row(102.0, "l")]
+    assert other.look(9.9, "k").mark == Mark.CLAIMED and other.look(10.0, "k").mark == Mark.BROKEN
+    assert other.look(64.9, "k") is not None and other.look(65.0, "k") is None
+
+
+@pytest.mark.parametrize(("mine", "theirs", "wins"), [
+    (None, Mark.CLAIMED, "theirs"), (None, Mark.BROKEN, "theirs"), (None, Mark.DONE, "theirs"),
+    (Mark.CLAIMED, Mark.DONE, "theirs"), (Mark.BROKEN, Mark.DONE, "theirs"),
+    (Mark.CLAIMED, Mark.CLAIMED, "mine"), (Mark.DONE, Mark.CLAIMED, "mine"),
+    (Mark.DONE, Mark.BROKEN, "mine"), (Mark.DONE, Mark.DONE, "mine"),
+])
+def test_of_two_that_know_a_key_an_answer_wins_over_a_claim_and_a_claim_over_nothing(mine, theirs, wins):
+    made = registry()
+    if mine is not None:
+        made.take(0.0, [row_of(0.0, "k", Grant("mine", mine, 5.0, 60.0, [1, [], b""]))])
+    rows = [row_of(0.0, "k", Grant("theirs", theirs, 5.0, 60.0, [2, [], b""]))]
+    made.take(0.0, rows)
+    assert made.look(0.0, "k").token == wins
+    before = made.rows(0.0)
+    made.take(0.0, rows)
+    assert made.rows(0.0) == before
+
+
+# --- one claimant
+
+
+def claim(barns=3, enough=2):
+    return Claim(barns, enough, 0.0, LIMIT)
+
+
+def test_it_runs_with_enough_grants_and_no_sooner():
+    made = claim()
+    assert made.verdict(0.0) == Verdict.WAIT
+    made.granted("x")
+    made.granted("x")
+    assert made.verdict(0.1) == Verdict.WAIT
+    made.granted("y")
+    assert made.verdict(0.2) == Verdict.RUN
+
+
+def test_a_slow_round_never_runs():
+    made = claim()
+    for barn in "xyz":
+        made.granted(barn)
+    assert made.verdict(LIMIT) == Verdict.RUN
+    assert made.verdict(LIMIT + 0.001) == Verdict.AGAIN
+
+
+def test_an_answer_is_repeated_whatever_else_was_said():
+    made = claim()
+    made.granted("x")
+    made.held("y", "b", Mark.DONE, [200, [], b"x"])
+    assert made.verdict(0.1) == Verdict.REPEAT and made.answer == [200, [], b"x"]
+    made.granted("z")
+    assert made.verdict(LIMIT + 1) == Verdict.REPEAT
+
+
+def test_held_by_enough_is_at_work_and_broken_is_lost():
+    made = claim()
+    made.held("x", "b", Mark.CLAIMED, None)
+    assert made.verdict(0.1) == Verdict.WAIT
+    made.held("y", "b", Mark.CLAIMED, None)
+    assert made.verdict(0.1) == Verdict.AT_WORK
+    made.held("z", "b", Mark.BROKEN, None)
+    assert made.verdict(0.1) == Verdict.LOST
+
+
+def test_nobody_with_enough_means_again():
+    made = claim()
+    made.granted("x")
+    made.held("y", "b", Mark.CLAIMED, None)
+    assert made.verdict(0.1) == Verdict.WAIT
+    made.held("z", "c", Mark.CLAIMED, None)
+    assert made.verdict(0.1) == Verdict.AGAIN
+
+
+def test_too_few_barns_that_can_grant_mean_again():
+    made = claim()
+    made.failed("x")
+    assert made.verdict(0.1) == Verdict.WAIT
+    made.silent("y")
+    assert made.verdict(0.1) == Verdict.AGAIN
+
+
+def test_a_barn_that_fails_after_it_has_answered_still_counts():
+    made = claim()
+    for barn in "xy":
+        made.granted(barn)
+        made.failed(barn)
+    assert made.verdict(0.1) == Verdict.RUN
+
+
+# --- all ways two claimants can meet
+
+NONE = ()  # of all that may be missing in a state, so that states can be put in order
+LINK = (NONE, NONE, NONE)  # what is on its way to the barn, an answer on its way back, an answer that came
+IDLE = ("idle", 0.0)
+
+
+def start_state():
+    """Time; two claimants; three barns, each its grant, whether its disk is whole, a link to each claimant;
+    whether no disk was lost so far."""
+    return 0.0, (IDLE, IDLE), ((NONE, True, (LINK, LINK)),) * 3, True
+
+
+OTHER = {"a": "b", "b": "a", "": ""}
+
+
+def same(state):
+    """Barns are alike and so are claimants: one of all states that differ by names only."""
+    now, claimants, barns, whole = state
+
+    def swap(grant):
+        return grant and grant._replace(token=OTHER[grant.token])
+
+    def swap_link(link):
+        queue, *answers = link
+        return queue, *(answer and (answer[0], OTHER[answer[1]]) for answer in answers)
+
+    swapped = [(swap(grant), sound, (swap_link(b), swap_link(a))) for grant, sound, (a, b) in barns]
+    return min(
+        (now, claimants, tuple(sorted(barns)), whole),
+        (now, claimants[::-1], tuple(sorted(swapped)), whole),
+    )
+
+
+def held(now, grant):
+    """A real registry that holds a grant."""
+    made = Registry(1000.0)
+    if grant:
+        made.take(now, [row_of(now, "k", grant)])
+    return made
+
+
+def put(row, at, value):
+    return (*row[:at], value, *row[at + 1:])
+
+
+def judged(state, who, enough, silent=False):
+    """After an answer, or when time is over: the claimant's verdict, by the real count."""
+    now, claimants, barns, whole = state
+    made = Claim(3, enough, claimants[who][1], LIMIT)
+    for number, (_, _, links) in enumerate(barns):
+        got = links[who][2]
+        if not got:
+            if silent:
+                made.silent(str(number))
+        elif got[0] == "granted":
+            made.granted(str(number))
+        elif got[0] == "held":
+            made.held(str(number), got[1], Mark.CLAIMED, None)
+        else:
+            made.failed(str(number))
+    verdict = made.verdict(now)
+    if verdict == Verdict.WAIT:
+        return state
+    runs = verdict == Verdict.RUN
+    more = () if runs else ("free",)
+    rows = tuple(
+        (grant, sound, put(links, who, ((*links[who][0], *more), NONE, NONE)))
+        for grant, sound, links in barns
+    )
+    return now, put(claimants, who, ("run" if runs else "over", 0.0)), rows, whole
+
+
+def after(state, enough, loss):
+    """All states that one event leads to: a message here or there, a loss, a step of time."""
+    now, claimants, barns, whole = state
+    if now < STEP:
+        yield now + STEP, claimants, barns, whole
+    for who, token in enumerate("ab"):
+        if claimants[who] == IDLE:
+            rows = tuple(
+                (grant, sound, put(links, who, (("claim",), NONE, NONE)))
+                for grant, sound, links in barns
+            )
+            yield now, put(claimants, who, ("out", now)), rows, whole
+        elif claimants[who][0] == "out" and now > claimants[who][1] + LIMIT:
+            yield judged(state, who, enough, silent=True)
+        for number, (grant, sound, links) in enumerate(barns):
+            queue, flying, _ = links[who]
+            out = claimants[who][0] == "out"
+            if queue:
+                made, back = held(now, grant), NONE
+                if queue[0] == "free":
+                    made.free(now, "k", token)
+                elif not sound:
+                    back = ("failed", "")
+                else:
+                    stands, _ = made.claim(now, "k", token, 100.0)
+                    back = ("granted", "") if stands.token == token else ("held", stands.token)
+                link = (queue[1:], back if out else NONE, links[who][2])
+                row = (made.look(now, "k") or NONE, sound, put(links, who, link))
+                yield now, claimants, put(barns, number, row), whole
+            if flying:
+                row = (grant, sound, put(links, who, (queue, NONE, flying)))
+                yield judged((now, claimants, put(barns, number, row), whole), who, enough)
+    for number, (_, sound, links) in enumerate(barns):
+        if loss and whole and sound:
+            yield now, claimants, put(barns, number, (NONE, False, links)), False
+
+
+def explore(enough=2, loss=False):
+    """Whether two may run, how many states were seen, and all ends that claimants came to."""
+    todo, seen, ends = [start_state()], set(), set()
+    while todo:
+        state = todo.pop()
+        ends.update(phase for phase, _ in state[1])
+        if all(phase == "run" for phase, _ in state[1]):
+            return True, len(seen), ends
+        for follower in after(state, enough, loss):
+            follower = same(follower)
+            if follower not in seen:
+                seen.add(follower)
+                todo.append(follower)
+    return False, len(seen), ends
+
+
+def test_two_tokens_never_both_run():
+    both, states, ends = explore(loss=True)
+    assert not both and states > 1000 and ends == {"idle", "out", "run", "over"}
+
+
+def test_without_enough_grants_two_would_run():
+    assert explore(enough=1)[0]
+
+
+@pytest.mark.parametrize("waits", [False, True])
+def test_a_lost_disk_counts_only_when_all_rounds_from_before_are_void(waits):
+    """One barn grants `a`, loses its disk, and reads the others, which know nothing of `a` as yet."""
+    first = claim()
+    assert registry().claim(0.0, "k", "a", 5.0)[1]
+    first.granted("x")
+    now = LIMIT + 0.1 if waits else 0.1
+    x, y, z = registry(), registry(), registry()
+    x.take(now, [*y.rows(now), *z.rows(now)])
+    second = Claim(3, 2, now, LIMIT)
+    for name, barn in (("x", x), ("z", z)):
+        assert barn.claim(now, "k", "b", 5.0)[1]
+        second.granted(name)
+    assert y.claim(now, "k", "a", 5.0)[1]
+    first.granted("y")
+    assert second.verdict(now) == Verdict.RUN
+    assert first.verdict(now) == (Verdict.AGAIN if waits else Verdict.RUN)
