Mesh: due times by kind, told slots, bytes kept in their zone, nearest barns first; bugs of a reading mended

Cause: in overload each answer came at the edge of its aim; a fleet that starts anew spent seconds at k = 1; half of the bytes between zones were uploads and copies of keys. Two tokens could both run after a barn came back without its disk, where the others held different tokens; a reused key was free after a restart; half a character in a name would have stopped a barn's disk.

--- a/dunefield/budget.py
+++ b/dunefield/budget.py
@@ -20,9 +20,9 @@
 
     __slots__ = ("k", "figure", "trial", "backoff", "retry_at", "most", "_first", "_last")
 
-    def __init__(self, most: int, first_ns: int, last_ns: int) -> None:
+    def __init__(self, most: int, first_ns: int, last_ns: int, begin: int = 1) -> None:
         self.most = max(1, most)
-        self.k, self.figure = 1, float(self.most)
+        self.k, self.figure = max(1, min(begin, self.most)), float(self.most)
         self.trial = False
         self.backoff = self.retry_at = 0
         self._first, self._last = first_ns, last_ns
--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -204,7 +204,7 @@
             lambda link: self._barn_down(address, link),
         )
         self._tell_barns()
-        packed = pack([Word.BARNS, [self.me, *self._dials]])
+        packed = pack([Word.BARNS, [self.me, *self._dials], self.settings.zone])
         for link in self._stiles:
             link.put(packed)
 
@@ -413,7 +413,7 @@
         if news:
             self._records[node] = record
         if fresh:
-            link.send([Word.BARNS, [self.me, *self._dials]])
+            link.send([Word.BARNS, [self.me, *self._dials], self.settings.zone])
             if self.voters.epoch:
                 link.send([Word.VOTERS, self.voters.epoch, list(self.voters.names)])
             link.send([Word.ITEMS, self._news, [list(item) for item in self.items.values()]])
--- a/orchard/catalog.py
+++ b/orchard/catalog.py
@@ -107,10 +107,15 @@
     return json.dumps(raw, separators=(",", ":"), sort_keys=True)
 
 
+def _no_number(text: str) -> None:
+    raise ValueError(f"{text} is no JSON")
+
+
 def read(body: bytes) -> Result[tuple[Item, ...], str]:
     """The items of an operator's call, or why it can't be read whole. Each item's own shape is checked."""
     try:
-        raw = json.loads(body)
+        raw = json.loads(body, parse_constant=_no_number)
+        json.dumps(raw, ensure_ascii=False).encode()  # half a character can't be passed on
         if not isinstance(raw, dict) or not ({"upserts", "removals"} & raw.keys()):
             raise ValueError("neither upserts nor removals")
         upserts, removals = raw.get("upserts", {}), raw.get("removals", {})
--- a/orchard/keys.py
+++ b/orchard/keys.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+NOBODY = ""  # a token that no claimant has
+
 
 class Mark(enum.IntEnum):
     """How far an operation is."""
@@ -47,6 +49,9 @@
         """What stands for a key."""
         self._expire(now)
         grant = self._grants.get(key)
+        if grant is not None and now >= grant.expires:
+            del self._grants[key]
+            return None
         if grant is not None and grant.mark == Mark.CLAIMED and now >= grant.until:
             grant = self._grants[key] = grant._replace(mark=Mark.BROKEN)
         return grant
@@ -56,7 +61,9 @@
         grant = self.look(now, key)
         if grant is not None:
             return grant, False
-        grant = self._grants[key] = Grant(token, Mark.CLAIMED, now + left_s, now + self._window)
+        grant = self._grants[key] = Grant(
+            token, Mark.CLAIMED, now + left_s, now + max(self._window, left_s)
+        )
         return grant, True
 
     def done(self, now: float, key: str, token: str, answer: Any) -> bool:
@@ -98,19 +105,30 @@
 
     def rows(self, now: float) -> list[list[Any]]:
         """All that stands, with ages in place of times."""
-        return [row_of(now, key, grant) for key, grant in self._grants.items()]
+        return [row_of(now, key, grant) for key, grant in self._grants.items() if now < grant.expires]
 
     def row(self, now: float, key: str) -> list[Any]:
         """One of them."""
         return row_of(now, key, self._grants[key])
 
     def take(self, now: float, rows: Iterable[list[Any]]) -> None:
-        """Merge what a disk or another barn knows: an answer wins over a claim, a claim over nothing."""
+        """Merge what a disk or another barn knows: an answer wins over a claim, a claim over nothing.
+
+        Where claims disagree it is not known which of them enough barns granted, and any of them may come to
+        that by the next barn's word: the key is then nobody's here, until the last of them expires.
+        """
         for key, token, mark, until, expires, answer in rows:
             grant = Grant(token, Mark(mark), now + until, now + expires, answer)
             mine = self._grants.get(key)
-            if mine is None or grant.mark == Mark.DONE and mine.mark != Mark.DONE:
+            if mine is not None and now >= mine.expires:
+                mine = None
+            if expires <= 0:
+                continue
+            if mine is None or (grant.mark == Mark.DONE and mine.mark != Mark.DONE):
                 self._grants[key] = grant
+            elif mine.token != token and mine.mark != Mark.DONE:
+                last = max(mine.expires, grant.expires)
+                self._grants[key] = Grant(NOBODY, Mark.BROKEN, now, last)
 
 
 def row_of(now: float, key: str, grant: Grant) -> list[Any]:
@@ -160,6 +178,11 @@
         if barn not in self._mine and not any(barn in held for held in self._others.values()):
             self._failed.add(barn)
 
+    @property
+    def troubled(self) -> bool:
+        """Whether one of those asked did not grant it: the others may decide."""
+        return bool(self._failed or self._others)
+
     silent = failed  # nor one that has said nothing in time
 
     def verdict(self, now: float) -> Verdict:
--- a/orchard/pick.py
+++ b/orchard/pick.py
@@ -33,26 +33,38 @@
 
 def choose(
     now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
-    usable: Callable[[Bed], bool],
+    usable: Callable[[Bed], bool], zone: str = "", near: str = "",
 ) -> Bed | None:
-    """The less loaded of two, ties by recent latency; None where none can take it."""
+    """The less loaded of two, ties by zone and recent latency; None where none can take it.
+
+    With `near`, beds of that zone come first while one of them has room: a large body is dear to carry over.
+    """
+    if near:
+        local = [bed for bed in beds if bed.zone == near and now >= bed.closed_until]
+        found = choose(now, local, tried, random, usable, zone) if local else None
+        if found is not None:
+            return found
     best: Bed | None = None
     seen: Bed | None = None
     size = len(beds)
     if not size:
         return None
-    for turn in range(DRAWS):
+    for _ in range(DRAWS):
         bed = beds[int(random() * size)]
-        if bed is seen or bed in tried or not usable(bed) or (now < bed.closed_until and turn < DRAWS - 1):
+        if bed is seen or bed in tried or not usable(bed) or now < bed.closed_until:
             continue
         if seen is None:
             seen = best = bed
             continue
         assert best is not None
-        if (bed.inflight, bed.latency) < (best.inflight, best.latency):
+        if _rank(bed, zone) < _rank(best, zone):
             best = bed
         return best
     if best is not None:
         return best
     left = [bed for bed in beds if usable(bed) and bed not in tried]
-    return min(left, key=lambda bed: (now < bed.closed_until, bed.inflight, bed.latency)) if left else None
+    return min(left, key=lambda bed: (now < bed.closed_until, *_rank(bed, zone))) if left else None
+
+
+def _rank(bed: Bed, zone: str) -> tuple[int, bool, float]:
+    return bed.inflight, bed.zone != zone, bed.latency
--- a/orchard/plot.py
+++ b/orchard/plot.py
@@ -21,6 +21,7 @@
 KEPT_S = 15.0  # idle connections are retired from IDLE_SHARE of this on, or of what the server tells
 PROMISING = frozenset({b"503", b"429", b"421", b"408", b"400"})
 PROBE_S = 1.0
+MOST_KINDS = 256  # kinds of calls whose times are kept apart
 HOP_S = 0.004  # kept back of a deadline for the way home
 
 
@@ -30,13 +31,14 @@
     `due` is the last start that makes an answer in time likely, `last` the last one that makes any likely.
     """
 
-    __slots__ = ("make", "tid", "deadline", "due", "last", "done", "trial", "exchange", "began", "over")
+    __slots__ = ("make", "tid", "deadline", "due", "last", "done", "kind", "trial", "exchange", "began",
+                 "over")  # fmt: skip
 
     def __init__(
         self, make: Callable[[float, str], bytes], tid: bytes, deadline: float, due: float, last: float,
-        done: Callable[[Fault | None, bool, Reply | None], None],
+        done: Callable[[Fault | None, bool, Reply | None], None], kind: str = "",
     ) -> None:
-        self.make, self.tid, self.done = make, tid, done
+        self.make, self.tid, self.done, self.kind = make, tid, done, kind
         self.deadline, self.due, self.last = deadline, due, last
         self.trial = self.over = False
         self.exchange: Exchange | None = None
@@ -61,14 +63,19 @@
         self.budget = self._new_budget()
         self.queue: list[tuple[float, int, Job]] = []  # a heap, by when a start is due
         self.late: deque[Job] = deque()  # in arrival order: they go when nobody waits who can be in time
-        self._count = 0
+        self._count = self._samples = 0
         self.out = 0
         self.mean = 0.05  # seconds to an answer, of late
+        self._means: dict[str, tuple[float, int]] = {}  # the same by kind of call, and of how many
         self._timer: asyncio.TimerHandle | None = None
         self.replaced: Callable[[str], None] = lambda instance: None  # told of another server at the address
 
-    def _new_budget(self) -> Budget:
-        return Budget(min(STEPS, self.slots, self.max_conns), FIRST_BACKOFF_NS, LAST_BACKOFF_NS)
+    def _new_budget(self, told: int = 1) -> Budget:
+        """Exception "told slots": a server that is warm and says how many it serves together begins at half
+        of that, not at 1; the rest comes by trials. A fleet that starts anew with all its clients there would
+        else spend seconds on queues that no server needs."""
+        most = min(STEPS, self.slots, self.max_conns)
+        return Budget(most, FIRST_BACKOFF_NS, LAST_BACKOFF_NS, -(-told // 2))
 
     def life(self, instance: str, slots: int, cold_s: float, is_open: bool) -> None:
         """What the server told of itself. A new id is a new process: nothing learned of the old one holds."""
@@ -80,7 +87,8 @@
                 self.upstream.remove(self.instance)
             self.instance, self.slots = instance, slots
             if fresh:
-                self.budget = self._new_budget()
+                self.budget = self._new_budget(slots if cold_s <= 0 else 1)
+                self._samples = 0
                 self.upstream.update(instance, self._address, 0, True)
             self.budget.most = min(STEPS, slots, self.max_conns)
         self.open = is_open
@@ -125,6 +133,10 @@
         for job in (*(entry[2] for entry in queue), *late):
             self._end(job, fault, False)
 
+    def takes(self, kind: str) -> float:
+        """Seconds from sending a call of a kind to its answer, about."""
+        return self._means.get(kind, (self.mean, 0))[0]
+
     def wait(self) -> float:
         """Seconds until a call that came now would go, about."""
         room = self.budget.room
@@ -244,7 +256,13 @@
             if current:
                 self._learn(reply)
                 budget.served(trial)
-                self.mean += (now - job.began - self.mean) * 0.1
+                self._samples += 1
+                took = now - job.began
+                self.mean += (took - self.mean) * max(0.1, 1.0 / self._samples)
+                mean, count = self._means.get(job.kind, (0.0, 0))
+                mean += (took - mean) * max(0.05, 1.0 / (count + 1))
+                if count or len(self._means) < MOST_KINDS:
+                    self._means[job.kind] = (mean, count + 1)
             self._end(job, None, True, reply)
         else:
             fault, arrived = Fault.BROKEN, True
--- a/orchard/settings.py
+++ b/orchard/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import tomllib
 from collections.abc import Callable, Mapping
@@ -62,7 +63,7 @@
 
 
 def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
         raise ValueError(f"{value!r} is no number from 0 on")
     return float(value)
 
@@ -86,11 +87,11 @@
 
 
 def _address(value: Any) -> Address | None:
-    return Address.read(_text(value)) if value else None
+    return Address.read(_text(value)) if value != "" else None
 
 
 def _ports(value: Any) -> tuple[int, int]:
-    if not isinstance(value, list) or len(value) != 2 or not all(isinstance(p, int) for p in value):
+    if not isinstance(value, list) or len(value) != 2 or not all(type(p) is int for p in value):
         raise ValueError(f"{value!r} is no pair of ports")
     first, last = value
     if not 0 <= first <= last < 65536:
@@ -108,7 +109,7 @@
         try:
             found[name] = seconds(figure)
         except ValueError:
-            found[name] = float(figure)
+            found[name] = _number(float(figure))
     return found
 
 
@@ -187,9 +188,13 @@
     values: dict[str, Any] = {}
     for name, row in TABLE.items():
         value: Any = raw
-        for part in row.path:
-            value = value.get(part) if isinstance(value, dict) else None
         path = ".".join(row.path)
+        for part in row.path:
+            if not isinstance(value, dict):
+                return Error(f"{path}: there is no table above it")
+            value = value.get(part)
+            if value is None:
+                break
         if value is None:
             if row.default is None:
                 return Error(f"{path} is missing")
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -22,15 +22,20 @@
 from orchard.furrow import Dial, Furrow, pack
 from orchard.keys import Claim, Mark, Verdict
 from orchard.pick import Bed, choose
-from orchard.plot import Job, Plot
+from orchard.plot import HOP_S, Job, Plot
 from orchard.quorum import Voters
 from orchard.settings import Address, Settings, seconds
 from orchard.spend import Spend
 from orchard.words import Record, Word
 
 OURS = heads.NOT_FORWARDED | {b"x-deadline-ms", b"x-expect-instance", b"x-caller-service", b"x-timeout"}
+HEDGE_S = 0.02  # after so long without a verdict all barns are asked for a key, not only the nearest
 CLAIM_S = 1.0  # a claim's round is void after so long
 PATIENCE = 0.25  # part of a request's aim that it may wait unsent at no price
+SCATTER = 2.0  # times the mean that a call may take and still be in time
+BEYOND = 1.5  # times its aim that a request may wait unsent
+LARGE = 8 * 1024  # bytes of a body from which on it stays in its zone while it can
+DRAWS = 3  # pools that a request is offered to before it is refused
 LAST = 0.5  # part of a request's time that it may wait unsent, where it can't be in time any more
 LEAST_CLOSED_S, MOST_CLOSED_S = 0.02, 0.2  # how long a pool that was told full is passed over
 NO_PROMISE = frozenset({408, 421, 429, 503})  # from a server that does not say X-Not-Run: it may have run
@@ -84,6 +89,8 @@
         self._asks: dict[int, Trip] = {}
         self._next = 0
         self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
+        self._granted: dict[str, list[str]] = {}  # by token at work: the barns that were asked
+        self._barn_zones: dict[str, str] = {}
         self._spends: dict[str, Spend] = {}
         self._jobs: dict[tuple[Furrow, int], Job] = {}
         self._callers: set[Furrow] = set()
@@ -242,7 +249,8 @@
                 self._probed = True
                 self.plot.probe(cluster.health, self._adopt)
         limits = self.table.limits
-        self._doors[0].limit(limits.head, limits.body, limits.head_s, limits.idle_s)
+        for door in self._doors[:1]:
+            door.limit(limits.head, limits.body, limits.head_s, limits.idle_s)
 
     # --- other stiles
 
@@ -261,6 +269,7 @@
         if bed is None:
             bed = self.beds[node] = Bed(node, service)
             self.lists.setdefault(service, []).append(bed)
+        bed.zone = record[Record.ZONE]
         if bed.instance != record[Record.INSTANCE]:
             bed.latency = bed.closed_until = 0.0
         bed.instance, bed.slots = record[Record.INSTANCE], record[Record.SLOTS]
@@ -334,6 +343,8 @@
         elif word == Word.BARNS:
             for address in message[1]:
                 self._know_barn(address)
+            if link.peer:
+                self._barn_zones[link.peer] = message[2]
         elif word == Word.VOTERS:
             told = Voters(message[1], tuple(message[2]))
             self.voters = told.names
@@ -390,7 +401,9 @@
 
     def _go(self, trip: Trip) -> None:
         now = self.loop.time()
-        bed = choose(now, self.lists.get(trip.service, ()), trip.tried, self._random, self._usable)
+        beds = self.lists.get(trip.service, ())
+        near = self.settings.zone if len(trip.body) >= LARGE else ""
+        bed = choose(now, beds, trip.tried, self._random, self._usable, self.settings.zone, near)
         if bed is None:
             self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
             return
@@ -406,7 +419,7 @@
         key = trip.key if trip.route.variant == "idempotent" else ""
         ask = [
             trip.service, self.settings.service, message.method, message.target, headers, trip.body,
-            trip.deadline - now, trip.aim_at - now, trip.tid, key, trip.number,
+            trip.deadline - now, trip.aim_at - now, trip.tid, key, trip.route.name,
         ]
         if bed.node == self.me:
             self._run(ask, partial(self._told, trip.number))
@@ -441,10 +454,10 @@
         if trip.over:
             return
         again = kind in PROMISES or (trip.route.variant == "pure" and kind == Fault.BROKEN)
-        if (
-            again and len(trip.tried) < max(2, trip.route.attempts) and trip.arrivals < trip.route.attempts
-            and now < trip.deadline - 0.01 and self._spend(trip.service).take(now, self._most_stiles)
-        ):
+        offers = max(DRAWS, trip.route.attempts)
+        left = len(trip.tried) < offers and trip.arrivals < trip.route.attempts
+        in_time = now < trip.deadline - HOP_S
+        if again and left and in_time and self._spend(trip.service).take(now, self._most_stiles):
             self._go(trip)
             return
         self._end(trip, Fault.BROKEN if trip.unsure and kind in PROMISES else kind)
@@ -468,7 +481,7 @@
         answer = ANSWERS[fault]
         headers = []
         if answer.promise:
-            headers = [(b"Retry-After", b"%.3f" % (aim * (0.05 + 0.15 * self._random())))]
+            headers = [(b"Retry-After", b"%.3f" % (aim * (0.2 + 0.4 * self._random())))]
         message.answer(answer.status, answer.text, headers)
 
     def _hung_up(self, message: Message) -> None:
@@ -484,7 +497,7 @@
         self._run(ask, lambda *told: link.send([Word.TOLD, number, *told, self.plot.wait()]))
 
     def _run(self, ask: list[Any], tell: Callable[..., None]) -> None:
-        service, caller, method, target, headers, body, left, aim, tid, key, number = ask
+        service, caller, method, target, headers, body, left, aim, tid, key, kind = ask
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
@@ -511,10 +524,11 @@
             else:
                 tell(0, arrived, reply.status, heads.returned(reply.headers), reply.body)
 
-        # The last start for an answer in time, and the last for one at all: half of what is left, as a client
-        # that is refused may still be served elsewhere.
-        due = now + max(aim - plot.mean, aim * PATIENCE)
-        job = Job(make, tid, deadline, due, max(due, now + left * LAST), done)
+        # The last start for an answer that is most likely in time, as times scatter, and the last for one at
+        # all: at most half of what is left, as a client that is refused may still be served elsewhere, and
+        # little beyond the aim, as what waits for long makes all behind it late.
+        due = now + max(aim - SCATTER * plot.takes(kind), aim * PATIENCE)
+        job = Job(make, tid, deadline, due, max(due, now + min(left * LAST, aim * BEYOND)), done, kind)
         if not key:
             plot.submit(job)
             return
@@ -544,20 +558,44 @@
         now = self.loop.time()
         number = self._fresh()
         claim = Claim(len(self.voters), self._enough, now, CLAIM_S)
-        links = [(name, self._barns.get(name)) for name in self.voters]
         packed = pack([Word.CLAIM, number, key, token, left + 0.5])
+        # The nearest that are enough first; what they don't settle soon, the others are asked as well.
+        order = sorted(self.voters, key=lambda name: self._barn_zones.get(name) != self.settings.zone)
+        asked: list[str] = []
+
+        def ask(names: list[str]) -> None:
+            for name in names:
+                if name not in asked:
+                    asked.append(name)
+                    link = self._barns.get(name)
+                    if link is None:
+                        claim.failed(name)
+                    else:
+                        link.put(packed)
+
+        def ask_all() -> None:
+            if number in self._claims:
+                ask(order)
+                then(claim)
 
         def then(claim: Claim) -> None:
             verdict = claim.verdict(self.loop.time())
-            if verdict == Verdict.WAIT or number not in self._claims:
+            if number not in self._claims:
+                return
+            if claim.troubled and len(asked) < len(order):
+                ask(order)
+                verdict = claim.verdict(self.loop.time())
+            if verdict == Verdict.WAIT:
                 return
             del self._claims[number]
             timer.cancel()
+            more.cancel()
+            self._granted[token] = asked
             if verdict == Verdict.RUN:
                 self.plot.submit(job)
                 return
             self._open_jobs -= 1
-            self._to_barns([Word.FREE, key, token])
+            self._to_barns(token, [Word.FREE, key, token])
             if verdict == Verdict.REPEAT:
                 status, headers, body = claim.answer
                 tell(0, False, status, headers, body)
@@ -566,12 +604,9 @@
             tell(int(fault), False, 0, [], b"")
 
         timer = self.loop.call_later(min(CLAIM_S, max(0.01, left)) + 0.01, partial(self._claim_late, number))
+        more = self.loop.call_later(HEDGE_S, ask_all)
         self._claims[number] = (claim, then)
-        for name, link in links:
-            if link is None:
-                claim.failed(name)
-            else:
-                link.put(packed)
+        ask([name for name in order if name in self._barns][:self._enough])
         then(claim)
 
     def _claim_late(self, number: int) -> None:
@@ -598,15 +633,16 @@
     def _close_key(self, key: str, token: str, fault: Fault | None, reply: Reply | None) -> None:
         if fault is None and reply is not None:
             answer = [reply.status, heads.returned(reply.headers), reply.body]
-            self._to_barns([Word.DONE, key, token, answer])
+            self._to_barns(token, [Word.DONE, key, token, answer])
         elif fault in PROMISES:
-            self._to_barns([Word.FREE, key, token])
+            self._to_barns(token, [Word.FREE, key, token])
         else:
-            self._to_barns([Word.BROKE, key, token])
+            self._to_barns(token, [Word.BROKE, key, token])
 
-    def _to_barns(self, message: list[Any]) -> None:
+    def _to_barns(self, token: str, message: list[Any]) -> None:
+        """Tell the barns that were asked for a token: no other knows of it."""
         packed = pack(message)
-        for name in self.voters:
+        for name in self._granted.pop(token, ()):
             link = self._barns.get(name)
             if link is not None:
                 link.put(packed)
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -10,7 +10,7 @@
 
     BARN = 10  # address, voters, barns: a barn to a barn, first of all and when any of it changes
     STILE = 11  # record: a stile to a barn, first of all and when any of it changes
-    BARNS = 12  # addresses of all barns that are known
+    BARNS = 12  # addresses of all barns that are known, own zone
     VOTERS = 13  # epoch, addresses: a barn to a stile
     ITEMS = 20  # number, rows of items
     ACK = 21  # number
--- a/tests/orchard/test_orchard_api.py
+++ b/tests/orchard/test_orchard_api.py
@@ -137,6 +137,7 @@
 
 def test_every_answer_that_the_file_tells_is_given(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(barns, "ROUND_S", 0.0)
+    monkeypatch.setattr(barns, "ANSWER_S", 0.0)
     seen: dict[tuple[str, str], set[int]] = {(path, method): set() for path, method, _ in OPERATIONS}
 
     async def ask(serve: Callable[[Message], None], method: str, path: str, body: Any = None) -> Ear:
