Mesh: light calls go first, overdue calls are offered to a second server

Cause: calls of 15 ms that runs wait for were given up after 90 ms behind calls of 240 ms, and the keyed run that lost one answers 500 for good; lost answers of repeatable calls were waited for until the deadline.

--- a/orchard/plot.py
+++ b/orchard/plot.py
@@ -21,6 +21,9 @@
 KEPT_S = 15.0  # idle connections are retired from IDLE_SHARE of this on, or of what the server tells
 PROMISING = frozenset({b"503", b"429", b"421", b"408", b"400"})
 PROBE_S = 1.0
+LIGHT = 0.4  # part of what the heaviest kind takes, up to which a call is a light one
+SPARE = 3.0  # times what a light call takes that is left of its time at its last start
+OVERDUE = 4.0  # times what its kind takes on average, from when on a call may be lost
 MOST_KINDS = 256  # kinds of calls whose times are kept apart
 HOP_S = 0.004  # kept back of a deadline for the way home
 
@@ -32,7 +35,7 @@
     """
 
     __slots__ = ("make", "tid", "deadline", "due", "last", "done", "kind", "trial", "exchange", "began",
-                 "over")  # fmt: skip
+                 "over", "overdue", "timer")  # fmt: skip
 
     def __init__(
         self, make: Callable[[float, str], bytes], tid: bytes, deadline: float, due: float, last: float,
@@ -41,6 +44,8 @@
         self.make, self.tid, self.done, self.kind = make, tid, done, kind
         self.deadline, self.due, self.last = deadline, due, last
         self.trial = self.over = False
+        self.overdue: Callable[[], None] | None = None  # told once where the server takes unusually long
+        self.timer: asyncio.TimerHandle | None = None
         self.exchange: Exchange | None = None
         self.began = 0.0
 
@@ -136,6 +141,12 @@
         """Seconds from sending a call of a kind to its answer, about."""
         return self._means.get(kind, (self.mean, 0))[0]
 
+    def light(self, kind: str) -> bool:
+        """Whether a call takes little beside others here. Such calls go first, and are not given up for being
+        late: they hold up nobody, and most are made by runs that are lost without them."""
+        heavy = max((mean for mean, _ in self._means.values()), default=0.0)
+        return kind in self._means and self._means[kind][0] <= LIGHT * heavy
+
     def wait(self) -> float:
         """Seconds until a call that came now would go, about."""
         room = self.budget.budget
@@ -157,7 +168,7 @@
         if not self.budget.k and (self.budget.trial or now * 1e9 < self.budget.retry_at):
             self._end(job, Fault.FULL, False)  # nothing can take it soon
             return
-        if self.out >= self.budget.budget:
+        if self.out >= self.budget.budget and not self.light(job.kind):
             # What is refused is refused at once: kept to be refused later, it would cost its client time.
             starts = now + self._ahead(job.due)
             if starts > job.due and now + self.wait() > job.last:
@@ -166,20 +177,22 @@
                     self._end(job, Fault.FULL, False)
                     return
         self._count += 1
-        heapq.heappush(self.queue, (job.due, self._count, job))
+        order = job.due
+        if self.light(job.kind):
+            order = now
+            job.due = job.last = max(job.last, job.deadline - SPARE * self.takes(job.kind))
+        heapq.heappush(self.queue, (order, self._count, job))
         self._pump()
 
     def _next(self, now: float) -> Job | None:
         """The call to go next; those that can't be in time any more step back behind all that can."""
-        while self.queue and (self.queue[0][2].over or now > self.queue[0][0]):
-            job = heapq.heappop(self.queue)[2]
-            if not job.over:
-                self.late.append(job)
+        while self.queue and now > self.queue[0][2].due:
+            self.late.append(heapq.heappop(self.queue)[2])
         if self.queue:
             return self.queue[0][2]
         while self.late:
             job = self.late[0]
-            if now <= job.last and not job.over:
+            if now <= job.last:
                 return job
             self.late.popleft()
             self._end(job, Fault.FULL, False)
@@ -231,11 +244,15 @@
         job.trial, job.exchange, job.began = trial, exchange, now
         self.budget.trial = self.budget.trial or trial
         self.out += 1
+        if job.overdue is not None:
+            job.timer = self._loop.call_later(OVERDUE * self.takes(job.kind), job.overdue)
         exchange.start()
 
     def _ended(self, job: Job, instance: str, how: How, answer: Any) -> None:
         self.out -= 1
         now = self._loop.time()
+        if job.timer is not None:
+            job.timer.cancel()
         budget, current = self.budget, instance == self.instance
         reply: Reply | None = answer
         trial = job.trial and current
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -50,15 +50,14 @@
 class Trip:
     """One request that began here, until its one answer."""
 
-    __slots__ = ("message", "route", "service", "deadline", "aim_at", "ask", "tid", "key", "bed", "tried",
-                 "arrivals", "timer", "over", "unsure", "began", "number", "body", "again")  # fmt: skip
+    __slots__ = ("message", "route", "service", "deadline", "aim_at", "tid", "key", "tried",
+                 "arrivals", "timer", "over", "unsure", "began", "out", "body", "again")  # fmt: skip
 
     def __init__(self, message: Message, route: Route, service: str, deadline: float, aim_at: float) -> None:
         self.message, self.route, self.service = message, route, service
         self.deadline, self.aim_at = deadline, aim_at
         self.tid = message.header(b"x-attempt-id") or b""
         self.key = (message.header(b"x-operation-key") or b"").decode("latin-1")
-        self.bed: Bed | None = None
         self.tried: list[Bed] = []
         self.arrivals = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -66,7 +65,7 @@
         self.unsure = False  # it may have run
         self.again = False  # its client has less time than the route gives: it has been here before
         self.began = 0.0
-        self.number = 0
+        self.out = 0  # offers that are not answered yet
         self.body = message.body
 
 
@@ -91,7 +90,7 @@
         self._barns: dict[str, Furrow] = {}
         self._bed_dials: dict[str, Dial] = {}
         self._bed_links: dict[str, Furrow] = {}
-        self._asks: dict[int, Trip] = {}
+        self._asks: dict[int, tuple[Trip, Bed]] = {}
         self._next = 0
         self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
         self._granted: dict[str, list[str]] = {}  # by token at work: the barns that were asked
@@ -334,8 +333,8 @@
     def _bed_down(self, node: str, link: Furrow) -> None:
         if self._bed_links.get(node) is link:
             del self._bed_links[node]
-        for number, trip in list(self._asks.items()):
-            if trip.bed is not None and trip.bed.node == node:
+        for number, (_, bed) in list(self._asks.items()):
+            if bed.node == node:
                 self._told(number, Fault.BROKEN, True, 0, [], b"")
 
     def _left(self, link: Furrow) -> None:
@@ -353,6 +352,8 @@
             self._asked(link, message[1], message[2])
         elif word == Word.TOLD:
             self._told(*message[1:])
+        elif word == Word.OVERDUE:
+            self._overdue(message[1])
         elif word == Word.CLAIMED:
             self._claimed(link, *message[1:])
         elif word == Word.ITEMS:
@@ -435,14 +436,15 @@
         near = self.settings.zone if len(trip.body) >= LARGE else ""
         bed = choose(now, beds, trip.tried, self._random, self._usable, self.settings.zone, near)
         if bed is None:
-            self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
+            if not trip.out:
+                self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
             return
-        trip.bed = bed
         trip.tried.append(bed)
+        trip.out += 1
         bed.inflight += 1
         self._next += 1
-        trip.number = self._next
-        self._asks[trip.number] = trip
+        number = self._next
+        self._asks[number] = trip, bed
         message = trip.message
         named = _named(message)
         headers = [pair for pair in message.headers if pair[0] not in OURS and pair[0] not in named]
@@ -450,28 +452,31 @@
         ask = [
             trip.service, self.settings.service, message.method, message.target, headers, trip.body,
             trip.deadline - now, trip.aim_at - now, trip.tid, key, trip.route.name, trip.again,
+            trip.route.variant == "pure",
         ]
         if bed.node == self.me:
-            self._run(ask, partial(self._told, trip.number))
+            self._run(ask, partial(self._told, number), partial(self._overdue, number))
         else:
-            self._bed_links[bed.node].send([Word.ASK, trip.number, ask])
+            self._bed_links[bed.node].send([Word.ASK, number, ask])
 
     def _told(
         self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes,
         wait: float = 0.0,
     ) -> None:
         """What became of a request at the stile beside a server."""
-        trip = self._asks.pop(number, None)
-        if trip is None:
+        found = self._asks.pop(number, None)
+        if found is None:
             return
-        bed = trip.bed
-        assert bed is not None
+        trip, bed = found
         now = self.loop.time()
         bed.inflight -= 1
+        trip.out -= 1
         if wait:
             bed.closed_until = now + min(wait, MOST_CLOSED_S)
         if not fault:
             bed.answered(now - trip.began)
+            if trip.over:
+                return
             self._finish(trip)
             trip.message.answer(status, body, [(bytes(k), bytes(v)) for k, v in headers])
             return
@@ -490,8 +495,23 @@
         if again and left and in_time and self._spend(trip.service).take(now, self._most_stiles):
             self._go(trip)
             return
+        if trip.out:
+            return  # another offer of it may still be answered
         self._end(trip, Fault.BROKEN if trip.unsure and kind in PROMISES else kind)
 
+    def _overdue(self, number: int) -> None:
+        """A server takes unusually long: what may run twice is sent to another as well, within the budget for
+        second servers. The first to answer counts, and nothing is broken off."""
+        found = self._asks.get(number)
+        if found is None:
+            return
+        trip, now = found[0], self.loop.time()
+        first = trip.out == 1 and trip.arrivals + 1 < trip.route.attempts and not trip.over
+        if trip.route.variant != "pure" or not first or len(trip.tried) >= DRAWS:
+            return
+        if now < trip.deadline - HOP_S and self._spend(trip.service).take(now, self._most_stiles):
+            self._go(trip)
+
     def _late(self, trip: Trip) -> None:
         self._end(trip, Fault.LATE)
 
@@ -516,7 +536,7 @@
 
     def _hung_up(self, message: Message) -> None:
         """The client has left. What runs is left to run; its answer goes nowhere."""
-        for trip in self._asks.values():
+        for trip, _ in self._asks.values():
             if trip.message is message and not trip.over:
                 self._finish(trip)
                 return
@@ -524,10 +544,13 @@
     # --- a request for the server beside
 
     def _asked(self, link: Furrow, number: int, ask: list[Any]) -> None:
-        self._run(ask, lambda *told: link.send([Word.TOLD, number, *told, self.plot.wait()]))
+        self._run(
+            ask, lambda *told: link.send([Word.TOLD, number, *told, self.plot.wait()]),
+            lambda: link.send([Word.OVERDUE, number]),
+        )
 
-    def _run(self, ask: list[Any], tell: Callable[..., None]) -> None:
-        service, caller, method, target, headers, body, left, aim, tid, key, kind, again = ask
+    def _run(self, ask: list[Any], tell: Callable[..., None], overdue: Callable[[], None]) -> None:
+        service, caller, method, target, headers, body, left, aim, tid, key, kind, again, free = ask
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
@@ -560,6 +583,8 @@
         # Whoever was refused before goes first: refused once more, its client has waited for nothing.
         due = now + max(aim - SCATTER * plot.takes(kind), aim * PATIENCE) * (RETURNED if again else 1.0)
         job = Job(make, tid, deadline, due, max(due, now + min(left * LAST, aim * BEYOND)), done, kind)
+        if free:
+            job.overdue = overdue
         if not key:
             plot.submit(job)
             return
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -31,6 +31,7 @@
     FREE = 44  # key, token
     ASK = 50  # number, request
     TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds of waiting
+    OVERDUE = 53  # number: its server has worked on it for unusually long
     LEAVING = 52  # record: a stile to those that send to it
 
 
