--- a/orchard/plot.py
+++ b/orchard/plot.py
@@ -25,7 +25,7 @@
 SPARE = 3.0  # times what a light call takes that is left of its time at its last start
 OVERDUE = 4.0  # times what its kind takes on average, from when on a call may be lost
 MOST_KINDS = 256  # kinds of calls whose times are kept apart
-HOP_S = 0.004  # kept back of a deadline for the way home
+HOP_S = 0.008  # kept back of a deadline for the way home
 
 
 class Job:
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -30,6 +30,8 @@
 from orchard.words import Record, Word
 
 OURS = heads.NOT_FORWARDED | {b"x-deadline-ms", b"x-expect-instance", b"x-caller-service", b"x-timeout"}
+LEAST_CLAIM_S = 0.08  # how long a claim may take in any case before its call is given back
+KEYLESS_S = 0.25  # how long none is tried after one that took too long
 HEDGE_S = 0.02  # after so long without a verdict all barns are asked for a key, not only the nearest
 CLAIM_S = 1.0  # a claim's round is void after so long
 PATIENCE = 0.25  # part of a request's aim that it may wait unsent at no price
@@ -95,6 +97,7 @@
         self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
         self._granted: dict[str, list[str]] = {}  # by token at work: the barns that were asked
         self._barn_zones: dict[str, str] = {}
+        self._keyless_until = 0.0  # barns are out of reach, as it seems
         self._spends: dict[str, Spend] = {}
         self._jobs: dict[tuple[Furrow, int], Job] = {}
         self._callers: set[Furrow] = set()
@@ -418,7 +421,7 @@
         message.tid = "open"
         self._spend(service).asked(now)
         self._open_trips += 1
-        trip.timer = self.loop.call_later(left, self._late, trip)
+        trip.timer = self.loop.call_later(max(0.0, left - HOP_S), self._late, trip)
         self._go(trip)
 
     def _spend(self, service: str) -> Spend:
@@ -588,7 +591,7 @@
         if not key:
             plot.submit(job)
             return
-        self._claim(key, token, left, job, tell)
+        self._claim(key, token, left, max(LEAST_CLAIM_S, aim * PATIENCE), job, tell)
 
     def _fresh(self) -> int:
         self._next += 1
@@ -609,9 +612,16 @@
 
     # --- keys
 
-    def _claim(self, key: str, token: str, left: float, job: Job, tell: Callable[..., None]) -> None:
-        """Have a key granted by enough barns; only then the call may go."""
+    def _claim(
+        self, key: str, token: str, left: float, patience: float, job: Job, tell: Callable[..., None]
+    ) -> None:
+        """Have a key granted by enough barns; only then the call may go. Where that takes long, as behind a
+        cut, the call is given back for another stile to try, and for a while all others at once."""
         now = self.loop.time()
+        if now < self._keyless_until:
+            self._open_jobs -= 1
+            tell(int(Fault.REFUSED), False, 0, [], b"")
+            return
         number = self._fresh()
         claim = Claim(len(self.voters), self._enough, now, CLAIM_S)
         packed = pack([Word.CLAIM, number, key, token, left + 0.5])
@@ -659,7 +669,7 @@
             fault = {Verdict.AT_WORK: Fault.AT_WORK, Verdict.LOST: Fault.LOST_KEY}.get(verdict, Fault.REFUSED)
             tell(int(fault), False, 0, [], b"")
 
-        timer = self.loop.call_later(min(CLAIM_S, max(0.01, left)) + 0.01, partial(self._claim_late, number))
+        timer = self.loop.call_later(min(CLAIM_S, patience, max(0.01, left)), self._claim_late, number)
         more = self.loop.call_later(HEDGE_S, ask_all)
         self._claims[number] = (claim, then)
         ask([name for name in order if name in self._barns][:self._enough])
@@ -671,6 +681,7 @@
             claim, then = found
             for name in self.voters:
                 claim.silent(name)
+            self._keyless_until = self.loop.time() + KEYLESS_S
             then(claim)
 
     def _claimed(self, link: Furrow, number: int, outcome: int, token: str, mark: int, answer: Any) -> None:
