Mesh: large bodies and answers stay in their zone while it holds little more; tests of the hop

Change: a pool of the own zone is taken while it holds at most three own calls more than the one drawn, one for middling sizes; sizes are learned by route. Tests: a request at each way that the hop between two stiles can end.

--- a/orchard/pick.py
+++ b/orchard/pick.py
@@ -33,17 +33,26 @@
 
 def choose(
     now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
-    usable: Callable[[Bed], bool], zone: str = "", near: str = "",
+    usable: Callable[[Bed], bool], zone: str = "", near: int = 0,
 ) -> Bed | None:
     """The less loaded of two, ties by zone and recent latency; None where none can take it.
 
-    With `near`, beds of that zone come first while one of them has room: a large body is dear to carry over.
+    With `near`, a bed of the own zone that has room is taken all the same while it holds at most so many own
+    calls more than that one: large bodies and answers are dear to carry over.
     """
-    if near:
-        local = [bed for bed in beds if bed.zone == near and now >= bed.closed_until]
-        found = choose(now, local, tried, random, usable, zone) if local else None
-        if found is not None:
-            return found
+    found = _two(now, beds, tried, random, usable, zone)
+    if near and found is not None and found.zone != zone:
+        local = [bed for bed in beds if bed.zone == zone and now >= bed.closed_until]
+        other = _two(now, local, tried, random, usable, zone) if local else None
+        if other is not None and (other.inflight <= found.inflight + near or now < found.closed_until):
+            return other
+    return found
+
+
+def _two(
+    now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
+    usable: Callable[[Bed], bool], zone: str,
+) -> Bed | None:
     best: Bed | None = None
     seen: Bed | None = None
     size = len(beds)
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -37,7 +37,9 @@
 PATIENCE = 0.25  # part of a request's aim that it may wait unsent at no price
 SCATTER = 2.0  # times the mean that a call may take and still be in time
 BEYOND = 1.5  # times its aim that a request may wait unsent
-LARGE = 8 * 1024  # bytes of a body from which on it stays in its zone while it can
+LARGE, MIDDLE = 4096, 1024  # bytes of a body and its usual answer, from which on they stay in their zone
+NEAR = 3  # own calls that a pool of the own zone may hold more than another, for large ones; 1 for middling
+MOST_SIZES = 1024  # routes whose answers' sizes are kept
 AGAIN_S = 0.002  # so much less time than the route gives tells of a try before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
 DRAWS = 3  # pools that a request is offered to before it is refused
@@ -97,6 +99,7 @@
         self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
         self._granted: dict[str, list[str]] = {}  # by token at work: the barns that were asked
         self._barn_zones: dict[str, str] = {}
+        self._sizes: dict[str, float] = {}  # by route: bytes of an answer, about
         self._keyless_until = 0.0  # barns are out of reach, as it seems
         self._spends: dict[str, Spend] = {}
         self._jobs: dict[tuple[Furrow, int], Job] = {}
@@ -436,7 +439,8 @@
     def _go(self, trip: Trip) -> None:
         now = self.loop.time()
         beds = self.lists.get(trip.service, ())
-        near = self.settings.zone if len(trip.body) >= LARGE else ""
+        size = len(trip.body) + self._sizes.get(trip.route.name, 0.0)
+        near = NEAR if size >= LARGE else int(size >= MIDDLE)
         bed = choose(now, beds, trip.tried, self._random, self._usable, self.settings.zone, near)
         if bed is None:
             if not trip.out:
@@ -480,6 +484,10 @@
             bed.answered(now - trip.began)
             if trip.over:
                 return
+            name = trip.route.name
+            known = self._sizes.get(name)
+            if known is not None or len(self._sizes) < MOST_SIZES:
+                self._sizes[name] = len(body) if known is None else known + (len(body) - known) * 0.1
             self._finish(trip)
             trip.message.answer(status, body, [(bytes(k), bytes(v)) for k, v in headers])
             return
--- a/tests/orchard/test_orchard_budget.py
+++ b/tests/orchard/test_orchard_budget.py
@@ -257,3 +257,18 @@
     made = beds(0, 0, 4)
     assert choose(0.0, made, made[:2], draws(0, 1, size=3), anyone) is made[2]
     assert choose(0.0, (), (), draws(0, size=1), anyone) is None
+
+
+def test_with_near_the_own_zone_is_taken_while_it_holds_little_more_than_the_other():
+    far, own = Bed("far", "s"), Bed("own", "s")
+    far.zone, own.zone = "west", "east"
+
+    def taken(near, random=lambda: 0.0):
+        return choose(0.0, [far, own], (), random, lambda bed: True, "east", near).node
+
+    own.inflight = 2
+    assert taken(0) == "far" and taken(1) == "far" and taken(2) == "own"
+    own.closed_until = 1.0
+    assert taken(2) == "far"
+    own.closed_until, own.inflight = 0.0, 0
+    assert taken(0) == "far" and taken(2) == "own", "the draws met the far one only"
--- /dev/null
+++ b/tests/orchard/test_orchard_stile.py
@@ -0,0 +1,281 @@
+"""A request where it begins, and beside the server: each way the hop can end. No sockets, no waits."""
+
+import asyncio
+import json
+
+import pytest
+
+from hollyport.http.back import Reply
+from hollyport.http.message import Message
+from orchard import catalog, settings
+from orchard.faults import ANSWERS, PROMISES, Fault
+from orchard.stile import Stile
+from orchard.words import Record, Word
+
+SETTINGS = """
+node_name = "n1"
+ip = "192.0.2.1"
+zone = "east"
+port_range = [7000, 7001]
+app_addr = "192.0.2.1:9000"
+service = "berths"
+bound_set = ["retry_slack=600", "retry_ratio=0.2"]
+"""
+
+
+def rule(name, variant):
+    return {"name": name, "variant": variant, "target": "200ms", "revision": "r1",
+            "matcher": {"path_prefix": f"/{name}/"},
+            "effect": {"service": "meals", "timeout": "900ms", "max_attempts": 2}}
+
+
+ITEMS = {"upserts": {
+    "listener_list": [{"hostname": "a.example", "rule_set": [
+        rule(name, name) for name in ("pure", "effectful", "idempotent", "upload")]}],
+    "cluster_list": [{"name": name, "revision": "r1"} for name in ("berths", "meals")]}}
+
+
+class Ear:
+    def __init__(self):
+        self.status, self.body, self.headers = 0, b"", {}
+
+    def answer(self, message, status, body, headers):
+        assert not self.status, "answered twice"
+        self.status, self.body, self.headers = status, body, dict(headers)
+
+
+class Link:
+    """A furrow to another stile or barn: what was said there."""
+
+    def __init__(self, peer=""):
+        self.said, self.peer = [], peer
+
+    def send(self, message):
+        self.said.append(message)
+
+    def put(self, packed):
+        self.said.append(packed)
+
+
+class Scene:
+    """One stile that knows three others of the service `meals`."""
+
+    def __init__(self):
+        self.stile = Stile(settings.read(SETTINGS).ok)
+        self.stile._take_items([list(item) for item in catalog.read(json.dumps(ITEMS).encode()).ok])
+        self.links = {}
+        for number, zone in enumerate(("east", "west", "south"), 2):
+            node = f"n{number}"
+            record = [node, f"192.0.2.{number}:7000", zone, "meals", f"i-{number}", 5, True, 0.0, 1, 1]
+            self.stile._take_record(record)
+            self.links[node] = Link(node)
+            self.stile._bed_up(node, self.links[node])
+
+    def ask(self, variant="pure", headers=(), deadline=b"800", path=None, body=b""):
+        ear = Ear()
+        message = Message(ear)
+        message.method, message.target = b"POST", (path or f"/{variant}/x?q=1").encode()
+        message.headers = [(b"host", b"a.example:80"), (b"x-attempt-id", b"t1"),
+                           (b"x-deadline-ms", deadline), *headers]
+        message.body = body
+        self.stile.serve(message)
+        return ear
+
+    def offers(self):
+        return [(node, said[1], said[2]) for node, link in self.links.items() for said in link.said]
+
+    def end(self, offer, fault=0, arrived=True, status=200, body=b"whole"):
+        headers = [(b"x-server-seal", b"s")]
+        self.stile._told(offer[1], int(fault), arrived, status, headers, body)
+
+
+def played(test):
+    """Run a test in a loop: timers are made, none comes due."""
+    async def play(*args):
+        scene = Scene()
+        test(scene, *args)
+        for dial in [*scene.stile._bed_dials.values(), *scene.stile._barn_dials.values()]:
+            dial.stop()
+
+    def run(*args):
+        asyncio.run(play(*args))
+
+    run.__name__ = test.__name__
+    return run
+
+
+CALLED = (b"x-caller-service", b"forged")
+
+
+@played
+def _offered_once(scene):
+    ear = scene.ask(headers=[CALLED, (b"connection", b"x-own"), (b"x-own", b"1"), (b"x-kept", b"2")])
+    (offer,) = scene.offers()
+    service, caller, method, target, headers, *_ = offer[2]
+    assert (service, caller, method, target) == ("meals", "berths", b"POST", b"/pure/x?q=1")
+    names = [name for name, _ in headers]
+    assert b"x-kept" in names and b"x-attempt-id" in names
+    assert not {b"x-caller-service", b"x-own", b"connection", b"x-deadline-ms"} & set(names)
+    scene.end(offer)
+    assert (ear.status, ear.body) == (200, b"whole")
+    assert scene.stile._open_trips == 0 and all(bed.inflight == 0 for bed in scene.stile.beds.values())
+
+
+def test_a_request_is_offered_once_with_the_caller_of_this_machine_and_answered_once():
+    _offered_once()
+
+
+@played
+def _after(scene, variant, fault, arrived, again, status):
+    ear = scene.ask(variant)
+    (first,) = scene.offers()
+    scene.end(first, fault, arrived)
+    offers = scene.offers()
+    assert (len(offers) == 2) == again
+    if again:
+        assert offers[0][0] != offers[1][0], "the same server twice"
+        assert ear.status == 0
+    else:
+        assert ear.status == status
+        assert (b"Retry-After" in ear.headers) == (fault in PROMISES)
+
+
+@pytest.mark.parametrize(("variant", "fault", "arrived", "again", "status"), [
+    ("pure", Fault.FULL, False, True, 0), ("pure", Fault.LEAVING, False, True, 0),
+    ("pure", Fault.BROKEN, True, True, 0), ("pure", Fault.LATE, True, False, 504),
+    ("effectful", Fault.FULL, False, True, 0), ("effectful", Fault.FULL, True, True, 0),
+    ("effectful", Fault.BROKEN, True, False, 502), ("effectful", Fault.LATE, True, False, 504),
+    ("upload", Fault.BROKEN, True, False, 502), ("upload", Fault.LEAVING, False, True, 0),
+    ("idempotent", Fault.BROKEN, True, False, 502), ("idempotent", Fault.AT_WORK, False, False, 409),
+    ("idempotent", Fault.LOST_KEY, False, False, 502), ("idempotent", Fault.REFUSED, False, True, 0),
+])
+def test_a_second_server_only_where_that_can_do_no_harm(variant, fault, arrived, again, status):
+    _after(variant, fault, arrived, again, status)
+
+
+@played
+def _broken_hop(scene, variant, again):
+    ear = scene.ask(variant)
+    ((node, _, _),) = scene.offers()
+    scene.stile._bed_down(node, scene.links[node])
+    assert len(scene.offers()) == 1 + again
+    assert ear.status == (0 if again else 502)
+    assert not scene.stile._usable(scene.stile.beds[node])
+
+
+@pytest.mark.parametrize(("variant", "again"), [("pure", True), ("effectful", False), ("idempotent", False)])
+def test_a_hop_that_breaks_promises_nothing(variant, again):
+    _broken_hop(variant, again)
+
+
+@played
+def _never_a_promise_after_doubt(scene):
+    ear = scene.ask("pure")
+    (first,) = scene.offers()
+    scene.end(first, Fault.BROKEN)
+    second = next(offer for offer in scene.offers() if offer[1] != first[1])
+    scene.end(second, Fault.FULL, False)
+    assert ear.status not in (503, 429, 421, 408)
+
+
+def test_once_it_may_have_run_nothing_is_promised_any_more():
+    _never_a_promise_after_doubt()
+
+
+@played
+def _refused_by_all(scene):
+    ear = scene.ask("effectful")
+    seen = set()
+    for _ in range(3):
+        offer = next(offer for offer in scene.offers() if offer[1] not in seen)
+        seen.add(offer[1])
+        scene.end(offer, Fault.FULL, False)
+    assert ear.status == 503 and b"Retry-After" in ear.headers and len(scene.offers()) == 3
+
+
+def test_refused_by_all_is_told_at_once_with_when_to_come_back():
+    _refused_by_all()
+
+
+@played
+def _overdue(scene, variant, offered):
+    ear = scene.ask(variant)
+    (first,) = scene.offers()
+    scene.stile._overdue(first[1])
+    assert len(scene.offers()) == offered
+    scene.stile._overdue(first[1])
+    assert len(scene.offers()) == offered, "offered a third time"
+    if offered == 2:
+        second = next(offer for offer in scene.offers() if offer[1] != first[1])
+        scene.end(second, Fault.BROKEN)
+        assert ear.status == 0, "the first may still answer"
+        scene.end(first)
+        assert ear.status == 200
+    else:
+        scene.end(first)
+    assert scene.stile._open_trips == 0
+
+
+@pytest.mark.parametrize(("variant", "offered"), [("pure", 2), ("effectful", 1), ("idempotent", 1)])
+def test_an_overdue_request_goes_to_a_second_server_only_where_it_may_run_twice(variant, offered):
+    _overdue(variant, offered)
+
+
+@played
+def _two_answers(scene):
+    ear = scene.ask("pure")
+    (first,) = scene.offers()
+    scene.stile._overdue(first[1])
+    for offer in scene.offers():
+        scene.end(offer)
+    assert ear.status == 200 and scene.stile._open_trips == 0
+
+
+def test_of_two_answers_the_first_counts_and_the_other_goes_nowhere():
+    _two_answers()
+
+
+@played
+def _leaving(scene):
+    scene.stile.leaving = scene.stile.closed = True
+    ear = scene.ask("pure")
+    assert ear.status == 503 and b"Retry-After" in ear.headers and not scene.offers()
+
+
+def test_a_stile_that_closes_refuses_at_once_what_still_comes():
+    _leaving()
+
+
+@played
+def _strange(scene):
+    assert scene.ask(path="/other/x").status == 404
+    assert scene.ask(deadline=b"soon").status == 400
+    record = [*scene.stile._records["n2"]]
+    record[Record.OPEN], record[Record.NUMBER] = False, 2
+    for node in ("n3", "n4"):
+        scene.stile._bed_down(node, scene.links[node])
+    scene.stile._hear(scene.links["n2"], [Word.LEAVING, record])
+    assert scene.ask().status == 503
+    old = [*record]
+    old[Record.OPEN], old[Record.NUMBER] = True, 1
+    scene.stile._hear(scene.links["n2"], [Word.BEDS, [old]])
+    assert scene.ask().status == 503, "an older record came back"
+
+
+def test_no_route_a_bad_deadline_and_no_server_are_told_at_once_and_old_records_change_nothing():
+    _strange()
+
+
+@pytest.mark.parametrize(("status", "headers", "whole"), [
+    (200, [(b"x-server-seal", b"s")], True), (200, [], False), (404, [], True), (500, [], True),
+    (503, [], False), (429, [], False), (421, [], False), (408, [], False), (302, [], False),
+    (200, [(b"x-server-seal", b"s"), (b"content-encoding", b"gzip")], False),
+])
+def test_only_the_server_s_own_whole_answer_passes(status, headers, whole):
+    assert (Stile._judge(None, Reply(status, headers, b"")) is None) == whole
+
+
+def test_each_kind_of_fault_has_an_answer_and_promises_are_statuses_that_promise():
+    assert set(ANSWERS) == set(Fault)
+    for kind, answer in ANSWERS.items():
+        assert answer.promise == (answer.status in (503, 429, 421, 408)), kind
