--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -40,6 +40,8 @@
 LARGE, MIDDLE = 4096, 1024  # bytes of a body and its usual answer, from which on they stay in their zone
 NEAR = 3  # own calls that a pool of the own zone may hold more than another, for large ones; 1 for middling
 MOST_SIZES = 1024  # routes whose answers' sizes are kept
+ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False)
+"""What an offer tells, in order, with what stands for what an older version did not tell."""
 AGAIN_S = 0.002  # so much less time than the route gives tells of a try before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
 DRAWS = 3  # pools that a request is offered to before it is refused
@@ -561,7 +563,11 @@
         )
 
     def _run(self, ask: list[Any], tell: Callable[..., None], overdue: Callable[[], None]) -> None:
-        service, caller, method, target, headers, body, left, aim, tid, key, kind, again, free = ask
+        if len(ask) < len(ASK):
+            # Of an older version, which tells less: what is missing is the careful choice. A newer one's more
+            # is left out.
+            ask = [*ask, *ASK[len(ask):]]
+        service, caller, method, target, headers, body, left, aim, tid, key, kind, again, free = ask[:len(ASK)]
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
--- /dev/null
+++ b/rehearsal/mesh/__main__.py
@@ -0,0 +1,53 @@
+"""`python -m rehearsal.mesh`: play the mesh on loopback. Exit 0 pass, 1 fail, 3 void."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from rehearsal.mesh.judge import judge
+from rehearsal.mesh.play import FAULTS, LATE_MS, play
+
+PASS, FAIL, VOID = 0, 1, 3
+SHOWN = 5  # breaches of one invariant
+
+
+def main() -> int:
+    """Play, and print the verdict and the counts."""
+    parser = argparse.ArgumentParser(prog="python -m rehearsal.mesh", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=9.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--fault", choices=list(FAULTS), default="none")
+    told = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="rehearsal-mesh-") as folder:
+        try:
+            rig = asyncio.run(play(Path(folder), told.seconds, told.seed, told.fault))
+        except KeyboardInterrupt:
+            print("void: interrupted")
+            return VOID
+        except (TimeoutError, OSError) as error:
+            print(f"fail: {error}")
+            return FAIL
+    broken, figures = judge(rig.history), rig.figures()
+    for name, count in figures.items():
+        print(f"{name:>24} {count}")
+    print(f"{'rig late, ms':>24} {rig.late_ms:.0f}")
+    for invariant, breaches in broken.items():
+        print(f"broken: {invariant}: {len(breaches)}")
+        for breach in breaches[:SHOWN]:
+            print(f"    {breach}")
+    if broken or not figures["served"]:
+        print("fail" if broken else "fail: nothing was served")
+        return FAIL
+    if rig.late_ms > LATE_MS:
+        print(f"void: the rig itself ran {rig.late_ms:.0f} ms late")
+        return VOID
+    print("pass")
+    return PASS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rehearsal/mesh/field.py
@@ -0,0 +1,186 @@
+"""The field: machines of the mesh on loopback, an address each, and the processes that run on them.
+
+As on the platform a port number means the same on all machines. Only what was started here is ever ended,
+each by its own process id.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from rehearsal.daemon import LEASH, environment
+from rehearsal.mesh import wire
+from rehearsal.mesh.judge import History
+
+SOCKETS = 1024
+GRACE_S = 4.0  # from SIGTERM to the end
+BOUNDS = [f"grace={GRACE_S:g}s", "retry_ratio=0.2", "retry_window=10s", "retry_slack=5", "key_window=600s"]
+SERVICES = ("ferry", "till")
+ERRORS = ("Traceback", "could not be handled")  # in a log: a fault of the program
+DOORS = ("furrow", "control", "outbound", "ready", "app")
+
+
+def hosts(draw: random.Random, count: int) -> list[str]:
+    """Loopback addresses of a net that nobody else is likely to pick."""
+    net = f"127.{draw.randrange(1, 255)}.{draw.randrange(256)}"
+    return [f"{net}.{number}" for number in range(1, count + 1)]
+
+
+def free_ports(where: list[str], count: int) -> list[int]:
+    """Ports that are free at all of these addresses."""
+    found: list[int] = []
+    with contextlib.ExitStack() as held:
+        while len(found) < count:
+            first = held.enter_context(socket.socket())
+            first.bind((where[0], 0))
+            port = int(first.getsockname()[1])
+            with contextlib.suppress(OSError):
+                for host in where[1:]:
+                    held.enter_context(socket.socket()).bind((host, port))
+                found.append(port)
+    return found
+
+
+class Machine:
+    """One machine, and its process over all lives."""
+
+    def __init__(self, name: str, role: str, host: str, ports: dict[str, int], service: str = "") -> None:
+        self.name, self.role, self.host, self.service = name, role, host, service
+        self._ports = ports
+        self.process: asyncio.subprocess.Process | None = None
+        self.in_use = role == "stile"  # whether clients send here
+
+    def at(self, door: str) -> str:
+        """An address of it."""
+        return f"{self.host}:{self._ports[door]}"
+
+    @property
+    def runs(self) -> bool:
+        """Whether its process does."""
+        return self.process is not None and self.process.returncode is None
+
+    async def ready(self) -> bool:
+        """Whether it says so, as the platform asks."""
+        told = await wire.ask(self.at("ready" if self.role == "stile" else "control"), "GET", "/-/readiness")
+        return told is not None and told.status == 200
+
+
+class Field:
+    """All machines."""
+
+    def __init__(self, folder: Path, history: History, barns: int = 3, pairs: int = 2) -> None:
+        self._folder, self._history = folder, history
+        self._first = True
+        where = hosts(random.SystemRandom(), barns + pairs * len(SERVICES))
+        ports = dict(zip(DOORS, free_ports(where, len(DOORS)), strict=True))
+        self.barns = [Machine(f"barn{n}", "barn", where[n], ports) for n in range(barns)]
+        self.stiles = [
+            Machine(f"stile{n}", "stile", host, ports, SERVICES[n % len(SERVICES)])
+            for n, host in enumerate(where[barns:])
+        ]
+
+    def _settings(self, machine: Machine) -> str:
+        number = int(machine.name[-1])
+        told: dict[str, object] = {
+            "node_name": machine.name,
+            "ip": machine.host,
+            "zone": f"pier-{number % 2}",
+            "port_range": [int(machine.at("furrow").rpartition(":")[2])] * 2,
+            "seed_list": [barn.at("control") for barn in self.barns],
+            "first_start": self._first,
+            "bound_set": BOUNDS,
+        }
+        doors = ["control"]
+        if machine.role == "barn":
+            told["data_dir"] = str(self._folder / f"{machine.name}-data")
+        else:
+            told |= {"app_addr": machine.at("app"), "service": machine.service}
+            doors += ["outbound", "ready"]
+        lines = [f"{name} = {json.dumps(value)}" for name, value in told.items()]
+        return "\n".join([*lines, "[listen_map]", *(f'{door} = "{machine.at(door)}"' for door in doors), ""])
+
+    async def start_all(self) -> None:
+        """The first start of the whole system; the machines' settings say so this once."""
+        for machine in (*self.barns, *self.stiles):
+            await self.start(machine)
+        self._first = False
+
+    async def start(self, machine: Machine) -> None:
+        """Start a machine's process; it may take a while to be ready."""
+        path = self._folder / f"{machine.name}.toml"
+        path.write_text(self._settings(machine), encoding="utf-8")
+        environ = {**environment(), "HOLLYPORT_NODE_FILE": str(path), "TMPDIR": str(self._folder)}
+        program = [sys.executable, "-m", "orchard", machine.role]
+        with open(self._folder / f"{machine.name}.log", "ab") as log:
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-S", "-E", str(LEASH), str(os.getpid()), str(SOCKETS), *program,
+                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ,
+            )  # fmt: skip
+        if machine.role == "stile":
+            machine.in_use = True
+
+    async def kill(self, *machines: Machine) -> None:
+        """End processes without a word, all at once."""
+        self.watch()
+        processes = [machine.process for machine in machines if machine.process is not None]
+        for process in processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+        for process in processes:
+            await process.wait()
+        for machine in machines:
+            machine.process = None
+
+    async def term(self, machine: Machine) -> None:
+        """SIGTERM; a trouble if it has not ended well within the grace."""
+        process = machine.process
+        assert process is not None
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                code = await process.wait()
+        except TimeoutError:
+            await self.kill(machine)
+            self._history.troubles.append(f"{machine.name} had not ended {GRACE_S:g} s after SIGTERM")
+            return
+        machine.process = None
+        if code:
+            self._history.troubles.append(f"{machine.name} ended with {code} after SIGTERM")
+
+    def wipe(self, machine: Machine) -> None:
+        """Empty the disk of a barn that does not run."""
+        assert not machine.runs
+        shutil.rmtree(self._folder / f"{machine.name}-data")
+
+    def watch(self) -> None:
+        """Note whatever ended by itself."""
+        for machine in (*self.barns, *self.stiles):
+            if machine.process is not None and machine.process.returncode is not None:
+                told = f"{machine.process.returncode}: {self.log(machine)[-3:]}"
+                self._history.troubles.append(f"{machine.name} ended by itself with {told}")
+                machine.process = None
+
+    def log(self, machine: Machine) -> list[str]:
+        """What its processes have said."""
+        path = self._folder / f"{machine.name}.log"
+        return path.read_text(encoding="utf-8", errors="replace").splitlines()
+
+    def read_logs(self) -> None:
+        """Note the errors that processes told."""
+        for machine in (*self.barns, *self.stiles):
+            for line in self.log(machine):
+                if any(word in line for word in ERRORS):
+                    self._history.troubles.append(f"{machine.name}: {line[:400]}")
+
+    async def close(self) -> None:
+        """End all that is left."""
+        await self.kill(*self.barns, *self.stiles)
--- /dev/null
+++ b/rehearsal/mesh/play.py
@@ -0,0 +1,258 @@
+"""A play of the mesh: everything is started, used, broken by a fault, read back and judged."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from rehearsal.mesh.caller import Caller, Operation
+from rehearsal.mesh.field import Field, Machine
+from rehearsal.mesh.judge import History, Try
+from rehearsal.mesh.operator import Operator
+from rehearsal.mesh.server import Server
+from rehearsal.worker import Lateness
+
+CALLERS = 3  # a machine
+OPERATORS = 2
+LOOK_S = 0.02
+BEAT_S = 0.02
+LATE_MS = 200.0  # a rig that runs later than this, one beat in a hundred, says nothing
+PROBE_S, MISSES = 1.0, 2  # the platform's looks at a stile, and how many it may miss
+READ_S = 6.0
+
+
+class Rig:
+    """One play, as `async with`."""
+
+    def __init__(self, folder: Path, seed: int = 1) -> None:
+        draw = random.Random(seed)
+        self.history = History()
+        self.field = Field(folder, self.history)
+        self._late = Lateness()
+        versions = itertools.count(1)
+        self._operators = [
+            Operator(self.field.barns, self.history, random.Random(draw.random()), versions)
+            for _ in range(OPERATORS)
+        ]
+        stiles = self.field.stiles
+        self.servers = {
+            machine.name: Server(machine, self.history, random.Random(draw.random())) for machine in stiles
+        }
+        self.keyed: list[Operation] = []
+        self.callers = [
+            Caller(machine, stiles, self.history, random.Random(draw.random()), self.keyed)
+            for machine in stiles for _ in range(CALLERS)
+        ]  # fmt: skip
+        self._players: list[asyncio.Task[None]] = []
+        self._watchers: list[asyncio.Task[None]] = []
+
+    def _all(self) -> list[Caller | Operator]:
+        return [*self.callers, *self._operators]
+
+    async def __aenter__(self) -> Rig:
+        try:
+            await self.field.start_all()
+            for server in self.servers.values():
+                await server.start()
+            await self.ready(*self.field.barns, limit_s=15.0)
+            if await self._operators[0].first() != 200:
+                raise TimeoutError("the first configuration was not acknowledged")
+            await self.ready(*self.field.stiles, limit_s=15.0)
+        except BaseException:
+            await self._close()
+            raise
+        loop = asyncio.get_running_loop()
+        self._players = [loop.create_task(player.run()) for player in self._all()]
+        self._watchers = [loop.create_task(self._probe(machine)) for machine in self.field.stiles]
+        self._watchers.append(loop.create_task(self._beat()))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._close()
+
+    async def _close(self) -> None:
+        for task in (*self._players, *self._watchers):
+            task.cancel()
+        await asyncio.gather(*self._players, *self._watchers, return_exceptions=True)
+        for server in self.servers.values():
+            await server.stop()
+        await self.field.close()
+
+    async def _beat(self) -> None:
+        while True:
+            due = time.monotonic() + BEAT_S
+            await asyncio.sleep(BEAT_S)
+            late = int((time.monotonic() - due) * 1e6)
+            self._late.beat(late, int(BEAT_S * 1e6))
+            self.history.late_s = max(self.history.late_s, late / 1e6)
+
+    async def _probe(self, machine: Machine) -> None:
+        """Clients are sent to a machine until its stile has missed some answers."""
+        missed = 0
+        while True:
+            await asyncio.sleep(PROBE_S)
+            missed = 0 if await machine.ready() else missed + 1
+            machine.in_use = missed < MISSES
+
+    @property
+    def late_ms(self) -> float:
+        """How late the rig was, but for one beat in a hundred."""
+        return self._late.quantile(0.99)
+
+    # --- what plays and tests wait for
+
+    async def until(self, condition: Callable[[], bool], limit_s: float, what: str) -> None:
+        """Wait for something; TimeoutError, with the figures so far, where it does not come about."""
+        ends = time.monotonic() + limit_s
+        while not condition():
+            self.field.watch()
+            if time.monotonic() > ends:
+                figures = f"{self.figures()} {self.history.troubles}"
+                raise TimeoutError(f"{what}: not within {limit_s:g} s; {figures}")
+            await asyncio.sleep(LOOK_S)
+
+    async def ready(self, *machines: Machine, limit_s: float = 10.0) -> None:
+        """Wait until all these say that they are."""
+        ends = time.monotonic() + limit_s
+        for machine in machines:
+            while not await machine.ready():
+                if time.monotonic() > ends:
+                    told = self.field.log(machine)[-3:]
+                    raise TimeoutError(f"{machine.name} was not ready within {limit_s:g} s: {told}")
+                await asyncio.sleep(LOOK_S)
+
+    async def more(self, served: int = 100, keyed: int = 20, acked: int = 3, limit_s: float = 15.0) -> None:
+        """Wait until so many more calls are served, keys run and changes are acknowledged."""
+        history = self.history
+
+        def figures() -> tuple[int, int, int]:
+            return (
+                sum(one.good for one in history.tries),
+                sum(run.key != "" for run in history.runs),
+                sum(change.status == 200 for change in history.changes),
+            )
+
+        asked = [now + more for now, more in zip(figures(), (served, keyed, acked), strict=True)]
+        await self.until(
+            lambda: all(now >= then for now, then in zip(figures(), asked, strict=True)), limit_s,
+            f"{served} more served, {keyed} keys run, {acked} changes acknowledged",
+        )  # fmt: skip
+
+    async def repeat(self, count: int) -> list[Try]:
+        """Send the oldest keyed operations once more; what became of them."""
+        made = [self.callers[n % len(self.callers)].insist(op) for n, op in enumerate(self.keyed[:count])]
+        return [one for one in await asyncio.gather(*made) if one is not None]
+
+    async def finish(self) -> History:
+        """Stop the clients, read the configuration back at every barn that runs, and take the history."""
+        for player in self._all():
+            player.stopping = True
+        await asyncio.wait_for(asyncio.gather(*self._players), 20.0)
+        for barn in self.field.barns:
+            if barn.runs:
+                found = await self._operators[0].read(barn, READ_S)
+                if found is None:
+                    self.history.troubles.append(f"{barn.name} told no configuration in {READ_S:g} s")
+                else:
+                    self.history.readings.append(found)
+        self.field.watch()
+        self.field.read_logs()
+        return self.history
+
+    def figures(self) -> dict[str, int]:
+        """Counts, for whoever reads the verdict."""
+        history = self.history
+        counts = Counter(
+            f"{one.kind} {one.status if one.how == 'answered' else one.how}" for one in history.tries
+        )
+        runs = history.runs
+        return {
+            "tries": len(history.tries), "served": sum(one.good for one in history.tries),
+            **dict(sorted(counts.items())),
+            "arrivals": len(history.arrivals), "runs": len(runs),
+            "keys run": sum(run.key != "" for run in runs),
+            "changes": len(history.changes),
+            "changes acknowledged": sum(change.status == 200 for change in history.changes),
+        }  # fmt: skip
+
+
+# --- faults: each begins, has something go on within it, and ends
+
+Part = Callable[[], Awaitable[None]]
+
+
+async def none(rig: Rig, within: Part) -> None:
+    """Nothing happens."""
+    await within()
+
+
+async def kill_barn(rig: Rig, within: Part) -> None:
+    """A barn ends without a word, and comes back with its disk."""
+    await _away(rig, within, *rig.field.barns[:1])
+
+
+async def kill_barns(rig: Rig, within: Part) -> None:
+    """All of them at once."""
+    await _away(rig, within, *rig.field.barns)
+
+
+async def wipe_barn(rig: Rig, within: Part) -> None:
+    """A barn loses its disk. Once it counts again another ends: now all needs what the first one holds."""
+    barn, other = rig.field.barns[:2]
+    await rig.field.kill(barn)
+    rig.field.wipe(barn)
+    await rig.field.start(barn)
+    await rig.ready(barn)
+    await _away(rig, within, other)
+
+
+async def kill_stile(rig: Rig, within: Part) -> None:
+    """A stile ends without a word, its server does not, and it comes back."""
+    await _away(rig, within, rig.field.stiles[1])
+
+
+async def term_stile(rig: Rig, within: Part) -> None:
+    """A stile is asked to end while clients use it, and comes back."""
+    stile = rig.field.stiles[1]
+    at = [caller for caller in rig.callers if caller.machine is stile]
+    await rig.until(lambda: sum(caller.asking for caller in at) > 1, 10.0, "two calls at once")
+    await rig.field.term(stile)
+    await _away(rig, within, stile)
+
+
+async def roll_server(rig: Rig, within: Part) -> None:
+    """A server leaves in order, and a new life of it comes later."""
+    server = rig.servers[rig.field.stiles[1].name]
+    await server.leave()
+    await within()
+    await server.start()
+
+
+async def _away(rig: Rig, within: Part, *machines: Machine) -> None:
+    rig.history.kills += [(machine.name, time.monotonic()) for machine in machines if machine.runs]
+    await rig.field.kill(*machines)
+    await within()
+    for machine in machines:
+        await rig.field.start(machine)
+    await rig.ready(*machines)
+
+
+FAULTS: dict[str, Callable[[Rig, Part], Awaitable[None]]] = {
+    "none": none, "kill-barn": kill_barn, "kill-barns": kill_barns, "wipe-barn": wipe_barn,
+    "kill-stile": kill_stile, "term-stile": term_stile, "roll-server": roll_server,
+}  # fmt: skip
+
+
+async def play(folder: Path, seconds: float, seed: int, fault: str) -> Rig:
+    """A third of the time before a fault, one within it and one after; the rig, with its history."""
+    async with Rig(folder, seed) as rig:
+        await asyncio.sleep(seconds / 3)
+        await FAULTS[fault](rig, lambda: asyncio.sleep(seconds / 3))
+        await asyncio.sleep(seconds / 3)
+        await rig.finish()
+    return rig
--- /dev/null
+++ b/tests/orchard/test_orchard_field.py
@@ -0,0 +1,59 @@
+"""The mesh with real processes on loopback: short plays with a fault each, judged by what they leave."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from rehearsal.mesh import play
+from rehearsal.mesh.judge import History, judge
+from rehearsal.mesh.play import Part, Rig
+
+
+def played(
+    folder: Path, fault: Callable[[Rig, Part], Awaitable[None]],
+    within: Callable[[Rig], Awaitable[None]] = Rig.more,
+) -> History:
+    """A play with a fault and something that has to go on within it; nothing may be broken."""
+
+    async def whole() -> Rig:
+        async with Rig(folder) as rig:
+            await rig.more()
+            await fault(rig, lambda: within(rig))
+            assert any(one.good for one in await rig.repeat(20))  # keys from before
+            await rig.more()
+            await rig.finish()
+        return rig
+
+    rig = asyncio.run(whole())
+    assert judge(rig.history) == {}, rig.figures()
+    assert len(rig.history.readings) == len(rig.field.barns)
+    return rig.history
+
+
+def test_calm(tmp_path: Path) -> None:
+    history = played(tmp_path, play.none, lambda rig: asyncio.sleep(3.0))
+    assert {one.kind for one in history.tries if one.good} == {"pure", "effectful", "idempotent"}
+    assert any(change.status == 400 for change in history.changes if not change.valid)
+    assert sum(one.good for one in history.tries) > len(history.tries) / 2
+
+
+def test_a_barn_is_killed_and_comes_back(tmp_path: Path) -> None:
+    played(tmp_path, play.kill_barn)  # changes are acknowledged and keys run without it
+
+
+def test_all_barns_are_killed_and_come_back(tmp_path: Path) -> None:
+    played(tmp_path, play.kill_barns, lambda rig: rig.more(served=20, keyed=0, acked=0))
+
+
+def test_a_barn_loses_its_disk(tmp_path: Path) -> None:
+    played(tmp_path, play.wipe_barn)  # within: another is away, and nothing goes without what it has heard
+
+
+def test_a_server_leaves_and_a_new_one_comes(tmp_path: Path) -> None:
+    assert not played(tmp_path, play.roll_server).kills
+
+
+def test_a_stile_is_asked_to_end_under_load(tmp_path: Path) -> None:
+    assert not played(tmp_path, play.term_stile).kills  # so no try may be cut that was read
--- a/tests/orchard/test_orchard_stile.py
+++ b/tests/orchard/test_orchard_stile.py
@@ -266,6 +266,21 @@
     _strange()
 
 
+@played
+def _versions(scene, ask, left_out):
+    stile = scene.stile
+    stile.plot.life("i-1", 5, 0.0, True)
+    sent = []
+    stile.plot.submit = sent.append
+    stile._asked(Link(), 1, [*ask[:left_out], *(["more"] if left_out is None else [])])
+    assert len(sent) == 1 and sent[0].overdue is None
+
+
+@pytest.mark.parametrize("left_out", [None, -1, -2])
+def test_an_offer_of_an_older_or_newer_version_is_understood(left_out):
+    _versions(["berths", "c", b"GET", b"/x", [], b"", 1.0, 0.2, b"t", "", "k", False, False], left_out)
+
+
 @pytest.mark.parametrize(("status", "headers", "whole"), [
     (200, [(b"x-server-seal", b"s")], True), (200, [], False), (404, [], True), (500, [], True),
     (503, [], False), (429, [], False), (421, [], False), (408, [], False), (302, [], False),
