--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -567,7 +567,8 @@
             # Of an older version, which tells less: what is missing is the careful choice. A newer one's more
             # is left out.
             ask = [*ask, *ASK[len(ask):]]
-        service, caller, method, target, headers, body, left, aim, tid, key, kind, again, free = ask[:len(ASK)]
+        (service, caller, method, target, headers, body, left, aim, tid, key, kind, again,
+         free) = ask[:len(ASK)]  # fmt: skip
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
