--- a/orchard/granary.py
+++ b/orchard/granary.py
@@ -135,6 +135,14 @@
         """Begin one with all that counts, and only then let go of those before it."""
         before = self._numbers()
         self._number = max([self._number, *before]) + 1
+        try:
+            self._begin_generation(snapshot)
+        except BaseException:
+            self._remove([self._number])  # a full disk must not fill up with beginnings
+            raise
+        self._remove(before)
+
+    def _begin_generation(self, snapshot: list[Any]) -> None:
         self._db = dbm.dumb.open(self._path(self._number), "n")  # noqa: SIM115 - stays open
         self._db._commit = lambda: None  # it would rewrite the index in place when closed
         self._key = self._size = 0
@@ -143,7 +151,9 @@
         else:
             self._sync(self._path(self._number) + ".dat")
         self._sync(self._folder)
-        for number in before:
+
+    def _remove(self, numbers: list[int]) -> None:
+        for number in numbers:
             for ending in (".dat", ".dir", ".bak"):
                 with contextlib.suppress(OSError):
                     os.unlink(self._path(number) + ending)
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -45,7 +45,8 @@
 AGAIN_S = 0.002  # so much less time than the route gives tells of a try before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
 DRAWS = 3  # pools that a request is offered to before it is refused
-LAST = 0.5  # part of a request's time that it may wait unsent, where it can't be in time any more
+LAST = 0.3  # part of a request's time that it may wait unsent in one pool
+AGAIN_IN = 0.2  # and so much of its time may be gone when it is offered to another
 LEAST_CLOSED_S, MOST_CLOSED_S = 0.02, 0.2  # how long a pool that was told full is passed over
 NO_PROMISE = frozenset({408, 421, 429, 503})  # from a server that does not say X-Not-Run: it may have run
 JSON = [(b"Content-Type", b"application/json")]
@@ -57,7 +58,8 @@
     """One request that began here, until its one answer."""
 
     __slots__ = ("message", "route", "service", "deadline", "aim_at", "tid", "key", "tried",
-                 "arrivals", "timer", "over", "unsure", "began", "out", "body", "again")  # fmt: skip
+                 "arrivals", "timer", "over", "unsure", "began", "out", "body", "again",
+                 "offered_until")  # fmt: skip
 
     def __init__(self, message: Message, route: Route, service: str, deadline: float, aim_at: float) -> None:
         self.message, self.route, self.service = message, route, service
@@ -70,7 +72,7 @@
         self.over = False
         self.unsure = False  # it may have run
         self.again = False  # its client has less time than the route gives: it has been here before
-        self.began = 0.0
+        self.began = self.offered_until = 0.0
         self.out = 0  # offers that are not answered yet
         self.body = message.body
 
@@ -423,6 +425,7 @@
         trip = Trip(message, route, service, now + left, now + min(route.aim, left))
         trip.again = left < route.timeout - AGAIN_S
         trip.began = now
+        trip.offered_until = now + left * AGAIN_IN
         message.tid = "open"
         self._spend(service).asked(now)
         self._open_trips += 1
@@ -504,7 +507,7 @@
         again = kind in PROMISES or (trip.route.variant == "pure" and kind == Fault.BROKEN)
         offers = max(DRAWS, trip.route.attempts)
         left = len(trip.tried) < offers and trip.arrivals < trip.route.attempts
-        in_time = now < trip.deadline - HOP_S
+        in_time = now < trip.deadline - HOP_S and (kind == Fault.BROKEN or now < trip.offered_until)
         if again and left and in_time and self._spend(trip.service).take(now, self._most_stiles):
             self._go(trip)
             return
@@ -596,10 +599,11 @@
                 tell(0, arrived, reply.status, heads.returned(reply.headers), reply.body)
 
         # The last start for an answer that is most likely in time, as times scatter, and the last for one at
-        # all: at most half of what is left, as a client that is refused may still be served elsewhere, and
+        # all: a third of what is left, as a client that is refused may still be served elsewhere, and
         # little beyond the aim, as what waits for long makes all behind it late.
         # Whoever was refused before goes first: refused once more, its client has waited for nothing.
-        due = now + max(aim - SCATTER * plot.takes(kind), aim * PATIENCE) * (RETURNED if again else 1.0)
+        wait = max(aim - SCATTER * plot.takes(kind), aim * PATIENCE) * (RETURNED if again else 1.0)
+        due = now + min(wait, left * LAST)
         job = Job(make, tid, deadline, due, max(due, now + min(left * LAST, aim * BEYOND)), done, kind)
         if free:
             job.overdue = overdue
--- a/tests/orchard/test_orchard_granary.py
+++ b/tests/orchard/test_orchard_granary.py
@@ -284,3 +284,24 @@
         patch.setattr(granary, "GROWN", grown * 512)
         patch.setattr(Granary, "_sync", staticmethod(sync))
         asyncio.run(play())
+
+
+def test_a_generation_that_could_not_begin_leaves_no_files_behind(tmp_path, monkeypatch):
+    def full(path):
+        raise OSError(28, "no space left")
+
+    async def play():
+        told, made = [], Granary(str(tmp_path), lambda: [["old", 1]])
+        made.load()
+        for _ in range(3):
+            end = asyncio.get_running_loop().create_future()
+            made.put(["new", 1], end.set_result)
+            told.append(await end)
+            if len(told) == 2:
+                assert not [path for path in tmp_path.iterdir() if path.suffix == ".dat"]
+                monkeypatch.undo()
+        return told
+
+    monkeypatch.setattr(Granary, "_sync", staticmethod(full))
+    assert asyncio.run(play()) == [False, False, True]
+    assert Granary(str(tmp_path), list).load() == [["old", 1], ["new", 1]]
