--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -691,6 +691,9 @@
         timer = self.loop.call_later(min(CLAIM_S, patience, max(0.01, left)), self._claim_late, number)
         more = self.loop.call_later(HEDGE_S, ask_all)
         self._claims[number] = (claim, then)
+        for name in order:
+            if name not in self._barns:
+                claim.failed(name)
         ask([name for name in order if name in self._barns][:self._enough])
         then(claim)
 
--- a/tests/orchard/test_orchard_plot.py
+++ b/tests/orchard/test_orchard_plot.py
@@ -195,3 +195,41 @@
     assert plot.budget.k == 4 and plot.instance == "i-2" and "i-1" in plot.over
     plot.life("i-3", 8, 2.0, True)
     assert plot.budget.k == 1
+
+
+def answered(plot, kind, took, times=3):
+    """A few calls of a kind, alone."""
+    for _ in range(times):
+        plot.submit(job(plot, kind, 5))
+        plot._loop.now += took
+        plot.upstream.sent[0].reply()
+
+
+def test_light_calls_go_first_and_stay_until_just_before_their_deadline(plot):
+    answered(plot, "heavy", 0.2)
+    answered(plot, "call", 0.01)
+    told = []
+    plot.submit(job(plot, "running", 5))
+    plot.submit(job(plot, "heavy", 1, told=told))
+    plot.submit(job(plot, "call", 0.01, deadline=0.5, told=told))
+    plot._loop.now += 0.4
+    plot._look()
+    assert not told, "late by its due time, and kept all the same"
+    plot.upstream.sent[0].reply()
+    assert names(plot) == ["call"]
+
+
+def test_a_call_that_takes_unusually_long_is_told_once_and_only_where_asked_for(plot):
+    answered(plot, "kind", 0.1)
+    told = []
+    one = job(plot, "kind", 5)
+    one.overdue = lambda: told.append("overdue")
+    plot.submit(one)
+    at, callback, args = plot._loop.timers[-1]
+    assert at - plot._loop.now == pytest.approx(0.4) and not told
+    callback(*args)
+    assert told == ["overdue"]
+    plot.upstream.sent[0].reply()
+    before = len(plot._loop.timers)
+    plot.submit(job(plot, "kind", 5))
+    assert len(plot._loop.timers) == before
--- a/tests/orchard/test_orchard_stile.py
+++ b/tests/orchard/test_orchard_stile.py
@@ -235,6 +235,37 @@
     _two_answers()
 
 
+@played
+def _half(scene):
+    ear = scene.ask("pure", deadline=b"800")
+    (first,) = scene.offers()
+    scene.stile._asks[first[1]][0].offered_until = 0.0  # a fifth of its time is gone
+    scene.end(first, Fault.FULL, False)
+    assert ear.status == 503 and len(scene.offers()) == 1
+
+
+def test_who_was_held_for_long_is_refused_and_not_held_elsewhere():
+    _half()
+
+
+@played
+def _keyless(scene):
+    sent = []
+    stile = scene.stile
+    stile.plot.life("i-1", 5, 0.0, True)
+    stile.voters, stile._enough = ("b1", "b2", "b3"), 2
+    ask = ["berths", "c", b"POST", b"/x", [], b"", 1.0, 0.2, b"t", "key", "k", False, False]
+    link = Link()
+    link.send = sent.append
+    stile._asked(link, 7, ask)
+    assert [(said[0], said[1], Fault(said[2])) for said in sent] == [(Word.TOLD, 7, Fault.REFUSED)]
+    assert stile._open_jobs == 0 and not stile._claims
+
+
+def test_without_barns_a_keyed_request_is_given_back_at_once_and_unrun():
+    _keyless()
+
+
 @played
 def _leaving(scene):
     scene.stile.leaving = scene.stile.closed = True
