Mesh: ties of the pick go by what the stile beside the server told

Cause: a caller has one or two calls in flight to a service, so that most draws are ties, and ties went by zone first, then by own latency over calls of all kinds.

Change: each answer of a stile tells what a call of that kind takes at its server (it told the wait already; own server as well now); a tie goes by what is left of that wait plus that time, and another zone counts for a tenth more. Answers that grow at their end are read by their known part.

--- a/orchard/plot.py
+++ b/orchard/plot.py
@@ -141,6 +141,10 @@
         """Seconds from sending a call of a kind to its answer, about."""
         return self._means.get(kind, (self.mean, 0))[0]
 
+    def pace(self, kind: str) -> float:
+        """The same as it is told to callers: 0 where no call of that kind has been answered yet."""
+        return self._means.get(kind, (0.0, 0))[0]
+
     def light(self, kind: str) -> bool:
         """Whether a call takes little beside others here. Such calls go first, and are not given up for being
         late: they hold up nobody, and most are made by runs that are lost without them."""
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -297,7 +297,7 @@
         bed.zone = record[Record.ZONE]
         self._hedge.knows(node, bed.zone, record[Record.LINK])
         if bed.instance != record[Record.INSTANCE]:
-            bed.latency = bed.closed_until = 0.0
+            bed.renew()
         bed.instance, bed.slots = record[Record.INSTANCE], record[Record.SLOTS]
         bed.draining = not record[Record.OPEN]
         bed.cold_until = self.loop.time() + record[Record.COLD]
@@ -446,7 +446,9 @@
         beds = self.lists.get(trip.service, ())
         size = len(trip.body) + self._sizes.get(trip.route.name, 0.0)
         near = NEAR if size >= LARGE else int(size >= MIDDLE)
-        bed = choose(now, beds, trip.tried, self._random, self._usable, self.settings.zone, near)
+        bed = choose(
+            now, beds, trip.tried, self._random, self._usable, self.settings.zone, near, trip.route.name
+        )
         if bed is None:
             if not trip.out:
                 self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
@@ -467,13 +469,16 @@
             trip.route.variant == "pure",
         ]
         if bed.node == self.me:
-            self._run(ask, partial(self._told, number), partial(self._overdue, number))
+            self._run(
+                ask, lambda *told: self._told(number, *told, *self._hint(trip.route.name)),
+                partial(self._overdue, number),
+            )
         else:
             self._bed_links[bed.node].send([Word.ASK, number, ask])
 
     def _told(
         self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes,
-        wait: float = 0.0,
+        wait: float = 0.0, pace: float = 0.0, *more: Any,
     ) -> None:
         """What became of a request at the stile beside a server."""
         found = self._asks.pop(number, None)
@@ -483,6 +488,7 @@
         now = self.loop.time()
         bed.inflight -= 1
         trip.out -= 1
+        bed.told(now, trip.route.name, wait, pace)
         if wait:
             bed.closed_until = now + min(wait, MOST_CLOSED_S)
         if not fault:
@@ -561,10 +567,14 @@
 
     def _asked(self, link: Furrow, number: int, ask: list[Any]) -> None:
         self._run(
-            ask, lambda *told: link.send([Word.TOLD, number, *told, self.plot.wait()]),
+            ask, lambda *told: link.send([Word.TOLD, number, *told, *self._hint(ask[10])]),
             lambda: link.send([Word.OVERDUE, number]),
         )
 
+    def _hint(self, kind: str) -> tuple[float, float]:
+        """What each answer tells of the server here, in seconds: how long a call waits, and works."""
+        return self.plot.wait(), self.plot.pace(kind)
+
     def _run(self, ask: list[Any], tell: Callable[..., None], overdue: Callable[[], None]) -> None:
         if len(ask) < len(ASK):
             # Of an older version, which tells less: what is missing is the careful choice. A newer one's more
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -30,7 +30,7 @@
     BROKE = 43  # key, token
     FREE = 44  # key, token
     ASK = 50  # number, request
-    TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds of waiting
+    TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds: wait, work
     OVERDUE = 53  # number: its server has worked on it for unusually long
     LEAVING = 52  # record: a stile to those that send to it
 
--- a/tests/orchard/test_orchard_budget.py
+++ b/tests/orchard/test_orchard_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from dunefield.budget import STEPS, Budget
-from orchard.pick import DRAWS, Bed, choose
+from orchard.pick import DRAWS, MOST_KINDS, Bed, choose
 from orchard.spend import Spend
 
 MS = 1_000_000
@@ -229,6 +229,36 @@
     assert choose(0.0, made, (), draws(0, 1, size=2), anyone) is made[0]
 
 
+def test_a_tie_goes_by_what_the_stile_beside_the_server_told_not_by_zone():
+    near, far = Bed("near", "s"), Bed("far", "s")
+    near.zone, far.zone = "east", "west"
+
+    def taken(now, kind="search", random=draws(0, 1, size=2)):
+        return choose(now, [near, far], (), random, anyone, "east", 0, kind).node
+
+    assert taken(0.0) == "near", "nothing is known: the shorter way"
+    near.told(0.0, "search", 0.0, 0.30)
+    far.told(0.0, "search", 0.0, 0.15)
+    assert taken(0.0) == "far", "a slow server is no better for being near"
+    far.told(0.0, "search", 0.0, 0.29)
+    assert taken(0.0) == "near", "a hair's breadth is not worth the way"
+    far.told(0.0, "search", 0.2, 0.15)
+    assert taken(0.0) == "near", "its queue counts, too"
+    assert taken(0.2) == "far", "as long as it lasts"
+    near.answered(0.9)
+    near.told(0.2, "search", 0.0, 0.10)
+    assert taken(0.2) == "near", "own answers of other kinds say nothing of this one"
+    near.renew()
+    assert near.expects(0.2, "search") == 0.0
+
+
+def test_paces_are_kept_for_so_many_kinds_only():
+    bed = Bed("b", "s")
+    for number in range(10 * MOST_KINDS):
+        bed.told(0.0, f"kind {number}", 0.0, 0.1)
+    assert len(bed.paces) == MOST_KINDS
+
+
 def test_a_closed_bed_is_passed_over_until_its_time():
     made = beds(0, 5, 9)
     made[0].closed_until = 1.0
