Mesh: requests lost for longer than their aim go behind all that can be in time

Cause: after everybody was down for a second or two, what came were mostly tries of requests that had waited for as long. They went first, as requests that come again do, and each pool worked them off in order: what was new grew late behind them. Servers are cold for three seconds there as well, so that all of it lasted for four.

Change: how long a request has been under way is told by its client's time (what a later try lacks of the longest told of late on its route; age.py, no I/O). Past its aim it is due at once, so that it goes when none waits that can be in time, and for no longer than others may wait. A deadline that is no finite number is a bad request.

--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 from hollyport.http.back import Reply
 from hollyport.http.message import Message
 from orchard import catalog, front, furrow
+from orchard.age import Ages
 from orchard.catalog import Item, Route
 from orchard.faults import ANSWERS, PROMISES, Fault
 from orchard.furrow import Dial, Furrow, pack
@@ -40,9 +42,9 @@
 LARGE, MIDDLE = 4096, 1024  # bytes of a body and its usual answer, from which on they stay in their zone
 NEAR = 3  # own calls that a pool of the own zone may hold more than another, for large ones; 1 for middling
 MOST_SIZES = 1024  # routes whose answers' sizes are kept
-ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False)
+ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False, False)
 """What an offer tells, in order, with what stands for what an older version did not tell."""
-AGAIN_S = 0.002  # so much less time than the route gives tells of a try before
+AGAIN_S = 0.002  # a request that has been under way for longer has been refused or lost before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
 DRAWS = 3  # pools that a request is offered to before it is refused
 LAST = 0.3  # part of a request's time that it may wait unsent in one pool
@@ -59,7 +61,7 @@
 
     __slots__ = ("message", "route", "service", "deadline", "aim_at", "tid", "key", "tried",
                  "arrivals", "timer", "over", "unsure", "began", "out", "body", "again",
-                 "offered_until")  # fmt: skip
+                 "offered_until", "past")  # fmt: skip
 
     def __init__(self, message: Message, route: Route, service: str, deadline: float, aim_at: float) -> None:
         self.message, self.route, self.service = message, route, service
@@ -71,7 +73,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.over = False
         self.unsure = False  # it may have run
-        self.again = False  # its client has less time than the route gives: it has been here before
+        self.again = False  # its client has spent time on it already: it has been here before
+        self.past = False  # so much that no answer can be in its aim
         self.began = self.offered_until = 0.0
         self.out = 0  # offers that are not answered yet
         self.body = message.body
@@ -106,6 +109,7 @@
         self._sizes: dict[str, float] = {}  # by route: bytes of an answer, about
         self._keyless_until = 0.0  # barns are out of reach, as it seems
         self._spends: dict[str, Spend] = {}
+        self._ages: dict[str, Ages] = {}  # by route
         self._jobs: dict[tuple[Furrow, int], Job] = {}
         self._callers: set[Furrow] = set()
         self._open_trips = self._open_jobs = 0
@@ -406,14 +410,18 @@
         if route is None:
             self._answer_fault(message, Fault.NO_ROUTE if self.table.hosts else Fault.NO_SERVER, now + 1.0)
             return
-        left = route.timeout
+        left, age = route.timeout, 0.0
         told = message.header(b"x-deadline-ms")
         if told is not None:
             try:
-                left = min(left, float(told) / 1000.0)
+                given = float(told) / 1000.0
             except ValueError:
+                given = math.nan
+            if not math.isfinite(given):
                 self._answer_fault(message, Fault.BAD, now)
                 return
+            left = min(left, given)
+            age = self._age(route, given)
         if len(message.body) > self.table.limits.body:
             self._answer_fault(message, Fault.TOO_LARGE, now)
             return
@@ -423,7 +431,7 @@
             at = self._random() * route.targets[-1][1]
             service = next(name for name, edge in route.targets if at < edge)
         trip = Trip(message, route, service, now + left, now + min(route.aim, left))
-        trip.again = left < route.timeout - AGAIN_S
+        trip.again, trip.past = age > AGAIN_S, age >= route.aim
         trip.began = now
         trip.offered_until = now + left * AGAIN_IN
         message.tid = "open"
@@ -432,6 +440,14 @@
         trip.timer = self.loop.call_later(max(0.0, left - HOP_S), self._late, trip)
         self._go(trip)
 
+    def _age(self, route: Route, given: float) -> float:
+        ages = self._ages.get(route.name)
+        if ages is None:
+            if len(self._ages) >= MOST_SIZES:
+                self._ages.clear()
+            ages = self._ages[route.name] = Ages()
+        return ages.age(given, route.timeout)
+
     def _spend(self, service: str) -> Spend:
         spend = self._spends.get(service)
         if spend is None:
@@ -466,7 +482,7 @@
         ask = [
             trip.service, self.settings.service, message.method, message.target, headers, trip.body,
             trip.deadline - now, trip.aim_at - now, trip.tid, key, trip.route.name, trip.again,
-            trip.route.variant == "pure",
+            trip.route.variant == "pure", trip.past,
         ]
         if bed.node == self.me:
             self._run(
@@ -581,7 +597,7 @@
             # is left out.
             ask = [*ask, *ASK[len(ask):]]
         (service, caller, method, target, headers, body, left, aim, tid, key, kind, again,
-         free) = ask[:len(ASK)]  # fmt: skip
+         free, past) = ask[:len(ASK)]  # fmt: skip
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
@@ -613,7 +629,9 @@
         # little beyond the aim, as what waits for long makes all behind it late.
         # Whoever was refused before goes first: refused once more, its client has waited for nothing.
         wait = max(aim - SCATTER * plot.takes(kind), aim * PATIENCE) * (RETURNED if again else 1.0)
-        due = now + min(wait, left * LAST)
+        # What was lost for longer than its aim, as while everybody was down, is worth less than any that can
+        # be in time: it goes when none of those waits.
+        due = now if past else now + min(wait, left * LAST)
         job = Job(make, tid, deadline, due, max(due, now + min(left * LAST, aim * BEYOND)), done, kind)
         if free:
             job.overdue = overdue
--- a/tests/orchard/test_orchard_budget.py
+++ b/tests/orchard/test_orchard_budget.py
@@ -233,8 +233,8 @@
     near, far = Bed("near", "s"), Bed("far", "s")
     near.zone, far.zone = "east", "west"
 
-    def taken(now, kind="search", random=draws(0, 1, size=2)):
-        return choose(now, [near, far], (), random, anyone, "east", 0, kind).node
+    def taken(now):
+        return choose(now, [near, far], (), draws(0, 1, size=2), anyone, "east", 0, "search").node
 
     assert taken(0.0) == "near", "nothing is known: the shorter way"
     near.told(0.0, "search", 0.0, 0.30)
--- a/tests/orchard/test_orchard_stile.py
+++ b/tests/orchard/test_orchard_stile.py
@@ -8,6 +8,7 @@
 from hollyport.http.back import Reply
 from hollyport.http.message import Message
 from orchard import catalog, settings
+from orchard.age import SURE
 from orchard.faults import ANSWERS, PROMISES, Fault
 from orchard.stile import Stile
 from orchard.words import Record, Word
@@ -235,6 +236,20 @@
     _two_answers()
 
 
+@played
+def _past(scene):
+    for _ in range(SURE):
+        scene.ask("pure", deadline=b"800")
+    scene.ask("pure", deadline=b"790")
+    scene.ask("pure", deadline=b"100")
+    told = [offer[2] for offer in sorted(scene.offers(), key=lambda offer: offer[1])[-3:]]
+    assert [(ask[11], ask[13]) for ask in told] == [(False, False), (True, False), (True, True)]
+
+
+def test_a_request_lost_for_longer_than_its_aim_is_told_apart_from_one_that_was_refused():
+    _past()
+
+
 @played
 def _half(scene):
     ear = scene.ask("pure", deadline=b"800")
