Voters that follow voters: the decision, without I/O

The barns that hold the copies were named once. What one barn says of the next set, what a proposer counts and who should vote, as pure code; nothing calls it yet.

--- /dev/null
+++ b/orchard/ballot.py
@@ -0,0 +1,302 @@
+"""How voters follow voters: what one barn has said of it, what a proposer counts, who should vote. No I/O.
+
+The voters of epoch 1 are named once. Those of epoch e + 1 are decided by those of epoch e, in one agreement
+on one value (single-decree Paxos: Lamport, "Paxos Made Simple", 2001, with the acceptors of e). Any barn may
+propose; that one usually does is a matter of calm, never of safety. The messages, by their words:
+
+    BID e, ballot          proposer to the voters of e   -> BOUND: promised, with what was accepted so far
+    SEAL e, ballot, names  the same, after a majority    -> SEALED: accepted
+    BARN (e + 1, names)    anybody to anybody            that e is followed, once a majority has accepted
+    KEYS, SYNC e, sealed   whoever is not whole in e + 1 -> KEYED, SYNCED: grants and items of a sealed voter
+
+Each answer waits until what it says lies on the disk. Times are seconds of the asker's own steady clock.
+
+Invariants, which an explorer may look at after every step:
+
+1. For each epoch at most one set is ever learned (`Member.learn`), by anybody.
+2. A voter that has accepted or learned that e is followed is sealed in e: from then on `votes(e)` is false,
+   so it grants no key, gives no turn and takes no write in e; a loss of power takes nothing of this back.
+3. `whole` = e: this disk holds each item that was acknowledged and each key that was granted by enough in
+   an epoch below e, and it has not been emptied since it first answered as a voter of e.
+4. Whoever becomes whole in e + 1 with a disk that has lasted has heard `read` voters of e that were sealed
+   and held e (`holds`): each majority that granted or wrote in e shares one with those, and did so before
+   its seal. Or it has heard `read` voters of e + 1 that vote there.
+5. An emptied disk comes back by the latter alone, a round's whole time after its process began: so any
+   promise, grant or write of its former life counts only where others that it hears know of it. As those
+   were not sealed, e + 1 was not followed when it began to ask: in no later epoch has it ever voted.
+6. Grants, turns and writes are counted within one epoch only.
+
+So of two epochs' sets never both can act: a majority of e is sealed before e + 1 is learned by anybody, and
+whatever the rest still grants is short of a majority without one of them, whose part e + 1 has heard of.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+from orchard.quorum import NOBODY, Voters
+
+
+class Ballot(NamedTuple):
+    """A proposal's rank. No two proposals share one: `who` names the proposer, its life and the try."""
+
+    number: int
+    who: str
+
+
+FIRST = Ballot(0, "")
+
+
+class Accepted(NamedTuple):
+    """What a voter has last said yes to."""
+
+    ballot: Ballot
+    names: tuple[str, ...]
+
+
+class Member:
+    """One barn's word on who votes, and on what its own disk is worth. Whoever calls writes `records` to the
+    disk, and waits for it, before an answer goes out."""
+
+    def __init__(self, me: str) -> None:
+        self.me = me
+        self.voters = NOBODY
+        self.before: tuple[str, ...] = ()  # the voters of the epoch before, where they are known
+        self.whole = 0  # the epoch that this disk is whole in, 0 for none
+        self.promised = FIRST
+        self.accepted: Accepted | None = None
+
+    # --- the disk
+
+    def load(self, record: list[Any]) -> None:
+        """One record, oldest first. A `whole` without an epoch is of an older version: of the first."""
+        if record[0] == "voters":
+            self.learn(Voters(record[1], tuple(record[2])), tuple(record[3]) if len(record) > 3 else ())
+        elif record[0] == "whole":
+            self.whole = max(self.whole, record[1] if len(record) > 1 else 1)
+        elif record[0] == "ballot" and record[1] == self.voters.epoch:
+            self.promised = max(self.promised, Ballot(*record[2]))
+            if record[3] is not None:
+                self.accepted = accepted_of(record[3])
+
+    def records(self) -> Iterator[list[Any]]:
+        """All of it, as it lies on the disk. What is whole comes last: it is so by what is in front."""
+        if self.voters.epoch:
+            yield ["voters", self.voters.epoch, list(self.voters.names), list(self.before)]
+        if self.promised != FIRST:
+            yield ["ballot", self.voters.epoch, list(self.promised), row_of(self.accepted)]
+        if self.whole:
+            yield ["whole", self.whole]
+
+    # --- what may be done
+
+    @property
+    def counts(self) -> bool:
+        """Whether this disk is whole as things stand; at the first start nothing is known, and all of it."""
+        return self.whole == max(1, self.voters.epoch)
+
+    def votes(self, epoch: int) -> bool:
+        """Whether it may grant, give turns and take writes in an epoch."""
+        now = self.voters.epoch == epoch and self.accepted is None
+        return now and self.whole == epoch and self.me in self.voters.names
+
+    def sealed(self, epoch: int) -> bool:
+        """Whether it will never again do so in that epoch."""
+        return self.voters.epoch > epoch or (self.voters.epoch == epoch and self.accepted is not None)
+
+    def holds(self, epoch: int) -> bool:
+        """Whether what it tells of a sealed epoch is all that it will ever have to tell."""
+        return self.whole >= epoch and self.sealed(epoch)
+
+    # --- ballots
+
+    def bid(self, epoch: int, ballot: Ballot) -> bool:
+        """Promise to say yes to nothing lower. False where a higher one has that promise, and for a barn that
+        is no voter or not whole: it may have forgotten what it said."""
+        if not self._may(epoch) or ballot < self.promised:
+            return False
+        self.promised = ballot
+        return True
+
+    def seal(self, epoch: int, ballot: Ballot, names: tuple[str, ...]) -> bool:
+        """Say yes, and be sealed."""
+        if not self._may(epoch) or ballot < self.promised:
+            return False
+        self.promised, self.accepted = ballot, Accepted(ballot, names)
+        return True
+
+    def _may(self, epoch: int) -> bool:
+        return self.voters.epoch == epoch == self.whole and self.me in self.voters.names
+
+    def learn(self, told: Voters, before: tuple[str, ...]) -> bool:
+        """Take over who votes. True where it is news."""
+        if not told.newer(self.voters):
+            return False
+        if told.epoch == self.voters.epoch + 1 and self.voters.epoch:
+            before = self.voters.names
+        self.voters, self.before = told, before
+        self.promised, self.accepted = FIRST, None
+        return True
+
+    # --- becoming whole
+
+    @property
+    def lasted(self) -> bool:
+        """Whether this disk has not been emptied since it was last whole, in whatever epoch."""
+        return self.whole > 0
+
+    def sources(self) -> Iterator[tuple[Voters, bool]]:
+        """Whom to hear to be whole as things stand: voters, and whether those of them that are sealed."""
+        if self.lasted and self.before and self.whole < self.voters.epoch:
+            yield Voters(self.voters.epoch - 1, self.before), True
+        if self.voters.epoch:
+            yield self.voters, False
+
+    def heard(self, epoch: int, promised: Ballot) -> None:
+        """What another voter has promised: an emptied disk's own promises are known by this alone."""
+        if epoch == self.voters.epoch:
+            self.promised = max(self.promised, promised)
+
+    def settle(self, epoch: int) -> None:
+        """All of an epoch has been heard and lies on the disk."""
+        self.whole = max(self.whole, epoch)
+
+
+def row_of(accepted: Accepted | None) -> list[Any] | None:
+    """As it travels and lies on disks."""
+    return None if accepted is None else [*accepted.ballot, list(accepted.names)]
+
+
+def accepted_of(row: list[Any]) -> Accepted:
+    """The same, back."""
+    return Accepted(Ballot(row[0], row[1]), tuple(row[2]))
+
+
+class Proposal:
+    """One try to have an epoch followed. It is void `limit_s` after it began: an emptied disk waits as long
+    before it asks others, so what it promised to this one is known to them, or never counts."""
+
+    def __init__(
+        self, voters: Voters, ballot: Ballot, wish: tuple[str, ...], now: float, limit_s: float
+    ) -> None:
+        self.voters, self.ballot, self.names = voters, ballot, tuple(sorted(wish))
+        self._ends = now + limit_s
+        self._bound: set[str] = set()
+        self._sealed: set[str] = set()
+        self._highest = FIRST
+        self.asked = False  # whether enough are bound: from then on `names` stand
+
+    def bound(self, now: float, barn: str, accepted: Accepted | None) -> bool:
+        """A voter has promised. True once, when enough have: then all are asked to seal."""
+        if self.asked or barn not in self.voters.names or now > self._ends:
+            return False
+        self._bound.add(barn)
+        if accepted is not None and accepted.ballot > self._highest:
+            self._highest, self.names = accepted
+        self.asked = len(self._bound) >= self.voters.write
+        return self.asked
+
+    def sealed(self, now: float, barn: str) -> bool:
+        """A voter has accepted. True once so many have that this is decided."""
+        if not self.asked or barn not in self.voters.names or now > self._ends:
+            return False
+        self._sealed.add(barn)
+        return len(self._sealed) >= self.voters.write
+
+    @property
+    def decided(self) -> Voters | None:
+        """Who votes next."""
+        done = len(self._sealed) >= self.voters.write
+        return Voters(self.voters.epoch + 1, self.names) if done else None
+
+
+class Watch:
+    """Since when others are linked here, or not."""
+
+    def __init__(self, now: float) -> None:
+        self._began = now
+        self._since: dict[str, tuple[bool, float]] = {}
+
+    def up(self, now: float, name: str) -> None:
+        """A furrow to it is open."""
+        if not self._since.get(name, (False, 0.0))[0]:
+            self._since[name] = True, now
+
+    def down(self, now: float, name: str) -> None:
+        """It has ended."""
+        if self._since.get(name, (True, 0.0))[0]:
+            self._since[name] = False, now
+
+    def forget(self, name: str) -> None:
+        """Nothing more is to be known of it."""
+        self._since.pop(name, None)
+
+    def gone(self, now: float, name: str) -> float:
+        """Seconds without it; 0 while it is linked."""
+        linked, since = self._since.get(name, (False, self._began))
+        return 0.0 if linked else now - since
+
+    def steady(self, now: float, name: str) -> float:
+        """Seconds with it, without a break; 0 while it is not linked."""
+        linked, since = self._since.get(name, (False, self._began))
+        return now - since if linked else 0.0
+
+
+class Sight(NamedTuple):
+    """What one barn sees of the others, and is itself."""
+
+    gone: Mapping[str, float]  # seconds without each
+    steady: Mapping[str, float]  # seconds with each, without a break
+    votes: bool  # in the asker's epoch
+    counts: bool
+    zone: str = ""
+    old: bool = True  # whether a process that knows nothing of epochs is linked to it, or it is one
+
+
+def plan(
+    voters: Voters, losses: int, sights: Mapping[str, Sight], gone_s: float, steady_s: float
+) -> tuple[str, ...] | None:
+    """Who should vote next, by what was just heard; None where it should stay.
+
+    One that a majority of the voters has not seen for `gone_s` gives its place to a barn that counts and that
+    a majority has seen for `steady_s`. More such barns come in up to twice the losses to be borne and one.
+    Those that are gone and have no successor are let go where fewer are a majority then, and that is still
+    more than the losses. All of it only where nobody's version is older.
+    """
+    heard = [sights[name] for name in voters.names if name in sights and sights[name].votes]
+    if len(heard) < voters.write or any(sight.old for sight in sights.values()):
+        return None
+
+    def many(seconds: Iterable[float], least: float) -> bool:
+        return sum(value >= least for value in seconds) >= voters.write
+
+    gone = [
+        name for name in voters.names
+        if name not in sights and many((sight.gone.get(name, 0.0) for sight in heard), gone_s)
+    ]
+    ready = sorted(
+        name for name, sight in sights.items() if name not in voters.names and sight.counts
+        and many((other.steady.get(name, 0.0) for other in heard), steady_s)
+    )
+    names = [name for name in voters.names if name not in gone]
+    room = len(gone) + max(0, 2 * losses + 1 - len(voters.names))
+    while ready and room:
+        zones = [sights[name].zone for name in names if name in sights]
+        best = min(ready, key=lambda name: (zones.count(sights[name].zone), name))
+        ready.remove(best)
+        names.append(best)
+        room -= 1
+    live = len(names)
+    stay = gone[max(0, live - len(voters.names) + len(gone)):]
+    if not (live // 2 + 1 < (live + len(stay)) // 2 + 1 and live // 2 + 1 > losses):
+        names += stay
+    found = Voters(voters.epoch + 1, tuple(sorted(names)))
+    well = sum(name in sights and sights[name].counts for name in found.names)
+    return found.names if found.names != voters.names and well >= found.write else None
+
+
+def holder(voters: Voters, live: Iterable[str], heir: str) -> str:
+    """Who proposes: whom the holder before has named, else the voter with the lowest address."""
+    there = sorted(name for name in live if name in voters.names)
+    return heir if heir in there else there[0] if there else ""
