Voters change by agreement, and barns gone for good are forgotten

The barns that hold the copies were named once: one that was removed for good was missing for ever. Now each epoch's voters decide who follows; messages of claims, turns and writes carry their epoch.

--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -12,12 +12,14 @@
 
 from hollyport.http.message import Message
 from orchard import catalog, front, furrow
+from orchard.ballot import Ballot, Member, Proposal, Sight, Watch, accepted_of, holder, plan, row_of
 from orchard.catalog import Item
 from orchard.faults import ANSWERS, Fault
 from orchard.furrow import Dial, Furrow, pack
 from orchard.granary import Granary
-from orchard.keys import Registry, row_of
-from orchard.quorum import NOBODY, Turn, Voters
+from orchard.keys import Registry
+from orchard.keys import row_of as grant_row
+from orchard.quorum import Turn, Voters
 from orchard.settings import Address, Settings
 from orchard.words import Record, Word
 
@@ -27,20 +29,22 @@
 GATHER_S = 0.4  # nobody new for so long: the first voters are all there
 AGREE_S = 1.0  # how often barns compare what they have
 FORGET_S = 6.0  # a stile's record outlasts its furrow by so much
-CLAIM_S = 1.0  # a claim's round is void after so long, and a barn without its disk waits as long
+CLAIM_S = 1.0  # a round of claims or ballots is void after so long; a barn without its disk waits as long
+FINISH_S = 0.5  # sealed for so long with nothing decided, a voter proposes what it has accepted
+MOST_FORGOTTEN = 256
 
 
 class Round:
     """Answers to one question put to several barns."""
 
     def __init__(self, need: int) -> None:
-        self.need, self.got = need, 0
+        self.need, self.names = need, set[str]()
         self.whole: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
-    def yes(self) -> None:
-        """One more that counts."""
-        self.got += 1
-        if self.got >= self.need and not self.whole.done():
+    def yes(self, name: str) -> None:
+        """One that counts, once."""
+        self.names.add(name)
+        if len(self.names) >= self.need and not self.whole.done():
             self.whole.set_result(True)
 
     async def enough(self, limit_s: float) -> bool:
@@ -53,6 +57,11 @@
             return False
 
 
+ANSWERED = frozenset({Word.SYNCED, Word.HAVE, Word.KEYED, Word.BOUND, Word.SEALED, Word.SEEN})
+Take = Callable[[str, list[Any]], bool]
+"""What is made of an answer of a barn: whether it counts."""
+
+
 class Barn:
     """One process of the role."""
 
@@ -63,16 +72,27 @@
         self._anchor = time.time() - self.loop.time()
         self.items = catalog.EMPTY
         self.keys = Registry(settings.bound("key_window", 60.0))
-        self.voters = NOBODY
-        self.counts = False
+        self.member = Member(self.me)
         self._turn = Turn(TURN_S)
         self._told_epochs: dict[str, int] = {}  # by barn: the epoch that it has told
+        self._whole_first: set[str] = set()  # barns that told that they are whole, with no voters named yet
+        self._watch = Watch(self.loop.time())
+        self._life = int(time.time() * 1000)
+        self._lives: dict[str, int] = {}  # by barn: the latest life that was heard of, 0 for an older version
+        self._forgotten: dict[str, int] = {}  # by barn: the life that is over
+        self._old_barns: set[str] = set()
+        self._old_stiles: set[Furrow] = set()
+        self._held: list[tuple[float, Furrow, list[Any]]] = []  # claims that come while voters change
+        self._heir = ""
+        self._changing = self._settling = False
+        self._tries = self._highest = 0
+        self._since = self._accepted_at = self.loop.time()  # when the voters were learned; when sealed
         self._granary = Granary(settings.data_dir or "/tmp/granary", self._state)
         self._dials: dict[str, Dial] = {}
         self._linked: dict[str, Furrow] = {}
         self._stiles: dict[Furrow, str] = {}
         self._records: dict[str, list[Any]] = {}
-        self._rounds: dict[int, tuple[Round, Callable[[list[Any]], bool]]] = {}
+        self._rounds: dict[int, tuple[Round, Take]] = {}
         self._next = 0
         self._news = 0
         self.acked: dict[str, int] = {}  # by stile: the last change that it has acknowledged
@@ -80,6 +100,34 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
 
+    @property
+    def voters(self) -> Voters:
+        """Whose disks count."""
+        return self.member.voters
+
+    @voters.setter
+    def voters(self, told: Voters) -> None:
+        self.member.voters = told
+
+    @property
+    def counts(self) -> bool:
+        """Whether this disk is whole as things stand."""
+        return self.member.counts
+
+    @counts.setter
+    def counts(self, whole: bool) -> None:
+        self.member.whole = max(1, self.voters.epoch) if whole else 0
+
+    @property
+    def _steady_s(self) -> float:
+        """A barn that was seen for so long is there to stay: it has caught up, and all are in touch."""
+        return self.settings.bound("catch_up", 4.0) + self.settings.bound("contact", 3.0)
+
+    @property
+    def _gone_s(self) -> float:
+        """One that was not seen for so long is not about to return; with four times that it is forgotten."""
+        return 2 * self._steady_s
+
     # --- start
 
     async def start(self) -> None:
@@ -89,8 +137,8 @@
         control = self.settings.control
         assert control is not None
         self._door = await front.open_door(control, self.serve)
-        for seed in self.settings.seed_furrows:
-            self._know(seed)
+        for address in [*self.settings.seed_furrows, *self.voters.names, *self.member.before]:
+            self._know(address)
         self._task(self._begin())
         self._task(self._agree())
         logger.info("barn listens", counts=self.counts, items=len(self.items), keys=len(self.keys))
@@ -116,11 +164,8 @@
             what = record[0]
             if what == "item":
                 rows.append(Item(*record[1]))
-            elif what == "voters":
-                told = Voters(record[1], tuple(record[2]))
-                self.voters = told if told.newer(self.voters) else self.voters
-            elif what == "whole":
-                self.counts = True
+            elif what in ("voters", "whole", "ballot"):
+                self.member.load(record)
             elif what == "key":
                 self.keys.take(now, [[*record[1][:3], *(at - now for at in record[1][3:5]), record[1][5]]])
             elif what == "free":
@@ -129,15 +174,12 @@
                 self.keys.broke(now, record[1], record[2])
         self.items = catalog.merge(self.items, rows)
         if self.settings.first_start:
-            self.counts = True
+            self.member.settle(1)
 
     def _state(self) -> Iterable[Any]:
         """All that still counts, for the disk."""
         now = self._now()
-        if self.counts:
-            yield ["whole"]
-        if self.voters.epoch:
-            yield ["voters", self.voters.epoch, list(self.voters.names)]
+        yield from self.member.records()
         for item in self.items.values():
             yield ["item", list(item)]
         for row in self.keys.rows(now):
@@ -152,38 +194,56 @@
         seeds = self.settings.seed_furrows
         if not self.voters.epoch and seeds and seeds[0] == self.me and self._fresh:
             while not self.voters.epoch:
+                # Only the first start has barns that are whole and know of no voters: seeds that are all new
+                # must never name voters beside those that there are.
                 met = all(self._told_epochs.get(seed) == 0 for seed in seeds if seed != self.me)
-                if met and self.loop.time() > self._newest_barn + GATHER_S:
+                first = self.counts or bool(self._whole_first)
+                if met and first and self.loop.time() > self._newest_barn + GATHER_S:
                     self._elect(Voters(1, tuple(sorted({self.me, *self._dials}))))
                     break
                 await asyncio.sleep(0.02)
         if not self.counts:
-            await self._recover()
+            await self._settle()
 
-    async def _recover(self) -> None:
-        """A barn whose disk is gone counts again once so many others have been heard that nothing that was
-        acknowledged, and no key that was granted, can be missing."""
-        await asyncio.sleep(CLAIM_S + 0.1)
-        while not self.counts:
-            if self.voters.epoch:
-                need = self.voters.read
-                if await self._sync(need, own=False) and await self._fetch_keys(need):
-                    self.counts = True
-                    await self._flush()
-                    logger.info("whole again", items=len(self.items), keys=len(self.keys))
-                    self._tell_barns()
-                    return
-            await asyncio.sleep(0.1)
-
-    async def _flush(self) -> None:
+    async def _settle(self) -> None:
+        """Be whole again, in the epoch that stands: a barn whose disk is gone, or one whose epoch is over.
+
+        It is so once so many others have been heard that nothing that was acknowledged, and no key that was
+        granted, can be missing."""
+        if self._settling:
+            return
+        self._settling = True
+        try:
+            if not self.member.lasted:
+                await asyncio.sleep(CLAIM_S + 0.1)
+            while not self.counts:
+                for voters, sealed in list(self.member.sources()):
+                    if await self._hear_all(voters, sealed):
+                        break
+                else:
+                    await asyncio.sleep(0.1)
+        finally:
+            self._settling = False
+        logger.info("whole again", epoch=self.voters.epoch, items=len(self.items), keys=len(self.keys))
+        self._tell_barns()
+        self._claim_again()
+
+    async def _hear_all(self, voters: Voters, sealed: bool) -> bool:
+        """Hear all that some voters have, and write it down; whether they were enough."""
+        epoch = self.voters.epoch
+        own = sealed and self.me in voters.names and self.member.holds(voters.epoch)
+        if not await self._sync(voters, voters.read - own, False, sealed=sealed):
+            return False
+        if not await self._fetch_keys(voters, voters.read - own, sealed) or self.voters.epoch != epoch:
+            return False
         done: asyncio.Future[bool] = self.loop.create_future()
-        now = self._now()
         for record in self._state():
             self._granary.put(record)
-        for row in self.keys.rows(now):
-            self._granary.put(self._key_record(now, row))
-        self._granary.put(["whole"], done.set_result)
-        await done
+        self._granary.put(["whole", epoch], done.set_result)
+        if not await done:
+            return False
+        self.member.settle(epoch)
+        return True
 
     def resettle(self, settings: Settings) -> None:
         """Take over what may change while this process runs: seeds and bounds. The rest needs a restart."""
@@ -194,47 +254,136 @@
     async def stop(self) -> None:
         """Answer what is under way, then end."""
         self.stopping = True
+        live = [self.me, *self._linked]
+        if holder(self.voters, live, self._heir) == self.me:
+            # Usually a restart: it stays a voter, and another has the duty meanwhile.
+            heir = holder(self.voters, self._linked, "")
+            for link in self._linked.values():
+                link.send([Word.HEIR, self.voters.epoch, heir])
         self._door.listener.last_requests()
         await asyncio.sleep(0.3)
         self._door.listener.shut()
 
     # --- other barns
 
-    def _know(self, address: str) -> None:
-        if address == self.me or address in self._dials:
+    def _know(self, address: str, life: int = 0, itself: bool = False) -> None:
+        """Hear of a barn, from others or by its own word. One that was forgotten is known again by a later
+        life alone: what others tell may be old."""
+        over = self._forgotten.get(address, -1)
+        if address == self.me or (life <= over and not itself):
+            return
+        self._forgotten.pop(address, None)
+        known = self._lives.get(address, 0)
+        self._lives[address] = max(life, known)
+        if address in self._dials:
+            if life > known > 0:  # whoever has forgotten the life before has to hear of this one
+                self._tell_barns()
+                self._tell(self._barns())
             return
         self._newest_barn = self.loop.time()
+        self._watch.down(self._newest_barn, address)
         host, _, port = address.rpartition(":")
         self._dials[address] = Dial(
             Address(host, int(port)), self._hear, lambda link: self._barn_up(address, link),
             lambda link: self._barn_down(address, link),
         )
         self._tell_barns()
-        packed = pack([Word.BARNS, [self.me, *self._dials], self.settings.zone])
-        for link in self._stiles:
-            link.put(packed)
+        self._tell(self._barns())
 
     def _barn_up(self, address: str, link: Furrow) -> None:
+        link.peer = address
         self._linked[address] = link
+        self._watch.up(self.loop.time(), address)
         link.send(self._hello())
 
     def _barn_down(self, address: str, link: Furrow) -> None:
         if self._linked.get(address) is link:
             del self._linked[address]
+            self._watch.down(self.loop.time(), address)
 
     def _hello(self) -> list[Any]:
-        return [Word.BARN, self.me, [self.voters.epoch, list(self.voters.names)], [self.me, *self._dials]]
+        return [
+            Word.BARN, self.me, [self.voters.epoch, list(self.voters.names)], [self.me, *self._dials],
+            self.settings.zone, list(self.member.before), self.member.whole, self._all_lives(),
+            self._forgotten,
+        ]
+
+    def _barns(self) -> list[Any]:
+        return [
+            Word.BARNS, [self.me, *self._dials], self.settings.zone, self._all_lives(), self._forgotten
+        ]
+
+    def _all_lives(self) -> dict[str, int]:
+        return {self.me: self._life} | {name: self._lives.get(name, 0) for name in self._dials}
 
     def _tell_barns(self) -> None:
         packed = pack(self._hello())
         for link in self._linked.values():
             link.put(packed)
 
+    def _barn(
+        self, link: Furrow, address: str, voters: list[Any], barns: list[str], zone: str = "",
+        before: Iterable[str] = (), whole: int = -1, lives: dict[str, int] | None = None,
+        forgotten: dict[str, int] | None = None, *_: Any,
+    ) -> None:
+        """Another barn says who it is, who votes and whom it knows; an older version says less."""
+        lives = lives or {}
+        self._told_epochs[address] = voters[0]
+        if whole == 1 and not voters[0]:
+            self._whole_first.add(address)
+        (self._old_barns.add if whole < 0 else self._old_barns.discard)(address)
+        over = self._forgotten.get(address, -1)
+        if lives.get(address, 0) <= over:
+            link.send([Word.FORGOTTEN, over])
+        self._know(address, lives.get(address, 0), itself=True)
+        for other in barns:
+            self._know(other, lives.get(other, 0))
+        for other, life in (forgotten or {}).items():
+            self._forget_barn(other, life)
+        self._elect(Voters(voters[0], tuple(voters[1])), tuple(before))
+
+    def _keeps(self, address: str) -> bool:
+        """Whether a barn is dialled for as long as it takes."""
+        return address in self.voters.names or address in self.settings.seed_furrows
+
+    def _forget_barn(self, address: str, life: int) -> None:
+        """Others have forgotten a barn."""
+        if address == self.me:
+            self._live_on(life)
+        elif address in self._linked:
+            self._linked[address].send([Word.FORGOTTEN, life])
+        elif life >= self._lives.get(address, 0) and not self._keeps(address):
+            if address not in self._dials or self._watch.gone(self.loop.time(), address) >= self._gone_s:
+                self._drop(address, life)
+
+    def _live_on(self, life: int) -> None:
+        """Others have forgotten this life: the next one is heard of again."""
+        if life >= self._life:
+            self._life = max(life + 1, int(self._now() * 1000))
+            self._tell_barns()
+            self._tell(self._barns())
+
+    def _drop(self, address: str, life: int) -> None:
+        if self._forgotten.get(address, -1) >= life:
+            return
+        self._forgotten[address] = life
+        if len(self._forgotten) > MOST_FORGOTTEN:
+            del self._forgotten[next(iter(self._forgotten))]
+        self._lives.pop(address, None)
+        self._watch.forget(address)
+        dial = self._dials.pop(address, None)
+        if dial is not None:
+            logger.info("forgotten", barn=address)
+            dial.stop()
+        self._tell_barns()
+        self._tell(self._barns())
+
     def _came(self, link: Furrow) -> None:
         """Whoever dialled says who it is."""
 
     def _left(self, link: Furrow) -> None:
         node = self._stiles.pop(link, None)
+        self._old_stiles.discard(link)
         record = self._records.get(node) if node is not None else None
         if record is not None and node is not None:
             self.loop.call_later(FORGET_S, self._forget, node, record[Record.LIFE])
@@ -246,21 +395,146 @@
         del self._records[node]
         self._tell([Word.GONE, node, life])
 
-    def _elect(self, told: Voters) -> None:
-        if not told.newer(self.voters):
+    def _elect(self, told: Voters, before: tuple[str, ...] = ()) -> None:
+        """Learn who votes."""
+        if not self.member.learn(told, before):
             return
-        self.voters = told
+        self._since, self._heir = self.loop.time(), ""
+        self._turn = Turn(TURN_S)  # a turn is one epoch's
         logger.info("voters", epoch=told.epoch, names=list(told.names))
         if len(told.names) < 2 * self.settings.losses + 1:
             logger.warning("fewer barns than the losses to be borne take: nothing acknowledged is lost, but "
                            "less can be served while some are down")
-        self._granary.put(["voters", told.epoch, list(told.names)])
-        if self.counts:
-            self._granary.put(["whole"])
+        self._keep()
         for name in told.names:
-            self._know(name)
+            self._know(name, self._forgotten.get(name, -1) + 1)
         self._tell_barns()
-        self._tell([Word.VOTERS, told.epoch, list(told.names)])
+        self._tell(self._told_voters())
+        self._claim_again()
+        if not self.counts:
+            self._task(self._settle())
+
+    def _told_voters(self) -> list[Any]:
+        return [Word.VOTERS, self.voters.epoch, list(self.voters.names)]
+
+    def _keep(self, done: Callable[[bool], None] | None = None) -> None:
+        """Write down this barn's word on who votes."""
+        *first, last = self.member.records()
+        for record in first:
+            self._granary.put(record)
+        self._granary.put(last, done)
+
+    # --- voters that follow voters
+
+    def _vote(self, message: list[Any], tell: Callable[[list[Any]], None]) -> None:
+        """Answer a proposer, once the answer lies on the disk."""
+        word, number, epoch = message[:3]
+        ballot, member = Ballot(*message[3]), self.member
+        if word == Word.BID:
+            kind, yes = Word.BOUND, member.bid(epoch, ballot)
+        else:
+            kind, yes = Word.SEALED, member.seal(epoch, ballot, tuple(message[4]))
+            self._accepted_at = self.loop.time()
+        answer = [kind, number, yes, epoch, member.promised.number, row_of(member.accepted)]
+        if yes:
+            self._keep(lambda ok: tell(answer) if ok else None)
+        else:
+            tell(answer)
+
+    async def _poll(self, made: Proposal, word: Word) -> bool:
+        """One of a proposal's two rounds; whether enough said yes in time."""
+        def take(name: str, message: list[Any]) -> bool:
+            if not message[2] or message[3] != made.voters.epoch:
+                self._highest = max(self._highest, message[4])
+                return False
+            if word == Word.BID:
+                made.bound(self.loop.time(), name, accepted_of(message[5]) if message[5] else None)
+            else:
+                made.sealed(self.loop.time(), name)
+            return True
+
+        number, round_ = self._round(made.voters.write, take)
+        message = [word, number, made.voters.epoch, list(made.ballot)]
+        if word == Word.SEAL:
+            message.append(list(made.names))
+        for link in self._voting(made.voters):
+            link.send(message)
+        self._vote(message, lambda answer: round_.yes(self.me) if take(self.me, answer) else None)
+        try:
+            return await round_.enough(CLAIM_S)
+        finally:
+            del self._rounds[number]
+
+    async def _propose(self, wish: Iterable[str]) -> None:
+        """Have the voters followed by others. Void where it takes longer than an emptied disk waits."""
+        voters = self.voters
+        self._tries += 1
+        number = max(self.member.promised.number, self._highest) + 1
+        ballot = Ballot(number, f"{self.me}/{self._life}/{self._tries}")
+        made = Proposal(voters, ballot, tuple(wish), self.loop.time(), CLAIM_S)
+        if await self._poll(made, Word.BID) and made.asked:
+            await self._poll(made, Word.SEAL)
+        if made.decided is not None:
+            self._elect(made.decided, voters.names)
+
+    def _sight(self, epoch: int) -> Sight:
+        now, watch = self.loop.time(), self._watch
+        old = any(name in self._linked for name in self._old_barns) or bool(self._old_stiles)
+        return Sight(
+            {name: watch.gone(now, name) for name in self._dials},
+            {name: watch.steady(now, name) for name in self._dials},
+            self.member.votes(epoch), self.counts, self.settings.zone, old,
+        )
+
+    async def _change(self) -> None:
+        """Look whether others should vote, with all who can be asked; if so, propose them."""
+        voters = self.voters
+        if self.member.accepted is not None:
+            await self._propose(self.member.accepted.names)
+            return
+        sights = {self.me: self._sight(voters.epoch)}
+
+        def take(name: str, message: list[Any]) -> bool:
+            if message[2] == voters.epoch:
+                sights[name] = Sight(*message[3:9])
+            return True
+
+        number, made = self._round(len(self._linked), take)
+        for link in self._linked.values():
+            link.send([Word.SIGHT, number, voters.epoch])
+        await made.enough(ROUND_S)
+        del self._rounds[number]
+        wish = plan(voters, self.settings.losses, sights, self._gone_s, self._steady_s)
+        if wish is not None and self.voters == voters:
+            logger.info("others should vote", epoch=voters.epoch + 1, names=list(wish))
+            await self._propose(wish)
+
+    async def _change_once(self) -> None:
+        self._changing = True
+        try:
+            await self._change()
+        finally:
+            self._changing = False
+
+    def _consider(self) -> None:
+        """Now and then: whether there is a reason to have other voters, and whom to forget."""
+        now, voters, member = self.loop.time(), self.voters, self.member
+        for name in list(self._dials):
+            if not self._keeps(name) and self._watch.gone(now, name) >= 4 * self._gone_s:
+                self._drop(name, self._lives.get(name, 0))
+        if self._changing or self.stopping or voters.epoch != member.whole or self.me not in voters.names:
+            return
+        if member.accepted is not None:
+            # Whoever proposed it has ended, or was not heard. Two who propose at once only take longer.
+            if now > self._accepted_at + FINISH_S * (1 + random.random()):
+                self._task(self._change_once())
+            return
+        gone = any(self._watch.gone(now, name) >= self._gone_s for name in voters.names if name != self.me)
+        few = len(voters.names) < 2 * self.settings.losses + 1
+        more = few and any(name not in voters.names for name in self._linked)
+        mine = holder(voters, [self.me, *self._linked], self._heir) == self.me
+        if mine and (gone or more) and now >= self._since + self._steady_s:
+            self._task(self._change_once())
 
     # --- messages
 
@@ -274,41 +548,82 @@
             self._let_go("free", *message[1:])
         elif word == Word.BROKE:
             self._let_go("broke", *message[1:])
-        elif word in (Word.SYNCED, Word.HAVE, Word.KEYED):
+        elif word in ANSWERED:
             found = self._rounds.get(message[1])
-            if found is not None and found[1](message):
-                found[0].yes()
+            if found is not None and found[1](link.peer, message):
+                found[0].yes(link.peer)
         elif word == Word.SYNC:
-            yes = self.counts and (not message[3] or self._turn.take(self.loop.time(), message[3]))
-            link.send([Word.SYNCED, message[1], yes, self._missing(message[2])])
+            self._synced(link, *message[1:6])
         elif word == Word.PUT:
-            self._write(message[2], message[3], lambda ok: link.send([Word.HAVE, message[1], ok]))
+            epoch = message[4] if len(message) > 4 else 1
+            self._write(
+                message[2], message[3], epoch, lambda ok: link.send([Word.HAVE, message[1], ok, epoch])
+            )
         elif word == Word.OVER:
             self._turn.over(message[1])
         elif word == Word.KEYS:
-            rows = self.keys.rows(self._now()) if self.counts else []
-            link.send([Word.KEYED, message[1], self.counts, rows])
+            self._keyed(link, *message[1:4])
         elif word == Word.BARN:
-            self._told_epochs[message[1]] = message[2][0]
-            self._know(message[1])
-            for address in message[3]:
-                self._know(address)
-            self._elect(Voters(message[2][0], tuple(message[2][1])))
+            self._barn(link, *message[1:])
+        elif word in (Word.BID, Word.SEAL):
+            self._vote(message, link.send)
+            if message[2] < self.voters.epoch:
+                link.send(self._hello())
+        elif word == Word.SIGHT:
+            link.send([Word.SEEN, message[1], message[2], *self._sight(message[2])])
+        elif word == Word.HEIR:
+            if message[1] == self.voters.epoch:
+                self._heir = message[2]
+        elif word == Word.FORGOTTEN:
+            self._live_on(message[1])
         elif word == Word.STILE:
+            if link not in self._stiles and len(message) < 3:
+                self._old_stiles.add(link)
             self._stile(link, message[1])
         elif word == Word.ACK:
             node = self._stiles.get(link)
             if node is not None:
                 self.acked[node] = message[1]
 
-    def _round(self, need: int, take: Callable[[list[Any]], bool]) -> tuple[int, Round]:
+    def _synced(
+        self, link: Furrow, number: int, versions: dict[str, int], token: str, epoch: int = 1,
+        sealed: bool = False,
+    ) -> None:
+        """Tell items, and whether this barn votes in an epoch; or whether it never will again."""
+        def tell(yes: bool) -> None:
+            link.send([Word.SYNCED, number, yes, self._missing(versions), epoch])
+
+        if sealed:
+            self._when_sealed(epoch, tell)
+        else:
+            tell(self.member.votes(epoch) and (not token or self._turn.take(self.loop.time(), token)))
+
+    def _keyed(self, link: Furrow, number: int, epoch: int = 1, sealed: bool = False) -> None:
+        """Tell grants, in the same way."""
+        def tell(yes: bool) -> None:
+            rows = self.keys.rows(self._now()) if yes else []
+            link.send([Word.KEYED, number, yes, rows, epoch, list(self.member.promised)])
+
+        if sealed:
+            self._when_sealed(epoch, tell)
+        else:
+            tell(self.member.votes(epoch))
+
+    def _when_sealed(self, epoch: int, tell: Callable[[bool], None]) -> None:
+        """Tell whether this barn is sealed, and whole, in an epoch: for good, so it lies on the disk."""
+        if self.member.holds(epoch):
+            self._keep(lambda ok: tell(ok and self.member.holds(epoch)))
+        else:
+            tell(False)
+
+    def _round(self, need: int, take: Take) -> tuple[int, Round]:
         self._next += 1
         made = Round(need)
         self._rounds[self._next] = (made, take)
         return self._next, made
 
-    def _voting(self) -> list[Furrow]:
-        return [self._linked[name] for name in self.voters.names if name in self._linked]
+    def _voting(self, voters: Voters) -> list[Furrow]:
+        return [self._linked[name] for name in voters.names if name in self._linked]
 
     # --- items
 
@@ -335,56 +650,64 @@
             return
         self._granary.put(["item", list(self.items[names[-1]])], lambda ok: done(ok))
 
-    def _write(self, rows: list[list[Any]], token: str, done: Callable[[bool], None]) -> None:
-        """Take a write, if it is its writer's turn here."""
-        if not self.counts or not self._turn.holds(token):
+    def _write(self, rows: list[list[Any]], token: str, epoch: int, done: Callable[[bool], None]) -> None:
+        """Take a write, if it is its writer's turn here, in the same epoch."""
+        if not self.member.votes(epoch) or not self._turn.holds(token):
             done(False)
             return
         self._store(rows, done)
 
-    async def _sync(self, need: int, own: bool = True, token: str = "") -> bool:
-        """Hear from so many barns that count what they have and this one has not; with a token, have them
-        give its writer the turn."""
-        def take(message: list[Any]) -> bool:
+    async def _sync(
+        self, voters: Voters, need: int, own: bool = True, token: str = "", sealed: bool = False
+    ) -> bool:
+        """Hear from so many barns that vote (or are sealed) what they have and this one has not; with a
+        token, have them give its writer the turn."""
+        def take(name: str, message: list[Any]) -> bool:
             for item in self._take(message[3]):
                 self._granary.put(["item", list(item)])
-            return bool(message[2])
+            return bool(message[2]) and (message[4] if len(message) > 4 else 1) == voters.epoch
 
         versions = {item.name: item.version for item in self.items.values()}
-        mine = own and self.counts and self.me in self.voters.names
+        mine = own and self.member.votes(voters.epoch)
         if token and mine:
             mine = self._turn.take(self.loop.time(), token)
         number, made = self._round(need - mine, take)
-        packed = pack([Word.SYNC, number, versions, token])
-        for link in self._voting():
+        packed = pack([Word.SYNC, number, versions, token, voters.epoch, sealed])
+        for link in self._voting(voters):
             link.put(packed)
         try:
             return await made.enough(ROUND_S)
         finally:
             del self._rounds[number]
 
-    async def _fetch_keys(self, need: int) -> bool:
-        def take(message: list[Any]) -> bool:
-            if message[2]:
+    async def _fetch_keys(self, voters: Voters, need: int, sealed: bool) -> bool:
+        def take(name: str, message: list[Any]) -> bool:
+            yes = bool(message[2]) and (message[4] if len(message) > 4 else 1) == voters.epoch
+            if yes:
                 self.keys.take(self._now(), message[3])
-            return bool(message[2])
+                if len(message) > 5:
+                    self.member.heard(voters.epoch, Ballot(*message[5]))
+            return yes
 
         number, made = self._round(need, take)
-        for link in self._voting():
-            link.send([Word.KEYS, number])
+        for link in self._voting(voters):
+            link.send([Word.KEYS, number, voters.epoch, sealed])
         try:
             return await made.enough(ROUND_S)
         finally:
             del self._rounds[number]
 
-    async def _put(self, rows: list[list[Any]], token: str) -> bool:
+    async def _put(self, voters: Voters, rows: list[list[Any]], token: str) -> bool:
         """Have these items on enough disks."""
-        number, made = self._round(self.voters.write, lambda message: bool(message[2]))
-        packed = pack([Word.PUT, number, rows, token])
-        for link in self._voting():
+        def take(name: str, message: list[Any]) -> bool:
+            return bool(message[2]) and (message[3] if len(message) > 3 else 1) == voters.epoch
+
+        number, made = self._round(voters.write, take)
+        packed = pack([Word.PUT, number, rows, token, voters.epoch])
+        for link in self._voting(voters):
             link.put(packed)
-        if self.me in self.voters.names:
-            self._write(rows, token, lambda ok: made.yes() if ok else None)
+        if self.me in voters.names:
+            self._write(rows, token, voters.epoch, lambda ok: made.yes(self.me) if ok else None)
         try:
             return await made.enough(ROUND_S)
         finally:
@@ -394,11 +717,12 @@
         """Compare with one other now and then: what a cut or a freeze kept from here comes by this."""
         while True:
             await asyncio.sleep(AGREE_S * (0.75 + random.random() / 2))
+            self._consider()
             links = list(self._linked.values())
             if not links:
                 continue
 
-            def take(message: list[Any]) -> bool:
+            def take(name: str, message: list[Any]) -> bool:
                 for item in self._take(message[3]):
                     self._granary.put(["item", list(item)])
                 return True
@@ -422,9 +746,9 @@
         if news:
             self._records[node] = record
         if fresh:
-            link.send([Word.BARNS, [self.me, *self._dials], self.settings.zone])
+            link.send(self._barns())
             if self.voters.epoch:
-                link.send([Word.VOTERS, self.voters.epoch, list(self.voters.names)])
+                link.send(self._told_voters())
             link.send([Word.ITEMS, self._news, [list(item) for item in self.items.values()]])
             link.send([Word.BEDS, list(self._records.values())])
         if news:
@@ -440,8 +764,19 @@
 
     # --- keys
 
-    def _claim(self, link: Furrow, claim: int, key: str, token: str, left_s: float) -> None:
-        if not self.counts:
+    def _claim(
+        self, link: Furrow, claim: int, key: str, token: str, left_s: float, epoch: int = 1, *_: Any
+    ) -> None:
+        """Grant a key, in the claimant's epoch. One of an older epoch is told who votes; while a change is
+        under way a claim is held, until it can be answered or its claimant counts it no more."""
+        member = self.member
+        if not member.votes(epoch):
+            if epoch < self.voters.epoch:
+                link.send(self._told_voters())
+            elif member.lasted and (epoch > self.voters.epoch or self.me in self.voters.names):
+                self._held.append((self.loop.time(), link, [claim, key, token, left_s, epoch]))
+                del self._held[:-1024]
+                return
             link.send([Word.CLAIMED, claim, -1, "", 0, None])
             return
         now = self._now()
@@ -452,10 +787,20 @@
 
         def written(ok: bool) -> None:
             if not ok and fresh:
-                self.keys.free(self._now(), key, token)
+                self.keys.undo(key, token)
             link.send([Word.CLAIMED, claim, 1 if ok else -1, token, 1, None])
 
-        self._granary.put(self._key_record(now, row_of(now, key, grant)), written)
+        self._granary.put(self._key_record(now, grant_row(now, key, grant)), written)
+
+    def _claim_again(self) -> None:
+        """What was held may be answered now."""
+        held, self._held = self._held, []
+        for at, link, told in held:
+            if link.open and self.loop.time() < at + CLAIM_S:
+                before = len(self._held)
+                self._claim(link, *told)
+                if len(self._held) > before:
+                    self._held[-1] = (at, link, told)
 
     def _keep_answer(self, key: str, token: str, answer: Any) -> None:
         now = self._now()
@@ -463,6 +808,7 @@
             self._granary.put(self._key_record(now, self.keys.row(now, key)))
 
     def _let_go(self, what: str, key: str, token: str) -> None:
+        self._held = [held for held in self._held if held[2][2] != token]
         now = self._now()
         if (self.keys.free if what == "free" else self.keys.broke)(now, key, token):
             self._granary.put([what, key, token])
@@ -495,7 +841,8 @@
         while True:
             self._next += 1
             token = f"{self.me}/{self._anchor}/{self._next}"
-            if self.voters.epoch and await self._sync(self.voters.write, token=token):
+            voters = self.voters
+            if voters.epoch and await self._sync(voters, voters.write, token=token):
                 break
             self._over(token)
             if self.loop.time() > ends - ROUND_S:
@@ -510,7 +857,7 @@
         # What stands in place of an older one has to last as well: the call's answer says so for each name.
         news = {item.name: item for item in change.ok}
         rows = [list(news.get(item.name) or self.items[item.name]) for item in read.ok]
-        taken = await self._put(rows, token)
+        taken = await self._put(voters, rows, token)
         self._over(token)
         if taken:
             self._take(rows)
@@ -521,11 +868,12 @@
     def _over(self, token: str) -> None:
         self._turn.over(token)
         packed = pack([Word.OVER, token])
-        for link in self._voting():
+        for link in self._voting(self.voters):
             link.put(packed)
 
     async def _get(self, message: Message) -> None:
-        if not self.voters.epoch or not await self._sync(self.voters.read):
+        voters = self.voters
+        if not voters.epoch or not await self._sync(voters, voters.read):
             self._refuse(message, Fault.NO_QUORUM)
             return
         message.answer(200, catalog.whole(self.items), [(b"Content-Type", b"application/json")])
--- a/orchard/keys.py
+++ b/orchard/keys.py
@@ -15,6 +15,7 @@
 from typing import Any, NamedTuple
 
 NOBODY = ""  # a token that no claimant has
+FREED_S = 5.0  # a token that was given back is known for so long: what others tell may be from before
 
 
 class Mark(enum.IntEnum):
@@ -41,6 +42,7 @@
     def __init__(self, window_s: float) -> None:
         self._window = window_s
         self._grants: OrderedDict[str, Grant] = OrderedDict()  # by when they were first granted
+        self._freed: OrderedDict[tuple[str, str], float] = OrderedDict()  # key and token: until when
 
     def __len__(self) -> int:
         return len(self._grants)
@@ -84,7 +86,14 @@
         return True
 
     def free(self, now: float, key: str, token: str) -> bool:
-        """Nothing ran with a token, and nothing will."""
+        """Nothing ran with a token, and nothing will, as its holder says."""
+        while self._freed and next(iter(self._freed.values())) <= now:
+            self._freed.popitem(last=False)
+        self._freed[key, token] = now + FREED_S
+        return self.undo(key, token)
+
+    def undo(self, key: str, token: str) -> bool:
+        """A grant that was not told to anybody is none."""
         grant = self._grants.get(key)
         if grant is None or grant.token != token or grant.mark == Mark.DONE:
             return False
@@ -122,7 +131,7 @@
             mine = self._grants.get(key)
             if mine is not None and now >= mine.expires:
                 mine = None
-            if expires <= 0:
+            if expires <= 0 or (mark != Mark.DONE and self._freed.get((key, token), now) > now):
                 continue
             if mine is None or (grant.mark == Mark.DONE and mine.mark != Mark.DONE):
                 self._grants[key] = grant
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -89,6 +89,7 @@
         self.table = catalog.NOTHING
         self.voters: tuple[str, ...] = ()
         self._enough = 1
+        self._epoch = 0
         self.plot = Plot(self.loop, settings.app, 64)
         self.beds: dict[str, Bed] = {}
         self.lists: dict[str, list[Bed]] = {}
@@ -101,8 +102,11 @@
         self._asks: dict[int, tuple[Trip, Bed]] = {}
         self._next = 0
         self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
+        self._anew: dict[int, Callable[[], None]] = {}  # by claim: ask those who vote now
         self._granted: dict[str, list[str]] = {}  # by token at work: the barns that were asked
         self._barn_zones: dict[str, str] = {}
+        self._barn_lives: dict[str, int] = {}
+        self._barns_over: dict[str, int] = {}  # by barn: the life with which others have forgotten it
         self._sizes: dict[str, float] = {}  # by route: bytes of an answer, about
         self._keyless_until = 0.0  # barns are out of reach, as it seems
         self._spends: dict[str, Spend] = {}
@@ -250,15 +254,54 @@
     def _barn_up(self, address: str, link: Furrow) -> None:
         link.peer = address
         self._barns[address] = link
-        link.send([Word.STILE, self._record()])
+        link.send([Word.STILE, self._record(), 1])
 
     def _barn_down(self, address: str, link: Furrow) -> None:
         if self._barns.get(address) is link:
             del self._barns[address]
+            self._forget_barn(address)
         for claim, then in list(self._claims.values()):
             claim.failed(address)
             then(claim)
 
+    def _hear_barns(
+        self, link: Furrow, addresses: list[str], zone: str, lives: dict[str, int] | None = None,
+        over: dict[str, int] | None = None, *_: Any,
+    ) -> None:
+        """Which barns there are, and which were forgotten: those come back by a later life alone."""
+        for address in addresses:
+            life = (lives or {}).get(address, 0)
+            if life > self._barns_over.get(address, -1):
+                self._barns_over.pop(address, None)
+                self._barn_lives[address] = max(life, self._barn_lives.get(address, 0))
+                self._know_barn(address)
+        for address, life in (over or {}).items():
+            if life >= self._barn_lives.get(address, 0):
+                self._barns_over[address] = life
+                self._forget_barn(address)
+        if link.peer:
+            self._barn_zones[link.peer] = zone
+
+    def _forget_barn(self, address: str) -> None:
+        """Dial a barn no more that others have forgotten, unless it is reached from here."""
+        kept = address in self.settings.seed_furrows or address in self.voters
+        if address in self._barns_over and address not in self._barns and not kept:
+            dial = self._barn_dials.pop(address, None)
+            if dial is not None:
+                dial.stop()
+
+    def _take_voters(self, told: Voters) -> None:
+        """Who votes from now on. What was asked of those before is asked anew, as long as nothing ran."""
+        if not told.newer(Voters(self._epoch, self.voters)):
+            return
+        self._epoch, self.voters, self._enough = told.epoch, told.names, told.write
+        for name in told.names:
+            self._know_barn(name)
+        for asked in self._granted.values():  # they may have heard of it from those before
+            asked += [name for name in told.names if name not in asked]
+        for anew in list(self._anew.values()):
+            anew()
+
     def _take_items(self, rows: list[list[Any]]) -> None:
         items = catalog.merge(self.items, (Item(*row) for row in rows))
         if items is self.items:
@@ -377,14 +420,9 @@
             if message[1][Record.NODE] != self.me:
                 self._take_record(message[1])
         elif word == Word.BARNS:
-            for address in message[1]:
-                self._know_barn(address)
-            if link.peer:
-                self._barn_zones[link.peer] = message[2]
+            self._hear_barns(link, *message[1:])
         elif word == Word.VOTERS:
-            told = Voters(message[1], tuple(message[2]))
-            self.voters = told.names
-            self._enough = told.write
+            self._take_voters(Voters(message[1], tuple(message[2])))
         elif word == Word.LIFE:
             if message[1] >= self._life:  # a clock has stepped back since the process before
                 self._life = message[1] + 1
@@ -641,17 +679,37 @@
             self._open_jobs -= 1
             tell(int(Fault.REFUSED), False, 0, [], b"")
             return
-        number = self._fresh()
-        claim = Claim(len(self.voters), self._enough, now, CLAIM_S)
-        packed = pack([Word.CLAIM, number, key, token, left + 0.5])
-        # The nearest that are enough first; what they don't settle soon, the others are asked as well.
-        order = sorted(self.voters, key=lambda name: self._barn_zones.get(name) != self.settings.zone)
+        number, claim, packed = 0, Claim(0, 0, now, CLAIM_S), b""
+        order: list[str] = []
         asked: list[str] = []
+        all_asked: list[str] = []  # in all epochs
+
+        def begin() -> None:
+            """Ask the nearest that are enough first; what they don't settle soon, the others are asked as
+            well. Answers are counted by the claim's number, so within one epoch."""
+            nonlocal number, claim, packed, order, asked
+            self._claims.pop(number, None)
+            self._anew.pop(number, None)
+            at = self.loop.time()
+            number = self._fresh()
+            claim = Claim(len(self.voters), self._enough, at, CLAIM_S)
+            epoch = [self._epoch] if self._epoch > 1 else []  # what an older barn doesn't know, it can't read
+            packed = pack([Word.CLAIM, number, key, token, left + 0.5 - (at - now), *epoch])
+            order = sorted(self.voters, key=lambda name: self._barn_zones.get(name) != self.settings.zone)
+            asked = []
+            self._claims[number], self._anew[number] = (claim, then), begin
+            for name in order:
+                if name not in self._barns:
+                    claim.failed(name)
+            ask([name for name in order if name in self._barns][:self._enough])
+            then(claim)
 
         def ask(names: list[str]) -> None:
             for name in names:
                 if name not in asked:
                     asked.append(name)
+                    if name not in all_asked:
+                        all_asked.append(name)
                     link = self._barns.get(name)
                     if link is None:
                         claim.failed(name)
@@ -672,10 +730,10 @@
                 verdict = claim.verdict(self.loop.time())
             if verdict == Verdict.WAIT:
                 return
-            del self._claims[number]
+            del self._claims[number], self._anew[number]
             timer.cancel()
             more.cancel()
-            self._granted[token] = asked
+            self._granted[token] = all_asked
             if verdict == Verdict.RUN:
                 self.plot.submit(job)
                 return
@@ -688,14 +746,11 @@
             fault = {Verdict.AT_WORK: Fault.AT_WORK, Verdict.LOST: Fault.LOST_KEY}.get(verdict, Fault.REFUSED)
             tell(int(fault), False, 0, [], b"")
 
-        timer = self.loop.call_later(min(CLAIM_S, patience, max(0.01, left)), self._claim_late, number)
+        timer = self.loop.call_later(
+            min(CLAIM_S, patience, max(0.01, left)), lambda: self._claim_late(number)
+        )
         more = self.loop.call_later(HEDGE_S, ask_all)
-        self._claims[number] = (claim, then)
-        for name in order:
-            if name not in self._barns:
-                claim.failed(name)
-        ask([name for name in order if name in self._barns][:self._enough])
-        then(claim)
+        begin()
 
     def _claim_late(self, number: int) -> None:
         found = self._claims.get(number)
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -8,27 +8,36 @@
 class Word(enum.IntEnum):
     """Kinds of messages, and what follows the kind in each."""
 
-    BARN = 10  # address, voters, barns: a barn to a barn, first of all and when any of it changes
-    STILE = 11  # record: a stile to a barn, first of all and when any of it changes
-    BARNS = 12  # addresses of all barns that are known, own zone
+    BARN = 10  # address, voters, barns, zone, voters before, whole, lives, those forgotten: a barn to a barn,
+    # first of all and when any of it changes
+    STILE = 11  # record, version (first of all): a stile to a barn, first of all and when any of it changes
+    BARNS = 12  # addresses of all barns that are known, own zone, lives, those forgotten
     VOTERS = 13  # epoch, addresses: a barn to a stile
     ITEMS = 20  # number, rows of items
     ACK = 21  # number
     BEDS = 22  # records of stiles
     GONE = 23  # node, incarnation
     LIFE = 24  # a barn to a stile: a record of its name and a later life is known
-    SYNC = 30  # round, versions by name, token of a writer or nothing
-    SYNCED = 31  # round, whether the barn counts and is the writer's, rows of items that were not told
-    PUT = 32  # round, rows of items, token of the writer
-    HAVE = 33  # round, whether they are on the disk
+    SYNC = 30  # round, versions by name, token of a writer or nothing, epoch, whether sealed ones are asked
+    SYNCED = 31  # round, whether the barn votes (or is sealed) and is the writer's, rows of items, epoch
+    PUT = 32  # round, rows of items, token of the writer, epoch
+    HAVE = 33  # round, whether they are on the disk, epoch
     OVER = 36  # token: its writer is done
-    KEYS = 34  # round
-    KEYED = 35  # round, whether the barn counts, rows of grants
-    CLAIM = 40  # claim, key, token, seconds left
+    KEYS = 34  # round, epoch, whether sealed ones are asked
+    KEYED = 35  # round, whether the barn votes (or is sealed), rows of grants, epoch, ballot promised
+    CLAIM = 40  # claim, key, token, seconds left, epoch from the second on
     CLAIMED = 41  # claim, outcome (-1 can't tell, 0 another's, 1 granted), token, mark, answer
     DONE = 42  # key, token, answer
     BROKE = 43  # key, token
     FREE = 44  # key, token
+    BID = 60  # round, epoch, ballot
+    BOUND = 61  # round, yes, epoch, number promised, what was accepted: ballot, names
+    SEAL = 62  # round, epoch, ballot, names of the next epoch's voters
+    SEALED = 63  # round, yes, epoch, number promised
+    SIGHT = 64  # round, epoch
+    SEEN = 65  # round, epoch, seconds without each, seconds with each, votes, counts, zone, old versions seen
+    HEIR = 66  # epoch, address: who has the duty from now on
+    FORGOTTEN = 67  # life: a barn to one that was forgotten with that life
     ASK = 50  # number, request
     TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds of waiting
     OVERDUE = 53  # number: its server has worked on it for unusually long
