--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -78,6 +78,7 @@
         self._whole_first: set[str] = set()  # barns that told that they are whole, with no voters named yet
         self._watch = Watch(self.loop.time())
         self._life = int(time.time() * 1000)
+        self._opened: dict[str, float] = {}  # by barn: when its furrow was opened
         self._lives: dict[str, int] = {}  # by barn: the latest life that was heard of, 0 for an older version
         self._forgotten: dict[str, int] = {}  # by barn: the life that is over
         self._old_barns: set[str] = set()
@@ -254,10 +255,10 @@
     async def stop(self) -> None:
         """Answer what is under way, then end."""
         self.stopping = True
-        live = [self.me, *self._linked]
-        if holder(self.voters, live, self._heir) == self.me:
+        live = self._live()
+        if holder(self.voters, [self.me, *live], self._heir) == self.me:
             # Usually a restart: it stays a voter, and another has the duty meanwhile.
-            heir = holder(self.voters, self._linked, "")
+            heir = holder(self.voters, live, "")
             for link in self._linked.values():
                 link.send([Word.HEIR, self.voters.epoch, heir])
         self._door.listener.last_requests()
@@ -293,7 +294,7 @@
     def _barn_up(self, address: str, link: Furrow) -> None:
         link.peer = address
         self._linked[address] = link
-        self._watch.up(self.loop.time(), address)
+        self._opened[address] = self.loop.time()
         link.send(self._hello())
 
     def _barn_down(self, address: str, link: Furrow) -> None:
@@ -352,9 +353,10 @@
             self._live_on(life)
         elif address in self._linked:
             self._linked[address].send([Word.FORGOTTEN, life])
-        elif life >= self._lives.get(address, 0) and not self._keeps(address):
-            if address not in self._dials or self._watch.gone(self.loop.time(), address) >= self._gone_s:
-                self._drop(address, life)
+        elif life >= self._lives.get(address, 0) and not self._keeps(address) and (
+            address not in self._dials or self._watch.gone(self.loop.time(), address) >= self._gone_s
+        ):
+            self._drop(address, life)
 
     def _live_on(self, life: int) -> None:
         """Others have forgotten this life: the next one is heard of again."""
@@ -516,9 +518,17 @@
         finally:
             self._changing = False
 
+    def _live(self) -> list[str]:
+        """Whom anything is heard from: a frozen machine takes connections, and says nothing."""
+        now = self.loop.time()
+        return [name for name in self._linked if self._watch.steady(now, name)]
+
     def _consider(self) -> None:
         """Now and then: whether there is a reason to have other voters, and whom to forget."""
         now, voters, member = self.loop.time(), self.voters, self.member
+        for name, link in self._linked.items():
+            if link._at > self._opened[name]:
+                self._watch.up(now, name)
         for name in list(self._dials):
             if not self._keeps(name) and self._watch.gone(now, name) >= 4 * self._gone_s:
                 self._drop(name, self._lives.get(name, 0))
@@ -532,7 +542,7 @@
         gone = any(self._watch.gone(now, name) >= self._gone_s for name in voters.names if name != self.me)
         few = len(voters.names) < 2 * self.settings.losses + 1
         more = few and any(name not in voters.names for name in self._linked)
-        mine = holder(voters, [self.me, *self._linked], self._heir) == self.me
+        mine = holder(voters, [self.me, *self._live()], self._heir) == self.me
         if mine and (gone or more) and now >= self._since + self._steady_s:
             self._task(self._change_once())
 
