--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -30,6 +30,7 @@
 AGREE_S = 1.0  # how often barns compare what they have
 FORGET_S = 6.0  # a stile's record outlasts its furrow by so much
 CLAIM_S = 1.0  # a round of claims or ballots is void after so long; a barn without its disk waits as long
+FETCH_S = 3.0  # how long all grants of others are waited for, which may be megabytes
 FINISH_S = 0.5  # sealed for so long with nothing decided, a voter proposes what it has accepted
 MOST_FORGOTTEN = 256
 
@@ -703,7 +704,7 @@
         for link in self._voting(voters):
             link.send([Word.KEYS, number, voters.epoch, sealed])
         try:
-            return await made.enough(ROUND_S)
+            return await made.enough(FETCH_S)
         finally:
             del self._rounds[number]
 
--- a/tests/orchard/test_orchard_voters.py
+++ b/tests/orchard/test_orchard_voters.py
@@ -465,8 +465,16 @@
         assert process is not None
         old = [Word.BARN, barn.me, [1, []], sorted(gone), "", [], 1, dict.fromkeys(gone, 1), {}]
         process.soon(lambda: barn._hear(next(iter(barn._linked.values())), old))
+        stile = world.machines[world.stiles[0]].process
+        assert stile is not None
+        lines = stile.role._barns.values()
+        stile.soon(lambda: stile.role._hear(next(iter(lines)), [Word.VOTERS, 1, sorted(gone)]))
+        stile.soon(lambda: stile.role._hear(next(iter(lines)), [
+            Word.BARNS, sorted(gone), "", dict.fromkeys(gone, 1), {},
+        ]))  # fmt: skip
         await asyncio.sleep(2.0)
         assert not gone & set(barn._dials) and newest(world).epoch == 4
+        assert not gone & set(stile.role._barn_dials) and stile.role._epoch == 4
         world.start_barn(olds[0])
         back = f"{olds[0]}:7000"
         assert await until_(lambda: all(
@@ -481,6 +489,20 @@
     play(World(spares=3, bounds=QUICK), story)
 
 
+def test_seeds_that_are_all_new_machines_name_no_voters() -> None:
+    async def story(world: World) -> None:
+        assert await until_(lambda: world.counting() == world.barns)
+        world.seeds = tuple(world.spares)
+        for name in world.spares:
+            world.start_barn(name)
+        await asyncio.sleep(6.0)
+        assert not any(voters(world, name).epoch for name in world.spares)
+        world.reseed(world.barns)
+        assert await until_(lambda: world.counting() == world.barns + world.spares)
+
+    play(World(spares=3, bounds=QUICK), story)
+
+
 def test_one_that_was_cut_off_for_so_long_that_it_is_forgotten_is_known_again() -> None:
     async def story(world: World) -> None:
         await ready(world)
