--- a/tests/orchard/test_orchard_voters.py
+++ b/tests/orchard/test_orchard_voters.py
@@ -751,3 +751,19 @@
     assert made.look(0.1, "k") is None
     made.take(9.0, other.rows(9.0))
     assert made.look(9.0, "k") is not None
+
+
+def test_an_emptied_disk_learns_what_others_have_promised() -> None:
+    async def main() -> None:
+        made = make_barn((ME, B, C))
+        made.counts = False
+        line: Any = Line()
+        line.peer, made._linked = B, {B: line}
+        hearing = asyncio.ensure_future(made._fetch_keys(made.voters, 1, False))
+        await asyncio.sleep(0)
+        [[_, number, epoch, sealed]] = line.sent
+        assert (epoch, sealed) == (1, False)
+        made._hear(line, [Word.KEYED, number, True, [], 1, [7, "p"]])
+        assert await hearing and made.member.promised == Ballot(7, "p")
+
+    asyncio.run(main())
