Decisions are parts that are held, each with its own state: no chain by inheritance

Nine classes inherited from each other; the files had arrows, the objects had none: all wrote to one set of 42 private attributes, and one hook pointed up. Each decision is a class now that is given those below it in its constructor; `Balancer` makes them and tells them what has happened. Tables that several need stand in `Book` under public names; `speeds`, `idle` (from `trust`) and `demand` (rates) are parts of their own; the list's timers are the ring's; the hook has gone: what is to be asked for again is returned.

Tests that reached into the chain reach into the parts: as many names, as strictly; `tests/test_arrows.py` sees one more wrong import, between parts that stand beside each other.

--- a/dunefield/hold.py
+++ b/dunefield/hold.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from dunefield.book import RETRY_RATIO, pulse
+from dunefield.book import Book
+from dunefield.crowding import Crowding
+from dunefield.demand import Demand
 from dunefield.interface import Defer
 from dunefield.pick import Pick
+from dunefield.promises import Promises
+from dunefield.speeds import Speeds
 from dunefield.state import Call
 
 TICK = 1  # tag of the timer for held calls; 0 is the one for the server list
@@ -12,33 +16,33 @@
 DEAR = 1.2  # the same for calls worth more than the mean: refusing them loses the most
 
 
-class Hold(Pick):
+class Hold:
     """Calls that go, wait or are shed."""
 
-    def _count(self, now: int, number: int) -> None:
-        """Rate of requests and share of each class, over about one horizon."""
-        span = min(self._horizon, now - self._begun_at + self._pace)
-        self._rate = pulse(self._rate, now - self._heard_at, span)
-        span = min(8 * self._horizon, now - self._begun_at + self._pace)
-        self._flow = pulse(self._flow, now - self._heard_at, span)
-        self._heard_at = now
-        self._crowding.count(number)
-        self._tokens = min(self._tokens + RETRY_RATIO, 2.0 / RETRY_RATIO)
+    def __init__(self, book: Book, demand: Demand, crowding: Crowding, speeds: Speeds, promises: Promises,
+                 pick: Pick) -> None:
+        self._book, self._demand, self._crowding, self._speeds = book, demand, crowding, speeds
+        self._promises, self._pick = promises, pick
+        self._pace, self._probing, self._random = book.pace, book.probing, book.random
+        self._tail = 2 * book.settings.period_ns  # before a client's time is up: the last moment to answer
+        self._mean_worth = sum(c.worth for c in book.settings.classes) / len(book.settings.classes)
+        self._armed = False  # a tick for the held calls is due
 
-    def _shed(self, now: int, number: int, size: float) -> bool:
+    def shed(self, now: int, number: int, size: float) -> bool:
         """Exception "shedding": the fleet answers slower than when uncrowded, so part of the calls must not
         reach it, those of least worth first. Each sidecar draws for itself, so the fleet sheds smoothly."""
-        flow = (self._served + self._rate) / 2 * size
+        book = self._book
+        flow = (self._demand.served + self._demand.rate) / 2 * size
         # Bodies that still come are no work: a few slow ones would pass for a jam.
-        growing = sum(1 for tid in self._growing if self._calls[tid].out) if self._growing else 0
-        return self._crowding.sheds(now, number, len(self._attempts) - growing, flow, self._random())
+        growing = sum(1 for tid in book.growing if book.calls[tid].out) if book.growing else 0
+        return self._crowding.sheds(now, number, len(book.attempts) - growing, flow, self._random())
 
-    def _give_up(self, call: Call) -> int:
+    def give_up(self, call: Call) -> int:
         """When holding a call further earns nothing; always before its client's time is up."""
-        last = call.deadline - 2 * self._set.period_ns
+        last = call.deadline - self._tail
         if call.cls.late_worth > 0:
             return last
-        return min(last, call.aim_at - int(call.size * self._stretch / 2))
+        return min(last, call.aim_at - int(call.size * self._speeds.stretch / 2))
 
     def _hopeless(self, now: int, call: Call, expect: float) -> bool:
         """Exception "shedding": the best server found would answer after the aim, which earns little.
@@ -53,52 +57,47 @@
         doubt = min(0.9, (ratio - hopeful + level) * 1.5)
         return self._random() < doubt * (1.0 - call.cls.late_worth)
 
-    def _try(self, now: int, call: Call) -> bool:
+    def go(self, now: int, call: Call) -> bool:
         """Send the call or end it; False if it has to wait."""
-        scan = self._up and not self._live and now >= self._shut_until
-        if scan and not any(s.trial_due(now) for s in self._up):
-            self._shut_until = max(now + self._pace, min(s.retry_at for s in self._up))
-        if now < self._shut_until and not self._live:
+        book = self._book
+        scan = book.up and not book.live and now >= book.shut_until
+        if scan and not any(s.trial_due(now) for s in book.up):
+            book.shut_until = max(now + self._pace, min(s.retry_at for s in book.up))
+        if now < book.shut_until and not book.live:
             # Every server is at k = 0 in trial or backoff: nothing can take it soon.
-            self._end(now, call, self._shut_until - now)
+            self._promises.end(call, book.shut_until - now)
             return True
-        server, trial, expect = self._pick(now, call)
+        server, trial, expect = self._pick.pick(now, call)
         if server is None:
             return False
-        if (not trial and self._hopeless(now, call, expect)) or not self._send(now, call, server, trial):
-            self._end(now, call, call.cls.aim_ns // 8)
+        hopeless = not trial and self._hopeless(now, call, expect)
+        if hopeless or not self._promises.send(now, call, server, trial):
+            self._promises.end(call, call.cls.aim_ns // 8)
         return True
 
-    def _hold(self, now: int, call: Call) -> None:
+    def keep(self, now: int, call: Call) -> None:
+        """Let a call wait, behind those that do; one that has no time left to wait is ended."""
         if now + self._pace >= call.give_up:
-            self._end(now, call, call.cls.aim_ns // 8)
+            self._promises.end(call, call.cls.aim_ns // 8)
             return
-        self._held[call.tid] = call
-        self._arm()
+        self._book.held[call.tid] = call
+        self.arm()
 
-    def _arm(self) -> None:
-        if self._held and not self._armed:
+    def arm(self) -> None:
+        """While calls wait, a tick is due."""
+        if self._book.held and not self._armed:
             self._armed = True
-            self._acts.append(Defer(self._pace, TICK))
+            self._book.acts.append(Defer(self._pace, TICK))
 
-    def _pump(self, now: int, ticked: bool = False) -> None:
-        """Let held calls go in arrival order; end those whose time has run out."""
-        held = self._held
-        if not held:
-            return
+    def pump(self, now: int, ticked: bool) -> list[Call]:
+        """Let held calls go in order, end those out of time; return those to ask for again, then `arm`."""
+        held = self._book.held
         if ticked:
+            self._armed = False
             for call in [c for c in held.values() if now + self._pace >= c.give_up]:
-                self._end(now, call, call.cls.aim_ns // 8)
-        if not self._probing:
-            while held and self._try(now, next(iter(held.values()))):
-                pass
-        elif ticked:
-            for call in [c for c in held.values() if not c.pending]:
-                self._ask(now, call)
-        self._arm()
-
-    # --- above
-
-    def _ask(self, now: int, call: Call) -> None:
-        """Ask servers for a call that waits (dunefield/asking.py)."""
-        raise NotImplementedError
+                self._promises.end(call, call.cls.aim_ns // 8)
+        if self._probing:
+            return [c for c in held.values() if ticked and not c.pending]
+        while held and self.go(now, next(iter(held.values()))):
+            pass
+        return []
--- a/dunefield/promises.py
+++ b/dunefield/promises.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
+from dunefield.book import Book
+from dunefield.idle import Idle
 from dunefield.interface import Fail, Refuse, Submit
 from dunefield.state import Attempt, Call, Server
-from dunefield.trust import Trust
 
 
-class Promises(Trust):
+class Promises:
     """What the rules allow."""
 
-    def _may_go(self, now: int, call: Call, server: Server) -> bool:
+    def __init__(self, book: Book, idle: Idle) -> None:
+        self._book, self._idle, self._limits = book, idle, book.settings.limits
+
+    def may_go(self, now: int, call: Call, server: Server) -> bool:
         """Whether the class and the limits allow a further attempt on this server."""
         cls = call.cls
         if not server.up or call.begun or call.spent or now >= call.deadline:
             return False
-        limits = self._set.limits
-        if call.attempts >= limits.max_attempts or (call.out and not limits.second_copies):
+        if call.attempts >= self._limits.max_attempts or (call.out and not self._limits.second_copies):
             return False
         if cls.repeat == "free":
             return True
@@ -31,19 +34,20 @@
             return server.zone == ran_on.zone
         return cls.group == "all" or (cls.group == "cell" and server.cell == ran_on.cell)
 
-    def _may_refuse(self, call: Call) -> bool:
+    def may_refuse(self, call: Call) -> bool:
         """Whether telling the client that a retry is harmless would be true."""
         if call.cls.repeat == "free" or (call.ran_on is None and not call.out):
             return True
         return call.cls.repeat == "guarded" and call.cls.group == "all"
 
-    def _send(self, now: int, call: Call, server: Server, trial: bool) -> bool:
+    def send(self, now: int, call: Call, server: Server, trial: bool) -> bool:
         """Start an attempt if the rules allow it there; every send passes here."""
-        if not self._may_go(now, call, server):
+        if not self.may_go(now, call, server):
             return False
-        self._touch(now, server)
+        book = self._book
+        self._idle.touch(now, server)
         server.peak = max(server.peak, server.inflight + 1)
-        attempt = self._attempts[call.tid, call.attempts] = Attempt(server, trial, now, call)
+        attempt = book.attempts[call.tid, call.attempts] = Attempt(server, trial, now, call)
         server.out[call.tid, call.attempts] = attempt
         call.attempts += 1
         call.out += 1
@@ -52,16 +56,16 @@
         server.credit -= 1.0
         server.trial = server.trial or trial
         server.load += 1.0
-        self._held.pop(call.tid, None)
-        self._refresh(server)
-        self._acts.append(Submit(call.tid, server.name, call.deadline))
+        book.held.pop(call.tid, None)
+        book.refresh(server)
+        book.acts.append(Submit(call.tid, server.name, call.deadline))
         return True
 
-    def _end(self, now: int, call: Call, hold_off: int) -> None:
+    def end(self, call: Call, hold_off: int) -> None:
         """Give the final answer: a refusal where that promise is true, else a failure."""
-        self._drop(call.tid)
-        if self._may_refuse(call):
-            limits = self._set.limits
-            self._acts.append(Refuse(call.tid, min(hold_off, limits.max_retry_after_ns) * limits.retry_after))
+        book, limits = self._book, self._limits
+        book.drop(call.tid)
+        if self.may_refuse(call):
+            book.acts.append(Refuse(call.tid, min(hold_off, limits.max_retry_after_ns) * limits.retry_after))
         else:
-            self._acts.append(Fail(call.tid))
+            book.acts.append(Fail(call.tid))
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -9,139 +9,141 @@
 
 from __future__ import annotations
 
-from dunefield.crowding import STIR
-from dunefield.hold import TICK
+from dunefield.asking import Asking
+from dunefield.book import Book
+from dunefield.crowding import STIR, Crowding
+from dunefield.demand import Demand
+from dunefield.hold import TICK, Hold
+from dunefield.idle import Idle
 from dunefield.interface import (
-    NEVER_RAN, Accept, Action, Alarm, Begun, Defer, Directory, Echo, Event, Grown, Hangup, How, Response,
-    Spent, Subscribe,
+    NEVER_RAN, Accept, Action, Alarm, Begun, Directory, Echo, Event, Grown, Hangup, How, Response, Settings,
+    Spent,
 )
+from dunefield.patience import Patience
+from dunefield.pick import Pick
+from dunefield.promises import Promises
 from dunefield.retries import Retries
+from dunefield.ring import Ring
+from dunefield.speeds import Speeds
 from dunefield.state import Call
+from dunefield.trust import Trust
 
 
-class Balancer(Retries):
-    """One sidecar's balancer: clock, seed and events in, actions out."""
+class Balancer:
+    """One sidecar's balancer: clock, seed and events in, actions out. It holds the parts that decide."""
+
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        self.book = book = Book(settings, seed)
+        self.patience = Patience()
+        self.demand = Demand(book.horizon, book.pace, now)
+        self.crowding = Crowding(book.classes, book.horizon, now)
+        self.ring = Ring(book, self.demand)
+        self.speeds = Speeds(book, self.crowding, now)
+        self.idle = Idle(book)
+        self.trust = Trust(book, self.demand, self.ring, self.speeds)
+        self.promises = Promises(book, self.idle)
+        self.pick = Pick(book, self.ring, self.speeds, self.trust, self.promises)
+        self.hold = Hold(book, self.demand, self.crowding, self.speeds, self.promises, self.pick)
+        self.asking = Asking(book, self.crowding, self.speeds, self.trust, self.promises, self.pick,
+                             self.hold)
+        self.retries = Retries(book, self.speeds, self.trust, self.promises, self.pick, self.asking)
+
+    def census(self, now: int) -> tuple[int, int]:
+        """Servers in the list, and those of them that no call goes to now: draining, left until a backoff
+        ends or a trial is back, or muted."""
+        listed = [s for s in self.book.servers.values() if not s.gone]
+        return len(listed), sum(1 for s in listed if not s.up or not s.k or now < s.mute_until)
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; return the actions to carry out, in order."""
-        self._acts = []
+        book = self.book
+        acts: list[Action] = []
+        book.acts = acts
         if isinstance(event, Accept):
             self._on_accept(now, event)
         elif isinstance(event, Echo):
-            self._on_echo(now, event)
+            self.asking.echo(now, event)
         elif isinstance(event, Response):
             self._on_response(now, event)
         elif isinstance(event, Alarm):
-            self._on_alarm(now, event)
+            self.ring.due(now)
+            if event.tag == TICK:
+                # Told by its tag and not by the clock: another event of the same instant must not swallow the
+                # tick, or the held calls whose time is up would be lost.
+                self.asking.pump(now, True)
         elif isinstance(event, Directory):
-            self._on_directory(now, event)
+            if self.ring.take(now, event):
+                self.asking.pump(now)
         elif isinstance(event, Hangup):
-            self._drop(event.tid)
-        elif isinstance(event, Begun) and event.tid in self._calls:
-            self._calls[event.tid].begun = True
-        elif isinstance(event, Spent) and event.tid in self._calls:
-            self._calls[event.tid].spent = True
+            book.drop(event.tid)
+        elif isinstance(event, Begun) and event.tid in book.calls:
+            book.calls[event.tid].begun = True
+        elif isinstance(event, Spent) and event.tid in book.calls:
+            book.calls[event.tid].spent = True
         elif isinstance(event, Grown):
-            self._growing.discard(event.tid)
-        return self._acts
+            book.growing.discard(event.tid)
+        return acts
 
     def _on_accept(self, now: int, event: Accept) -> None:
+        book, hold = self.book, self.hold
         # A class that the settings do not name may be one that must never run twice.
-        number = event.cls if 0 <= event.cls < len(self._classes) else len(self._classes) - 1
-        cls = self._classes[number]
+        number = event.cls if 0 <= event.cls < len(book.classes) else len(book.classes) - 1
+        cls = book.classes[number]
         # An answer is worth nothing to a client that has left, however far the aim: patience may be short.
         aim_at = now + min(cls.aim_ns + int(cls.aim_stretch * event.cost_ns), cls.deadline_ns, event.ttl_ns)
-        size = event.cost_ns + self._extra[number][0]
+        size = event.cost_ns + self.speeds.extra[number][0]
         call = Call(event.tid, number, cls, now + event.ttl_ns, aim_at, event.cost_ns, max(1.0, size))
-        call.give_up = self._give_up(call)
-        self._calls[event.tid] = call
+        call.give_up = hold.give_up(call)
+        book.calls[event.tid] = call
         if event.growing:
-            self._growing.add(event.tid)
-        self._count(now, number)
-        past = self._patience.spent(event.ttl_ns, cls.deadline_ns) >= cls.aim_ns and cls.late_worth <= 0
-        if now >= call.give_up or (past and self._crowding.level > STIR):
-            # Exception "shedding": its aim has passed in tries before this one, so it goes before all others.
-            self._end(now, call, call.cls.aim_ns // 8)
-        elif self._shed(now, number, call.size):
-            self._end(now, call, call.cls.aim_ns // 8)
-        elif self._probing:
-            self._ask(now, call)
-        elif self._held:
-            self._hold(now, call)  # arrival order: nobody overtakes a waiting call
-            self._pump(now)
-        elif not self._try(now, call):
-            self._hold(now, call)
-
-    def _on_alarm(self, now: int, event: Alarm) -> None:
-        if self._set.must_ask and not self._watching and now >= self._asked_at:
-            # Should no answer ever come, ask again: silence is no excuse for an old list.
-            pause = self._set.invariants.must_ask_in_ns // 2
-            self._asked_at = now + pause
-            self._acts += [Subscribe(), Defer(pause, 0)]
-        if event.tag == TICK:
-            # Told by its tag and not by the clock: another event of the same instant must not swallow the
-            # tick, or the held calls whose time is up would be lost.
-            self._armed = False
-            self._pump(now, True)
+            book.growing.add(event.tid)
+        self.demand.asked(now)
+        self.crowding.count(number)
+        self.retries.earn()
+        past = self.patience.spent(event.ttl_ns, cls.deadline_ns) >= cls.aim_ns and cls.late_worth <= 0
+        # Exception "shedding": one whose aim has passed in tries before this one goes before all others.
+        if now >= call.give_up or (past and self.crowding.level > STIR) or hold.shed(now, number, call.size):
+            self.promises.end(call, cls.aim_ns // 8)
+        elif book.probing:
+            self.asking.ask(now, call)
+        elif book.held:
+            hold.keep(now, call)  # arrival order: nobody overtakes a waiting call
+            self.asking.pump(now)
+        elif not hold.go(now, call):
+            hold.keep(now, call)
 
     def _on_response(self, now: int, event: Response) -> None:
-        attempt = self._attempts.pop((event.tid, event.attempt), None)
+        book = self.book
+        attempt = book.attempts.pop((event.tid, event.attempt), None)
         if attempt is None:
             return
-        server = attempt.server
+        server, how = attempt.server, event.how
         del server.out[event.tid, event.attempt]
         server.inflight -= 1
         server.used = now
-        if event.how == How.OK:
+        if how == How.OK:
             server.heard = now
-            self._overtake(now, attempt)
-            if now >= self._idle_proof[1] or attempt.idle > self._idle_proof[0]:
-                self._idle_proof = attempt.idle, now + 8 * self._horizon
-        stale = event.how == How.RESET and self._stale(now, attempt.idle, event.lag_ns)
+            self.retries.overtake(now, attempt)
+            self.idle.answered(now, attempt.idle)
+        stale = how == How.RESET and self.idle.stale(now, attempt.idle, event.lag_ns)
         if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
             server.trial = server.trial and not attempt.trial
             if not stale:
-                self._learn(now, attempt, event)
-                self._feel(now, attempt, event)
-                self._judge(now, attempt, event.how)
-        self._refresh(server)
-        call = self._calls.get(event.tid)
+                if how == How.OK and event.lag_ns > 0:
+                    self.demand.answered(now)
+                    self.speeds.learn(now, attempt, event.lag_ns)
+                self.speeds.feel(now, attempt, how, event.lag_ns)
+                self.trust.judge(now, attempt, how)
+        book.refresh(server)
+        call = book.calls.get(event.tid)
         if call is not None:
             call.out -= 1
             if event.closed:
-                self._drop(event.tid)
-            elif event.how not in NEVER_RAN and call.ran_on is None:
+                book.drop(event.tid)
+            elif how not in NEVER_RAN and call.ran_on is None:
                 call.ran_on, call.ran_at = server, attempt.sent
             if not event.closed and not call.out and not call.begun:
                 # A broken connection is no sign of load, so its repeat is free; so is one that cost nothing.
-                swift = event.how in NEVER_RAN and event.lag_ns < call.cls.aim_ns // 8
-                self._tokens += stale or (self._suspects and swift)
-                self._again(now, call)
-        self._pump(now)
-
-    def _on_directory(self, now: int, event: Directory) -> None:
-        inv = self._set.invariants
-        if event.scope == "FAILED":
-            # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out. What
-            # is drawn may be twice the pause, and must leave a list younger than is allowed.
-            self._watching = False
-            self._ask_pause = min(self._ask_pause * 2, inv.must_ask_in_ns * 3 // 8)
-            self._ask_later(now)
-            return
-        if event.scope == "SAVED":
-            # The first chance to act: a timer asked for before any event would be lost, and with it the list.
-            if self._set.must_ask:
-                self._ask_later(now)
-        else:
-            self._watching = self._set.must_ask
-            self._ask_pause = inv.must_ask_in_ns // 16
-        if event.scope != "INCREMENTAL":
-            listed = {entry.server for entry in event.entries}
-            for name, server in self._servers.items():
-                if name not in listed:
-                    server.up, server.gone = False, True
-                    self._refresh(server)
-        for entry in event.entries:
-            self._enter(now, entry)
-        self._relist(now)
-        self._pump(now)
+                swift = how in NEVER_RAN and event.lag_ns < call.cls.aim_ns // 8
+                self.retries.again(now, call, stale or (book.suspects and swift))
+        self.asking.pump(now)
--- a/tests/emulator/test_hard.py
+++ b/tests/emulator/test_hard.py
@@ -171,11 +171,10 @@
 class Bold(Balancer):
     """Takes every request for one that may run as often as it likes."""
 
-    def _may_go(self, now, call, server):
-        return now < call.deadline and server.up
-
-    def _may_refuse(self, call):
-        return True
+    def __init__(self, settings, seed, now):
+        super().__init__(settings, seed, now)
+        self.promises.may_go = lambda now, call, server: now < call.deadline and server.up
+        self.promises.may_refuse = lambda call: True
 
 
 @pytest.mark.parametrize("module, match", [
--- a/tests/emulator/test_soak.py
+++ b/tests/emulator/test_soak.py
@@ -20,7 +20,10 @@
 )
 
 
-KEPT = {f"dunefield.{name}" for name in ("rules", "crowding", "patience", "state")}
+KEPT = {f"dunefield.{name}" for name in (
+    "rules", "retries", "asking", "hold", "pick", "promises", "trust", "speeds", "idle", "ring", "book",
+    "demand", "crowding", "patience", "state",
+)}
 
 
 def sizes(thing, path="", seen=None):
@@ -87,8 +90,8 @@
 
 def test_no_table_grows_in_long_service(sound):
     _, minutes = sound
-    assert len(minutes[0]) > 15 and "_servers" in minutes[0]
-    assert max(m["_servers"] for m in minutes) < 3 * DAY.servers  # of 275 that there were
+    assert len(minutes[0]) > 15 and "book.servers" in minutes[0]
+    assert max(m["book.servers"] for m in minutes) < 3 * DAY.servers  # of 275 that there were
     assert not grown(minutes)
 
 
@@ -105,22 +108,29 @@
 class Hoarder(Balancer):
     """Forgets no server."""
 
-    def _relist(self, now):
-        kept = dict(self._servers)
-        super()._relist(now)
-        self._servers = {**kept, **self._servers}
+    def __init__(self, settings, seed, now):
+        super().__init__(settings, seed, now)
+        self.plain, self.ring.relist = self.ring.relist, self.relist
+
+    def relist(self):
+        kept = dict(self.book.servers)
+        self.plain()
+        self.book.servers = {**kept, **self.book.servers}
 
 
 class Debtor(Balancer):
     """Never lets go of a call that has ended."""
 
-    def _drop(self, tid):
-        self._owed = getattr(self, "_owed", {})
-        self._owed[tid] = self._calls.get(tid)
-        super()._drop(tid)
+    def __init__(self, settings, seed, now):
+        super().__init__(settings, seed, now)
+        self.owed, self.plain, self.book.drop = {}, self.book.drop, self.drop
+
+    def drop(self, tid):
+        self.owed[tid] = self.book.calls.get(tid)
+        self.plain(tid)
 
 
-@pytest.mark.parametrize("module, table", [(Hoarder, "_servers"), (Debtor, "_owed")])
+@pytest.mark.parametrize("module, table", [(Hoarder, "book.servers"), (Debtor, "owed")])
 def test_what_grows_is_found(module, table, monkeypatch):
     monkeypatch.setitem(globals(), "MINUTES", 6)
     monkeypatch.setitem(globals(), "DAY", replace(DAY, seconds=360.0))
--- a/tests/emulator/test_whole.py
+++ b/tests/emulator/test_whole.py
@@ -16,10 +16,14 @@
 class Blind(Balancer):
     """Sends each call to a server drawn from its own by chance."""
 
-    def _pick_own(self, now, call):
-        size = max(1, self._within(call, 0))
-        server = self._subset[int(self._random() * size)]
-        return (server, False, call.size) if self._fits(now, server) and server.k else None
+    def __init__(self, settings, seed, now):
+        super().__init__(settings, seed, now)
+        self.pick.pick_own = self.drawn
+
+    def drawn(self, now, call):
+        size = max(1, self.ring.within(call, 0))
+        server = self.ring.subset[int(self.book.random() * size)]
+        return (server, False, call.size) if self.trust.fits(now, server) and server.k else None
 
 
 def test_every_request_and_every_attempt_has_one_end():
@@ -34,7 +38,7 @@
     for machine in fleet.machines.values():
         machine.node.check()
     for sidecar in fleet.sidecars:
-        assert not sidecar._calls and not sidecar._attempts
+        assert not sidecar.book.calls and not sidecar.book.attempts
 
 
 def test_one_seed_is_one_day_and_requests_do_not_hang_on_the_design():
--- a/tests/rehearsal/broken.py
+++ b/tests/rehearsal/broken.py
@@ -10,7 +10,7 @@
 import sys
 
 import hollyport.__main__ as program
-from dunefield import rules
+from dunefield import asking, promises, rules
 from dunefield.interface import How
 from hollyport import sidecar
 from hollyport.bodies import flow
@@ -62,30 +62,30 @@
 
 
 def refuses_what_ran() -> None:
-    rules.Balancer._may_refuse = lambda self, call: True
+    promises.Promises.may_refuse = lambda self, call: True
 
 
 def sends_to_drained() -> None:
     discovery.LIFECYCLES = {**discovery.LIFECYCLES, "DRAINING": "up"}
-    plain = rules.Balancer._on_echo
+    plain = asking.Asking.echo
 
-    def on_echo(self, now, event):
+    def echo(self, now, event):
         # Nor does it hear a node's own no to a probe: else a few sends at most are left to judge by.
         if event.how == How.ERROR:
             event = event._replace(how=How.OK, load={"inflight": 0.0, "queue": 0.0})
         plain(self, now, event)
 
-    rules.Balancer._on_echo = on_echo
+    asking.Asking.echo = echo
 
 
 def ignores_cold() -> None:
     def ask(self, now, call):
-        for server in sorted(self._up, key=lambda s: -s.started):
-            if server not in call.tried and self._send(now, call, server, False):
+        for server in sorted(self._book.up, key=lambda s: -s.started):
+            if server not in call.tried and self._promises.send(now, call, server, False):
                 return
-        self._end(now, call, 0)
+        self._promises.end(call, 0)
 
-    rules.Balancer._ask = ask  # the youngest gets everything
+    asking.Asking.ask = ask  # the youngest gets everything
 
 
 def leaks() -> None:
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -15,6 +15,7 @@
     ("hollyport/nodes/carrier.py", "import hollyport.http.heads", "Rooms of the daemon"),
     ("hollyport/bodies/ledger.py", "import hollyport.bodies.flow", "No circles"),
     ("dunefield/ring.py", "import dunefield.pick", "Each decision knows"),
+    ("dunefield/idle.py", "import dunefield.speeds", "Each decision knows"),
     ("dunefield/patience.py", "import time", "What decides does no I/O"),
     ("emulator/worth.py", "import hollyport.core.tally", "The emulator plays the decisions"),
     ("hollyport/fleet/membership.py", "import time", "What the fleet decides"),
--- a/tests/test_books.py
+++ b/tests/test_books.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dunefield import Balancer, How, Submit
+from dunefield import How, Submit
+from dunefield.retries import Retries
 
 
 class Unwalked(dict):
@@ -23,22 +24,22 @@
     """Found: at 1,200 requests a second each answer looked at all attempts, so the cost of one rose with the
     calls in flight, late answers put more in flight, and a daemon at its part of a core did not recover."""
     module = balancer(40)
-    module._attempts = Unwalked()
+    module.book.attempts = Unwalked()
     sent = []
     for number in range(60):
         sent += only(module.handle(number * MS, accept(f"c{number}")), Submit)
     assert len(sent) > 40
     for number, send in enumerate(sent):
         module.handle((100 + number) * MS, outcome(send))
-    assert not len(module._attempts)
+    assert not len(module.book.attempts)
 
 
 def test_the_check_fails_where_all_are_walked_through(monkeypatch):
     def overtake(self, now, answered):
-        for entry in self._attempts.items():
+        for entry in self._book.attempts.items():
             assert entry
 
-    monkeypatch.setattr(Balancer, "_overtake", overtake)
+    monkeypatch.setattr(Retries, "overtake", overtake)
     with pytest.raises(AssertionError, match="walked"):
         test_an_answer_does_not_walk_through_what_other_servers_hold()
 
@@ -58,10 +59,10 @@
             send, attempt = out.pop(turn % len(out))
             actions = module.handle(now, outcome(send, how, attempt=attempt))
         for send in only(actions, Submit):
-            out.append((send, module._calls[send.tid].attempts - 1))
-        books = {key: entry for server in module._servers.values() for key, entry in server.out.items()}
-        assert books == module._attempts
-        assert all(len(s.out) == s.inflight for s in module._servers.values())
-        for server in module._servers.values():
+            out.append((send, module.book.calls[send.tid].attempts - 1))
+        books = {key: entry for server in module.book.servers.values() for key, entry in server.out.items()}
+        assert books == module.book.attempts
+        assert all(len(s.out) == s.inflight for s in module.book.servers.values())
+        for server in module.book.servers.values():
             times = [entry.sent for entry in server.out.values()]
             assert times == sorted(times)
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -80,8 +80,8 @@
     async def scene():
         async with Server(reporting(0)) as server, sidecar(line("s1", server.port), raw=PROBED) as world:
             module = world.sidecar.core._module
-            known = module._servers["s1"]
-            known.stretch, known.seen, module._crowding.level = 9.0, world.sidecar._clock(), 0.7
+            known = module.book.servers["s1"]
+            known.stretch, known.seen, module.crowding.level = 9.0, world.sidecar._clock(), 0.7
             client = await world.client()
             assert (await client.ask("guarded", Idempotency_Key="k"))[0] == 200
             assert known.stretch < 9.0
@@ -106,7 +106,7 @@
                 client = await world.client()
                 while fails:
                     assert (await client.ask())[0] == 200
-                assert world.sidecar.core._module._servers["s1"].k > 0
+                assert world.sidecar.core._module.book.servers["s1"].k > 0
     play(scene)
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -79,7 +79,7 @@
     b = balancer(servers=4)
     _, now = serve(b, 0, 4, 20 * MS)
     serve(b, now, 60, 300 * MS, prefix="jam")
-    assert b._extra[0][0] < 150 * MS  # so that an answer after 300 ms is still a slow one
+    assert b.speeds.extra[0][0] < 150 * MS  # so that an answer after 300 ms is still a slow one
 
 
 def test_an_uncrowded_time_set_too_low_does_not_last():
@@ -187,7 +187,7 @@
     b.handle(20 * MS, outcome(first, lag_ns=20 * MS))
     second = only(b.handle(5 * SECOND, accept("b")), Submit)[0]
     b.handle(5 * SECOND + MS, outcome(second, How.RESET, lag_ns=MS))
-    assert b._servers[first.server].k == 1
+    assert b.book.servers[first.server].k == 1
     done = b.handle(10 * SECOND, accept("c"))
     assert [type(a) for a in done[:2]] == [CloseIdle, Submit]
 
@@ -197,7 +197,7 @@
     for number in (1, 2):
         send = only(b.handle(number * 25 * MS, accept(f"a{number}", 1)), Submit)[0]
         b.handle(number * 25 * MS + 20 * MS, outcome(send, How.RESET, lag_ns=20 * MS))
-        assert b._servers[send.server].k == 2 - number
+        assert b.book.servers[send.server].k == 2 - number
 
 
 def test_unknown_class_never_repeats():
@@ -213,7 +213,7 @@
     entry = Entry(send.server, started_ns=2 * SECOND)
     b.handle(3 * SECOND, Directory("INCREMENTAL", (entry,)))
     b.handle(4 * SECOND, outcome(send, How.RESET))
-    assert b._servers[send.server].k == 1
+    assert b.book.servers[send.server].k == 1
 
 
 def test_own_subset_is_small_where_connections_cost():
@@ -257,7 +257,7 @@
     b = balancer(servers=1)
     send = only(b.handle(0, accept("x")), Submit)[0]
     b.handle(MS, outcome(send, How.FULL, lag_ns=MS))
-    server = next(iter(b._servers.values()))
+    server = next(iter(b.book.servers.values()))
     low = server.figure
     assert low < 2.0
     serve(b, SECOND, 30, 20 * MS, prefix="calm")
@@ -268,13 +268,13 @@
     b = balancer(servers=1, reporting={"how": "probe"}, limits={"mayProbe": True})
     name = only(b.handle(0, accept("a")), Probe)[0].server
     send = only(b.handle(1, Echo(name, How.OK, 1, {"inflight": 0.0})), Submit)[0]
-    b._servers[name].erred = True
+    b.book.servers[name].erred = True
     b.handle(2, outcome(send, How.ERROR, lag_ns=1))
-    assert b._servers[name].k == 0
+    assert b.book.servers[name].k == 0
     probes = only(b.handle(20 * SECOND, accept("b")), Probe)
     again = only(b.handle(20 * SECOND + 1, Echo(probes[0].server, How.OK, 1, {"inflight": 0.0})), Submit)
     b.handle(20 * SECOND + 2, outcome(again[0], lag_ns=1))
-    assert b._servers[name].k == 1
+    assert b.book.servers[name].k == 1
 
 
 def test_listed_weight_draws_more():
@@ -289,7 +289,7 @@
 def test_failing_server_is_left_and_tried_again():
     b = balancer(servers=4)
     send = only(b.handle(0, accept("x")), Submit)[0]
-    bad = b._servers[send.server]
+    bad = b.book.servers[send.server]
     b.handle(MS, outcome(send, How.ERROR, lag_ns=MS))
     assert bad.k == 1  # one error may be chance
     while bad.k:
@@ -322,13 +322,13 @@
     for number in range(100):
         b.handle(number, Directory("INCREMENTAL", (
             Entry(f"new-{number}"), Entry(f"new-{number - 1}", lifecycle="removed"))))
-    assert len(b._servers) < 6
+    assert len(b.book.servers) < 6
     send = only(b.handle(200, accept("x")), Submit)[0]
     b.handle(201, Directory("FULL", (Entry("other"),)))
-    assert send.server in b._servers  # its attempt is out
+    assert send.server in b.book.servers  # its attempt is out
     b.handle(202, outcome(send))
     b.handle(203, Directory("FULL", (Entry("other"),)))
-    assert set(b._servers) == {"other"}
+    assert set(b.book.servers) == {"other"}
 
 
 def test_a_broken_connection_does_not_convict_a_server_heard_of_since():
@@ -387,4 +387,4 @@
             out += only(b.handle(now + 1, Echo(probe.server, How.OK, 1, {"inflight": 0.0})), Submit)
         if number % 2 and out:
             b.handle(now + 2, outcome(out.pop(), lag_ns=2 * MS))
-    assert next(iter(b._servers.values())).k > 1
+    assert next(iter(b.book.servers.values())).k > 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -156,7 +156,7 @@
         node.mode = "errors"
     crowd.load(100, 3)
     crowd.run(3)
-    assert crowd.sidecars[0]._live >= 6
+    assert crowd.sidecars[0].book.live >= 6
 
 
 def test_a_suspect_whose_probe_tells_of_a_queue_stays_out():
@@ -173,11 +173,11 @@
             balancer.handle(now + 10 * MS, outcome(other, lag_ns=10 * MS))
     assert [probe.server for probe in probes] == [send.server]
     balancer.handle(now + 11 * MS, Echo(send.server, How.OK, MS, {"inflight": 9.0, "queue": 8.0}))
-    assert balancer._servers[send.server].k == 0
-    balancer._servers[send.server].retry_at = now
+    assert balancer.book.servers[send.server].k == 0
+    balancer.book.servers[send.server].retry_at = now
     assert only(balancer.handle(now + 20 * MS, accept("again")), Probe)
     balancer.handle(now + 21 * MS, Echo(send.server, How.OK, MS, {"inflight": 1.0, "queue": 0.0}))
-    assert balancer._servers[send.server].k == 1
+    assert balancer.book.servers[send.server].k == 1
 
 
 def test_without_leave_to_probe_the_trial_is_a_call():
@@ -192,7 +192,7 @@
         for other in only(actions, Submit):
             trials += [other] * (other.server == send.server)
             balancer.handle(now + 10 * MS, outcome(other, lag_ns=10 * MS))
-    assert trials and balancer._servers[send.server].k >= 1
+    assert trials and balancer.book.servers[send.server].k >= 1
 
 
 def test_dear_calls_are_given_up_later_than_cheap_ones():
@@ -356,7 +356,7 @@
     balancer = fleet(listed(4), sidecars=2, limits={"mayProbe": True}, prices={"probe": 0.08})[0]
     send = only(balancer.handle(SECOND, accept("a")), Submit)[0]
     balancer.handle(SECOND + MS, outcome(send, How.FULL, lag_ns=MS))
-    server = balancer._servers[send.server]
+    server = balancer.book.servers[send.server]
     server.retry_at = 0
     now = SECOND + 2 * MS
     assert only(balancer.handle(now, accept("b")), Probe)
@@ -364,7 +364,7 @@
     balancer.handle(now, Directory("INCREMENTAL", (entry,)))
     server.trial = True  # one call more than its budget, as growth allows
     balancer.handle(now + MS, Echo(send.server, How.OK, MS, {"queue": 0.0}))
-    assert balancer._live == 4 and server.trial
+    assert balancer.book.live == 4 and server.trial
 
 
 def test_the_ration_alone_holds_the_sum_to_a_cold_server_under_the_rule():
--- a/tests/test_growing.py
+++ b/tests/test_growing.py
@@ -65,7 +65,7 @@
     assert len(sends) == 1
     made.handle(2 * MS, Spent("g"))
     acts = made.handle(3 * MS, outcome(sends[0], How.RESET, MS))
-    assert not only(acts, Submit) and not made._calls and not made._growing
+    assert not only(acts, Submit) and not made.book.calls and not made.book.growing
 
 
 def test_nothing_is_kept_of_a_call_that_ended_while_it_grew():
@@ -73,4 +73,4 @@
     (send,) = only(made.handle(0, growing("g")), Submit)
     made.handle(2 * MS, outcome(send))
     made.handle(3 * MS, Grown("g"))
-    assert not made._growing and not made._calls
+    assert not made.book.growing and not made.book.calls
--- a/tests/test_odd.py
+++ b/tests/test_odd.py
@@ -98,7 +98,7 @@
         done = b.handle(now, accept(f"x{i}"))
         sends += len(only(done, Submit))
         ends += len(finals(done))
-    assert sends > 0 and ends + sends + len(b._held) == 5000
+    assert sends > 0 and ends + sends + len(b.book.held) == 5000
     done = b.handle(now + SECOND, Alarm(1))
     assert len(finals(done)) + len(only(done, Submit)) == 5000 - ends - sends
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -9,6 +9,8 @@
 from world import World
 
 from dunefield import Balancer, Fail, Refuse, Settings, Submit
+from dunefield.promises import Promises
+from dunefield.ring import Ring
 from emulator.watch import Broken
 
 MODES = {
@@ -50,24 +52,24 @@
 # --- each check can fail: the module broken by hand -------------------------------------------------
 
 
-def never_ends(self, now, call, hold_off):
-    self._drop(call.tid)
+def never_ends(self, call, hold_off):
+    self._book.drop(call.tid)
 
 
-def ends_twice(self, now, call, hold_off):
-    self._drop(call.tid)
-    self._acts += [Fail(call.tid), Fail(call.tid)]
+def ends_twice(self, call, hold_off):
+    self._book.drop(call.tid)
+    self._book.acts += [Fail(call.tid), Fail(call.tid)]
 
 
-def always_refuses(self, now, call, hold_off):
-    self._drop(call.tid)
-    self._acts.append(Refuse(call.tid, 0))
+def always_refuses(self, call, hold_off):
+    self._book.drop(call.tid)
+    self._book.acts.append(Refuse(call.tid, 0))
 
 
 def sends_past_the_deadline(self, now, call, server, trial):
     done = SEND(self, now, call, server, trial)
     if done:
-        self._acts[-1] = Submit(call.tid, server.name, call.deadline + SECOND)
+        self._book.acts[-1] = Submit(call.tid, server.name, call.deadline + SECOND)
     return done
 
 
@@ -79,20 +81,20 @@
     ENTER(self, now, entry._replace(lifecycle="up"))
 
 
-SEND, ENTER = Balancer._send, Balancer._enter
+SEND, ENTER = Promises.send, Ring.enter
 BREAKS = [
-    ("_end", never_ends, "no final answer"),
-    ("_end", ends_twice, "second final answer"),
-    ("_end", always_refuses, "untrue"),
-    ("_send", sends_past_the_deadline, "outlive"),
-    ("_may_go", goes_anywhere, "may run twice|outside its group|more attempts|after the end"),
-    ("_enter", keeps_drained, "draining, gone or unlisted"),
+    (Promises, "end", never_ends, "no final answer"),
+    (Promises, "end", ends_twice, "second final answer"),
+    (Promises, "end", always_refuses, "untrue"),
+    (Promises, "send", sends_past_the_deadline, "outlive"),
+    (Promises, "may_go", goes_anywhere, "may run twice|outside its group|more attempts|after the end"),
+    (Ring, "enter", keeps_drained, "draining, gone or unlisted"),
 ]
 
 
-@pytest.mark.parametrize(("name", "broken", "message"), BREAKS, ids=[b.__name__ for _, b, _ in BREAKS])
-def test_a_broken_module_is_caught(monkeypatch, name, broken, message):
-    monkeypatch.setattr(Balancer, name, broken)
+@pytest.mark.parametrize(("part", "name", "broken", "message"), BREAKS, ids=[b[2].__name__ for b in BREAKS])
+def test_a_broken_module_is_caught(monkeypatch, part, name, broken, message):
+    monkeypatch.setattr(part, name, broken)
     picker = random.Random(1)
     with pytest.raises(Broken, match=message):
         for seed in range(60):
--- a/tests/test_stale.py
+++ b/tests/test_stale.py
@@ -60,8 +60,8 @@
     b = balancer(servers=1)
     call(b, SECOND)
     call(b, SECOND + 520 * MS)
-    assert not b._stale(2 * SECOND, 300 * MS, MS)
-    assert b._stale(11 * SECOND, 300 * MS, MS)
+    assert not b.idle.stale(2 * SECOND, 300 * MS, MS)
+    assert b.idle.stale(11 * SECOND, 300 * MS, MS)
 
 
 def test_shorter_idle_times_that_work_do_not_replace_longer_ones():
