--- a/rehearsal/mesh/judge.py
+++ b/rehearsal/mesh/judge.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 PROMISES = frozenset({408, 421, 429, 503})  # it has not run and never will
+RECOVER_S = 1.0  # after all that was ended is ready again, requests are served
 SLACK_S = 0.25  # a connection that ends so soon may have ended before the request was read
 Items = dict[str, tuple[int, Any]]  # by name: version and content
 
@@ -75,6 +76,7 @@
     changes: list[Change] = field(default_factory=list)
     readings: list[Items] = field(default_factory=list)  # the configuration at the end, as each barn told it
     kills: list[tuple[str, float]] = field(default_factory=list)  # stiles that were ended without a word
+    backs: list[float] = field(default_factory=list)  # when all that a fault had ended was ready again
     troubles: list[str] = field(default_factory=list)  # of processes: ends and errors nobody asked for
     late_s: float = 0.0  # how late the rig itself was at the most
 
@@ -213,6 +215,18 @@
     return made
 
 
+def recovery(history: History) -> list[str]:
+    """After a fault that ended much, a quarter of the requests are served, if as many were before it."""
+    made = []
+    for back in history.backs:
+        began = min((at for _, at in history.kills if at <= back), default=back)
+        before = [one.good for one in history.tries if one.ended < began]
+        after = [one.good for one in history.tries if one.sent > back + RECOVER_S]
+        if sum(before) * 4 >= len(before) > 0 and sum(after) * 4 < max(1, len(after)):
+            made.append(f"{sum(after)} of {len(after)} were served later than {RECOVER_S:g} s after it")
+    return made
+
+
 def processes(history: History) -> list[str]:
     """No process ends by itself or tells of an error of its own."""
     return history.troubles
@@ -226,6 +240,7 @@
     "what runs was asked for, by the service that it names": callers,
     "what was read gets a whole answer": whole,
     "what was acknowledged reads back": configuration,
+    "after a fault requests are served again": recovery,
     "no process is in trouble": processes,
 }
 
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from rehearsal.mesh import wire
@@ -59,6 +59,7 @@
     ) -> None:
         self._barns, self._history, self._draw, self._versions = barns, history, draw, versions
         self.stopping = False
+        self.acknowledged: Callable[[Machine], None] | None = None  # told in the turn that an answer came in
 
     async def change(
         self, upserts: dict[str, Any], drops: list[str], version: int, valid: bool = True
@@ -81,6 +82,8 @@
             barn = self._barns[at % len(self._barns)]
             answer = await wire.ask(barn.at("control"), "PATCH", "/-/config", body)
             if answer is not None and answer.status in ENDS:
+                if answer.status == 200 and self.acknowledged is not None:
+                    self.acknowledged(barn)
                 return answer
             at += 1
             await asyncio.sleep(pause)
--- a/rehearsal/mesh/server.py
+++ b/rehearsal/mesh/server.py
@@ -30,8 +30,13 @@
 class Server:
     """One server; each start is a life with an id of its own."""
 
-    def __init__(self, machine: Machine, history: History, draw: random.Random) -> None:
+    def __init__(
+        self, machine: Machine, history: History, draw: random.Random, work_s: float = WORK_S,
+        errs: bool = True,
+    ) -> None:  # fmt: skip
+        """`work_s`: what a run takes, about. `errs`: whether some runs fail or break off."""
         self._machine, self._history, self._draw = machine, history, draw
+        self._work_s, self._errs = work_s, errs
         self.instance = ""
         self._state = "ready"
         self._free = asyncio.Semaphore(SLOTS)
@@ -139,13 +144,13 @@
     async def _work(self, arrival: Arrival, until: float) -> tuple[bytes, bool]:
         draw = self._draw
         self._count += 1
-        takes = draw.lognormvariate(0.0, 0.6) * WORK_S
+        takes = draw.lognormvariate(0.0, 0.6) * self._work_s
         await asyncio.sleep(min(takes, max(0.0, until - time.monotonic())))
         echo = {"X-Attempt-Id": arrival.attempt}
         if time.monotonic() >= until:
             arrival.status = 504
             return wire.answer(504, echo, b"late\n"), True
-        chance = draw.random()
+        chance = draw.random() if self._errs else 1.0
         if chance < ERRS:
             arrival.status = 500
             return wire.answer(500, echo, b"error\n"), True
--- a/tests/orchard/test_orchard_judge.py
+++ b/tests/orchard/test_orchard_judge.py
@@ -60,6 +60,10 @@
     "older, after a newer": History(changes=[changed(5), changed(4)], readings=[stands(5)]),
     "dropped": History(changes=[changed(4), changed(5, None)], readings=[{}]),
     "perhaps dropped": History(changes=[changed(4), changed(5, None, 0)], readings=[{}]),
+    "recovered": History([one(), one("a2", sent=9.0, ended=9.1, seal="s2")], [run(), run("a2", seal="s2")],
+                         kills=[("barn0", 3.0)], backs=[4.0]),
+    "nothing was served before either": History([refused(), refused("a2", sent=9.0)],
+                                                kills=[("barn0", 3.0)], backs=[4.0]),
     "invalid, and refused": History(changes=[changed(4, status=400, valid=False)], readings=[{}]),
 }
 TWO_RUNS = [run("a1", key="k1"), run("a2", key="k1", seal="s2")]
@@ -104,6 +108,11 @@
     "invalid, and acknowledged": (j.configuration, History(changes=[changed(4, valid=False)], readings=[{}])),
     "valid, and refused": (j.configuration, History(changes=[changed(4, status=400)], readings=[{}])),
     "nothing read": (j.configuration, History(changes=[changed(4)])),
+    "not served again": (
+        j.recovery, History([one(), refused("a2", sent=9.0, ended=9.1)], [run()],
+                            kills=[("barn0", 3.0)], backs=[4.0])
+    ),
+    "nobody came again": (j.recovery, History([one()], [run()], kills=[("barn0", 3.0)], backs=[4.0])),
     "a process ended": (j.processes, History(troubles=["stile0 ended by itself with 1"])),
 }  # fmt: skip
 
