--- /dev/null
+++ b/verify/parts.py
@@ -0,0 +1,44 @@
+"""The code under test, and the rules of those that carry it, each of which a mutation may take out.
+
+What decides is the mesh's own: nothing of it is written again here. What carries it (`orchard.barn`,
+`orchard.stile`) waits, writes and sends; the models go through the same messages in the same order, and where
+the carriers hold to a rule that safety rests on, the rule is a figure here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Result
+
+from orchard import catalog
+from orchard.catalog import Clash, Item, Items, Table
+from orchard.keys import Claim, Registry
+from orchard.quorum import Turn, Voters
+
+CLAIM_S = 1.0  # `orchard.stile.CLAIM_S` and `orchard.barn.CLAIM_S`: a test holds them together
+TICK_S = 0.55  # a step of time: a round may last one of these, and a wiped barn waits for two
+
+
+@dataclass(frozen=True)
+class Parts:
+    """What a model runs. Each default is the mesh's."""
+
+    merge: Callable[[Items, Iterable[Item]], Items] = catalog.merge
+    change: Callable[[Items, Iterable[Item]], Result[tuple[Item, ...], str]] = catalog.change
+    table: Callable[[Items], tuple[Table, list[Clash]]] = catalog.table
+    registry: Callable[[float], Registry] = Registry
+    claim: Callable[[int, int, float, float], Claim] = Claim
+    voters: Callable[[int, tuple[str, ...]], Voters] = Voters
+    turn: Callable[[float], Turn] = Turn
+    member: Callable[[str], Any] | None = None
+    # Rules of the carriers.
+    synced: bool = True  # an answer waits until what it says lies on the disk
+    recovers: bool = True  # a wiped barn asks before it counts
+    waits: bool = True  # and asks only once all rounds from before are void
+    frees_own: bool = True  # a claimant frees what it did not run with, and nothing else
+    # Mends that the mesh does not have; the results say what falls without them.
+    counts_late: bool = False  # a wiped barn counts once what it was told lies on its disk, not sooner
+    turns_heard: bool = False  # a HAVE counts only of a barn whose turn was heard of before the check
