--- a/tests/orchard/test_orchard_keys.py
+++ b/tests/orchard/test_orchard_keys.py
@@ -1,11 +1,10 @@
-"""Keys: what a barn grants, what a claimant makes of the answers, and all ways two claimants can meet."""
+"""Keys: what a barn grants, and what a claimant makes of the answers."""
 
 import pytest
 
 from orchard.keys import NOBODY, Claim, Grant, Mark, Registry, Verdict, row_of
 
 LIMIT = 1.0
-STEP = 1.5  # longer than a round
 
 
 def registry():
@@ -175,139 +174,7 @@
     assert made.verdict(0.1) == Verdict.RUN
 
 
-# --- all ways two claimants can meet
-
-NONE = ()  # of all that may be missing in a state, so that states can be put in order
-LINK = (NONE, NONE, NONE)  # what is on its way to the barn, an answer on its way back, an answer that came
-IDLE = ("idle", 0.0)
-
-
-def start_state():
-    """Time; two claimants; three barns, each its grant, whether its disk is whole, a link to each claimant;
-    whether no disk was lost so far."""
-    return 0.0, (IDLE, IDLE), ((NONE, True, (LINK, LINK)),) * 3, True
-
-
-OTHER = {"a": "b", "b": "a", "": ""}
-
-
-def same(state):
-    """Barns are alike and so are claimants: one of all states that differ by names only."""
-    now, claimants, barns, whole = state
-
-    def swap(grant):
-        return grant and grant._replace(token=OTHER[grant.token])
-
-    def swap_link(link):
-        queue, *answers = link
-        return queue, *(answer and (answer[0], OTHER[answer[1]]) for answer in answers)
-
-    swapped = [(swap(grant), sound, (swap_link(b), swap_link(a))) for grant, sound, (a, b) in barns]
-    return min(
-        (now, claimants, tuple(sorted(barns)), whole),
-        (now, claimants[::-1], tuple(sorted(swapped)), whole),
-    )
-
-
-def held(now, grant):
-    """A real registry that holds a grant."""
-    made = Registry(1000.0)
-    if grant:
-        made.take(now, [row_of(now, "k", grant)])
-    return made
-
-
-def put(row, at, value):
-    return (*row[:at], value, *row[at + 1:])
-
-
-def judged(state, who, enough, silent=False):
-    """After an answer, or when time is over: the claimant's verdict, by the real count."""
-    now, claimants, barns, whole = state
-    made = Claim(3, enough, claimants[who][1], LIMIT)
-    for number, (_, _, links) in enumerate(barns):
-        got = links[who][2]
-        if not got:
-            if silent:
-                made.silent(str(number))
-        elif got[0] == "granted":
-            made.granted(str(number))
-        elif got[0] == "held":
-            made.held(str(number), got[1], Mark.CLAIMED, None)
-        else:
-            made.failed(str(number))
-    verdict = made.verdict(now)
-    if verdict == Verdict.WAIT:
-        return state
-    runs = verdict == Verdict.RUN
-    more = () if runs else ("free",)
-    rows = tuple(
-        (grant, sound, put(links, who, ((*links[who][0], *more), NONE, NONE)))
-        for grant, sound, links in barns
-    )
-    return now, put(claimants, who, ("run" if runs else "over", 0.0)), rows, whole
-
-
-def after(state, enough, loss):
-    """All states that one event leads to: a message here or there, a loss, a step of time."""
-    now, claimants, barns, whole = state
-    if now < STEP:
-        yield now + STEP, claimants, barns, whole
-    for who, token in enumerate("ab"):
-        if claimants[who] == IDLE:
-            rows = tuple(
-                (grant, sound, put(links, who, (("claim",), NONE, NONE)))
-                for grant, sound, links in barns
-            )
-            yield now, put(claimants, who, ("out", now)), rows, whole
-        elif claimants[who][0] == "out" and now > claimants[who][1] + LIMIT:
-            yield judged(state, who, enough, silent=True)
-        for number, (grant, sound, links) in enumerate(barns):
-            queue, flying, _ = links[who]
-            out = claimants[who][0] == "out"
-            if queue:
-                made, back = held(now, grant), NONE
-                if queue[0] == "free":
-                    made.free(now, "k", token)
-                elif not sound:
-                    back = ("failed", "")
-                else:
-                    stands, _ = made.claim(now, "k", token, 100.0)
-                    back = ("granted", "") if stands.token == token else ("held", stands.token)
-                link = (queue[1:], back if out else NONE, links[who][2])
-                row = (made.look(now, "k") or NONE, sound, put(links, who, link))
-                yield now, claimants, put(barns, number, row), whole
-            if flying:
-                row = (grant, sound, put(links, who, (queue, NONE, flying)))
-                yield judged((now, claimants, put(barns, number, row), whole), who, enough)
-    for number, (_, sound, links) in enumerate(barns):
-        if loss and whole and sound:
-            yield now, claimants, put(barns, number, (NONE, False, links)), False
-
-
-def explore(enough=2, loss=False):
-    """Whether two may run, how many states were seen, and all ends that claimants came to."""
-    todo, seen, ends = [start_state()], set(), set()
-    while todo:
-        state = todo.pop()
-        ends.update(phase for phase, _ in state[1])
-        if all(phase == "run" for phase, _ in state[1]):
-            return True, len(seen), ends
-        for follower in after(state, enough, loss):
-            follower = same(follower)
-            if follower not in seen:
-                seen.add(follower)
-                todo.append(follower)
-    return False, len(seen), ends
-
-
-def test_two_tokens_never_both_run():
-    both, states, ends = explore(loss=True)
-    assert not both and states > 1000 and ends == {"idle", "out", "run", "over"}
-
-
-def test_without_enough_grants_two_would_run():
-    assert explore(enough=1)[0]
+# --- two claimants, and a disk that was lost; all ways in which they can meet: `tests/verify/`
 
 
 @pytest.mark.parametrize("waits", [False, True])
--- /dev/null
+++ b/tests/verify/test_explorer.py
@@ -0,0 +1,82 @@
+"""The explorer: all states of the small models, each defence taken out, and what falls as the mesh is."""
+
+import pytest
+
+import orchard.barn
+import orchard.stile
+from verify import mutations
+from verify.parts import CLAIM_S, TICK_S
+from verify.plays import PLAYS
+from verify.search import Model, search
+
+SOUND = [name for name, play in PLAYS.items() if not play.known]
+KNOWN = [name for name, play in PLAYS.items() if play.known]
+
+
+@pytest.mark.parametrize("name", SOUND)
+def test_no_property_falls_in_any_state(name):
+    result = search(PLAYS[name].small())
+    assert result.whole and result.broken is None and result.states > 100
+
+
+@pytest.mark.parametrize("name", [
+    pytest.param(name, marks=pytest.mark.xfail(strict=True, reason=f"falls: {PLAYS[name].known}"))
+    for name in KNOWN
+])
+def test_what_falls_with_the_mesh_as_it_is(name):
+    broken = search(PLAYS[name].small(), 100_000).broken
+    if broken is not None and broken.property != PLAYS[name].known:
+        raise RuntimeError(f"another property fell: {broken}")
+    assert broken is None
+
+
+@pytest.mark.parametrize("mutation", mutations.MUTATIONS, ids=[row.name for row in mutations.MUTATIONS])
+def test_each_defence_taken_out_is_found(mutation):
+    found, result = mutations.play(mutation, 100_000)
+    assert found, result
+
+
+def test_times_are_the_mesh_s():
+    assert orchard.barn.CLAIM_S == orchard.stile.CLAIM_S == CLAIM_S
+    assert TICK_S <= CLAIM_S < 2 * TICK_S <= CLAIM_S + 0.1 + 1e-9
+
+
+class Pair(Model):
+    """Two counters that are alike; both at 2 is wrong."""
+
+    def start(self):
+        return 0, 0
+
+    def same(self, state):
+        return tuple(sorted(state))
+
+    def steps(self, state):
+        for at in range(2):
+            if state[at] < 3:
+                yield f"{at} to {state[at] + 1}", (*state[:at], state[at] + 1, *state[at + 1:])
+
+
+def test_a_search_sees_each_state_once_up_to_names():
+    result = search(Pair())
+    assert (result.states, result.whole, result.broken, result.depth) == (10, True, None, 7)
+
+
+def test_a_trace_is_a_shortest_one_and_keeps_its_names():
+    def both(model, state):
+        return "both at 2" if state == (2, 2) else ""
+
+    model = Pair()
+    model.properties = (both,)
+    broken = search(model).broken
+    assert broken.property == "both" and len(broken.trace) == 4
+    state = [0, 0]
+    for step in broken.trace:
+        at, _, to = step.partition(" to ")
+        state[int(at)] += 1
+        assert state[int(at)] == int(to)
+    assert state == [2, 2] and search(model).broken == broken
+
+
+def test_a_search_that_is_bounded_says_so():
+    result = search(Pair(), 4)
+    assert not result.whole and result.states == 4 and result.broken is None
--- /dev/null
+++ b/verify/claims.py
@@ -0,0 +1,434 @@
+"""Claims: claimants with one key, the barns that grant it, and all ways they can meet.
+
+A claimant asks some barns or all (CLAIM), counts their answers, and runs, gives back or repeats as the real
+count says; then it tells those it asked (DONE, FREE, BROKE), or dies. A barn answers "granted" once the grant
+lies on its disk. Barns crash, lose their disks and ask the others; furrows are cut, and what was on them is
+lost or comes late. Time goes on by steps of `parts.TICK_S` whenever it likes, so whoever stands still is among
+the cases. A claim's own time may run out at a barn at any moment. The window is taken to outlast it all.
+
+A state is (time, claimants, barns, faults left). Barns are alike and sorted; tokens are alike and swapped.
+    claimant: phase, when it began, or whose answer it repeats
+    barn: counts, when its disk was lost, grant, grant on disk, whole on disk, records that wait for the disk,
+        heard by the one that recovers, tokens whose claims come late, a link to each claimant
+    link: asked, on its way there, on its way back, what the claimant heard
+    grant: token, mark, whose answer
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+from functools import cache
+from typing import Any
+
+from orchard.keys import Grant, Mark, Registry, Verdict, row_of
+from verify.parts import CLAIM_S, TICK_S, Parts
+from verify.search import Model, Property, State, put
+
+NONE: tuple[Any, ...] = ()
+NOBODY = -1
+FAILED, GRANTED, HELD = 0, 1, 2
+KINDS = ("tick", "crash", "wipe", "cut", "late", "die", "expire")
+LONG = 1000.0  # the window, and longer than anything here lasts
+TIME = 100.0  # a claim's own time
+MAY_HAVE_RUN = ("run", "done", "lost")
+WAIT_TICKS = 2  # of TICK_S: 1.1 s
+
+
+class ClaimsModel(Model):
+    """`faults` says how many of each kind of KINDS may happen."""
+
+    step_properties = ()
+
+    def __init__(
+        self, barns: int = 3, claimants: int = 2, faults: dict[str, int] | None = None, parts: Parts | None = None,
+        swift: bool = False,
+    ) -> None:
+        self.name = f"claims-{barns}"
+        self.about = f"{claimants} claimants with one key, {barns} barns"
+        self.parts = parts or Parts()
+        self.barns, self.claimants, self.swift = barns, claimants, swift
+        self.faults = tuple((faults or {}).get(kind, 0) for kind in KINDS)
+        self.voters = self.parts.voters(1, tuple(str(at) for at in range(barns)))
+        self.swaps = list(itertools.permutations(range(claimants)))
+        self.properties = PROPERTIES
+        self.apply = cache(self._apply)
+        self.count = cache(self._count)
+
+    def bounds(self) -> dict[str, Any]:
+        return {"barns": self.barns, "claimants": self.claimants,
+                "answers": "at once" if self.swift else "in flight",
+                **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n}}
+
+    # --- the mesh's own code, remembered by what goes in
+
+    def _apply(self, grant: State, what: str, token: int, other: State = NONE) -> tuple[State, int]:
+        """What a barn's registry holds of the key after one event, and whether it says it is news."""
+        made: Registry = self.parts.registry(LONG)
+        if grant:
+            made.take(0.0, [self._row(grant)])
+        news = 1
+        if what == "claim":
+            stands, fresh = made.claim(0.0, "k", str(token), TIME)
+            news = int(fresh)
+        elif what == "done":
+            news = int(made.done(0.0, "k", str(token), token))
+        elif what == "broke":
+            news = int(made.broke(0.0, "k", str(token)))
+        elif what == "free":
+            news = int(made.free(0.0, "k", str(token)))
+        elif what == "take":
+            if other:
+                made.take(0.0, [self._row(other)])
+        elif what == "late":
+            made.look(TIME + 1.0, "k")
+        rows = made.rows(0.0)
+        if not rows:
+            return NONE, news
+        _, name, mark, _, _, answer = rows[0]
+        return (int(name or NOBODY), mark, NOBODY if answer is None else answer), news
+
+    @staticmethod
+    def _row(grant: State) -> list[Any]:
+        token, mark, answer = grant
+        until = TIME if mark == Mark.CLAIMED else 0.0
+        name = "" if token == NOBODY else str(token)
+        return row_of(0.0, "k", Grant(name, Mark(mark), until, LONG, None if answer == NOBODY else answer))
+
+    def _count(self, heard: tuple[State, ...], ticks: int, silent: bool) -> tuple[Verdict, int, bool]:
+        """A claimant's verdict, the answer that it repeats, and whether others may have to be asked."""
+        made = self.parts.claim(self.barns, self.voters.write, 0.0, CLAIM_S)
+        for at, told in enumerate(heard):
+            if told and told[0] == GRANTED:
+                made.granted(str(at))
+            elif told and told[0] == HELD:
+                name = "" if told[1] == NOBODY else str(told[1])
+                made.held(str(at), name, Mark(told[2]), None if told[3] == NOBODY else told[3])
+            elif told:
+                made.failed(str(at))
+        if silent:
+            for at in range(self.barns):
+                made.silent(str(at))
+        verdict = made.verdict(ticks * TICK_S)
+        return verdict, NOBODY if made.answer is None else made.answer, made.troubled
+
+    # --- states
+
+    def start(self) -> State:
+        link = (0, NONE, NONE, NONE)
+        barn = (1, NOBODY, NONE, NONE, 1, NONE, 0, NONE, (link,) * self.claimants)
+        return 0, (("idle", 0),) * self.claimants, (barn,) * self.barns, self.faults
+
+    def same(self, state: State) -> State:
+        now, claims, barns, left = state
+        if not left[1]:  # nothing is ever read from a disk again: what lies there makes no difference
+            barns = [(*barn[:3], NONE, barn[0], tuple(row for row in barn[5] if self._awaited(row)), *barn[6:])
+                     for barn in barns]  # fmt: skip
+        return min(self._swapped(now, claims, barns, left, swap) for swap in self.swaps)
+
+    def _awaited(self, record: State) -> bool:
+        return (record[0] == "key" and record[2] != NOBODY) or (record[0] == "whole" and self.parts.counts_late)
+
+    def _swapped(self, now: int, claims: State, barns: State, left: State, swap: tuple[int, ...]) -> State:
+        """With tokens by other names: `swap[t]` is the new name of t."""
+        order = sorted(range(len(swap)), key=swap.__getitem__)
+
+        def new(token: int) -> int:
+            return token if token == NOBODY else swap[token]
+
+        def grant(told: State) -> State:
+            return told and (new(told[0]), told[1], new(told[2]))
+
+        def answer(told: State) -> State:
+            return told and told[0] == HELD and (HELD, *grant(told[1:])) or told
+
+        def record(told: State) -> State:
+            if told[0] == "key":
+                return "key", grant(told[1]), new(told[2])
+            return told if told[0] == "whole" else (told[0], new(told[1]))
+
+        if swap != tuple(range(len(swap))):
+            claims = tuple(
+                (claims[t][0], new(claims[t][1])) if claims[t][0] == "repeat" else claims[t] for t in order
+            )
+            barns = [
+                (counts, since, grant(held), grant(disk), whole, tuple(map(record, waiting)), heard,
+                 tuple(sorted(map(new, late))), tuple(
+                     (links[t][0], links[t][1], answer(links[t][2]), answer(links[t][3])) for t in order))
+                for counts, since, held, disk, whole, waiting, heard, late, links in barns
+            ]  # fmt: skip
+        return now, claims, tuple(sorted(barns)), left
+
+    def steps(self, state: State) -> Iterator[tuple[str, State]]:
+        for say, made in self._steps(state):
+            if self.swift:
+                made = self._all_answered(made)
+            yield say, made
+
+    def _all_answered(self, state: State) -> State:
+        """With every answer heard at once."""
+        for at in range(self.barns):
+            for who in range(self.claimants):
+                if state[2][at][8][who][2]:
+                    state = self._answered(state, at, who)
+        return state
+
+    def _steps(self, state: State) -> Iterator[tuple[str, State]]:
+        now, claims, barns, left = state
+        for who in range(len(claims)):
+            yield from self._claimant(state, who)
+        for at, barn in enumerate(barns):
+            for who, link in enumerate(barn[8]):
+                if link[1]:
+                    yield f"barn {at} hears {link[1][0].upper()} of {name(who)}", self._heard(state, at, who)
+                if link[2]:
+                    yield f"{name(who)} hears barn {at}: {said(link[2])}", self._answered(state, at, who)
+            if barn[5]:
+                yield f"barn {at} syncs {barn[5][0][0]}", self._synced(state, at)
+            if left[6] and barn[2] and barn[2][1] == Mark.CLAIMED:
+                yield f"the claim of {name(barn[2][0])} runs out at barn {at}", (
+                    now, claims, put(barns, at, put(barn, 2, self.apply(barn[2], "late", 0)[0])), spend(left, "expire"))
+            yield from self._recovers(state, at)
+        yield from self._faults(state)
+
+    def _claimant(self, state: State, who: int) -> Iterator[tuple[str, State]]:
+        now, claims, barns, left = state
+        phase, began = claims[who]
+        if phase == "idle":
+            # The others may be asked at any time after, so that to ask all at once is among the cases.
+            for asked in itertools.combinations(range(len(barns)), self.voters.write):
+                made = now, put(claims, who, ("out", now)), barns, left
+                yield f"{name(who)} asks barns {', '.join(map(str, asked))}", self._ask(made, who, asked)
+        elif phase == "out":
+            if not all(barn[8][who][0] for barn in barns):
+                yield f"{name(who)} asks the others", self._ask(state, who, range(len(barns)))
+            yield f"{name(who)} waits no longer", self._judged(state, who, True)
+        elif phase == "run":
+            yield f"{name(who)} has run and has its answer", self._ends(state, who, "done", "done")
+            yield f"{name(who)} may have run, and has no answer", self._ends(state, who, "lost", "broke")
+            yield f"{name(who)} is given back before it ran", self._ends(state, who, "back", "free")
+
+    @staticmethod
+    def _ask(state: State, who: int, asked: Any) -> State:
+        now, claims, barns, left = state
+        rows = [
+            put(barn, 8, put(barn[8], who, (1, ("claim",), NONE, NONE)))
+            if at in asked and not barn[8][who][0] else barn for at, barn in enumerate(barns)
+        ]
+        return now, claims, tuple(rows), left
+
+    def _ends(self, state: State, who: int, phase: str, word: str, number: int = 0) -> State:
+        """A claimant is through, and tells those that it asked."""
+        now, claims, barns, left = state
+        rows = []
+        for barn in barns:
+            asked, queue, _, _ = barn[8][who]
+            queue = (*queue, word) if asked and word else queue
+            rows.append(put(barn, 8, put(barn[8], who, (asked, queue, NONE, NONE))))
+        return now, put(claims, who, (phase, number)), tuple(rows), left
+
+    def _judged(self, state: State, who: int, silent: bool = False) -> State:
+        now, claims, barns, left = state
+        heard = tuple(sorted(barn[8][who][3] for barn in barns))
+        verdict, answer, troubled = self.count(heard, now - claims[who][1], silent)
+        if verdict == Verdict.WAIT:
+            return self._ask(state, who, range(len(barns))) if troubled else state
+        if verdict == Verdict.RUN:
+            return self._ends(state, who, "run", "")
+        word = "free" if self.parts.frees_own else "done"
+        if verdict == Verdict.REPEAT:
+            return self._ends(state, who, "repeat", word, answer)
+        return self._ends(state, who, "over", word)
+
+    def _answered(self, state: State, at: int, who: int) -> State:
+        now, claims, barns, left = state
+        asked, queue, back, _ = barns[at][8][who]
+        barn = put(barns[at], 8, put(barns[at][8], who, (asked, queue, NONE, back)))
+        return self._judged((now, claims, put(barns, at, barn), left), who)
+
+    def _heard(self, state: State, at: int, who: int) -> State:
+        """A barn hears the first message on its way from a claimant."""
+        now, claims, barns, left = state
+        barn = barns[at]
+        asked, queue, back, heard = barn[8][who]
+        barn = put(barn, 8, put(barn[8], who, (asked, queue[1:], back, heard)))
+        if queue[0] == "claim":
+            barn = self._claimed(barn, who, claims[who][0] == "out")
+        else:
+            grant, news = self.apply(barn[2], queue[0], who)
+            barn = put(barn, 2, grant)
+            if news:
+                record = ("key", grant, NOBODY) if queue[0] == "done" else (queue[0], who)
+                barn = put(barn, 5, (*barn[5], record))
+        return now, claims, put(barns, at, barn), left
+
+    def _claimed(self, barn: State, who: int, waits: bool) -> State:
+        """As `Barn._claim`: who has it, or the grant on its way to the disk."""
+        if not barn[0]:
+            return self._reply(barn, who, (FAILED,)) if waits else barn
+        grant, _ = self.apply(barn[2], "claim", who)
+        if grant[0] != who or grant[1] != Mark.CLAIMED:
+            return self._reply(barn, who, (HELD, *grant)) if waits else barn
+        barn = put(barn, 2, grant)
+        if waits and not self.parts.synced:
+            barn, waits = self._reply(barn, who, (GRANTED,)), False
+        return put(barn, 5, (*barn[5], ("key", grant, who if waits else NOBODY)))
+
+    @staticmethod
+    def _reply(barn: State, who: int, told: State) -> State:
+        asked, queue, _, heard = barn[8][who]
+        return put(barn, 8, put(barn[8], who, (asked, queue, told, heard)))
+
+    def _synced(self, state: State, at: int) -> State:
+        now, claims, barns, left = state
+        barn = barns[at]
+        record = barn[5][0]
+        barn = put(barn, 5, barn[5][1:])
+        if record[0] == "key":
+            barn = put(barn, 3, self.apply(barn[3], "take", 0, record[1])[0])
+            who = record[2]
+            if who != NOBODY and claims[who][0] == "out" and barn[8][who][0]:
+                barn = self._reply(barn, who, (GRANTED,))
+        elif record[0] == "whole":
+            barn = put(put(put(barn, 4, 1), 0, 1), 1, NOBODY)
+        else:
+            barn = put(barn, 3, self.apply(barn[3], record[0], record[1])[0])
+        return now, claims, put(barns, at, barn), left
+
+    def _recovers(self, state: State, at: int) -> Iterator[tuple[str, State]]:
+        """As `Barn._recover`: hear so many others that count; then count, and have it all written."""
+        now, claims, barns, left = state
+        me = barns[at]
+        if me[0] or ("whole",) in me[5]:
+            return
+        if not self.parts.recovers:
+            yield f"barn {at} counts", (now, claims, put(barns, at, put(put(me, 0, 1), 4, 1)), left)
+            return
+        if self.parts.waits and now < me[1] + WAIT_TICKS:
+            return
+        for other, barn in enumerate(barns):
+            if other == at or not barn[0] or barn[6]:
+                continue
+            rows = put(barns, other, put(barn, 6, 1))
+            made = put(me, 2, self.apply(me[2], "take", 0, barn[2])[0])
+            say = f"barn {at}, whose disk was lost, hears what barn {other} has"
+            if sum(row[6] for row in rows) >= self.voters.read:
+                rows = tuple(put(row, 6, 0) for row in rows)
+                kept = (("key", made[2], NOBODY),) if made[2] else NONE
+                made = put(made, 5, (*made[5], *kept, ("whole",)))
+                if not self.parts.counts_late:
+                    made = put(put(made, 0, 1), 1, NOBODY)
+                say += "; that is enough"
+            yield say, (now, claims, put(rows, at, made), left)
+
+    def _faults(self, state: State) -> Iterator[tuple[str, State]]:
+        now, claims, barns, left = state
+        tick, crash, wipe, cut, late, die, _ = left
+        if tick and any(phase == "out" for phase, _ in claims) | any(not barn[0] for barn in barns):
+            yield f"{TICK_S} s go by", (now + 1, claims, barns, spend(left, "tick"))
+        for who, (phase, _) in enumerate(claims):
+            if die and phase in ("out", "run"):
+                made = self._ends(state, who, "dead" if phase == "out" else "lost", "")
+                yield f"{name(who)} dies", (*made[:3], spend(left, "die"))
+        for at, barn in enumerate(barns):
+            if crash:
+                yield f"barn {at} crashes and starts again", self._restarted(state, at, False)
+            if wipe and all(other[0] for other in barns):
+                yield f"barn {at} loses its disk and starts again", self._restarted(state, at, True)
+            for who, (asked, queue, back, heard) in enumerate(barn[8]):
+                if not (cut or late) or not (queue or back):
+                    continue
+                lost = (FAILED,) if claims[who][0] == "out" and not heard else heard
+                made = put(barn, 8, put(barn[8], who, (asked, NONE, NONE, lost)))
+                if cut:
+                    then = now, claims, put(barns, at, made), spend(left, "cut")
+                    if lost != heard:
+                        then = self._judged(then, who)
+                    yield f"what is between {name(who)} and barn {at} is lost", then
+                if late and queue and queue[0] == "claim":
+                    made = put(made, 7, tuple(sorted((*barn[7], who))))
+                    then = now, claims, put(barns, at, made), spend(left, "late")
+                    if lost != heard:
+                        then = self._judged(then, who)
+                    yield f"CLAIM of {name(who)} to barn {at} stays behind on an older furrow", then
+            for who in sorted(set(barn[7])):
+                rest = list(barn[7])
+                rest.remove(who)
+                made = self._claimed(put(barn, 7, tuple(rest)), who, False)
+                yield f"barn {at} hears the late CLAIM of {name(who)}", (
+                    now, claims, put(barns, at, made), left)
+
+    def _restarted(self, state: State, at: int, wiped: bool) -> State:
+        now, claims, barns, left = state
+        barn = barns[at]
+        disk, whole = (NONE, 0) if wiped else (barn[3], barn[4])
+        links = tuple((asked, NONE, back, heard) for asked, _, back, heard in barn[8])
+        since = NOBODY if whole else now
+        rows = put(barns, at, (whole, since, disk, disk, whole, NONE, 0, NONE, links))
+        if not barn[0] or wiped:  # whoever asked has to ask again
+            rows = tuple(put(row, 6, 0) for row in rows)
+        made = now, claims, rows, spend(left, "wipe" if wiped else "crash")
+        for who, (asked, _, back, heard) in enumerate(links):
+            if claims[who][0] == "out" and asked and not back and not heard:
+                rows = made[2]
+                link = put(rows[at][8], who, (1, NONE, NONE, (FAILED,)))
+                made = self._judged((made[0], made[1], put(rows, at, put(rows[at], 8, link)), made[3]), who)
+        return made
+
+
+def name(token: int) -> str:
+    """A claimant, as it is printed."""
+    return "nobody" if token == NOBODY else "ABCDEF"[token]
+
+
+def said(told: State) -> str:
+    """An answer to a claim, as it is printed."""
+    if told[0] != HELD:
+        return "granted" if told[0] == GRANTED else "can't"
+    return f"{Mark(told[2]).name.lower()}, {name(told[1])}'s"
+
+
+def spend(left: tuple[int, ...], kind: str) -> tuple[int, ...]:
+    """One fault less."""
+    at = KINDS.index(kind)
+    return put(left, at, left[at] - 1)
+
+
+# --- properties
+
+
+def never_two_runs(model: ClaimsModel, state: State) -> str:
+    """Of all claims of one key one at most is at work or has an answer."""
+    runs = [name(who) for who, (phase, _) in enumerate(state[1]) if phase in ("run", "done")]
+    return f"{' and '.join(runs)} run" if len(runs) > 1 else ""
+
+
+def what_may_have_run_is_never_followed_by_a_run(model: ClaimsModel, state: State) -> str:
+    """A claim that ended without an answer, and may have run, is the last to run."""
+    runs = [name(who) for who, (phase, _) in enumerate(state[1]) if phase in MAY_HAVE_RUN]
+    lost = [name(who) for who, (phase, _) in enumerate(state[1]) if phase == "lost"]
+    return f"{lost[0]} may have run, and so may {len(runs) - 1} more" if lost and len(runs) > 1 else ""
+
+
+def a_repeat_gets_the_answer_of_the_run(model: ClaimsModel, state: State) -> str:
+    """Whoever is answered without a run gets what the one run made."""
+    for who, (phase, answer) in enumerate(state[1]):
+        if phase == "repeat" and state[1][answer][0] != "done":
+            return f"{name(who)} gets an answer of {name(answer)}, which has none"
+    return ""
+
+
+def a_grant_that_ran_is_known_to_enough(model: ClaimsModel, state: State) -> str:
+    """While a claim may have run, too few barns that count could grant another."""
+    for who, (phase, _) in enumerate(state[1]):
+        if phase in MAY_HAVE_RUN:
+            open_ = sum(1 for barn in state[2] if barn[0] and not barn[2])
+            if open_ >= model.voters.write:
+                return f"{open_} barns would grant the key of {name(who)}"
+    return ""
+
+
+PROPERTIES: tuple[Property, ...] = (
+    never_two_runs, what_may_have_run_is_never_followed_by_a_run, a_repeat_gets_the_answer_of_the_run,
+    a_grant_that_ran_is_known_to_enough,
+)  # fmt: skip
--- a/verify/items.py
+++ b/verify/items.py
@@ -24,7 +24,7 @@
 
 from orchard.catalog import EMPTY, Item, Items
 from verify.parts import Parts
-from verify.search import Model, Property, State, StepProperty
+from verify.search import Model, Property, State, StepProperty, put
 
 NONE: tuple[Any, ...] = ()
 NOBODY = -1
@@ -60,12 +60,12 @@
 
     def __init__(
         self, calls: str = "place", barns: int = 3, faults: dict[str, int] | None = None, parts: Parts | None = None,
-        in_force: bool = False,
+        in_force: bool = False, swift: bool = False,
     ) -> None:
         self.name = f"items-{calls}"
         self.about = f"two writers, {barns} barns, calls that clash by {calls}"
         self.parts = parts or Parts()
-        self.barns = barns
+        self.barns, self.swift = barns, swift
         self.faults = tuple((faults or {}).get(kind, 0) for kind in KINDS)
         base, sent = CALLS[calls]
         self.known = tuple(dict.fromkeys((*base, *itertools.chain(*sent))))
@@ -78,11 +78,16 @@
         self.given = cache(self._given)
         self.clashing = cache(self._clashing)
         self.held_out = cache(self._held_out)
+        self.agreed = cache(self._agreed)
+        self.unsound = cache(self._unsound)
+        self.covers = cache(self._covers)
+        self.holds = cache(self._holds)
         self.properties = (*PROPERTIES, *((acknowledged_items_stay_in_force,) if in_force else ()))
         self.step_properties = STEP_PROPERTIES
 
     def bounds(self) -> dict[str, Any]:
-        return {"barns": self.barns, **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n}}
+        answers = {"answers": "at once" if self.swift else "in flight"}
+        return {"barns": self.barns, **answers, **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n}}
 
     # --- the mesh's own code, remembered by what goes in
 
@@ -111,8 +116,7 @@
             turn.take(0.0, str(holder))
         return turn.take(2.0 if lapsed else 0.5, str(writer))
 
-    @cache  # noqa: B019 - models live as long as a search
-    def holds(self, holder: int, writer: int) -> bool:
+    def _holds(self, holder: int, writer: int) -> bool:
         """Whether a barn whose turn went to `holder` takes a write of `writer`."""
         turn = self.parts.turn(1.0)
         if holder != NOBODY:
@@ -129,6 +133,26 @@
         stand = {f"route/{route.name}" for rows in table.hosts.values() for _, route in rows}
         return tuple(at for at in ids if self.known[at].name in names - stand)
 
+    def _unsound(self, ids: tuple[int, ...]) -> str:
+        """What of a table could not be served as it stands."""
+        table = self.parts.table(self.items(ids))[0]
+        for host, rows in table.hosts.items():
+            if len({prefix for prefix, _ in rows}) < len(rows):
+                return f"two routes at one place of {host}"
+            for _, route in rows:
+                if any(name not in table.clusters for name, _ in route.targets):
+                    return f"route {route.name} has no service"
+        return ""
+
+    def _agreed(self, copies: frozenset[tuple[int, ...]]) -> str:
+        ends = set()
+        for order in itertools.permutations(sorted(copies)):
+            made: tuple[int, ...] = ()
+            for ids in order:
+                made = self.merged(made, ids)
+            ends.add(made)
+        return f"{len(ends)} different copies" if len(ends) > 1 else ""
+
     # --- states
 
     def start(self) -> State:
@@ -138,9 +162,31 @@
 
     def same(self, state: State) -> State:
         writers, barns, stile, left = state
+        if not left[0]:  # nothing is ever read from a disk again: what lies there makes no difference
+            barns = [
+                (barn[0], barn[1], NONE, barn[0], tuple(row for row in barn[4] if self._awaited(row)), *barn[5:])
+                for barn in barns
+            ]
         return writers, tuple(sorted(barns)), stile, left
 
+    def _awaited(self, record: tuple[Any, int]) -> bool:
+        return record[1] >= 0 or (record[1] == WHOLE and self.parts.counts_late)
+
     def steps(self, state: State) -> Iterator[tuple[str, State]]:
+        for say, made in self._steps(state):
+            if self.swift:
+                made = self._all_told(made)
+            yield say, made
+
+    def _all_told(self, state: State) -> State:
+        """With every answer heard at once."""
+        for at in range(self.barns):
+            for who in range(len(self.calls)):
+                while state[1][at][7][who][2]:
+                    state = next(self._told(state, at, who))[1]
+        return state
+
+    def _steps(self, state: State) -> Iterator[tuple[str, State]]:
         writers, barns, stile, left = state
         for who in range(len(writers)):
             yield from self._writer(state, who)
@@ -321,6 +367,11 @@
             return
         if any(waits == WHOLE for _, waits in barns[at][4]):
             return
+        if self.parts.waits and any(
+            writers[who][0] in ("sync", "put") and (link[2] or link[3])
+            for who, link in enumerate(barns[at][7])
+        ):
+            return  # a round that had its answer from before the loss is void by the time it asks
         if not self.parts.recovers:
             yield f"barn {at} counts", (
                 writers, put(barns, at, put(put(barns[at], 0, 1), 3, 1)), stile, left)
@@ -393,17 +444,12 @@
             if phase == "ok":
                 yield from self.calls[who]
 
-    def covers(self, ids: Iterable[int], row: int) -> bool:
+    def _covers(self, ids: tuple[int, ...], row: int) -> bool:
         """Whether an item is there, or a newer one of its name."""
         item = self.known[row]
         return any(self.known[at].name == item.name and self.known[at].version >= item.version for at in ids)
 
 
-def put(row: tuple[Any, ...], at: int, value: Any) -> tuple[Any, ...]:
-    """A row with another value at one place."""
-    return (*row[:at], value, *row[at + 1:])
-
-
 def spend(left: tuple[int, ...], kind: str) -> tuple[int, ...]:
     """One fault less."""
     at = KINDS.index(kind)
@@ -415,9 +461,10 @@
 
 def acknowledged_items_are_kept(model: ItemsModel, state: State) -> str:
     """What was answered with 200 lies in a memory or on a disk, it or a newer one of its name."""
-    held = {row for barn in state[1] for row in (*barn[1], *barn[2])}
-    lost = [row for row in model.acknowledged(state) if not model.covers(held, row)]
-    return f"no barn has {model.known[lost[0]][:2]}" if lost else ""
+    for row in model.acknowledged(state):
+        if not any(model.covers(barn[1], row) or model.covers(barn[2], row) for barn in state[1]):
+            return f"no barn has {model.known[row][:2]}"
+    return ""
 
 
 def acknowledged_items_are_read(model: ItemsModel, state: State) -> str:
@@ -425,9 +472,8 @@
     counting = [barn[1] for barn in state[1] if barn[0]]
     need = len(state[1]) - (len(state[1]) // 2 + 1) + 1
     for row in model.acknowledged(state):
-        for heard in itertools.combinations(counting, need):
-            if not model.covers(itertools.chain(*heard), row):
-                return f"{need} barns that count know nothing of {model.known[row][:2]}"
+        if sum(not model.covers(ids, row) for ids in counting) >= need:
+            return f"{need} barns that count know nothing of {model.known[row][:2]}"
     return ""
 
 
@@ -444,26 +490,15 @@
 def nothing_invalid_is_in_force(model: ItemsModel, state: State) -> str:
     """No table has two routes at one place, or a route of no service."""
     for ids in {state[2], *(barn[1] for barn in state[1])}:
-        table = model.parts.table(model.items(ids))[0]
-        for host, rows in table.hosts.items():
-            if len({prefix for prefix, _ in rows}) < len(rows):
-                return f"two routes at one place of {host}"
-            for _, route in rows:
-                if any(name not in table.clusters for name, _ in route.targets):
-                    return f"route {route.name} has no service"
+        why = model.unsound(ids)
+        if why:
+            return why
     return ""
 
 
 def copies_agree_at_the_end(model: ItemsModel, state: State) -> str:
     """Once every barn has heard every other, in whatever order, all have the same."""
-    copies = sorted({barn[1] for barn in state[1]})
-    ends = set()
-    for order in itertools.permutations(copies):
-        made: tuple[int, ...] = ()
-        for ids in order:
-            made = model.merged(made, ids)
-        ends.add(made)
-    return f"{len(ends)} different copies" if len(ends) > 1 else ""
+    return model.agreed(frozenset(barn[1] for barn in state[1]))
 
 
 def acknowledged_items_stay_in_force(model: ItemsModel, state: State) -> str:
@@ -479,7 +514,7 @@
     if state[3][:2] == follower[3][:2]:  # no process ended
         pairs += [(old[1], new[1]) for old, new in zip(state[1], follower[1], strict=True)]
     for old, new in pairs:
-        for row in old:
+        for row in old if new != old else ():
             if not model.covers(new, row):
                 return f"{model.known[row][:2]} was there"
     return ""
--- /dev/null
+++ b/verify/mutations.py
@@ -0,0 +1,209 @@
+"""Each defence taken out of the real code, and the property that has to fall.
+
+A mutation is a subclass or a function in place of the mesh's own, or a rule of a carrier not held to; it is
+played by the least model that needs the defence.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from expression import Ok, Result
+from pyrsistent import pmap
+
+from orchard import catalog
+from orchard.catalog import Clash, Item, Items, Table
+from orchard.keys import Claim, Grant, Mark, Registry, Verdict
+from orchard.quorum import Turn, Voters
+from verify import claims, items
+from verify.claims import ClaimsModel
+from verify.items import ItemsModel
+from verify.parts import Parts
+from verify.search import LIMIT, Model, Property, Result as Found, StepProperty, search
+
+
+class Fewer(Voters):
+    """A write that half of the disks take."""
+
+    __slots__ = ()
+
+    @property
+    def write(self) -> int:
+        return len(self.names) // 2
+
+
+class Hasty(Voters):
+    """A wiped barn that hears one less."""
+
+    __slots__ = ()
+
+    @property
+    def read(self) -> int:
+        return super().read - 1
+
+
+class NoTurn(Turn):
+    """Everybody writes at any time."""
+
+    def take(self, now: float, token: str) -> bool:
+        return True
+
+    def holds(self, token: str) -> bool:
+        return True
+
+
+class FirstStays(Registry):
+    """Of claims that disagree the first one heard stays."""
+
+    def take(self, now: float, rows: Iterable[list[Any]]) -> None:
+        for row in rows:
+            mine = self._grants.get(row[0])
+            if mine is None or mine.mark == Mark.DONE or row[2] == Mark.DONE or mine.token == row[1]:
+                super().take(now, [row])
+
+
+class FreeForAll(Registry):
+    """Whoever says so frees a key."""
+
+    def free(self, now: float, key: str, token: str) -> bool:
+        grant = self._grants.get(key)
+        return grant is not None and super().free(now, key, grant.token)
+
+
+class Forgiving(Registry):
+    """A claim whose time is over may go to the next."""
+
+    def look(self, now: float, key: str) -> Grant | None:
+        grant = super().look(now, key)
+        if grant is not None and grant.mark == Mark.BROKEN:
+            del self._grants[key]
+            return None
+        return grant
+
+
+class LastStays(Registry):
+    """Whoever claims last has it."""
+
+    def claim(self, now: float, key: str, token: str, left_s: float) -> tuple[Grant, bool]:
+        grant = self.look(now, key)
+        if grant is not None and grant.mark == Mark.CLAIMED and grant.token != token:
+            del self._grants[key]
+        return super().claim(now, key, token, left_s)
+
+
+class NoAnswers(Registry):
+    """An answer is not kept: the key is free again."""
+
+    def done(self, now: float, key: str, token: str, answer: Any) -> bool:
+        return self._grants.pop(key, None) is not None
+
+
+class Patient(Claim):
+    """A round may take as long as it likes."""
+
+    def verdict(self, now: float) -> Verdict:
+        return super().verdict(min(now, self.started))
+
+
+class Guessing(Claim):
+    """Who holds a key for another is taken to have answered."""
+
+    def held(self, barn: str, token: str, mark: Mark, answer: Any) -> None:
+        super().held(barn, token, Mark.DONE, int(token or 0))
+
+
+def by_arrival(old: Items, news: Iterable[Item]) -> Items:
+    """The last that comes stands."""
+    return old.update({item.name: item for item in news})
+
+
+def by_version_alone(old: Items, news: Iterable[Item]) -> Items:
+    """Of two contents of one version the first stays."""
+    for item in news:
+        if item.name not in old or item.version > old[item.name].version:
+            old = old.set(item.name, item)
+    return old
+
+
+def unchecked(old: Items, call: Iterable[Item]) -> Result[tuple[Item, ...], str]:
+    """Whatever is newer is valid."""
+    return Ok(tuple(item for item in call if item.beats(old.get(item.name))))
+
+
+def nothing_held_out(rows: Items) -> tuple[Table, list[Clash]]:
+    """Routes of no service are in force as well."""
+    made, wrong = catalog.table(rows)
+    hosts = dict(made.hosts)
+    for item in rows.values():
+        if item.content and item.name.startswith("route/"):
+            route = catalog.build(item)
+            assert isinstance(route, catalog.Route)
+            if all(route is not other for _, other in hosts.get(route.host, ())):
+                hosts[route.host] = (*hosts.get(route.host, ()), (route.prefix, route))
+    return made._replace(hosts=pmap(hosts)), wrong
+
+
+class Mutation(NamedTuple):
+    """One defence that is missing, who plays it, and what must fall."""
+
+    name: str
+    about: str
+    model: Callable[[], Model]
+    falls: tuple[Property | StepProperty, ...]
+
+
+def _items(calls: str, parts: Parts, **faults: int) -> Callable[[], Model]:
+    return lambda: ItemsModel(calls, faults=faults, parts=parts, swift=True)
+
+
+def _claims(parts: Parts, claimants: int = 2, **faults: int) -> Callable[[], Model]:
+    return lambda: ClaimsModel(3, claimants, faults, parts, swift=True)
+
+
+RUNS = (claims.never_two_runs, claims.what_may_have_run_is_never_followed_by_a_run,
+        claims.a_grant_that_ran_is_known_to_enough)  # fmt: skip
+KEPT = (items.acknowledged_items_are_kept, items.acknowledged_items_are_read)
+# The mesh as it is lets two calls that clash both be acknowledged: where they clash, its mend is in.
+
+MUTATIONS: tuple[Mutation, ...] = (
+    Mutation("items-fewer", "a write on half of the disks", _items(
+        "place", Parts(voters=Fewer, turns_heard=True)), (items.no_two_acknowledged_items_clash, *KEPT)),
+    Mutation("items-unsynced", "HAVE before the disk has it", _items(
+        "same", Parts(synced=False), crash=2), KEPT),
+    Mutation("items-counts", "a wiped barn counts at once", _items("same", Parts(recovers=False), wipe=1), KEPT),
+    Mutation("items-hasty", "a wiped barn hears one less", _items("same", Parts(voters=Hasty), wipe=1), KEPT),
+    Mutation("items-arrival", "merge by arrival", _items("same", Parts(merge=by_arrival), hear=2),
+             (items.nobody_goes_back, items.copies_agree_at_the_end, *KEPT)),
+    Mutation("items-version", "merge by version alone", _items("twin", Parts(merge=by_version_alone)),
+             (items.copies_agree_at_the_end,)),
+    Mutation("items-turn", "turns ignored", _items("place", Parts(turn=NoTurn, turns_heard=True)),
+             (items.no_two_acknowledged_items_clash,)),
+    Mutation("items-unchecked", "a change is not checked", _items(
+        "place", Parts(change=unchecked, turns_heard=True)), (items.no_two_acknowledged_items_clash,)),
+    Mutation("items-table", "nothing is held out of force", _items(
+        "service", Parts(table=nothing_held_out, turns_heard=True), agree=1),
+        (items.nothing_invalid_is_in_force,)),
+    Mutation("keys-fewer", "a run with half of the grants", _claims(Parts(voters=Fewer)), RUNS),
+    Mutation("keys-unsynced", "CLAIMED before the disk has it", _claims(Parts(synced=False), crash=1), RUNS),
+    Mutation("keys-counts", "a wiped barn grants at once", _claims(Parts(recovers=False), wipe=1), RUNS),
+    Mutation("keys-hasty", "a wiped barn hears one less", _claims(Parts(voters=Hasty), wipe=1, tick=2), RUNS),
+    Mutation("keys-waits", "a wiped barn does not wait for rounds to be void", _claims(
+        Parts(waits=False), wipe=1), RUNS),
+    Mutation("keys-slow", "a round that took too long runs", _claims(Parts(claim=Patient), wipe=1, tick=2), RUNS),
+    Mutation("keys-first", "of claims that disagree the first stays", _claims(
+        Parts(registry=FirstStays), wipe=1, tick=2), RUNS),
+    Mutation("keys-last", "whoever claims last has it", _claims(Parts(registry=LastStays)), RUNS),
+    Mutation("keys-free", "freed by another's token", _claims(Parts(registry=FreeForAll)), RUNS),
+    Mutation("keys-broken", "a claim that ran out is free", _claims(Parts(registry=Forgiving), expire=3), RUNS),
+    Mutation("keys-answers", "an answer is not kept", _claims(Parts(registry=NoAnswers)), RUNS),
+    Mutation("keys-guess", "a holder is taken to have answered", _claims(Parts(claim=Guessing)),
+             (claims.a_repeat_gets_the_answer_of_the_run,)),
+)  # fmt: skip
+
+
+def play(mutation: Mutation, limit: int = LIMIT) -> tuple[bool, Found]:
+    """Whether the property that has to fall did, and what the search came to."""
+    found = search(mutation.model(), limit)
+    names = {holds.__name__.replace("_", " ") for holds in mutation.falls}
+    return found.broken is not None and found.broken.property in names, found
--- a/verify/search.py
+++ b/verify/search.py
@@ -158,6 +158,11 @@
             raise AssertionError("states that differ by names only do not go on alike")
 
 
+def put(row: tuple[Any, ...], at: int, value: Any) -> tuple[Any, ...]:
+    """A row with another value at one place."""
+    return (*row[:at], value, *row[at + 1:])
+
+
 def first_words(text: str | None) -> str:
     """The first line of a docstring."""
     return (text or "").strip().split("\n")[0]
