--- a/command/cli.py
+++ b/command/cli.py
@@ -1,4 +1,4 @@
-"""Sub-commands: run, check, fleet, rehearse, emulate. Each loads what it needs and nothing else."""
+"""Sub-commands: run, check, fleet, rehearse, emulate, verify. Each loads what it needs and nothing else."""
 
 from __future__ import annotations
 
@@ -47,6 +47,15 @@
     kit(list(words), prog_name="hollyport rehearse")
 
 
+@main.command(context_settings={**PASSED_ON, "allow_extra_args": True})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def verify(words: tuple[str, ...]) -> None:
+    """Run the mesh's decisions under every order of messages and faults, as `python -m verify` does."""
+    from verify.__main__ import main as explorer
+
+    explorer(words, "hollyport verify")
+
+
 @main.group()
 def fleet() -> None:
     """What sidecars know of each other."""
--- a/verify/__main__.py
+++ b/verify/__main__.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from collections.abc import Sequence
 from typing import Any
 
 import fire
@@ -77,5 +78,10 @@
         sys.exit(1 if missed else 0)
 
 
+def main(words: Sequence[str] | None = None, name: str = "verify") -> None:
+    """Do what the words say, or those of the command line."""
+    fire.Fire(Verify(), command=words, name=name)
+
+
 if __name__ == "__main__":
-    fire.Fire(Verify(), name="verify")
+    main()
--- a/verify/mutations.py
+++ b/verify/mutations.py
@@ -13,13 +13,15 @@
 from pyrsistent import pmap
 
 from orchard import catalog
+from orchard.ballot import FIRST, Ballot, Member
 from orchard.catalog import Clash, Item, Items, Table
 from orchard.keys import Claim, Grant, Mark, Registry, Verdict
 from orchard.quorum import Turn, Voters
-from verify import claims, items
+from verify import claims, items, sets
 from verify.claims import ClaimsModel
 from verify.items import ItemsModel
 from verify.parts import Parts
+from verify.sets import SetsModel
 from verify.search import LIMIT, Model, Property, Result as Found, StepProperty, search
 
 
@@ -144,6 +146,25 @@
     return made._replace(hosts=pmap(hosts)), wrong
 
 
+class Unsealed(Member):
+    """Who has said yes to a successor still grants."""
+
+    def votes(self, epoch: int) -> bool:
+        return self.voters.epoch == epoch == self.whole and self.me in self.voters.names
+
+
+class Fickle(Member):
+    """A promise binds nobody."""
+
+    def bid(self, epoch: int, ballot: Ballot) -> bool:
+        self.promised = FIRST
+        return super().bid(epoch, ballot)
+
+    def seal(self, epoch: int, ballot: Ballot, names: tuple[str, ...]) -> bool:
+        self.promised = FIRST
+        return super().seal(epoch, ballot, names)
+
+
 class Mutation(NamedTuple):
     """One defence that is missing, who plays it, and what must fall."""
 
@@ -161,8 +182,13 @@
     return lambda: ClaimsModel(3, claimants, faults, parts, swift=True)
 
 
+def _sets(parts: Parts, proposers: int = 2, claimants: int = 1, **faults: int) -> Callable[[], Model]:
+    return lambda: SetsModel(proposers, claimants, faults, parts)
+
+
 RUNS = (claims.never_two_runs, claims.what_may_have_run_is_never_followed_by_a_run,
         claims.a_grant_that_ran_is_known_to_enough)  # fmt: skip
+OVER = (*sets.PROPERTIES, *sets.STEP_PROPERTIES)
 KEPT = (items.acknowledged_items_are_kept, items.acknowledged_items_are_read)
 # The mesh as it is lets two calls that clash both be acknowledged: where they clash, its mend is in.
 
@@ -199,6 +225,17 @@
     Mutation("keys-answers", "an answer is not kept", _claims(Parts(registry=NoAnswers)), RUNS),
     Mutation("keys-guess", "a holder is taken to have answered", _claims(Parts(claim=Guessing)),
              (claims.a_repeat_gets_the_answer_of_the_run,)),
+    Mutation("items-flush", "a wiped barn counts before its disk has it all", _items(
+        "same", Parts(counts_late=False), wipe=2, crash=1), KEPT),
+    Mutation("sets-sealed", "who has sealed still votes", _sets(Parts(member=Unsealed)), OVER),
+    Mutation("sets-obeys", "what was accepted is not taken over", _sets(Parts(obeys=False)), OVER),
+    Mutation("sets-promise", "promises are not kept", _sets(Parts(member=Fickle)), OVER),
+    Mutation("sets-settle", "who comes in counts at once", _sets(Parts(recovers=False), 1), OVER),
+    Mutation("sets-hasty", "who comes in hears one less", _sets(Parts(voters=Hasty), 1), OVER),
+    Mutation("sets-fewer", "half of the voters seal", _sets(Parts(voters=Fewer)), OVER),
+    Mutation("sets-unsynced", "answers before the disk has them", _sets(
+        Parts(synced=False), 1, crash=1), OVER),
+    Mutation("sets-waits", "an emptied disk does not wait", _sets(Parts(waits=False), 1, 2, wipe=1), OVER),
 )  # fmt: skip
 
 
--- a/verify/parts.py
+++ b/verify/parts.py
@@ -9,11 +9,11 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
 
 from expression import Result
 
 from orchard import catalog
+from orchard.ballot import Member
 from orchard.catalog import Clash, Item, Items, Table
 from orchard.keys import Claim, Registry
 from orchard.quorum import Turn, Voters
@@ -33,12 +33,13 @@
     claim: Callable[[int, int, float, float], Claim] = Claim
     voters: Callable[[int, tuple[str, ...]], Voters] = Voters
     turn: Callable[[float], Turn] = Turn
-    member: Callable[[str], Any] | None = None
+    member: Callable[[str], Member] = Member
     # Rules of the carriers.
     synced: bool = True  # an answer waits until what it says lies on the disk
     recovers: bool = True  # a wiped barn asks before it counts
     waits: bool = True  # and asks only once all rounds from before are void
     frees_own: bool = True  # a claimant frees what it did not run with, and nothing else
-    # Mends that the mesh does not have; the results say what falls without them.
-    counts_late: bool = False  # a wiped barn counts once what it was told lies on its disk, not sooner
+    counts_late: bool = True  # a wiped barn counts once what it was told lies on its disk, not sooner
+    obeys: bool = True  # a proposal takes over what a voter that it bound has accepted
+    # A mend that the mesh does not have; the results say what falls without it.
     turns_heard: bool = False  # a HAVE counts only of a barn whose turn was heard of before the check
--- /dev/null
+++ b/verify/sets.py
@@ -0,0 +1,336 @@
+"""Voters that follow voters: who proposes them, who seals, who becomes whole, and claims all the while.
+
+Barns 0 to 2 vote in epoch 1, one more counts. Two of them propose different voters for epoch 2; two claimants
+with one key each ask the voters of some epoch that some barn knows of. A barn takes a question, has its answer
+on its disk, and is heard, in one step: what is lost or late is a step that is not taken, or taken late. Disks
+are lost, barns hear BARN of each other, and time goes on by steps of `parts.TICK_S`, all whenever they like.
+
+A state is (time, proposals, barns, claims, faults left).
+    proposal: home, number, when it began, what it was told, in order
+    barn: its member's records, the same on disk, grant, grant on disk, when its disk was lost, whom it has heard
+    claim: phase, when it began, epoch, what each barn said
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import cache
+from typing import Any
+
+from orchard.ballot import Accepted, Ballot, Member, Proposal
+from orchard.keys import Mark, Verdict
+from orchard.quorum import Voters
+from verify.claims import FAILED, GRANTED, HELD, MAY_HAVE_RUN, WAIT_TICKS, ClaimsModel, name
+from verify.parts import CLAIM_S, TICK_S, Parts
+from verify.search import Model, Property, State, StepProperty, put
+
+NONE: tuple[Any, ...] = ()
+NOBODY = -1
+KINDS = ("tick", "wipe", "crash")
+NAMES = "wxyz"
+WISHES = (("w", "x", "z"), ("x", "y", "z"))  # of two proposers, w and y
+
+
+class SetsModel(Model):
+    """`faults` says how many of each kind of KINDS may happen."""
+
+    def __init__(
+        self, proposers: int = 2, claimants: int = 2, faults: dict[str, int] | None = None, parts: Parts | None = None,
+    ) -> None:
+        self.name = "sets"
+        self.about = f"{proposers} proposals of other voters, {claimants} claimants with one key, 4 barns"
+        self.parts = parts or Parts()
+        self.proposers, self.claimants = proposers, claimants
+        self.faults = tuple((faults or {}).get(kind, 0) for kind in KINDS)
+        self.first = self.parts.voters(1, tuple(NAMES[:3]))
+        self.keys = ClaimsModel(3, claimants, None, self.parts)
+        self.properties, self.step_properties = PROPERTIES, STEP_PROPERTIES
+        self.count = cache(self._count)
+        self.told = cache(self._told)
+        self.can = cache(self._can)
+
+    def bounds(self) -> dict[str, Any]:
+        return {"proposals": self.proposers, "claimants": self.claimants,
+                **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n}}
+
+    # --- the mesh's own code
+
+    def member(self, at: int, records: State) -> Any:
+        """A member that holds what its records say."""
+        made = self.parts.member(NAMES[at])
+        for record in records:
+            made.load(list(record))
+        # A set has the rules of the voters under test.
+        made.voters = self.parts.voters(*made.voters)
+        return made
+
+    @staticmethod
+    def records(member: Any) -> State:
+        """The records of a member, as they lie in a state."""
+        def plain(value: Any) -> Any:
+            return tuple(map(plain, value)) if isinstance(value, list | tuple) else value
+
+        return plain(list(member.records()))
+
+    def _can(self, at: int, records: State) -> tuple[int, tuple[str, ...], int, int, bool]:
+        """Of a barn: its epoch, who votes there, where it votes and where it is sealed (0 for nowhere),
+        whether it counts."""
+        member = self.member(at, records)
+        epoch = member.voters.epoch
+        votes = next((e for e in (1, 2) if member.votes(e)), 0)
+        sealed = next((e for e in (2, 1) if epoch and member.sealed(e)), 0)
+        return epoch, member.voters.names, votes, sealed, member.counts
+
+    def _told(self, number: int, home: int, began: int, told: State) -> tuple[str, tuple[str, ...]]:
+        """How far a proposal is, and the names that it stands for, by the real count."""
+        made = self.proposal(number, home, began, told)
+        return ("decided" if made.decided else "seal" if made.asked else "bid"), made.names
+
+    def proposal(self, number: int, home: int, began: int, told: State) -> Proposal:
+        """A proposal that was told some things."""
+        made = Proposal(self.first, self._ballot(number, home), self._wish(home), began * TICK_S, CLAIM_S)
+        for word, at, now, accepted in told:
+            if word == "bound":
+                said = Accepted(Ballot(*accepted[0]), accepted[1]) if accepted else None
+                made.bound(now * TICK_S, NAMES[at], said)
+            else:
+                made.sealed(now * TICK_S, NAMES[at])
+        if self.parts.obeys:
+            return made
+        made.names = self._wish(home)
+        return made
+
+    @staticmethod
+    def _wish(home: int) -> tuple[str, ...]:
+        return WISHES[home // 2]
+
+    @staticmethod
+    def _ballot(number: int, home: int) -> Ballot:
+        return Ballot(number, NAMES[home])
+
+    def _count(self, epoch_names: tuple[str, ...], heard: tuple[State, ...], ticks: int, late: bool) -> Verdict:
+        voters = self.parts.voters(1, epoch_names)
+        made = self.parts.claim(len(epoch_names), voters.write, 0.0, CLAIM_S)
+        for at, told in enumerate(heard):
+            if told and told[0] == GRANTED:
+                made.granted(str(at))
+            elif told and told[0] == HELD:
+                made.held(str(at), str(told[1]), Mark(told[2]), None)
+            elif told:
+                made.failed(str(at))
+        if late:
+            for at in range(len(NAMES)):
+                made.silent(str(at))
+        return made.verdict(ticks * TICK_S)
+
+    # --- states
+
+    def start(self) -> State:
+        first = ("voters", 1, self.first.names, ()), ("whole", 1)
+        barn = (first, first, NONE, NONE, NOBODY, NONE)
+        proposals = ((0, 0, 0, NONE), (2, 0, 0, NONE))[:self.proposers]
+        return 0, proposals, (barn,) * 4, (("idle", 0, 0, (NONE,) * 4),) * self.claimants, self.faults
+
+    def steps(self, state: State) -> Iterator[tuple[str, State]]:
+        now, proposals, barns, claims, left = state
+        for which in range(len(proposals)):
+            yield from self._proposal(state, which)
+        for at, barn in enumerate(barns):
+            if barn[0] != barn[1] or barn[2] != barn[3]:
+                rows = put(barns, at, (barn[0], barn[0], barn[2], barn[2], *barn[4:]))
+                yield f"barn {NAMES[at]} syncs", (now, proposals, rows, claims, left)
+            yield from self._learns(state, at)
+            yield from self._settles(state, at)
+        for who in range(len(claims)):
+            yield from self._claim(state, who)
+        tick, wipe, crash = left
+        if tick:
+            yield f"{TICK_S} s go by", (now + 1, proposals, barns, claims, (tick - 1, wipe, crash))
+        for at, barn in enumerate(barns):
+            if wipe and all(any(row[0] == "whole" for row in other[0]) for other in barns):
+                rows = put(barns, at, (NONE, NONE, NONE, NONE, now, NONE))
+                yield f"barn {NAMES[at]} loses its disk and starts again", (
+                    now, proposals, rows, claims, (tick, wipe - 1, crash))
+            if crash and (barn[0] != barn[1] or barn[2] != barn[3]):
+                rows = put(barns, at, (barn[1], barn[1], barn[3], barn[3], barn[4], NONE))
+                yield f"barn {NAMES[at]} crashes and starts again", (
+                    now, proposals, rows, claims, (tick, wipe, crash - 1))
+
+    def _kept(self, barn: State, **values: Any) -> State:
+        """A barn that has changed, with its disk."""
+        records, disk, grant, grant_disk, since, heard = barn
+        records, grant = values.get("records", records), values.get("grant", grant)
+        if self.parts.synced:
+            disk, grant_disk = records, grant
+        return records, disk, grant, grant_disk, values.get("since", since), values.get("heard", heard)
+
+    def _proposal(self, state: State, which: int) -> Iterator[tuple[str, State]]:
+        now, proposals, barns, claims, left = state
+        home, number, began, told = proposals[which]
+        me = self.member(home, barns[home][0])
+        say = f"the proposal of {NAMES[home]}"
+        if not number:
+            if me.votes(1) or (me.accepted and me.counts):
+                made = put(proposals, which, (home, me.promised.number + 1, now, NONE))
+                yield f"{NAMES[home]} proposes {''.join(self._wish(home))}", (now, made, barns, claims, left)
+            return
+        phase, names = self.told(number, home, began, told)
+        if phase == "decided":
+            if me.voters.epoch == 1:
+                me.learn(Voters(2, names), self.first.names)
+                row = self._kept(barns[home], records=self.records(me), heard=NONE)
+                yield f"{say} is decided, it learns that {''.join(names)} vote", (
+                    now, proposals, put(barns, home, row), claims, left)
+            return
+        word = "bound" if phase == "bid" else "sealed"
+        for at in range(3):
+            if any(row[0] == word and row[1] == at for row in told):
+                continue
+            member = self.member(at, barns[at][0])
+            ballot = self._ballot(number, home)
+            yes = member.bid(1, ballot) if phase == "bid" else member.seal(1, ballot, names)
+            if not yes:
+                continue
+            accepted = NONE
+            if phase == "bid" and member.accepted:
+                accepted = (tuple(member.accepted.ballot), tuple(member.accepted.names))
+            row = self._kept(barns[at], records=self.records(member))
+            made = put(proposals, which, (home, number, began, (*told, (word, at, now, accepted))))
+            yield f"barn {NAMES[at]} says yes to {'BID' if phase == 'bid' else 'SEAL'} of {say}", (
+                now, made, put(barns, at, row), claims, left)
+
+    def _learns(self, state: State, at: int) -> Iterator[tuple[str, State]]:
+        """A barn hears BARN of another."""
+        now, proposals, barns, claims, left = state
+        seen = set()
+        for other, row in enumerate(barns):
+            theirs = self.can(other, row[0])[:2]
+            if theirs[0] <= self.can(at, barns[at][0])[0] or theirs in seen:
+                continue
+            seen.add(theirs)
+            member = self.member(at, barns[at][0])
+            member.learn(Voters(*theirs), self.member(other, row[0]).before)
+            made = self._kept(barns[at], records=self.records(member), heard=NONE)
+            yield f"barn {NAMES[at]} hears that {''.join(theirs[1])} vote in epoch {theirs[0]}", (
+                now, proposals, put(barns, at, made), claims, left)
+
+    def _settles(self, state: State, at: int) -> Iterator[tuple[str, State]]:
+        """A barn that is not whole hears another that its sources name."""
+        now, proposals, barns, claims, left = state
+        barn = barns[at]
+        me = self.member(at, barn[0])
+        if me.counts or not me.voters.epoch:
+            return
+        if not self.parts.recovers:
+            me.settle(me.voters.epoch)
+            yield f"barn {NAMES[at]} counts", (
+                now, proposals, put(barns, at, self._kept(barn, records=self.records(me))), claims, left)
+            return
+        if self.parts.waits and not me.lasted and now < barn[4] + WAIT_TICKS:
+            return
+        for number, (told, sealed) in enumerate(me.sources()):
+            voters = self.parts.voters(*told)
+            own = int(sealed and me.me in voters.names and me.holds(voters.epoch))
+            for other in range(4):
+                member = self.member(other, barns[other][0])
+                answers = member.holds(voters.epoch) if sealed else member.votes(voters.epoch)
+                if other == at or member.me not in voters.names or (number, other) in barn[5] or not answers:
+                    continue
+                heard = tuple(sorted((*barn[5], (number, other))))
+                grant = self.keys.apply(barn[2], "take", 0, barns[other][2])[0]
+                mine = self.member(at, barn[0])
+                mine.heard(voters.epoch, member.promised)
+                say = f"barn {NAMES[at]} hears what barn {NAMES[other]} has" + (" sealed" if sealed else "")
+                if sum(row[0] == number for row in heard) + own >= voters.read:
+                    mine.settle(mine.voters.epoch)
+                    heard = NONE
+                    say += ", and is whole"
+                row = self._kept(barn, records=self.records(mine), grant=grant, heard=heard)
+                yield say, (now, proposals, put(barns, at, row), claims, left)
+
+    def _claim(self, state: State, who: int) -> Iterator[tuple[str, State]]:
+        now, proposals, barns, claims, left = state
+        phase, began, epoch, heard = claims[who]
+        if phase == "idle":
+            for known in sorted({self.can(at, barn[0])[0] for at, barn in enumerate(barns)} - {0}):
+                made = put(claims, who, ("out", now, known, (NONE,) * 4))
+                yield f"{name(who)} asks the voters of epoch {known}", (now, proposals, barns, made, left)
+        if phase != "out":
+            return
+        names = next((n for e, n, *_ in (self.can(k, row[0]) for k, row in enumerate(barns)) if e == epoch), ())
+        names = names or (self.first.names if epoch == 1 else ())
+        for at, barn in enumerate(barns):
+            if NAMES[at] not in names or heard[at]:
+                continue
+            row, told = barn, (FAILED,)
+            if self.can(at, barn[0])[2] == epoch:
+                grant = self.keys.apply(barn[2], "claim", who)[0]
+                if grant[0] == who and grant[1] == Mark.CLAIMED:
+                    row, told = self._kept(barn, grant=grant), (GRANTED,)
+                else:
+                    told = (HELD, *grant[:2])
+            answers = put(heard, at, told)
+            verdict = self.count(names, tuple(sorted(answers)), now - began, False)
+            after = {Verdict.RUN: "run", Verdict.WAIT: "out"}.get(verdict, "over")
+            made = put(claims, who, (after, began, epoch, answers if after == "out" else (NONE,) * 4))
+            word = "grants" if told[0] == GRANTED else "does not grant"
+            yield f"barn {NAMES[at]} {word} the key to {name(who)}" + (", who runs" if after == "run" else ""), (
+                now, proposals, put(barns, at, row), made, left)
+
+
+# --- properties
+
+
+def one_set_for_each_epoch(model: SetsModel, state: State) -> str:
+    """Of all that was decided or learned there is one set of voters for epoch 2."""
+    found = {model.can(at, barn[0])[:2] for at, barn in enumerate(state[2])}
+    for home, number, began, told in state[1]:
+        if number:
+            phase, names = model.told(number, home, began, told)
+            if phase == "decided":
+                found.add((2, names))
+    sets = sorted({names for epoch, names in found if epoch == 2})
+    return " and ".join("".join(names) for names in sets) if len(sets) > 1 else ""
+
+
+def never_two_sets_that_both_count(model: SetsModel, state: State) -> str:
+    """Where so many vote in epoch 2 that they could grant, too few are left in epoch 1."""
+    rows = [model.can(at, barn[0]) for at, barn in enumerate(state[2])]
+    later = next((names for epoch, names, *_ in rows if epoch == 2), ())
+    old = sum(votes == 1 for _, _, votes, _, _ in rows)
+    new = sum(votes == 2 for _, _, votes, _, _ in rows)
+    need = len(later) // 2 + 1
+    return f"{old} vote in epoch 1 and {new} in epoch 2" if later and new >= need and old >= 2 else ""
+
+
+def never_two_runs_over_epochs(model: SetsModel, state: State) -> str:
+    """Whatever epochs they asked in, one claimant at most runs."""
+    runs = [name(who) for who, row in enumerate(state[3]) if row[0] in MAY_HAVE_RUN]
+    return f"{' and '.join(runs)} run" if len(runs) > 1 else ""
+
+
+def no_grant_is_lost_over_a_change(model: SetsModel, state: State) -> str:
+    """Once a claimant runs, those who vote and know nothing of it are too few to grant it to another."""
+    rows = [model.can(at, barn[0]) for at, barn in enumerate(state[2])]
+    if not any(row[0] in MAY_HAVE_RUN for row in state[3]):
+        return ""
+    for epoch in (1, 2):
+        free = sum(row[2] == epoch and not state[2][at][2] for at, row in enumerate(rows))
+        if free >= 2:
+            return f"{free} that vote in epoch {epoch} know nothing of it"
+    return ""
+
+
+def sealed_stays_sealed(model: SetsModel, state: State, follower: State) -> str:
+    """No barn votes again in an epoch where it was sealed, unless its disk is lost."""
+    for at, (old, new) in enumerate(zip(state[2], follower[2], strict=True)):
+        if new[0] and model.can(at, old[0])[3] and model.can(at, new[0])[3] < model.can(at, old[0])[3]:
+            return f"barn {NAMES[at]} is no longer sealed"
+    return ""
+
+
+PROPERTIES: tuple[Property, ...] = (
+    one_set_for_each_epoch, never_two_sets_that_both_count, never_two_runs_over_epochs,
+    no_grant_is_lost_over_a_change,
+)
+STEP_PROPERTIES: tuple[StepProperty, ...] = (sealed_stays_sealed,)
