--- a/verify/claims.py
+++ b/verify/claims.py
@@ -4,7 +4,8 @@
 real count says; then it tells those it asked (DONE, FREE, BROKE), or dies. A barn answers "granted" once the
 grant lies on its disk. Barns crash, lose their disks and ask the others; furrows are cut, and what was on
 them is lost or comes late. Time goes on by steps of `parts.TICK_S` whenever it likes, so whoever stands
-still is among the cases. A claim's own time may run out at a barn at any moment. The window is taken to outlast it all.
+still is among the cases. A claim's own time may run out at a barn at any moment. The window is taken to
+outlast it all.
 
 A state is (time, claimants, barns, faults left). Barns are alike and sorted; tokens are alike and swapped.
     claimant: phase, when it began, or whose answer it repeats
@@ -39,19 +40,21 @@
 class ClaimsModel(Model):
     """`faults` says how many of each kind of KINDS may happen; with `swift` answers are heard at once; with
     `few` a claimant asks so many barns as are enough, and the others later or not at all. `head` is where
-    A is at first: "" not there yet, "granted" by one barn, or at "run" with a grant of just enough."""
+    A is at first: "" not there yet, "granted" by one barn, or at "run" with a grant of just enough. With
+    `lost` the first that granted it has just lost its disk."""
 
     step_properties = ()
 
     def __init__(
         self, barns: int = 3, claimants: int = 2, faults: dict[str, int] | None = None,
         parts: Parts | None = None, swift: bool = False, few: bool = False, head: str = "",
+        lost: bool = False,
     ) -> None:
         self.name = f"claims-{barns}"
         self.about = f"{claimants} claimants with one key, {barns} barns"
         self.parts = parts or Parts()
         self.barns, self.claimants, self.swift, self.few = barns, claimants, swift, few
-        self.head = head
+        self.head, self.lost = head, lost
         self.faults = tuple((faults or {}).get(kind, 0) for kind in KINDS)
         self.voters = self.parts.voters(1, tuple(str(at) for at in range(barns)))
         self.swaps = list(itertools.permutations(range(claimants)))
@@ -62,9 +65,12 @@
     def bounds(self) -> dict[str, Any]:
         return {"barns": self.barns, "claimants": self.claimants,
                 "answers": "at once" if self.swift else "in flight",
-                "asked": "enough" if self.few else "all", **({"A": self.head} if self.head else {}),
+                "asked": "enough" if self.few else "all", **self._headed(),
                 **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n}}
 
+    def _headed(self) -> dict[str, str]:
+        return {"A": self.head + (" by one that lost its disk" if self.lost else "")} if self.head else {}
+
     # --- the mesh's own code, remembered by what goes in
 
     def _apply(self, grant: State, what: str, token: int, other: State = NONE) -> tuple[State, int]:
@@ -132,6 +138,8 @@
                 links = put(barn[8], 0, (1, NONE, NONE, heard) if at < have else (1, ("claim",), NONE, NONE))
                 held = grant if at < have else NONE
                 barns[at] = (*barn[:2], held, held, *barn[4:8], links)
+        if self.lost:
+            barns[0] = (0, 0, NONE, NONE, 0, *barns[0][5:])
         return 0, tuple(claims), tuple(barns), self.faults
 
     def plain(self, state: State) -> State:
--- a/verify/items.py
+++ b/verify/items.py
@@ -58,8 +58,8 @@
 
 
 class ItemsModel(Model):
-    """`calls` is a row of CALLS; `faults` says how many of each kind of KINDS may happen. With `swift` answers
-    are heard at once; with `in_turn` a call is sent once the one before has its answer."""
+    """`calls` is a row of CALLS; `faults` says how many of each kind of KINDS may happen. With `swift`
+    answers are heard at once; with `in_turn` a call is sent once the one before has its answer."""
 
     def __init__(
         self, calls: str = "place", barns: int = 3, faults: dict[str, int] | None = None,
--- a/verify/sets.py
+++ b/verify/sets.py
@@ -189,7 +189,8 @@
             if phase == "bid" and member.accepted:
                 accepted = (tuple(member.accepted.ballot), tuple(member.accepted.names))
             row = self._kept(barns[at], records=self.records(member))
-            made = put(proposals, which, (home, number, began, tuple(sorted((*told, (word, at, now, accepted))))))
+            heard = tuple(sorted((*told, (word, at, now, accepted))))
+            made = put(proposals, which, (home, number, began, heard))
             yield f"barn {NAMES[at]} says yes to {'BID' if phase == 'bid' else 'SEAL'} of {say}", (
                 now, made, put(barns, at, row), claims, left)
 
