--- a/verify/plays.py
+++ b/verify/plays.py
@@ -64,14 +64,15 @@
         _claims(3, True, die=1),
         _claims(3, False, few=True, die=1, expire=1, late=1)),
     "claims-crash": Play(
-        "two claimants, three barns, a barn crashes",
-        _claims(3, True, head="granted", crash=1), _claims(3, True, few=True, crash=2, die=1)),
+        "A runs with just enough grants, a barn crashes, B comes",
+        _claims(3, True, head="run", crash=1), _claims(3, True, few=True, crash=2, die=1)),
     "claims-wipe": Play(
         "A has one grant; that disk is lost and its barn recovers; B comes",
         _claims(3, True, head="granted", lost=True, tick=2), _claims(3, True, wipe=1, tick=3)),
     "claims-ran": Play(
         "A runs with just enough grants; one of those disks is lost and its barn recovers; B comes",
-        _claims(3, True, head="run", lost=True, tick=2, expire=1), _claims(3, True, head="run", wipe=2, tick=4, crash=1)),
+        _claims(3, True, head="run", lost=True, tick=2, expire=1),
+        _claims(3, True, head="run", wipe=2, tick=4, crash=1)),
     "claims-4": Play(
         "two claimants, four barns", _claims(4, True, head="granted"), _claims(4, True, wipe=1, tick=2)),
     "claims-5": Play(
