--- a/verify/plays.py
+++ b/verify/plays.py
@@ -67,7 +67,7 @@
         "A runs with just enough grants, a barn crashes, B comes",
         _claims(3, True, head="run", crash=1), _claims(3, True, few=True, crash=2, die=1)),
     "claims-ran": Play(
-        "A runs with just enough grants, or has one; one of those disks is lost and its barn recovers; B comes",
+        "A runs with just enough grants; one of those disks is lost, its barn recovers, and B comes",
         _claims(3, True, head="run", lost=True, tick=2),
         _claims(3, True, head="granted", lost=True, tick=2)),
     "claims-4": Play(
