--- /dev/null
+++ b/verify/plays.py
@@ -0,0 +1,80 @@
+"""The models by name, each with a small bound for every change and a large one for now and then."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from verify.claims import ClaimsModel
+from verify.items import ItemsModel
+from verify.parts import Parts
+from verify.search import Model
+from verify.sets import SetsModel
+
+HEARD = Parts(turns_heard=True)  # the one mend that hides all else where calls clash
+
+
+class Play(NamedTuple):
+    """A model under two bounds. `known`: the property that falls with the mesh as it is, "" for none."""
+
+    about: str
+    small: Callable[[], Model]
+    large: Callable[[], Model]
+    known: str = ""
+
+
+def _items(
+    calls: str, parts: Parts, swift: bool, in_force: bool = False, **faults: int
+) -> Callable[[], Model]:
+    return lambda: ItemsModel(calls, 3, faults, parts, in_force, swift)
+
+
+def _claims(
+    barns: int, swift: bool, few: bool = False, head: str = "", lost: bool = False, **faults: int
+) -> Callable[[], Model]:
+    return lambda: ClaimsModel(barns, 2, faults, None, swift, few, head, lost)
+
+
+PLAYS: dict[str, Play] = {
+    "items-one": Play(
+        "one call; two disks are lost, one after the other, and a barn crashes",
+        _items("one", Parts(), True, wipe=2, crash=1),
+        _items("one", Parts(), False, wipe=2, crash=2, cut=1, again=1)),
+    "items-place": Play(
+        "two routes at one place, sent to two barns; a HAVE counts only of a barn whose turn was heard of",
+        _items("place", HEARD, True), _items("place", HEARD, False, cut=1)),
+    "items-service": Play(
+        "a service dropped, and a route to it sent; in the large bound at once, with the same mend",
+        lambda: ItemsModel("service", 3, {"agree": 1}, swift=True, in_turn=True),
+        _items("service", HEARD, False)),
+    "items-twin": Play(
+        "two contents of one version, and a stile that hears",
+        lambda: ItemsModel("twin", 3, {"hear": 1}, swift=True, in_turn=True),
+        _items("twin", Parts(), True, hear=1)),
+    "items-turns": Play(
+        "two routes at one place, as the mesh is",
+        _items("place", Parts(), True), _items("place", Parts(), False),
+        "no two acknowledged items clash"),
+    "items-force": Play(
+        "two routes at one place, one of them left half way; is what was acknowledged in force",
+        _items("place", HEARD, True, True), _items("place", HEARD, False, True, cut=1),
+        "acknowledged items stay in force"),
+    "claims-3": Play(
+        "two claimants, three barns: a claimant dies, a claim runs out",
+        _claims(3, True, die=1),
+        _claims(3, False, few=True, die=1, expire=1, late=1)),
+    "claims-crash": Play(
+        "A runs with just enough grants, a barn crashes, B comes",
+        _claims(3, True, head="run", crash=1), _claims(3, True, few=True, crash=2, die=1)),
+    "claims-ran": Play(
+        "A runs with just enough grants; one of those disks is lost, its barn recovers, and B comes",
+        _claims(3, True, head="run", lost=True, tick=2),
+        _claims(3, True, head="granted", lost=True, tick=2)),
+    "claims-4": Play(
+        "two claimants, four barns", _claims(4, True, head="granted"), _claims(4, True, wipe=1, tick=2)),
+    "claims-5": Play(
+        "two claimants, five barns", _claims(5, True, head="run"), _claims(5, True, wipe=1, tick=2)),
+    "sets": Play(
+        "other voters are proposed, and a claim; in the large bound a disk is lost",
+        lambda: SetsModel(1, 1), lambda: SetsModel(1, 1, {"wipe": 1, "tick": 2})),
+}  # fmt: skip
