Tests of the arrows copy the explorer as well, and see its three contracts broken

Change: verify is copied. Five wrong imports more are seeded: one for each contract of the explorer, and a clock in each of the mesh's two new decision modules; each contract is seen broken.

--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -24,6 +24,11 @@
     ("orchard/plot.py", "import orchard.stile", "The mesh stands above"),
     ("hollyport/core/ids.py", "import orchard.pick", "Nothing beneath"),
     ("rehearsal/judge.py", "import hollyport.core.tally", "The kit shares wire codecs"),
+    ("verify/search.py", "import verify.claims", "The explorer's own arrows"),
+    ("verify/claims.py", "import orchard.furrow", "The explorer plays"),
+    ("orchard/plot.py", "import verify.search", "Nothing but the command"),
+    ("orchard/ballot.py", "import time", "What the mesh decides"),
+    ("orchard/age.py", "import time", "What the mesh decides"),
 ]
 
 
@@ -35,7 +40,7 @@
 
 
 def copied(folder: Path) -> Path:
-    for name in ("command", "dunefield", "hollyport", "orchard", "emulator", "rehearsal"):
+    for name in ("command", "dunefield", "hollyport", "orchard", "emulator", "rehearsal", "verify"):
         shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
     shutil.copy(ROOT / ".importlinter", folder)
     return folder
