--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -15,6 +15,7 @@
 from orchard.ballot import Ballot, Member, Proposal, Sight, Watch, accepted_of, holder, plan, row_of
 from orchard.catalog import Item
 from orchard.faults import ANSWERS, Fault
+from orchard.feed import Copy
 from orchard.furrow import Dial, Furrow, pack
 from orchard.granary import Granary
 from orchard.keys import Registry
@@ -34,6 +35,7 @@
 FETCH_S = 3.0  # how long all grants of others are waited for, which may be megabytes
 FINISH_S = 0.5  # sealed for so long with nothing decided, a voter proposes what it has accepted
 MOST_FORGOTTEN = 256
+GATHERED_S = 0.02  # records of stiles that come together are told together
 
 
 class Round:
@@ -98,6 +100,10 @@
         self._rounds: dict[int, tuple[Round, Take]] = {}
         self._next = 0
         self._news = 0
+        self._safe = Copy()  # what lies on a disk, here or on enough others: what stiles may hear
+        self._whole: tuple[Any, bytes] = (None, b"")  # all of it, as it is packed once for all who ask
+        self._followers: set[Furrow] = set()  # the stiles that hear tables and changes from here
+        self._fresh_beds: dict[str, list[Any]] = {}  # records that are to be told, by node
         self.acked: dict[str, int] = {}  # by stile: the last change that it has acknowledged
         self._newest_barn = self.loop.time()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -176,6 +182,7 @@
             elif what == "broke":
                 self.keys.broke(now, record[1], record[2])
         self.items = catalog.merge(self.items, rows)
+        self._safe.take(rows)
         if self.settings.first_start:
             self.member.settle(1)
 
@@ -388,6 +395,7 @@
     def _left(self, link: Furrow) -> None:
         node = self._stiles.pop(link, None)
         self._old_stiles.discard(link)
+        self._followers.discard(link)
         record = self._records.get(node) if node is not None else None
         if record is not None and node is not None:
             self.loop.call_later(FORGET_S, self._forget, node, record[Record.LIFE])
@@ -397,6 +405,7 @@
         if record is None or record[Record.LIFE] != life or node in self._stiles.values():
             return
         del self._records[node]
+        self._fresh_beds.pop(node, None)
         self._tell([Word.GONE, node, life])
 
     def _elect(self, told: Voters, before: tuple[str, ...] = ()) -> None:
@@ -591,7 +600,12 @@
         elif word == Word.STILE:
             if link not in self._stiles and len(message) < 3:
                 self._old_stiles.add(link)
-            self._stile(link, message[1])
+            self._stile(link, message[1], message[2] if len(message) > 2 else 0)
+        elif word == Word.FOLLOW:
+            self._follow(link, message[1])
+        elif word == Word.PULL:
+            lacking = self._safe.lacking(message[1])
+            link.put(self._packed_whole() if len(lacking) == len(self._safe.items) else self._packed(lacking))
         elif word == Word.ACK:
             node = self._stiles.get(link)
             if node is not None:
@@ -649,37 +663,65 @@
             self.items = catalog.merge(self.items, news)
         return news
 
-    def _tell_items(self, names: Iterable[str]) -> None:
-        """Pass on to the stiles what stands for some names. Only what lies on a disk, here or on enough
-        others: a stile never goes back, so what a loss of power can take must not reach it."""
+    def _tell_items(self, items: Iterable[Item]) -> None:
+        """Pass on to the stiles what lies on a disk, here or on enough others, and nothing else: a stile
+        never goes back, so what a loss of power can take must not reach it. Who follows another barn hears of
+        it there, and here by eight bytes that there is news."""
+        news = self._safe.take(items)
+        if not news:
+            return
         self._news += 1
-        self._tell([Word.ITEMS, self._news, [list(self.items[name]) for name in names]])
+        packed, total = self._packed(news), pack([Word.SUM, self._safe.digest])
+        for link in self._stiles:
+            link.put(packed if link in self._followers else total)
+
+    def _packed(self, items: Iterable[Item]) -> bytes:
+        return pack([Word.ITEMS, self._news, [list(item) for item in items]])
+
+    def _packed_whole(self) -> bytes:
+        items = self._safe.items
+        if self._whole[0] is not items:
+            self._whole = items, self._packed(items.values())
+        return self._whole[1]
+
+    def _follow(self, link: Furrow, digest: int | None) -> None:
+        """A stile hears tables and changes from here from now on, or no longer. One that has nothing gets
+        all; one that has something else than this barn says what it lacks."""
+        if digest is None:
+            self._followers.discard(link)
+            return
+        self._followers.add(link)
+        link.send([Word.BEDS, list(self._records.values())])
+        if not digest:
+            link.put(self._packed_whole())
+        else:
+            link.send([Word.SUM, self._safe.digest])
 
     def _take_over(self, rows: Iterable[list[Any]]) -> None:
         """Merge what another told, write it down, and then pass it on."""
-        names = [item.name for item in self._take(rows)]
-        for name in names[:-1]:
-            self._granary.put(["item", list(self.items[name])])
-        if names:
-            last = ["item", list(self.items[names[-1]])]
-            self._granary.put(last, lambda ok: self._tell_items(names) if ok else None)
+        news = self._take(rows)
+        for item in news[:-1]:
+            self._granary.put(["item", list(item)])
+        if news:
+            last = ["item", list(news[-1])]
+            self._granary.put(last, lambda ok: self._tell_items(news) if ok else None)
 
     def _store(self, rows: list[list[Any]], done: Callable[[bool], None]) -> None:
         """Merge items, and tell once those that stand here for their names are on the disk."""
-        news = {item.name for item in self._take(rows)}
-        names = [row[0] for row in rows]
-        for name in names[:-1]:
-            self._granary.put(["item", list(self.items[name])])
-        if not names:
+        self._take(rows)
+        items = [self.items[row[0]] for row in rows]
+        for item in items[:-1]:
+            self._granary.put(["item", list(item)])
+        if not items:
             done(True)
             return
 
         def written(ok: bool) -> None:
-            if ok and news:
-                self._tell_items(news)
+            if ok:
+                self._tell_items(items)
             done(ok)
 
-        self._granary.put(["item", list(self.items[names[-1]])], written)
+        self._granary.put(["item", list(items[-1])], written)
 
     def _write(self, rows: list[list[Any]], token: str, epoch: int, done: Callable[[bool], None]) -> None:
         """Take a write, if it is its writer's turn here, in the same epoch."""
@@ -774,7 +816,7 @@
 
     # --- stiles
 
-    def _stile(self, link: Furrow, record: list[Any]) -> None:
+    def _stile(self, link: Furrow, record: list[Any], version: int) -> None:
         node = record[Record.NODE]
         fresh = link not in self._stiles
         self._stiles[link] = node
@@ -788,13 +830,22 @@
             link.send(self._barns())
             if self.voters.epoch:
                 link.send(self._told_voters())
-            link.send([Word.ITEMS, self._news, [list(item) for item in self.items.values()]])
-            link.send([Word.BEDS, list(self._records.values())])
+            if version < 2:  # of an older version: it takes whatever is told
+                self._followers.add(link)
+                link.put(self._packed_whole())
+                link.send([Word.BEDS, list(self._records.values())])
+            else:
+                link.send([Word.SUM, self._safe.digest])
         if news:
-            packed = pack([Word.BEDS, [record]])
-            for other in self._stiles:
-                if other is not link:
-                    other.put(packed)
+            if not self._fresh_beds:
+                self.loop.call_later(GATHERED_S, self._tell_beds)
+            self._fresh_beds[node] = record
+
+    def _tell_beds(self) -> None:
+        """Tell all stiles of records that are news."""
+        records, self._fresh_beds = list(self._fresh_beds.values()), {}
+        if records:
+            self._tell([Word.BEDS, records])
 
     def _tell(self, message: list[Any]) -> None:
         packed = pack(message)
@@ -896,13 +947,13 @@
             return
         # What stands in place of an older one has to last as well: the call's answer says so for each name.
         news = {item.name: item for item in change.ok}
-        rows = [list(news.get(item.name) or self.items[item.name]) for item in read.ok]
+        items = [news.get(item.name) or self.items[item.name] for item in read.ok]
+        rows = [list(item) for item in items]
         taken = await self._put(voters, rows, token, heard)
         self._over(token)
         if taken:
-            fresh = [item.name for item in self._take(rows)]
-            if fresh:
-                self._tell_items(fresh)  # enough disks have it, this one may not
+            self._take(rows)
+            self._tell_items(items)  # enough disks have it, this one may not
             message.answer(200, b"{}", [(b"Content-Type", b"application/json")])
         else:
             self._refuse(message, Fault.NO_QUORUM)
--- a/orchard/catalog.py
+++ b/orchard/catalog.py
@@ -9,6 +9,8 @@
 import json
 import re
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
+from hashlib import blake2b
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
@@ -46,6 +48,13 @@
     return items.update(best) if best else items
 
 
+@lru_cache(maxsize=8192)
+def mark(item: Item) -> int:
+    """64 bits of one item."""
+    text = f"{item.name}\0{item.version}\0{item.content}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def change(items: Items, call: Iterable[Item]) -> Result[tuple[Item, ...], str]:
     """What of an operator's call has an effect on what stands, or why it is invalid there.
 
--- /dev/null
+++ b/orchard/feed.py
@@ -0,0 +1,103 @@
+"""How configuration reaches the stiles: each follows one barn, and looks to others when it lacks something.
+
+A whole table goes over a stile's link once, and a change once, however many barns there are: each other barn
+tells eight bytes, the digest of all that it may tell (`SUM`). Who finds that a barn's digest is not its own,
+and does not hear the difference from the barn it follows, asks that one for what it lacks (`PULL`). So a barn
+that is frozen, cut off or behind costs its followers `LOOK_S`, not their configuration. No I/O; times are
+seconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from zlib import crc32
+
+from orchard import catalog
+from orchard.catalog import Item, Items
+
+LOOK_S = 0.15  # how long a stile waits for its own barn before it asks another that knows more
+MOST_LOOK_S = 0.6  # at most so long, also where its own barn says something all the time
+PULL_S = 1.0  # how long the answer of the one that was asked is waited for
+
+
+class Copy:
+    """Items as they stand at one place, and their digest."""
+
+    def __init__(self) -> None:
+        self.items: Items = catalog.EMPTY
+        self.digest = 0
+
+    def take(self, news: Iterable[Item]) -> list[Item]:
+        """Merge; what of it is news here."""
+        rows = list(news)
+        before, self.items = self.items, catalog.merge(self.items, rows)
+        found = []
+        for name in dict.fromkeys(item.name for item in rows):
+            old, item = before.get(name), self.items[name]
+            if item != old:
+                self.digest ^= catalog.mark(item) ^ (catalog.mark(old) if old is not None else 0)
+                found.append(item)
+        return found
+
+    def marks(self) -> dict[str, int]:
+        """By name, what tells one version and content of it from others."""
+        return {name: catalog.mark(item) for name, item in self.items.items()}
+
+    def lacking(self, marks: Mapping[str, int]) -> list[Item]:
+        """What another with these marks may lack; it merges, so what is older here does nothing there."""
+        return [item for name, item in self.items.items() if marks.get(name) != catalog.mark(item)]
+
+
+class Following:
+    """One stile's choice of whom to follow, and of when to ask another."""
+
+    def __init__(self, me: str, zone: str) -> None:
+        self._me, self._zone = me, zone
+        self.barn = ""  # whom it follows
+        self._told: dict[str, tuple[int, float]] = {}  # by barn: the digest that it told last, and when
+        self._asked: dict[str, tuple[int, int]] = {}  # by barn: its digest and the own one, when it was asked
+        self._until = 0.0  # an answer is waited for
+
+    def choose(self, linked: Iterable[str], zones: Mapping[str, str]) -> str | None:
+        """Whom to follow from now on, where that is another than before. The own zone's come first; among
+        equals each stile has an order of its own, so that no barn has them all."""
+        def rank(barn: str) -> tuple[bool, int]:
+            return zones.get(barn) != self._zone, crc32(f"{self._me} {barn}".encode())
+
+        there = [barn for barn in linked if barn in zones]
+        best = min(there, key=rank, default="")
+        kept = self.barn in there and (best == self.barn or rank(self.barn)[0] == rank(best)[0])
+        if kept or best == self.barn:
+            return None
+        self.barn = best
+        return best
+
+    def told(self, now: float, barn: str, digest: int, mine: int) -> bool:
+        """A barn's digest has come; whether to look again after `LOOK_S`."""
+        self._told[barn] = digest, now
+        return digest not in (mine, 0)
+
+    def lacks(self, now: float, barn: str, mine: int, heard_at: float) -> bool | None:
+        """Whether to ask a barn for what is lacking; None where to look again later. `heard_at`: when the
+        barn that is followed said anything last, as it may still be telling it."""
+        told, since = self._told.get(barn, (0, now))
+        if told in (mine, 0) or self._asked.get(barn) == (told, mine):
+            return False
+        speaks = now - heard_at < LOOK_S / 2 and now - since < MOST_LOOK_S
+        if now < self._until or speaks:
+            return None
+        self._asked[barn] = told, mine
+        self._until = now + PULL_S
+        return True
+
+    def answered(self) -> None:
+        """What was asked for has come."""
+        self._until = 0.0
+
+    def down(self, barn: str) -> None:
+        """The furrow to a barn has ended."""
+        self._told.pop(barn, None)
+        self._asked.pop(barn, None)
+        self._until = 0.0
+        if barn == self.barn:
+            self.barn = ""
--- a/orchard/furrow.py
+++ b/orchard/furrow.py
@@ -73,6 +73,11 @@
             self._transport.abort()
         self._close()
 
+    @property
+    def heard_at(self) -> float:
+        """When anything was heard last, by the loop's clock."""
+        return self._at
+
     def _watch(self) -> None:
         quiet = self._loop.time() - self._at
         if quiet >= DEAD_S:
--- a/orchard/pick.py
+++ b/orchard/pick.py
@@ -1,20 +1,29 @@
-"""The pick in the caller's stile: the less loaded of two servers drawn, by own calls in flight. No I/O."""
+"""The pick in the caller's stile: the less loaded of two servers drawn. No I/O.
+
+A caller that is one of many has a call or none in flight to each server, so most draws are ties by own
+calls, and its last answer from a server is seconds old: it picks blindly. So it asks the stiles beside both
+how a call would fare there now, and goes by that (exception "told load"); by own calls in flight where
+neither tells.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from types import MappingProxyType
+from typing import NamedTuple
 
 GAIN = 0.2  # weight of one answer's time against what was known
 DRAWS = 6
 FAR = 1.1  # times as long that an answer from another zone counts for: a small one is worth the way
 MOST_KINDS = 64  # kinds of calls whose paces are kept for one server
+FRESH_S = 0.02  # what was told of a server's load counts for so long: beyond, others have taken what was free
 
 
 class Bed:
     """A server and the stile beside it, as seen from here. Times in seconds."""
 
     __slots__ = ("node", "link", "service", "instance", "zone", "slots", "draining", "inflight", "latency",
-                 "closed_until", "cold_until", "room", "paces", "free_at")  # fmt: skip
+                 "closed_until", "cold_until", "room", "paces", "free_at", "told_at", "version")  # fmt: skip
 
     def __init__(self, node: str, service: str) -> None:
         self.node, self.service = node, service
@@ -29,15 +38,18 @@
         self.room = 1
         self.paces: dict[str, float] = {}  # by kind of call: what its stile told that it takes, of late
         self.free_at = 0.0  # when a call sent now would go, as its stile told
+        self.told_at = -1.0  # when its stile told that
+        self.version = 0  # of what its stile understands
 
     def renew(self) -> None:
         """Another process serves there: nothing learned of the old one holds."""
         self.latency = self.closed_until = self.free_at = 0.0
+        self.told_at = -1.0
         self.paces.clear()
 
     def told(self, now: float, kind: str, wait: float, pace: float) -> None:
         """Its stile has told how long a call waits there, and what one of this kind takes, in seconds."""
-        self.free_at = now + wait
+        self.free_at, self.told_at = now + wait, now
         if pace > 0 and (kind in self.paces or len(self.paces) < MOST_KINDS):
             self.paces[kind] = pace
 
@@ -51,50 +63,63 @@
         return max(0.0, self.free_at - now) + self.paces.get(kind, self.latency)
 
 
-def choose(
+def draw(
     now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
-    usable: Callable[[Bed], bool], zone: str = "", near: int = 0, kind: str = "",
-) -> Bed | None:
-    """The less loaded of two, ties by the time to an answer of late; None where none can take it.
-
-    With `near`, a bed of the own zone that has room is taken all the same while it holds at most so many own
-    calls more than that one: large bodies and answers are dear to carry over.
-    """
-    found = _two(now, beds, tried, random, usable, zone, kind)
-    if near and found is not None and found.zone != zone:
-        local = [bed for bed in beds if bed.zone == zone and now >= bed.closed_until]
-        other = _two(now, local, tried, random, usable, zone, kind) if local else None
-        if other is not None and (other.inflight <= found.inflight + near or now < found.closed_until):
-            return other
+    usable: Callable[[Bed], bool], zone: str = "", near: bool = False,
+) -> list[Bed]:
+    """Two drawn at random of those that can take a call; with `near`, two of the own zone besides, as large
+    bodies and answers are dear to carry over. Fewer where there are fewer, none where none can."""
+    found = _two(now, beds, tried, random, usable)
+    if near:
+        found += [bed for bed in _two(now, [bed for bed in beds if bed.zone == zone], tried, random, usable)
+                  if bed not in found and now >= bed.closed_until]  # fmt: skip
     return found
 
 
 def _two(
     now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
-    usable: Callable[[Bed], bool], zone: str, kind: str,
-) -> Bed | None:
-    best: Bed | None = None
-    seen: Bed | None = None
+    usable: Callable[[Bed], bool],
+) -> list[Bed]:
+    found: list[Bed] = []
     size = len(beds)
     if not size:
-        return None
+        return found
     for _ in range(DRAWS):
         bed = beds[int(random() * size)]
-        if bed is seen or bed in tried or not usable(bed) or now < bed.closed_until:
-            continue
-        if seen is None:
-            seen = best = bed
-            continue
-        assert best is not None
-        if _rank(now, bed, zone, kind) < _rank(now, best, zone, kind):
-            best = bed
-        return best
-    if best is not None:
-        return best
-    left = [bed for bed in beds if usable(bed) and bed not in tried]
-    return min(left, key=lambda bed: (now < bed.closed_until, *_rank(now, bed, zone, kind))) if left else None
-
-
-def _rank(now: float, bed: Bed, zone: str, kind: str) -> tuple[int, float, bool]:
-    far = bed.zone != zone
-    return bed.inflight, bed.expects(now, kind) * (FAR if far else 1.0), far
+        if bed not in found and bed not in tried and usable(bed) and now >= bed.closed_until:
+            found.append(bed)
+            if len(found) == 2:
+                return found
+    if not found:
+        left = [bed for bed in beds if usable(bed) and bed not in tried]
+        if left:
+            found = [min(left, key=lambda bed: (bed.closed_until, random()))]
+    return found
+
+
+def fresh(now: float, beds: Iterable[Bed]) -> bool:
+    """Whether the stiles beside all of them have told lately what can be had there."""
+    return all(now - bed.told_at <= FRESH_S for bed in beds)
+
+
+class Near(NamedTuple):
+    """What another zone costs a call with a large body or answer."""
+
+    calls: int = 0  # own calls that a server of the own zone may hold more
+    part: float = 0.0  # of the time to its answer, besides what it counts for in any case
+
+
+def best(
+    now: float, beds: Sequence[Bed], zone: str, kind: str, near: Near = Near(),  # noqa: B008
+    carries: Mapping[str, float] = MappingProxyType({}),
+) -> Bed:
+    """The least loaded of those drawn. By what their stiles told just now, where all or some did; else by own
+    calls in flight, and ties by the time to an answer. `carries`: how long the body would be on its way, by
+    node."""
+    def rank(bed: Bed) -> tuple[int, float, bool]:
+        far = bed.zone != zone
+        time = (bed.expects(now, kind) + carries.get(bed.node, 0.0)) * (FAR + near.part if far else 1.0)
+        return (0 if told else bed.inflight + far * near.calls), time, far
+
+    told = [bed for bed in beds if now - bed.told_at <= FRESH_S]
+    return min(told or beds, key=rank)
--- a/orchard/settings.py
+++ b/orchard/settings.py
@@ -132,6 +132,7 @@
     "ready": Row(("listen_map", "ready"), _address, ""),
     "control": Row(("listen_map", "control"), _address, ""),
     "max_fds": Row(("limit_set", "max_fds"), _whole, 1024),
+    "link_mbps": Row(("limit_set", "link_mbps"), _number, 1000.0),
     "memory_mb": Row(("limit_set", "memory_mb"), _number, 300.0),
     "disk_mb": Row(("limit_set", "disk_mb"), _number, 0.0),
     "losses": Row(("fault_budget", "machine_loss"), _whole, 1),
@@ -160,6 +161,7 @@
     ready: Address | None
     control: Address | None
     max_fds: int
+    link_mbps: float
     memory_mb: float
     disk_mb: float
     losses: int
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -19,17 +19,19 @@
 from hollyport.http.message import Message
 from orchard import catalog, front, furrow
 from orchard.age import Ages
+from orchard.carts import PIECE, Intake
 from orchard.catalog import Item, Route
 from orchard.faults import ANSWERS, PROMISES, Fault
+from orchard.feed import LOOK_S, Copy, Following
 from orchard.furrow import Dial, Furrow, pack
 from orchard.hedge import Hedge
 from orchard.keys import Claim, Mark, Verdict
-from orchard.pick import Bed, choose
+from orchard.pick import Bed, Near, best, draw, fresh
 from orchard.plot import HOP_S, Job, Plot
 from orchard.quorum import Voters
 from orchard.settings import Address, Settings, seconds
 from orchard.spend import Spend
-from orchard.words import Record, Word
+from orchard.words import VERSION, Record, Word
 
 OURS = heads.NOT_FORWARDED | {b"x-deadline-ms", b"x-expect-instance", b"x-caller-service", b"x-timeout"}
 LEAST_CLAIM_S = 0.08  # how long a claim may take in any case before its call is given back
@@ -40,9 +42,11 @@
 SCATTER = 2.0  # times the mean that a call may take and still be in time
 BEYOND = 1.5  # times its aim that a request may wait unsent
 LARGE, MIDDLE = 4096, 1024  # bytes of a body and its usual answer, from which on they stay in their zone
-NEAR = 3  # own calls that a pool of the own zone may hold more than another, for large ones; 1 for middling
+NEAR = {LARGE: Near(3, 0.5), MIDDLE: Near(1, 0.1)}  # from a size on
+LOOK_AIM = 0.05  # part of a request's aim that asking after two servers may take
+LOOK_WORK = 8.0  # times what the asking takes that a call has to take for it to be worth the asking
 MOST_SIZES = 1024  # routes whose answers' sizes are kept
-ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False, False)
+ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False, False, 0)
 """What an offer tells, in order, with what stands for what an older version did not tell."""
 AGAIN_S = 0.002  # a request that has been under way for longer has been refused or lost before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
@@ -80,6 +84,27 @@
         self.body = message.body
 
 
+class Look:
+    """A request that waits for what two stiles tell of their servers."""
+
+    __slots__ = ("trip", "beds", "open", "began", "timer", "carries")
+
+    def __init__(self, trip: Trip, beds: list[Bed], began: float) -> None:
+        self.trip, self.beds, self.began = trip, beds, began
+        self.open = 0  # questions that are not answered yet
+        self.carries: dict[str, float] = {}  # by node: seconds that the body would be on its way
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Cart:
+    """The body of an offer that is fetched in pieces."""
+
+    __slots__ = ("body", "sent")
+
+    def __init__(self, body: bytes) -> None:
+        self.body, self.sent = body, 0
+
+
 class Stile:
     """One process of the role."""
 
@@ -88,7 +113,8 @@
         self.loop = asyncio.get_running_loop()
         assert settings.app is not None
         self.me = settings.name
-        self.items = catalog.EMPTY
+        self.copy = Copy()
+        self.following = Following(self.me, settings.zone)
         self.table = catalog.NOTHING
         self.voters: tuple[str, ...] = ()
         self._enough = 1
@@ -103,6 +129,11 @@
         self._bed_dials: dict[str, Dial] = {}
         self._bed_links: dict[str, Furrow] = {}
         self._asks: dict[int, tuple[Trip, Bed]] = {}
+        self._looks: dict[int, Look] = {}
+        self._look_s = 0.0  # how long a question takes, of late
+        self._carts: dict[int, Cart] = {}  # by offer
+        self._loads: dict[tuple[Furrow, int], tuple[list[Any], list[bytes], float]] = {}
+        self._intake: Intake[tuple[Furrow, int]] = Intake(settings.link_mbps * 125_000)
         self._next = 0
         self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
         self._anew: dict[int, Callable[[], None]] = {}  # by claim: ask those who vote now
@@ -125,6 +156,11 @@
         self._hedge = Hedge(self.loop, self.me, settings.furrow.text, settings.zone, self._dead)
         self._random = random.random
 
+    @property
+    def items(self) -> catalog.Items:
+        """The configuration as it stands here."""
+        return self.copy.items
+
     async def start(self) -> None:
         """Listen, and find the barns."""
         settings = self.settings
@@ -230,7 +266,7 @@
         cold = max(0.0, plot.cold_until - self.loop.time())
         return [
             self.me, settings.furrow.text, settings.zone, settings.service, plot.instance, plot.slots,
-            plot.open and not self.leaving, cold, self._life, self._number,
+            plot.open and not self.leaving, cold, self._life, self._number, VERSION,
         ]
 
     def _tell_record(self) -> None:
@@ -258,11 +294,13 @@
     def _barn_up(self, address: str, link: Furrow) -> None:
         link.peer = address
         self._barns[address] = link
-        link.send([Word.STILE, self._record(), 1])
+        link.send([Word.STILE, self._record(), VERSION])
 
     def _barn_down(self, address: str, link: Furrow) -> None:
         if self._barns.get(address) is link:
             del self._barns[address]
+            self.following.down(address)
+            self._follow()
             self._forget_barn(address)
         for claim, then in list(self._claims.values()):
             claim.failed(address)
@@ -285,6 +323,35 @@
                 self._forget_barn(address)
         if link.peer:
             self._barn_zones[link.peer] = zone
+            self._follow()
+
+    def _follow(self) -> None:
+        """Hear tables and changes from one barn: the nearest there is."""
+        before = self._barns.get(self.following.barn)
+        barn = self.following.choose(self._barns, self._barn_zones)
+        if barn is not None:
+            if before is not None:
+                before.send([Word.FOLLOW, None])
+            if barn:
+                self._barns[barn].send([Word.FOLLOW, self.copy.digest])
+
+    def _sum(self, link: Furrow, digest: int) -> None:
+        """What a barn may tell has this digest."""
+        if self.following.told(self.loop.time(), link.peer, digest, self.copy.digest):
+            self.loop.call_later(LOOK_S, self._lacks, link)
+
+    def _lacks(self, link: Furrow) -> None:
+        """Ask a barn for what it has and this stile has not, if that did not come by itself."""
+        if not link.open:
+            return
+        now = self.loop.time()
+        followed = self._barns.get(self.following.barn)
+        heard_at = followed.heard_at if followed is not None and followed is not link else 0.0
+        asks = self.following.lacks(now, link.peer, self.copy.digest, heard_at)
+        if asks is None:
+            self.loop.call_later(LOOK_S, self._lacks, link)
+        elif asks:
+            link.send([Word.PULL, self.copy.marks()])
 
     def _forget_barn(self, address: str) -> None:
         """Dial a barn no more that others have forgotten, unless it is reached from here."""
@@ -307,11 +374,10 @@
             anew()
 
     def _take_items(self, rows: list[list[Any]]) -> None:
-        items = catalog.merge(self.items, (Item(*row) for row in rows))
-        if items is self.items:
+        self.following.answered()
+        if not self.copy.take(Item(*row) for row in rows):
             return
-        self.items = items
-        self.table, wrong = catalog.table(items)
+        self.table, wrong = catalog.table(self.copy.items)
         for clash in wrong:
             logger.warning("held out: {}", clash.text)
         cluster = self.table.clusters.get(self.settings.service)
@@ -347,6 +413,7 @@
             bed.renew()
         bed.instance, bed.slots = record[Record.INSTANCE], record[Record.SLOTS]
         bed.draining = not record[Record.OPEN]
+        bed.version = record[Record.VERSION] if len(record) > Record.VERSION else 0
         bed.cold_until = self.loop.time() + record[Record.COLD]
         if node != self.me and bed.link != record[Record.LINK]:
             old = self._bed_dials.pop(node, None)
@@ -392,10 +459,19 @@
             del self._bed_links[node]
         for number, (_, bed) in list(self._asks.items()):
             if bed.node == node:
-                self._told(number, Fault.BROKEN, True, 0, [], b"")
+                cart = self._carts.get(number)
+                if cart is not None and cart.sent < len(cart.body):
+                    self._told(number, Fault.LEAVING, False, 0, [], b"")  # without its body it can't have run
+                else:
+                    self._told(number, Fault.BROKEN, True, 0, [], b"")
+        for number, look in list(self._looks.items()):
+            if any(bed.node == node for bed in look.beds):
+                self._glance(number, False)
 
     def _left(self, link: Furrow) -> None:
         self._callers.discard(link)
+        for key in [key for key in self._loads if key[0] is link]:
+            self._unload(key)
 
     def _usable(self, bed: Bed) -> bool:
         reached = bed.node in self._bed_links or bed.node == self.me
@@ -409,6 +485,16 @@
             self._asked(link, message[1], message[2])
         elif word == Word.TOLD:
             self._told(*message[1:])
+        elif word == Word.LOOK:
+            link.send([Word.GLANCE, message[1], *self._sight(message[2], message[3])])
+        elif word == Word.GLANCE:
+            self._glance(*message[1:6], node=link.peer)
+        elif word == Word.WANT:
+            self._wanted(link, message[1], message[2])
+        elif word == Word.PIECE:
+            self._piece(link, message[1], message[2])
+        elif word == Word.DROP:
+            self._unload((link, message[1]))
         elif word == Word.OVERDUE:
             self._overdue(message[1])
         elif word == Word.CLAIMED:
@@ -416,6 +502,8 @@
         elif word == Word.ITEMS:
             self._take_items(message[2])
             link.send([Word.ACK, message[1]])
+        elif word == Word.SUM:
+            self._sum(link, message[1])
         elif word == Word.BEDS:
             for record in message[1]:
                 if record[Record.NODE] != self.me:
@@ -496,17 +584,107 @@
         return spend
 
     def _go(self, trip: Trip) -> None:
+        """Offer a request to one of two servers drawn; where it is worth it, ask their stiles first."""
         now = self.loop.time()
         beds = self.lists.get(trip.service, ())
+        near = self._near(trip)
+        zone = self.settings.zone
+        drawn = draw(now, beds, trip.tried, self._random, self._usable, zone, near.calls > 0)
+        if not drawn:
+            if not trip.out:
+                self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
+            return
+        kind = trip.route.name
+        if len(drawn) > 1 and not fresh(now, drawn) and self._worth_a_look(now, drawn, kind):
+            self._look(now, trip, drawn)
+        else:
+            self._offer(trip, best(now, drawn, zone, kind, near))
+
+    def _near(self, trip: Trip) -> Near:
+        """What another zone costs a request, by its size and its usual answer's."""
         size = len(trip.body) + self._sizes.get(trip.route.name, 0.0)
-        near = NEAR if size >= LARGE else int(size >= MIDDLE)
-        bed = choose(
-            now, beds, trip.tried, self._random, self._usable, self.settings.zone, near, trip.route.name
-        )
-        if bed is None:
+        return next((near for least, near in NEAR.items() if size >= least), Near())
+
+    def _worth_a_look(self, now: float, drawn: list[Bed], kind: str) -> bool:
+        if any(bed.version < 2 for bed in drawn):
+            return False
+        return max(bed.paces.get(kind, 0.0) for bed in drawn) >= LOOK_WORK * self._look_s
+
+    def _look(self, now: float, trip: Trip, drawn: list[Bed]) -> None:
+        """Ask the stiles beside some servers how a call would fare there."""
+        look = Look(trip, drawn, now)
+        self._next += 1
+        number = self._next
+        kind, size = trip.route.name, len(trip.body)
+        for bed in drawn:
+            if bed.node == self.me:
+                open_, wait, pace, _ = self._sight(kind, size)  # its body is here
+                bed.told(now, kind, wait, pace)
+                if not open_:
+                    bed.closed_until = now + LEAST_CLOSED_S
+            else:
+                look.open += 1
+                self._bed_links[bed.node].send([Word.LOOK, number, kind, size])
+        self._looks[number] = look
+        most = max(0.001, (trip.aim_at - now) * LOOK_AIM)
+        look.timer = self.loop.call_later(most, self._looked, number)
+
+    def _sight(self, kind: str, size: int) -> tuple[bool, float, float, float]:
+        """How a call would fare here: whether it would be taken; seconds that it would wait, and take, and
+        that its body would be on its way."""
+        carry = self._intake.wait(size) if size > self._intake.inline else 0.0
+        return self.plot.open, self.plot.wait(), self.plot.pace(kind), carry
+
+    def _glance(
+        self, number: int, open_: bool, wait: float = 0.0, pace: float = 0.0, carry: float = 0.0, *,
+        node: str = "",
+    ) -> None:
+        """A stile has told how a call would fare, or can't any more."""
+        look = self._looks.get(number)
+        if look is None:
+            return
+        now = self.loop.time()
+        look.open -= 1
+        bed = self.beds.get(node)
+        if bed is not None:
+            took = now - look.began
+            self._look_s += (took - self._look_s) * 0.1
+            bed.told(now, look.trip.route.name, wait, pace)
+            look.carries[node] = carry
+            if not open_:
+                bed.closed_until = now + LEAST_CLOSED_S
+                bed.told_at = -1.0
+            elif look.open > 0 and look.timer is not None:
+                # The first has answered: the others may take as long again.
+                look.timer.cancel()
+                look.timer = self.loop.call_later(took + 0.001, self._looked, number)
+        if look.open <= 0:
+            self._looked(number)
+
+    def _looked(self, number: int) -> None:
+        """Enough has been heard: the request goes."""
+        look = self._looks.pop(number, None)
+        if look is None:
+            return
+        if look.timer is not None:
+            look.timer.cancel()
+        trip, now = look.trip, self.loop.time()
+        if trip.over:
+            return
+        drawn = [bed for bed in look.beds if self._usable(bed) and now >= bed.closed_until]
+        if not drawn:
+            beds = self.lists.get(trip.service, ())
+            drawn = draw(now, beds, trip.tried, self._random, self._usable, self.settings.zone)
+        if not drawn:
             if not trip.out:
                 self._end(trip, Fault.BROKEN if trip.unsure else Fault.NO_SERVER)
             return
+        zone, kind = self.settings.zone, trip.route.name
+        self._offer(trip, best(now, drawn, zone, kind, self._near(trip), look.carries))
+
+    def _offer(self, trip: Trip, bed: Bed) -> None:
+        """Offer a request to one server, by the stile beside it."""
+        now = self.loop.time()
         trip.tried.append(bed)
         trip.out += 1
         bed.inflight += 1
@@ -517,10 +695,14 @@
         named = _named(message)
         headers = [pair for pair in message.headers if pair[0] not in OURS and pair[0] not in named]
         key = trip.key if trip.route.variant == "idempotent" else ""
+        body, size = trip.body, 0
+        if bed.node != self.me and bed.version >= 2 and len(body) > self._intake.inline:
+            self._carts[number] = Cart(body)
+            body, size = b"", len(body)
         ask = [
-            trip.service, self.settings.service, message.method, message.target, headers, trip.body,
+            trip.service, self.settings.service, message.method, message.target, headers, body,
             trip.deadline - now, trip.aim_at - now, trip.tid, key, trip.route.name, trip.again,
-            trip.route.variant == "pure", trip.past,
+            trip.route.variant == "pure", trip.past, size,
         ]
         if bed.node == self.me:
             self._run(
@@ -530,6 +712,65 @@
         else:
             self._bed_links[bed.node].send([Word.ASK, number, ask])
 
+    # --- large bodies
+
+    def _wanted(self, link: Furrow, number: int, upto: int) -> None:
+        """The stile beside a server takes more of a body."""
+        cart, found = self._carts.get(number), self._asks.get(number)
+        if cart is None or found is None:
+            return
+        if found[0].over:  # its client has its answer or has left: what is not there whole can't run
+            self._told(number, Fault.LEAVING, False, 0, [], b"")
+            link.send([Word.DROP, number])
+            return
+        while cart.sent < min(upto, len(cart.body)):
+            piece = cart.body[cart.sent:min(cart.sent + PIECE, upto)]
+            cart.sent += len(piece)
+            link.send([Word.PIECE, number, piece])
+
+    def _load(self, link: Furrow, number: int, ask: list[Any]) -> None:
+        """A request whose body has to be fetched; one that can't be here in time is given back at once."""
+        now, key = self.loop.time(), (link, number)
+        size, left = ask[-1], ask[6]
+        if not self.plot.open or ask[0] != self.settings.service:
+            link.send([Word.TOLD, number, int(Fault.LEAVING), False, 0, [], b""])
+            return
+        if self._intake.wait(size) + self.plot.takes(ask[10]) > left:
+            link.send([Word.TOLD, number, int(Fault.FULL), False, 0, [], b"", *self._hint(ask[10])])
+            return
+        self._loads[key] = ask, [], now
+        self._open_jobs += 1
+        self._intake.add(now, key, size)
+        self.loop.call_later(left, self._unload, key)
+        self._want()
+
+    def _want(self) -> None:
+        """Have senders send what the link can take."""
+        for (link, number), upto in self._intake.grants(self.loop.time()).items():
+            link.send([Word.WANT, number, upto])
+
+    def _piece(self, link: Furrow, number: int, data: bytes) -> None:
+        key, now = (link, number), self.loop.time()
+        load = self._loads.get(key)
+        if load is None:
+            return
+        ask, parts, began = load
+        parts.append(data)
+        if self._intake.got(now, key, len(data)):
+            self._unload(key)
+            took = now - began
+            ask = [*ask[:5], b"".join(parts), ask[6] - took, ask[7] - took, *ask[8:-1], 0]
+            self._asked(link, number, ask)
+        else:
+            self._want()
+
+    def _unload(self, key: tuple[Furrow, int]) -> None:
+        """A body is whole, or will never be."""
+        if self._loads.pop(key, None) is not None:
+            self._open_jobs -= 1
+            self._intake.drop(key)
+            self._want()
+
     def _told(
         self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes,
         wait: float = 0.0, pace: float = 0.0, *more: Any,
@@ -540,6 +781,7 @@
             return
         trip, bed = found
         now = self.loop.time()
+        self._carts.pop(number, None)
         bed.inflight -= 1
         trip.out -= 1
         bed.told(now, trip.route.name, wait, pace)
@@ -612,7 +854,8 @@
 
     def _hung_up(self, message: Message) -> None:
         """The client has left. What runs is left to run; its answer goes nowhere."""
-        for trip, _ in self._asks.values():
+        asked = [trip for trip, _ in self._asks.values()]
+        for trip in (*asked, *(look.trip for look in self._looks.values())):
             if trip.message is message and not trip.over:
                 self._finish(trip)
                 return
@@ -620,6 +863,9 @@
     # --- a request for the server beside
 
     def _asked(self, link: Furrow, number: int, ask: list[Any]) -> None:
+        if len(ask) == len(ASK) and ask[-1]:
+            self._load(link, number, ask)
+            return
         self._run(
             ask, lambda *told: link.send([Word.TOLD, number, *told, *self._hint(ask[10])]),
             lambda: link.send([Word.OVERDUE, number]),
@@ -635,7 +881,7 @@
             # is left out.
             ask = [*ask, *ASK[len(ask):]]
         (service, caller, method, target, headers, body, left, aim, tid, key, kind, again,
-         free, past) = ask[:len(ASK)]  # fmt: skip
+         free, past, _) = ask[:len(ASK)]  # fmt: skip
         now = self.loop.time()
         plot = self.plot
         if service != self.settings.service or not plot.open:
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -11,6 +11,9 @@
     BARN = 10  # address, voters, barns, zone, voters before, whole, lives, those forgotten: a barn to a barn,
     # first of all and when any of it changes
     STILE = 11  # record, version (first of all): a stile to a barn, first of all and when any of it changes
+    FOLLOW = 14  # digest of own items: a stile to the one barn that it hears whole tables and changes from
+    SUM = 15  # digest of the items that may be told: a barn to a stile
+    PULL = 16  # versions by name: a stile to a barn, for what it lacks of them
     BARNS = 12  # addresses of all barns that are known, own zone, lives, those forgotten
     VOTERS = 13  # epoch, addresses: a barn to a stile
     ITEMS = 20  # number, rows of items
@@ -42,6 +45,16 @@
     TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds: wait, work
     OVERDUE = 53  # number: its server has worked on it for unusually long
     LEAVING = 52  # record: a stile to those that send to it
+    WANT = 54  # number, bytes: so much of the body of an ASK may be sent, from its beginning
+    PIECE = 55  # number, bytes: the next piece of it
+    DROP = 56  # number: its ASK is given up, and the rest will not come
+    LOOK = 57  # number, route, size of a body: how a call of a kind would fare
+    GLANCE = 58  # number, whether it would be taken, seconds: wait, work, its body on its way
+
+
+VERSION = 2
+"""Of what is said over furrows, as a stile tells it: from 2 on it follows one barn, takes bodies in pieces,
+and answers a LOOK."""
 
 
 class Record(enum.IntEnum):
@@ -57,3 +70,4 @@
     COLD = 7  # seconds
     LIFE = 8
     NUMBER = 9
+    VERSION = 10  # of what it understands; an older stile tells none
--- a/tests/orchard/test_orchard_budget.py
+++ b/tests/orchard/test_orchard_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from dunefield.budget import STEPS, Budget
-from orchard.pick import DRAWS, MOST_KINDS, Bed, choose
+from orchard.pick import DRAWS, FRESH_S, MOST_KINDS, Bed, Near, best, draw, fresh
 from orchard.spend import Spend
 
 MS = 1_000_000
@@ -212,6 +212,12 @@
     return True
 
 
+def choose(now, made, tried, random, usable, zone="", near=0, kind=""):
+    """Draw, and take the best."""
+    drawn = draw(now, made, tried, random, usable, zone, near > 0)
+    return best(now, drawn, zone, kind, Near(near, near / 6)) if drawn else None
+
+
 def test_the_less_loaded_of_two_is_taken_and_no_third_is_looked_at():
     made = beds(5, 2, 0)
     assert choose(0.0, made, (), draws(0, 1, size=3), anyone) is made[1]
@@ -302,3 +308,25 @@
     assert taken(2) == "far"
     own.closed_until, own.inflight = 0.0, 0
     assert taken(0) == "far" and taken(2) == "own", "the draws met the far one only"
+
+
+def test_what_was_told_just_now_goes_before_own_calls():
+    made = beds(0, 3)
+    made[0].told(1.0, "search", 0.4, 0.1)
+    made[1].told(1.0, "search", 0.0, 0.2)
+    assert fresh(1.0, made) and best(1.0, made, "", "search") is made[1]
+    later = 1.0 + FRESH_S + 0.001
+    assert not fresh(later, made) and best(later, made, "", "search") is made[0], "others took it"
+    made[1].told(later, "search", 0.9, 0.2)
+    assert best(later, made, "", "search") is made[1], "whoever said nothing is no better known"
+
+
+def test_the_way_of_a_large_body_counts():
+    made = beds(0, 0)
+    for bed in made:
+        bed.zone = "east"
+        bed.told(0.0, "upload", 0.0, 0.2)
+    assert best(0.0, made, "east", "upload", Near(), {"n0": 1.5, "n1": 0.1}) is made[1]
+    made[1].zone = "west"
+    assert best(0.0, made, "east", "upload", Near(3, 0.5), {"n0": 0.2, "n1": 0.1}) is made[0]
+    assert best(0.0, made, "east", "upload", Near(3, 0.5), {"n0": 0.4, "n1": 0.1}) is made[1]
--- /dev/null
+++ b/tests/orchard/test_orchard_feed.py
@@ -0,0 +1,118 @@
+"""How configuration reaches stiles: once over each link, and by another barn where the followed one fails."""
+
+from __future__ import annotations
+
+import asyncio
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+from orchard_world import World, change, route, service
+from test_orchard_faults import until
+
+from orchard.catalog import Item
+from orchard.feed import LOOK_S, Copy, Following
+from orchard.words import Word
+
+ITEMS = st.builds(Item, st.sampled_from("abc"), st.integers(1, 3), st.sampled_from(["", "x", "y"]))
+
+
+@given(st.lists(ITEMS), st.lists(ITEMS))
+def test_copies_of_the_same_items_have_one_digest_in_any_order(one, other):
+    here, there = Copy(), Copy()
+    for items in (one, other):
+        here.take(items)
+    for items in (other, one):
+        there.take(items)
+    assert here.items == there.items and here.digest == there.digest
+    assert not here.lacking(there.marks())
+    empty = Copy()
+    assert empty.digest == 0 and bool(here.digest) == bool(here.items)
+    assert not empty.take([]) and {item.name for item in here.lacking({})} == set(here.items)
+
+
+def test_the_own_zones_barn_is_followed_and_kept_while_it_is_there():
+    following = Following("me", "east")
+    zones = {"far": "west", "near": "east", "next": "east"}
+    assert following.choose(["far"], {"far": "west"}) == "far"
+    found = following.choose(["far", "near"], zones)
+    assert found == "near"
+    assert following.choose(["far", "near", "next"], zones) is None  # no change without need
+    following.down("near")
+    assert following.choose(["far", "next"], zones) == "next"
+    assert following.choose([], zones) == ""
+
+
+def test_another_is_asked_once_for_what_the_followed_one_does_not_tell():
+    following = Following("me", "east")
+    following.choose(["a", "b"], {"a": "east", "b": "west"})
+    assert not following.told(0.0, "b", 7, 7) and not following.told(0.0, "b", 0, 7)
+    assert following.told(1.0, "b", 9, 7)
+    assert following.lacks(1.1, "b", 7, heard_at=1.09) is None  # the followed one speaks: it may be coming
+    assert following.lacks(1.1 + LOOK_S, "b", 9, heard_at=1.0) is False  # it has come
+    assert following.lacks(1.1 + LOOK_S, "b", 7, heard_at=1.0) is True
+    assert following.lacks(1.3 + LOOK_S, "b", 7, heard_at=1.0) is False  # asked already, and nothing is new
+    following.told(1.4, "c", 11, 7)
+    assert following.lacks(1.4 + LOOK_S, "c", 7, heard_at=1.0) is None  # an answer is waited for
+    following.answered()
+    assert following.lacks(1.4 + LOOK_S, "c", 7, heard_at=1.0) is True
+    following.told(3.0, "b", 12, 7)
+    assert following.lacks(4.0, "b", 7, heard_at=4.0) is True  # it speaks all the time, and not of this
+
+
+def _told(world: World) -> dict[str, int]:
+    """Bytes of items that each stile has been told, from now on."""
+    found: dict[str, int] = {}
+
+    def count(process, by, packed):
+        if cbor2.loads(packed[4:])[0] == Word.ITEMS:
+            found[process.host] = found.get(process.host, 0) + len(packed)
+        return plain(process, by, packed)
+
+    plain, world.heard = world.heard, count
+    return found
+
+
+def _caught_up(world: World, version: int) -> bool:
+    held = [world.machines[name].process.role.items.get("service/berths") for name in world.stiles]
+    return all(item is not None and item.version >= version for item in held)
+
+
+def played(story) -> None:
+    with World(seed=3) as world:
+        world.start()
+        task = world.operator.run(story(world))
+        assert world.run(60.0, task.done)
+        task.result()
+
+
+def test_a_table_goes_over_each_stiles_link_once_and_a_change_once():
+    async def story(world: World) -> None:
+        assert await until(lambda: len(world.counting()) == len(world.barns))
+        many = [route(f"r{at}", 1, f"/{at}/") for at in range(50)]
+        assert await world.patch(0, change([service("berths", 1)], many)) == 200
+        assert await until(lambda: _caught_up(world, 1))
+        told = _told(world)
+        assert await world.patch(1, change([service("berths", 2)])) == 200
+        assert await until(lambda: _caught_up(world, 2))
+        await asyncio.sleep(1.0)
+        size = len(cbor2.dumps([Word.ITEMS, 2, [list(world.barn(world.barns[0]).items["service/berths"])]]))
+        assert told and all(size <= number < size + 20 for number in told.values())
+
+    played(story)
+
+
+def test_a_followed_barn_that_is_frozen_costs_a_moment():
+    async def story(world: World) -> None:
+        assert await until(lambda: len(world.counting()) == len(world.barns))
+        assert await world.patch(0, change([service("berths", 1)])) == 200
+        assert await until(lambda: _caught_up(world, 1))
+        frozen = world.machines[world.stiles[0]].process.role.following.barn.partition(":")[0]
+        world.freeze(frozen, 3.0)
+        others = [at for at, name in enumerate(world.barns) if name != frozen]
+        began = world.now
+        status, _ = await world.ask(world.barns[others[0]], b"PATCH", change([service("berths", 2)]))
+        assert status == 200 and await until(lambda: _caught_up(world, 2), 1.5)
+        assert world.now < began + 1.5
+
+    played(story)
--- a/tests/orchard/test_orchard_rounds.py
+++ b/tests/orchard/test_orchard_rounds.py
@@ -520,9 +520,9 @@
 
 DEFENCES: dict[Callable[[pytest.MonkeyPatch], None], tuple[tuple[int, ...], str]] = {
     one_less: ((0, 1, 4, 6), "twice|by enough"),
-    no_wait: ((35, 246, 610), "twice|by enough"),
-    second_answer: ((27, 66, 108), "long ago"),
-    no_turns: ((55, 91, 210), "both acknowledged"),
+    no_wait: ((525, 1493, 1744), "twice|by enough"),
+    second_answer: ((21, 28, 104), "long ago"),
+    no_turns: ((55, 211, 266), "both acknowledged"),
     by_arrival: ((3, 6, 8, 11), "went back"),
 }  # each with seeds that are known to show it, and what they say; with it in place they are kept
 
--- a/tests/orchard/test_orchard_voters.py
+++ b/tests/orchard/test_orchard_voters.py
@@ -299,8 +299,8 @@
 
     begin = Proposal.__init__
     monkeypatch.setattr(Proposal, "__init__", few)
-    with pytest.raises(Broken, match="beside"):
-        for seed in range(30):
+    with pytest.raises(Broken, match="beside"):  # the first seed that shows it ends the search
+        for seed in range(300):
             rivals(seed)
 
 
