--- a/hollyport/fleet/member.py
+++ b/hollyport/fleet/member.py
@@ -16,7 +16,7 @@
 from hollyport.fleet.view import Universe
 from hollyport.fleet.wire import HEIR, Datagram, Refused, Status
 
-HEADER = 40  # bytes of msgpack around the texts of a datagram, at the most
+HEADER = 40  # bytes of CBOR around the texts of a datagram, at the most
 OLDS = 4  # states that are no news in each datagram: what a rumour has missed is mended by them
 FACT_NEWS = 3  # times log2 of the fleet's size that a fact goes out as news
 REFRESH_S = 0.2
--- a/hollyport/fleet/wire.py
+++ b/hollyport/fleet/wire.py
@@ -1,6 +1,7 @@
 """The datagrams of a fleet: schema, bytes, and what is taken in. No I/O.
 
-A datagram is a keyed digest (BLAKE2b, 16 bytes, RFC 7693) and one msgpack array. Arrays grow at their end:
+A datagram is a keyed digest (BLAKE2b, 16 bytes, RFC 7693) and one CBOR array (RFC 8949), as everything
+between this project's own processes; msgspec checks it against the schema. Arrays grow at their end:
 a reader leaves out fields that it doesn't know and fills in those that an older sender had not, so that
 formats can live beside each other while a fleet is upgraded. What does not verify is no message: the caller
 counts it by `Refused.why`.
@@ -14,10 +15,11 @@
 from enum import IntEnum
 from typing import Annotated
 
+import cbor2
 import msgspec
 from msgspec import Meta
 
-FORMAT = 1
+FORMAT = 2
 """Counted up when an older reader could misread a datagram; fields added at an array's end need no new
 number."""
 DIGEST = 16
@@ -100,20 +102,23 @@
         self.why = why
 
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Datagram)
+KEPT = (bytes,)  # types that CBOR has of its own
 WHYS = ("long", "short", "digest", "schema", "format", "fleet", "stranger", "echo", "old", "doubled", "flood")
 """All causes by which something that came is not taken in."""
 
 
 def size(part: State | Fact) -> int:
     """Bytes that it takes in a datagram."""
-    return len(_ENCODER.encode(part))
+    return len(_pack(part))
+
+
+def _pack(part: State | Fact | Datagram) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(part, builtin_types=KEPT))
 
 
 def encode(datagram: Datagram, key: bytes) -> bytes:
     """The bytes of a message, signed."""
-    body = _ENCODER.encode(datagram)
+    body = _pack(datagram)
     return hashlib.blake2b(body, digest_size=DIGEST, key=key).digest() + body
 
 
@@ -130,8 +135,8 @@
     else:
         raise Refused("digest")
     try:
-        made = _DECODER.decode(body)
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
+        made = msgspec.convert(cbor2.loads(body), Datagram, builtin_types=KEPT)
+    except (cbor2.CBORError, msgspec.ValidationError, ValueError, TypeError, RecursionError):
         raise Refused("schema") from None
     if made.format != FORMAT:
         raise Refused("format")
--- a/orchard/furrow.py
+++ b/orchard/furrow.py
@@ -22,6 +22,7 @@
 MOST = 80 << 20  # bytes of one message
 ASK_S = 1.0  # after so long a silence the other side is asked
 DEAD_S = 2.4  # and after so long it is given up
+QUIET_S = 8.0  # the same for one of many on which nothing is waited for: asking would cost more than it tells
 DIAL_S = 0.8
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.05, 0.8
 
@@ -31,8 +32,13 @@
 class Furrow(asyncio.Protocol):
     """One connection, either end."""
 
-    def __init__(self, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None]) -> None:
+    def __init__(
+        self, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None], ask_s: float = ASK_S
+    ) -> None:
         self._heard, self._up, self._down = heard, up, down
+        self._ask_s = ask_s
+        self._waits = 0  # answers that are waited for
+        self._since = 0.0  # since when
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
         self._rest = bytearray()
@@ -52,7 +58,7 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(DEAD_S * 1000))
         self.open = True
         self._at = self._loop.time()
-        self._timer = self._loop.call_later(ASK_S, self._watch)
+        self._timer = self._loop.call_later(self._ask_s, self._watch)
         self._up(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -78,14 +84,27 @@
         """When anything was heard last, by the loop's clock."""
         return self._at
 
+    def attend(self, more: int) -> None:
+        """So many more answers are waited for here: while any is, the other side is asked as often as usual.
+
+        A stile has a furrow to each other one. Asked each second, whether anything is under way or not, they
+        took half of a stile's processor in a fleet of 70; who is silent there is told by the hedge as well.
+        """
+        self._waits += more
+        if self._waits == more == 1 and self._ask_s > ASK_S and self._timer is not None:
+            self._since = self._loop.time()
+            self._timer.cancel()
+            self._timer = self._loop.call_later(ASK_S, self._watch)
+
     def _watch(self) -> None:
-        quiet = self._loop.time() - self._at
-        if quiet >= DEAD_S:
+        quiet = self._loop.time() - max(self._at, self._since)
+        ask_s = ASK_S if self._waits else self._ask_s
+        if quiet >= ask_s * DEAD_S / ASK_S:
             self.end()
             return
-        if quiet >= ASK_S * 0.95:
+        if quiet >= ask_s * 0.95:
             self.send([PING])
-        self._timer = self._loop.call_later(ASK_S, self._watch)
+        self._timer = self._loop.call_later(ask_s, self._watch)
 
     def data_received(self, data: bytes) -> None:
         self._at = self._loop.time()
@@ -153,9 +172,10 @@
     """Keeps one furrow to an address, opened again whenever it has ended."""
 
     def __init__(
-        self, address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None]
+        self, address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None],
+        ask_s: float = ASK_S,
     ) -> None:
-        self.address = address
+        self.address, self._ask_s = address, ask_s
         self._heard, self._on_up, self._on_down = heard, up, down
         self.furrow: Furrow | None = None
         self._again = asyncio.Event()
@@ -187,7 +207,7 @@
             try:
                 async with asyncio.timeout(DIAL_S):
                     await loop.create_connection(
-                        lambda: Furrow(self._heard, self._up, self._down), *self.address
+                        lambda: Furrow(self._heard, self._up, self._down, self._ask_s), *self.address
                     )
             except (OSError, TimeoutError):
                 pass
@@ -201,8 +221,9 @@
 
 
 async def listen(
-    address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None]
+    address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None],
+    ask_s: float = ASK_S,
 ) -> asyncio.Server:
     """Take furrows that others dial."""
     loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: Furrow(heard, up, down), address.host, address.port, backlog=512)
+    return await loop.create_server(lambda: Furrow(heard, up, down, ask_s), address.host, address.port, backlog=512)
--- a/orchard/pick.py
+++ b/orchard/pick.py
@@ -15,6 +15,7 @@
 GAIN = 0.2  # weight of one answer's time against what was known
 DRAWS = 6
 FAR = 1.1  # times as long that an answer from another zone counts for: a small one is worth the way
+ILL = 8.0  # times as slow that a server counts for which fails all its calls, and one more
 MOST_KINDS = 64  # kinds of calls whose paces are kept for one server
 FRESH_S = 0.02  # what was told of a server's load counts for so long: beyond, others have taken what was free
 
@@ -23,7 +24,7 @@
     """A server and the stile beside it, as seen from here. Times in seconds."""
 
     __slots__ = ("node", "link", "service", "instance", "zone", "slots", "draining", "inflight", "latency",
-                 "closed_until", "cold_until", "room", "paces", "free_at", "told_at", "version")  # fmt: skip
+                 "closed_until", "cold_until", "room", "paces", "free_at", "told_at", "version", "ill")  # fmt: skip
 
     def __init__(self, node: str, service: str) -> None:
         self.node, self.service = node, service
@@ -39,17 +40,19 @@
         self.paces: dict[str, float] = {}  # by kind of call: what its stile told that it takes, of late
         self.free_at = 0.0  # when a call sent now would go, as its stile told
         self.told_at = -1.0  # when its stile told that
+        self.ill = 0.0  # part of calls that fail there of late, as its stile told
         self.version = 0  # of what its stile understands
 
     def renew(self) -> None:
         """Another process serves there: nothing learned of the old one holds."""
         self.latency = self.closed_until = self.free_at = 0.0
-        self.told_at = -1.0
+        self.told_at, self.ill = -1.0, 0.0
         self.paces.clear()
 
-    def told(self, now: float, kind: str, wait: float, pace: float) -> None:
-        """Its stile has told how long a call waits there, and what one of this kind takes, in seconds."""
-        self.free_at, self.told_at = now + wait, now
+    def told(self, now: float, kind: str, wait: float, pace: float, ill: float = 0.0) -> None:
+        """Its stile has told how long a call waits there, and what one of this kind takes, in seconds; and
+        which part of calls fails there of late."""
+        self.free_at, self.told_at, self.ill = now + wait, now, ill
         if pace > 0 and (kind in self.paces or len(self.paces) < MOST_KINDS):
             self.paces[kind] = pace
 
@@ -59,8 +62,11 @@
 
     def expects(self, now: float, kind: str) -> float:
         """Seconds to an answer: what is left of the wait told last, and what a call of this kind takes. All
-        callers of a server learn of its pace with any answer, not from their own few calls of all kinds."""
-        return max(0.0, self.free_at - now) + self.paces.get(kind, self.latency)
+        callers of a server learn of its pace with any answer, not from their own few calls of all kinds. A
+        server that fails part of its calls counts as the slower for it: what fails has to be done again, if it
+        may be, or is lost."""
+        time = max(0.0, self.free_at - now) + self.paces.get(kind, self.latency)
+        return time * (1.0 + ILL * self.ill)
 
 
 def draw(
--- a/orchard/plot.py
+++ b/orchard/plot.py
@@ -25,6 +25,8 @@
 SPARE = 3.0  # times what a light call takes that is left of its time at its last start
 OVERDUE = 4.0  # times what its kind takes on average, from when on a call may be lost
 MOST_KINDS = 256  # kinds of calls whose times are kept apart
+ILL_GAIN = 0.1  # weight of one call's outcome against what was known
+ILL_FADES_S = 3.0  # half of what was known is forgotten after so long
 HOP_S = 0.008  # kept back of a deadline for the way home
 
 
@@ -72,6 +74,7 @@
         self.out = 0
         self.mean = 0.05  # seconds to an answer, of late
         self._means: dict[str, tuple[float, int]] = {}  # the same by kind of call, and of how many
+        self._ill, self._ill_at = 0.0, 0.0  # part of calls that failed, when it was learned
         self._timer: asyncio.TimerHandle | None = None
         self.replaced: Callable[[str], None] = lambda instance: None  # told of another server at the address
 
@@ -92,7 +95,7 @@
             self.instance, self.slots = instance, slots
             if fresh:
                 self.budget = self._new_budget(slots if cold_s <= 0 else 1)
-                self._samples = 0
+                self._samples, self._ill = 0, 0.0
                 self.upstream.update(instance, self._address, 0, True)
             self.budget.most = min(STEPS, slots, self.max_conns)
         self.open = is_open
@@ -158,6 +161,23 @@
             return 0.0
         return (len(self.queue) + len(self.late) + 1) * self.mean / max(1, room)
 
+    def takes_calls(self) -> bool:
+        """Whether a call that came now would not be given back at once."""
+        if not self.open or not self.instance:
+            return False
+        return bool(self.budget.k) or self.budget.trial_due(int(self._loop.time() * 1e9))
+
+    def ill(self) -> float:
+        """The part of calls that fail here of late. It fades with time: whoever gets no calls for it can't
+        show that it is well."""
+        return self._ill * 0.5 ** ((self._loop.time() - self._ill_at) / ILL_FADES_S)
+
+    def _judge(self, bad: bool) -> None:
+        """One call went well, or not. What a server says of its health when it is asked counts for nothing."""
+        known = self.ill()
+        self._ill = known + (bad - known) * ILL_GAIN
+        self._ill_at = self._loop.time()
+
     def _ahead(self, due: float) -> float:
         """The same for one with this due time: only what is due before it counts."""
         before = sum(1 for entry in self.queue if entry[0] <= due)
@@ -274,7 +294,8 @@
         elif reply is not None and (reply.header(b"x-server-seal") is not None or reply.status >= 400):
             if current:
                 self._learn(reply)
-                self._served(now, job, trial)
+                self._judge(reply.status >= 500)
+                self._served(now, job, trial, reply.status < 500)
             self._end(job, None, True, reply)
         else:
             fault, arrived = Fault.BROKEN, True
@@ -283,15 +304,19 @@
             elif how in (How.MOOT, How.CONNECT_FAILED) and not self._written(job):
                 fault, arrived = Fault.FULL, False
             if current and how != How.MOOT:
+                self._judge(True)
                 self._failed(now, trial, how in (How.CONNECT_FAILED, How.RESET))
             self._end(job, fault, arrived)
         self._pump()
 
-    def _served(self, now: float, job: Job, trial: bool) -> None:
-        """What an answer tells."""
+    def _served(self, now: float, job: Job, trial: bool, well: bool) -> None:
+        """What an answer tells. A failure comes sooner than the work would: it tells no pace, or who fails
+        would draw all calls."""
         self.budget.accepted()
         if trial:
             self.budget.grow()
+        if not well:
+            return
         self._samples += 1
         took = now - job.began
         self.mean += (took - self.mean) * max(0.1, 1.0 / self._samples)
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -48,6 +48,7 @@
 MOST_SIZES = 1024  # routes whose answers' sizes are kept
 ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False, False, 0)
 """What an offer tells, in order, with what stands for what an older version did not tell."""
+SIZE = len(ASK) - 1  # place of the size of a body that does not come with its offer
 AGAIN_S = 0.002  # a request that has been under way for longer has been refused or lost before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
 DRAWS = 3  # pools that a request is offered to before it is refused
@@ -165,7 +166,9 @@
         """Listen, and find the barns."""
         settings = self.settings
         assert settings.outbound and settings.ready and settings.control
-        self._server = await furrow.listen(settings.furrow, self._hear, self._callers.add, self._left)
+        self._server = await furrow.listen(
+            settings.furrow, self._hear, self._callers.add, self._left, furrow.QUIET_S
+        )
         self._hedge.start()
         self._doors = [
             await front.open_door(settings.outbound, self.serve, self._hung_up, settings.max_fds // 2),
@@ -423,7 +426,7 @@
             host, _, port = bed.link.rpartition(":")
             self._bed_dials[node] = Dial(
                 Address(host, int(port)), self._hear, partial(self._bed_up, node),
-                partial(self._bed_down, node),
+                partial(self._bed_down, node), furrow.QUIET_S,
             )
 
     def _drop_bed(self, node: str) -> None:
@@ -488,7 +491,7 @@
         elif word == Word.LOOK:
             link.send([Word.GLANCE, message[1], *self._sight(message[2], message[3])])
         elif word == Word.GLANCE:
-            self._glance(*message[1:6], node=link.peer)
+            self._glance(*message[1:7], node=link.peer)
         elif word == Word.WANT:
             self._wanted(link, message[1], message[2])
         elif word == Word.PIECE:
@@ -618,8 +621,8 @@
         kind, size = trip.route.name, len(trip.body)
         for bed in drawn:
             if bed.node == self.me:
-                open_, wait, pace, _ = self._sight(kind, size)  # its body is here
-                bed.told(now, kind, wait, pace)
+                open_, wait, pace, _, ill = self._sight(kind, size)  # its body is here
+                bed.told(now, kind, wait, pace, ill)
                 if not open_:
                     bed.closed_until = now + LEAST_CLOSED_S
             else:
@@ -629,15 +632,15 @@
         most = max(0.001, (trip.aim_at - now) * LOOK_AIM)
         look.timer = self.loop.call_later(most, self._looked, number)
 
-    def _sight(self, kind: str, size: int) -> tuple[bool, float, float, float]:
+    def _sight(self, kind: str, size: int) -> tuple[bool, float, float, float, float]:
         """How a call would fare here: whether it would be taken; seconds that it would wait, and take, and
-        that its body would be on its way."""
+        that its body would be on its way; the part of calls that fail here of late."""
         carry = self._intake.wait(size) if size > self._intake.inline else 0.0
-        return self.plot.open, self.plot.wait(), self.plot.pace(kind), carry
+        return self.plot.takes_calls(), *self._hint(kind)[:2], carry, self._hint(kind)[2]
 
     def _glance(
-        self, number: int, open_: bool, wait: float = 0.0, pace: float = 0.0, carry: float = 0.0, *,
-        node: str = "",
+        self, number: int, open_: bool, wait: float = 0.0, pace: float = 0.0, carry: float = 0.0,
+        ill: float = 0.0, *, node: str = "",
     ) -> None:
         """A stile has told how a call would fare, or can't any more."""
         look = self._looks.get(number)
@@ -649,7 +652,7 @@
         if bed is not None:
             took = now - look.began
             self._look_s += (took - self._look_s) * 0.1
-            bed.told(now, look.trip.route.name, wait, pace)
+            bed.told(now, look.trip.route.name, wait, pace, ill)
             look.carries[node] = carry
             if not open_:
                 bed.closed_until = now + LEAST_CLOSED_S
@@ -710,7 +713,9 @@
                 partial(self._overdue, number),
             )
         else:
-            self._bed_links[bed.node].send([Word.ASK, number, ask])
+            link = self._bed_links[bed.node]
+            link.attend(1)
+            link.send([Word.ASK, number, ask])
 
     # --- large bodies
 
@@ -731,7 +736,7 @@
     def _load(self, link: Furrow, number: int, ask: list[Any]) -> None:
         """A request whose body has to be fetched; one that can't be here in time is given back at once."""
         now, key = self.loop.time(), (link, number)
-        size, left = ask[-1], ask[6]
+        size, left = ask[SIZE], ask[6]
         if not self.plot.open or ask[0] != self.settings.service:
             link.send([Word.TOLD, number, int(Fault.LEAVING), False, 0, [], b""])
             return
@@ -759,7 +764,7 @@
         if self._intake.got(now, key, len(data)):
             self._unload(key)
             took = now - began
-            ask = [*ask[:5], b"".join(parts), ask[6] - took, ask[7] - took, *ask[8:-1], 0]
+            ask = [*ask[:5], b"".join(parts), ask[6] - took, ask[7] - took, *ask[8:SIZE], 0]
             self._asked(link, number, ask)
         else:
             self._want()
@@ -773,7 +778,7 @@
 
     def _told(
         self, number: int, fault: int, arrived: bool, status: int, headers: list[Any], body: bytes,
-        wait: float = 0.0, pace: float = 0.0, *more: Any,
+        wait: float = 0.0, pace: float = 0.0, ill: float = 0.0, *_: Any,
     ) -> None:
         """What became of a request at the stile beside a server."""
         found = self._asks.pop(number, None)
@@ -782,9 +787,12 @@
         trip, bed = found
         now = self.loop.time()
         self._carts.pop(number, None)
+        link = self._bed_links.get(bed.node)
+        if link is not None:
+            link.attend(-1)
         bed.inflight -= 1
         trip.out -= 1
-        bed.told(now, trip.route.name, wait, pace)
+        bed.told(now, trip.route.name, wait, pace, ill)
         if wait:
             bed.closed_until = now + min(wait, MOST_CLOSED_S)
         if not fault:
@@ -863,7 +871,7 @@
     # --- a request for the server beside
 
     def _asked(self, link: Furrow, number: int, ask: list[Any]) -> None:
-        if len(ask) == len(ASK) and ask[-1]:
+        if len(ask) > SIZE and ask[SIZE]:
             self._load(link, number, ask)
             return
         self._run(
@@ -871,9 +879,10 @@
             lambda: link.send([Word.OVERDUE, number]),
         )
 
-    def _hint(self, kind: str) -> tuple[float, float]:
-        """What each answer tells of the server here, in seconds: how long a call waits, and works."""
-        return self.plot.wait(), self.plot.pace(kind)
+    def _hint(self, kind: str) -> tuple[float, float, float]:
+        """What each answer tells of the server here: seconds that a call waits, and works; the part of calls
+        that fail here of late."""
+        return self.plot.wait(), self.plot.pace(kind), self.plot.ill()
 
     def _run(self, ask: list[Any], tell: Callable[..., None], overdue: Callable[[], None]) -> None:
         if len(ask) < len(ASK):
--- a/rehearsal/fabric.py
+++ b/rehearsal/fabric.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, cast
 
-import msgspec
+import cbor2
 
 from rehearsal.plan import Plan
 from rehearsal.scenario import Links
@@ -59,11 +59,11 @@
 
 def forged(data: bytes) -> bytes:
     """What somebody without the key makes of a datagram: its sender says that everybody has left. The
-    digest is the old one; format 1 has its states at place 11, each with name, status and incarnation in
+    digest is the old one; a datagram has its states at place 11, each with name, status and incarnation in
     front."""
-    digest, body = data[:16], msgspec.msgpack.decode(data[16:])
+    digest, body = data[:16], cbor2.loads(data[16:])
     body[11] = [[name, 3, incarnation + 1000, *rest] for name, _, incarnation, *rest in body[11]]
-    return digest + msgspec.msgpack.encode(body)
+    return digest + cbor2.dumps(body)
 
 
 class _Front(asyncio.DatagramProtocol):
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 
+import cbor2
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -61,7 +62,7 @@
 def test_a_later_format_adds_fields_at_the_end_and_an_earlier_one_has_fewer():
     whole = msgspec.to_builtins(datagram(states=(State("m2", 0, 1, 1, ""),)))
     for body in ([*whole, "new", {"more": 1}], whole[:9]):
-        data = msgspec.msgpack.encode(body)
+        data = cbor2.dumps(body)
         signed = hashlib.blake2b(data, digest_size=16, key=KEY).digest() + data
         assert decode(signed, (KEY,), ("emulated",)).sender == "m1"
 
--- /dev/null
+++ b/tests/orchard/test_orchard_furrow.py
@@ -0,0 +1,92 @@
+"""A furrow that is one of many asks seldom while nothing is waited for, and as often as others while it is."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from orchard_world import World
+
+from orchard import furrow
+from orchard.furrow import ASK_S, DEAD_S, PONG, QUIET_S, Furrow, pack
+
+
+class Wire:
+    """A transport that keeps what is written, with the time."""
+
+    def __init__(self, loop):
+        self.loop, self.written, self.aborted = loop, [], False
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return self.aborted
+
+    def write(self, data):
+        self.written.append(self.loop.time())
+
+    def abort(self):
+        self.aborted = True
+
+
+def watched(ask_s, story):
+    """A furrow on fake time; when it asked, and when it was given up."""
+    world = World()
+    found = {}
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        wire = Wire(loop)
+        began = loop.time()
+        made = Furrow(lambda *_: None, lambda _: None, lambda _: found.setdefault("down", loop.time() - began), ask_s)
+        made.connection_made(wire)
+        await story(made)
+        found["asked"] = [round(at - began, 3) for at in wire.written]
+
+    with world:
+        task = world.operator.run(play())
+        assert world.run(200.0, task.done)
+        task.result()
+    return found
+
+
+def test_the_usual_one_asks_after_a_second_of_silence_and_is_given_up():
+    found = watched(ASK_S, lambda made: asyncio.sleep(30.0))
+    assert found["asked"][0] == ASK_S and DEAD_S <= found["down"] <= DEAD_S + ASK_S
+
+
+def test_a_quiet_one_asks_seldom_and_is_given_up_all_the_same():
+    found = watched(QUIET_S, lambda made: asyncio.sleep(60.0))
+    assert found["asked"][0] == QUIET_S and QUIET_S * 2 <= found["down"] <= QUIET_S * 4
+
+
+@pytest.mark.parametrize("idle_s", [0.5, 7.5, 20.0])
+def test_while_an_answer_is_waited_for_it_is_watched_like_others(idle_s):
+    async def story(made):
+        for _ in range(int(idle_s * 2)):
+            await asyncio.sleep(0.5)
+            made.data_received(pack([PONG]))
+        began = asyncio.get_running_loop().time()
+        made.attend(1)
+        while made.open:
+            await asyncio.sleep(0.1)
+        assert asyncio.get_running_loop().time() < began + DEAD_S + 2 * ASK_S
+
+    assert "down" in watched(QUIET_S, story)
+
+
+def test_after_the_answer_it_is_quiet_again():
+    async def story(made):
+        for _ in range(20):
+            made.attend(1)
+            await asyncio.sleep(0.02)
+            made.data_received(pack([PONG]))
+            made.attend(-1)
+        await asyncio.sleep(QUIET_S - 1.5)
+
+    assert len(watched(QUIET_S, story)["asked"]) <= 1
+
+
+def test_the_figures_leave_room_for_an_answer():
+    assert ASK_S < DEAD_S < QUIET_S and furrow.DIAL_S < DEAD_S
--- /dev/null
+++ b/tests/orchard/test_orchard_offers.py
@@ -0,0 +1,246 @@
+"""Asking two stiles before a request goes, and bodies that follow it in pieces. No sockets, no waits."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import pytest
+from test_orchard_stile import Link, played
+
+from orchard.carts import PIECE
+from orchard.faults import Fault
+from orchard.words import Word
+
+NARROW = "[limit_set]\nlink_mbps = 1.0\n"  # 125 kB/s: 2.5 kB go with their request
+asking = partial(played, version=2, more=NARROW)
+
+
+def known(scene, paces=(0.1, 0.1, 0.1)):
+    """A stile that has heard from the three servers, some time ago."""
+    for bed, pace in zip(scene.stile.beds.values(), paces, strict=True):
+        bed.told(-9.0, "pure", 0.0, pace)
+        bed.told(-9.0, "effectful", 0.0, pace)
+
+
+def said(scene, word):
+    return [(node, message) for node, link in scene.links.items() for message in link.said if message[0] == word]
+
+
+def glance(scene, node, number, wait, pace=0.1, open_=True, carry=0.0, ill=0.0):
+    scene.stile._hear(scene.links[node], [Word.GLANCE, number, open_, wait, pace, carry, ill])
+
+
+def _looks(scene):
+    known(scene)
+    ear = scene.ask("pure")
+    looks = said(scene, Word.LOOK)
+    assert len(looks) == 2 and not said(scene, Word.ASK)
+    return ear, looks[0][1][1], [node for node, _ in looks]
+
+
+@asking
+def _freer(scene):
+    ear, number, (one, other) = _looks(scene)
+    glance(scene, one, number, 0.3)
+    glance(scene, other, number, 0.0, pace=0.2)
+    ((node, ask),) = said(scene, Word.ASK)
+    assert node == other and scene.links[other].waits == 1
+    scene.end((node, ask[1]))
+    assert ear.status == 200 and scene.links[other].waits == 0
+
+
+def test_two_are_asked_and_the_one_that_can_serve_it_sooner_gets_it():
+    _freer()
+
+
+@asking
+def _silent(scene):
+    _, number, (one, other) = _looks(scene)
+    glance(scene, one, number, 5.0)
+    scene.stile._looked(number)  # as much time again has passed
+    assert [node for node, _ in said(scene, Word.ASK)] == [one], "who says nothing may be dead"
+    glance(scene, other, number, 0.0)  # too late
+    assert len(said(scene, Word.ASK)) == 1
+
+
+def test_who_does_not_answer_in_time_is_passed_over():
+    _silent()
+
+
+@asking
+def _nobody(scene):
+    _, number, _ = _looks(scene)
+    scene.stile._looked(number)
+    assert len(said(scene, Word.ASK)) == 1, "asking costs a moment, never the request"
+
+
+def test_a_request_goes_where_nobody_answers_as_well():
+    _nobody()
+
+
+@asking
+def _closed(scene):
+    _, number, (one, other) = _looks(scene)
+    glance(scene, one, number, 0.0, open_=False)
+    glance(scene, other, number, 0.5)
+    assert [node for node, _ in said(scene, Word.ASK)] == [other]
+
+
+def test_one_that_takes_nothing_is_not_offered_it():
+    _closed()
+
+
+@asking
+def _ill(scene):
+    _, number, (one, other) = _looks(scene)
+    glance(scene, one, number, 0.0, ill=0.5)
+    glance(scene, other, number, 0.2)
+    assert [node for node, _ in said(scene, Word.ASK)] == [other]
+
+
+def test_one_that_fails_half_of_its_calls_counts_as_slower():
+    _ill()
+
+
+@asking
+def _gone(scene):
+    ear, number, (one, other) = _looks(scene)
+    scene.stile._hung_up(ear.message)
+    glance(scene, one, number, 0.0)
+    glance(scene, other, number, 0.0)
+    assert not said(scene, Word.ASK) and scene.stile._open_trips == 0
+
+
+def test_a_client_that_leaves_while_others_are_asked_is_offered_nowhere():
+    _gone()
+
+
+@asking
+def _furrow_ends(scene):
+    _, number, (one, other) = _looks(scene)
+    scene.stile._bed_down(one, scene.links[one])
+    glance(scene, other, number, 0.1)
+    assert [node for node, _ in said(scene, Word.ASK)] == [other]
+
+
+def test_a_furrow_that_ends_while_it_is_asked_is_an_answer():
+    _furrow_ends()
+
+
+BODY = bytes(range(256)) * 200  # 51,200 bytes
+
+
+def _sent_in_pieces(scene):
+    """An offer whose body is told by its size."""
+    known(scene, (0.0, 0.0, 0.0))
+    ear = scene.ask("effectful", body=BODY)
+    ((node, ask),) = said(scene, Word.ASK)
+    assert ask[2][5] == b"" and ask[2][14] == len(BODY)
+    return ear, node, ask[1]
+
+
+@asking
+def _pieces(scene):
+    _, node, number = _sent_in_pieces(scene)
+    for upto in (10_000, 40_000, len(BODY)):
+        scene.stile._hear(scene.links[node], [Word.WANT, number, upto])
+        pieces = [message[2] for _, message in said(scene, Word.PIECE)]
+        assert b"".join(pieces) == BODY[:upto] and all(len(piece) <= PIECE for piece in pieces)
+
+
+def test_a_body_is_sent_as_far_as_it_is_wanted():
+    _pieces()
+
+
+@asking
+def _breaks(scene, upto, status):
+    ear, node, number = _sent_in_pieces(scene)
+    scene.stile._hear(scene.links[node], [Word.WANT, number, upto])
+    for other in scene.stile.beds:
+        if other != node:
+            scene.stile._bed_down(other, scene.links[other])
+    scene.stile._bed_down(node, scene.links[node])
+    assert ear.status == status and scene.stile._open_trips == 0
+
+
+@pytest.mark.parametrize(("upto", "status"), [(20_000, 503), (len(BODY), 502)])
+def test_what_was_not_sent_whole_has_not_run_and_the_client_is_told_so(upto, status):
+    _breaks(upto, status)
+
+
+@asking
+def _given_up(scene):
+    ear, node, number = _sent_in_pieces(scene)
+    scene.stile._hung_up(ear.message)
+    scene.stile._hear(scene.links[node], [Word.WANT, number, 9_000])
+    assert [message[1] for _, message in said(scene, Word.DROP)] == [number] and not said(scene, Word.PIECE)
+
+
+def test_a_body_that_nobody_waits_for_any_more_is_not_sent():
+    _given_up()
+
+
+def _fetched(scene, left=5.0):
+    """A request for the server here, whose body is elsewhere."""
+    scene.stile.plot.life("i-1", 5, 0.0, True)
+    jobs = []
+    scene.stile.plot.submit = jobs.append
+    link = Link("n2")
+    ask = ["berths", "c", b"POST", b"/x", [], b"", left, 0.2, b"t", "", "k", False, False, False, len(BODY)]
+    scene.stile._hear(link, [Word.ASK, 7, ask])
+    return link, jobs
+
+
+@asking
+def _fetch(scene):
+    link, jobs = _fetched(scene)
+    at = 0
+    while not jobs:
+        word, number, upto = link.said[-1]
+        assert (word, number) == (Word.WANT, 7) and at < upto
+        for start in range(at, upto, PIECE):
+            scene.stile._hear(link, [Word.PIECE, 7, BODY[start:min(start + PIECE, upto)]])
+        at = upto
+    assert at == len(BODY) and jobs[0].make(1.0, "i-1").endswith(b"\r\n\r\n" + BODY)
+    assert scene.stile._open_jobs == 1 and not scene.stile._loads and not len(scene.stile._intake)
+
+
+def test_a_body_is_fetched_whole_before_its_request_goes_to_the_server():
+    _fetch()
+
+
+@asking
+def _dropped(scene):
+    link, jobs = _fetched(scene)
+    scene.stile._hear(link, [Word.PIECE, 7, BODY[:1000]])
+    scene.stile._hear(link, [Word.DROP, 7])
+    scene.stile._hear(link, [Word.PIECE, 7, BODY[1000:]])
+    assert not jobs and scene.stile._open_jobs == 0 and not scene.stile._loads
+
+
+def test_a_body_whose_sender_gives_up_is_forgotten():
+    _dropped()
+
+
+@asking
+def _sender_ends(scene):
+    _, jobs = _fetched(scene)
+    (link,) = {key[0] for key in scene.stile._loads}
+    scene.stile._left(link)
+    assert not jobs and scene.stile._open_jobs == 0 and not scene.stile._loads
+
+
+def test_a_sender_that_ends_leaves_nothing_behind():
+    _sender_ends()
+
+
+@asking
+def _too_long(scene):
+    link, jobs = _fetched(scene, left=0.3)  # its body alone takes 0.4 s
+    ((word, number, fault, arrived, *_),) = link.said
+    assert (word, number, Fault(fault), arrived) == (Word.TOLD, 7, Fault.FULL, False)
+    assert not jobs and scene.stile._open_jobs == 0
+
+
+def test_a_body_that_can_t_be_here_in_time_is_refused_before_it_comes():
+    _too_long()
--- a/tests/orchard/test_orchard_plot.py
+++ b/tests/orchard/test_orchard_plot.py
@@ -233,3 +233,43 @@
     before = len(plot._loop.timers)
     plot.submit(job(plot, "kind", 5))
     assert len(plot._loop.timers) == before
+
+
+def _calls(plot, status, count, took=0.1):
+    for _ in range(count):
+        plot.submit(job(plot, "a call", 9))
+        plot._loop.now += took
+        plot.upstream.sent[0].reply(status)
+
+
+def test_a_server_that_fails_part_of_its_calls_is_known_by_them_and_it_fades(plot):
+    _calls(plot, 200, 20)
+    assert plot.ill() == 0.0
+    for _ in range(30):
+        _calls(plot, 500, 1)
+        _calls(plot, 200, 1)
+    bad = plot.ill()
+    assert 0.3 < bad < 0.7
+    plot._loop.now += 30.0
+    assert plot.ill() < bad / 500, "who gets no calls for it can't show that it is well"
+    plot.submit(job(plot, "broken", 9))
+    plot.upstream.sent[0].end(How.RESET)
+    assert plot.ill() > 0.05
+    plot.life("i-2", 4, 0.0, True)
+    assert plot.ill() == 0.0, "another process is another server"
+
+
+def test_a_failure_that_comes_soon_makes_nobody_look_fast(plot):
+    _calls(plot, 200, 30, took=0.2)
+    _calls(plot, 500, 30, took=0.001)
+    assert plot.pace("a call") == pytest.approx(0.2)
+
+
+def test_a_pool_that_is_shut_says_so(plot):
+    assert plot.takes_calls()
+    plot.budget.k, plot.budget.retry_at = 0, int((plot._loop.now + 1) * 1e9)
+    assert not plot.takes_calls()
+    plot._loop.now += 1.1
+    assert plot.takes_calls(), "the one trial may go"
+    plot.gone()
+    assert not plot.takes_calls()
--- a/tests/orchard/test_orchard_stile.py
+++ b/tests/orchard/test_orchard_stile.py
@@ -49,7 +49,10 @@
     """A furrow to another stile or barn: what was said there."""
 
     def __init__(self, peer=""):
-        self.said, self.peer = [], peer
+        self.said, self.peer, self.waits = [], peer, 0
+
+    def attend(self, more):
+        self.waits += more
 
     def send(self, message):
         self.said.append(message)
@@ -61,13 +64,13 @@
 class Scene:
     """One stile that knows three others of the service `meals`."""
 
-    def __init__(self):
-        self.stile = Stile(settings.read(SETTINGS).ok)
+    def __init__(self, version=0, more=""):
+        self.stile = Stile(settings.read(SETTINGS + more).ok)
         self.stile._take_items([list(item) for item in catalog.read(json.dumps(ITEMS).encode()).ok])
         self.links = {}
         for number, zone in enumerate(("east", "west", "south"), 2):
             node = f"n{number}"
-            record = [node, f"192.0.2.{number}:7000", zone, "meals", f"i-{number}", 5, True, 0.0, 1, 1]
+            record = [node, f"192.0.2.{number}:7000", zone, "meals", f"i-{number}", 5, True, 0.0, 1, 1, version]
             self.stile._take_record(record)
             self.links[node] = Link(node)
             self.stile._bed_up(node, self.links[node])
@@ -80,6 +83,7 @@
                            (b"x-deadline-ms", deadline), *headers]
         message.body = body
         self.stile.serve(message)
+        ear.message = message
         return ear
 
     def offers(self):
@@ -90,10 +94,10 @@
         self.stile._told(offer[1], int(fault), arrived, status, headers, body)
 
 
-def played(test):
+def played(test, version=0, more=""):
     """Run a test in a loop: timers are made, none comes due."""
     async def play(*args):
-        scene = Scene()
+        scene = Scene(version, more)
         test(scene, *args)
         for dial in [*scene.stile._bed_dials.values(), *scene.stile._barn_dials.values()]:
             dial.stop()
