--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -105,6 +105,11 @@
     def __init__(self, body: bytes) -> None:
         self.body, self.sent = body, 0
 
+    @property
+    def part(self) -> bool:
+        """Whether some of it has not been sent: then its request can't have run."""
+        return self.sent < len(self.body)
+
 
 class Stile:
     """One process of the role."""
@@ -207,13 +212,9 @@
 
     def _end_all(self) -> None:
         """Answer all that is open, as this process ends: with a promise where nothing can have run."""
-        open_: dict[Trip, bool] = {look.trip: True for look in self._looks.values()}
-        for number, (trip, _) in self._asks.items():
-            cart = self._carts.get(number)
-            unsent = cart is not None and cart.sent < len(cart.body)
-            open_[trip] = unsent and open_.get(trip, True)
-        for trip, unsent in open_.items():
-            self._end(trip, Fault.LEAVING if unsent and not trip.unsure else Fault.LATE)
+        open_ = [look.trip for look in self._looks.values()] + [trip for trip, _ in self._asks.values()]
+        for trip in open_:
+            self._late(trip)
 
     # --- the platform and the server beside
 
@@ -474,7 +475,7 @@
         for number, (_, bed) in list(self._asks.items()):
             if bed.node == node:
                 cart = self._carts.get(number)
-                if cart is not None and cart.sent < len(cart.body):
+                if cart is not None and cart.part:
                     self._told(number, Fault.LEAVING, False, 0, [], b"")  # without its body it can't have run
                 else:
                     self._told(number, Fault.BROKEN, True, 0, [], b"")
@@ -751,15 +752,30 @@
         if not self.plot.open or ask[0] != self.settings.service:
             link.send([Word.TOLD, number, int(Fault.LEAVING), False, 0, [], b""])
             return
-        if self._intake.wait(size) + self.plot.takes(ask[10]) > left:
-            link.send([Word.TOLD, number, int(Fault.FULL), False, 0, [], b"", *self._hint(ask[10])])
+        # No longer than a call may wait unsent: where more comes than the link carries, all would else be
+        # late. What is given back has cost the link nothing yet.
+        most = min(left * LAST, ask[7] * BEYOND)
+        if self._intake.wait(size) > most:
+            self._give_back(key, ask)
             return
         self._loads[key] = ask, [], now
         self._open_jobs += 1
         self._intake.add(now, key, size)
+        self.loop.call_later(most, self._overtaken, key)
         self.loop.call_later(left, self._unload, key)
         self._want()
 
+    def _give_back(self, key: tuple[Furrow, int], ask: list[Any]) -> None:
+        link, number = key
+        link.send([Word.TOLD, number, int(Fault.FULL), False, 0, [], b"", *self._hint(ask[10])])
+
+    def _overtaken(self, key: tuple[Furrow, int]) -> None:
+        """A body of which little is here though its time is up: smaller ones have gone before it."""
+        load = self._loads.get(key)
+        if load is not None and sum(map(len, load[1])) < load[0][SIZE] / 2:
+            self._unload(key)
+            self._give_back(key, load[0])
+
     def _want(self) -> None:
         """Have senders send what the link can take."""
         for (link, number), upto in self._intake.grants(self.loop.time()).items():
@@ -850,7 +866,10 @@
             self._go(trip)
 
     def _late(self, trip: Trip) -> None:
-        self._end(trip, Fault.LATE)
+        """Its time is up. It has not run where nobody was offered it whole."""
+        asked = [number for number, found in self._asks.items() if found[0] is trip]
+        unsent = all(number in self._carts and self._carts[number].part for number in asked)
+        self._end(trip, Fault.REFUSED if unsent and not trip.unsure else Fault.LATE)
 
     def _end(self, trip: Trip, fault: Fault) -> None:
         if trip.over:
