--- a/orchard/carts.py
+++ b/orchard/carts.py
@@ -3,8 +3,9 @@
 A machine's link serves in the order in which bytes come, and a few bodies of hundreds of kilobytes that
 come together keep every small message there waiting for a second. So a body that would hold the link for
 longer than `INLINE_S` is told of by its size, and fetched in pieces: as much is on its way to one machine as
-its link carries in `WINDOW_S`, from whatever senders, the body with the least left to come first, less what
-the link would have carried in a quarter of the time that it has waited: none waits for ever. What a link
+its link carries in `WINDOW_S`, from whatever senders, the body with the least left to come first: on a
+link that is full most are then in time, and whoever asks gives the large ones back that others overtake. (A
+credit for waiting, a quarter of what the link carries meanwhile, made all of them late together.) What a link
 carries is what the settings tell of it. Times are seconds of a steady clock, sizes bytes.
 """
 
@@ -18,19 +19,18 @@
 LEAST_WINDOW = 16 * 1024
 PIECE = 16 * 1024  # at most so much in one message: small ones pass between
 Key = TypeVar("Key", bound=Hashable)
-WAITED = 0.25  # part of a body's waiting that counts for it
 STUCK_S = 0.5  # a sender that has sent nothing for so long holds up no other
 
 
 class Load:
     """One body on its way."""
 
-    __slots__ = ("size", "granted", "got", "moved_at", "began")
+    __slots__ = ("size", "granted", "got", "moved_at")
 
     def __init__(self, size: int, now: float) -> None:
         self.size = size
         self.granted = self.got = 0
-        self.moved_at = self.began = now
+        self.moved_at = now
 
     @property
     def left(self) -> int:
@@ -87,8 +87,8 @@
             open_ += more
         return found
 
-    def _rank(self, now: float, load: Load) -> tuple[bool, float]:
-        return not self._moves(now, load), load.left - (now - load.began) * WAITED * self.bytes_s
+    def _rank(self, now: float, load: Load) -> tuple[bool, int]:
+        return not self._moves(now, load), load.left
 
     @staticmethod
     def _moves(now: float, load: Load) -> bool:
