--- a/tests/orchard/test_orchard_feed.py
+++ b/tests/orchard/test_orchard_feed.py
@@ -79,12 +79,17 @@
     return all(item is not None and item.version >= version for item in held)
 
 
+async def _ready(world: World, routes: int = 0) -> None:
+    """All count, and all stiles have the first configuration."""
+    assert await until(lambda: len(world.counting()) == len(world.barns))
+    many = [route(f"r{at}", 1, f"/{at}/") for at in range(routes)]
+    assert await world.patch(0, change([service("berths", 1)], many)) == 200
+    assert await until(lambda: _caught_up(world, 1))
+
+
 def test_a_stile_that_starts_is_told_a_large_table_once():
     async def story(world: World) -> None:
-        assert await until(lambda: len(world.counting()) == len(world.barns))
-        many = [route(f"r{at}", 1, f"/{at}/") for at in range(50)]
-        assert await world.patch(0, change([service("berths", 1)], many)) == 200
-        assert await until(lambda: _caught_up(world, 1))
+        await _ready(world, 50)
         told = _told(world)
         world.kill(world.stiles[0])
         world.start_stile(world.stiles[0])
@@ -106,10 +111,7 @@
 
 def test_a_table_goes_over_each_stiles_link_once_and_a_change_once():
     async def story(world: World) -> None:
-        assert await until(lambda: len(world.counting()) == len(world.barns))
-        many = [route(f"r{at}", 1, f"/{at}/") for at in range(50)]
-        assert await world.patch(0, change([service("berths", 1)], many)) == 200
-        assert await until(lambda: _caught_up(world, 1))
+        await _ready(world, 50)
         told = _told(world)
         assert await world.patch(1, change([service("berths", 2)])) == 200
         assert await until(lambda: _caught_up(world, 2))
@@ -122,9 +124,7 @@
 
 async def frozen(world: World) -> bool:
     """A barn freezes, another takes a change; whether all stiles have it within 1.5 s."""
-    assert await until(lambda: len(world.counting()) == len(world.barns))
-    assert await world.patch(0, change([service("berths", 1)])) == 200
-    assert await until(lambda: _caught_up(world, 1))
+    await _ready(world)
     name = world.machines[world.stiles[0]].process.role.following.barn.partition(":")[0]
     world.freeze(name, 3.0)
     other = next(barn for barn in world.barns if barn != name)
@@ -150,9 +150,7 @@
 def test_a_stile_that_starts_beside_a_barn_that_knows_nothing_yet_hears_from_another():
     """The barn that it follows has just lost its disk: it tells nothing, and others that there is more."""
     async def story(world: World) -> None:
-        assert await until(lambda: len(world.counting()) == len(world.barns))
-        assert await world.patch(0, change([service("berths", 1)])) == 200
-        assert await until(lambda: _caught_up(world, 1))
+        await _ready(world)
         for name in world.barns:
             world.wipe(name, 0.01)
             world.kill(world.stiles[0])
