A body that stops half way is given back at its deadline, so that its sender lets go of it

A receiver that had more than half of a body forgot it at its deadline without a word; the sender kept the body, a call in flight on that server and a watched furrow for good.

Change: it is told FULL.

--- a/orchard/furrow.py
+++ b/orchard/furrow.py
@@ -87,8 +87,8 @@
     def attend(self, more: int) -> None:
         """So many more answers are waited for here: while any is, the other side is asked as often as usual.
 
-        A stile has a furrow to each other one. Asked each second, whether anything is under way or not, they
-        took half of a stile's processor in a fleet of 70; who is silent there is told by the hedge as well.
+        A stile has a furrow to each other one, and asking on all of them each second, whether anything is
+        under way or not, grows with the fleet; who is silent there is told by the hedge as well.
         """
         self._waits += more
         if self._waits == more == 1 and self._ask_s > ASK_S and self._timer is not None:
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -766,17 +766,18 @@
         self._open_jobs += 1
         self._intake.add(now, key, size)
         self.loop.call_later(most, self._overtaken, key)
-        self.loop.call_later(left, self._unload, key)
+        self.loop.call_later(left, self._overtaken, key, True)
         self._want()
 
     def _give_back(self, key: tuple[Furrow, int], ask: list[Any]) -> None:
         link, number = key
         link.send([Word.TOLD, number, int(Fault.FULL), False, 0, [], b"", *self._hint(ask[10])])
 
-    def _overtaken(self, key: tuple[Furrow, int]) -> None:
-        """A body of which little is here though its time is up: smaller ones have gone before it."""
+    def _overtaken(self, key: tuple[Furrow, int], at_last: bool = False) -> None:
+        """A body of which little is here though its time is up: smaller ones have gone before it. At last it
+        is given back whatever is here: its sender keeps it until it is told."""
         load = self._loads.get(key)
-        if load is not None and sum(map(len, load[1])) < load[0][SIZE] / 2:
+        if load is not None and (at_last or sum(map(len, load[1])) < load[0][SIZE] / 2):
             self._unload(key)
             self._give_back(key, load[0])
 
--- a/tests/orchard/test_orchard_offers.py
+++ b/tests/orchard/test_orchard_offers.py
@@ -297,3 +297,17 @@
 @pytest.mark.parametrize(("upto", "status"), [(20_000, 503), (len(BODY), 504)])
 def test_what_could_not_run_is_promised_not_to_have_run_when_its_time_is_up(upto, status):
     _time_is_up(upto, status)
+
+
+@asking
+def _at_last(scene):
+    link, jobs = _fetched(scene)
+    ((key, _),) = scene.stile._loads.items()
+    scene.stile._hear(link, [Word.PIECE, 7, BODY[:40_000]])
+    scene.stile._overtaken(key, True)
+    assert link.said[-1][:4] == [Word.TOLD, 7, int(Fault.FULL), False]
+    assert not scene.stile._loads and scene.stile._open_jobs == 0 and not jobs
+
+
+def test_a_body_that_stops_half_way_is_given_back_at_its_deadline_as_its_sender_keeps_it():
+    _at_last()
