Control machines hand their vote over before they end, and a loss is repaired in seconds

Cause: a voter gave its place only after 2 (catch_up + contact) of silence, a spare had to be there for catch_up + contact, no change followed a start or another change for as long, and a machine told to end proposed nobody. One replaced as planned and another lost 3 s after the replacement's trouble was over left a majority that never came back, though one machine was lost at a time.

Change: on SIGTERM a voter proposes a whole spare in its place and ends when the new voters are whole; without one it stays for its grace and says so. A voter that is silent for catch_up / 2 gives its place to a spare seen for catch_up / 10. Silence is measured by heartbeats every contact / 10 (PULSE), no longer by the end of a connection, which came 2.4 s late. The heartbeats carry a digest, so that the comparison a second of all versions is gone, and renew a lease (contact.py): out of contact with a majority a control machine answers 503 to orders at once, grants no key, tells sidecars that it is not current (CURRENT), and says so in its log, in readiness and in GET /-/status, which also tells copies and losses that can be borne.

--- a/orchard/ballot.py
+++ b/orchard/ballot.py
@@ -146,6 +146,13 @@
         """Whether this disk has not been emptied since it was last whole, in whatever epoch."""
         return self.whole > 0
 
+    @property
+    def may_have_promised(self) -> bool:
+        """Whether a former life of this disk, emptied since, may have answered as a voter of this epoch: its
+        rounds have to be void before it asks others. One that is no voter here has promised nothing that
+        still counts (invariant 5), so it may ask at once."""
+        return not self.lasted and self.me in self.voters.names
+
     def sources(self) -> Iterator[tuple[Voters, bool]]:
         """Whom to hear to be whole as things stand: voters, and whether those of them that are sealed."""
         if self.lasted and self.before and self.whole < self.voters.epoch:
@@ -212,57 +219,73 @@
 
 
 class Watch:
-    """Since when others are linked here, or not."""
+    """When others were heard last, and since when without a break. A silence of over `gap_s` is a break."""
 
-    def __init__(self, now: float) -> None:
-        self._began = now
-        self._since: dict[str, tuple[bool, float]] = {}
+    def __init__(self, now: float, gap_s: float) -> None:
+        self._began, self._gap_s = now, gap_s
+        self._last: dict[str, float] = {}
+        self._since: dict[str, float] = {}
 
-    def up(self, now: float, name: str) -> None:
-        """A furrow to it is open."""
-        if not self._since.get(name, (False, 0.0))[0]:
-            self._since[name] = True, now
+    def known(self, now: float, name: str) -> None:
+        """It has been heard of, and is to be reached from now on."""
+        self._last.setdefault(name, now)
 
-    def down(self, now: float, name: str) -> None:
-        """It has ended."""
-        if self._since.get(name, (True, 0.0))[0]:
-            self._since[name] = False, now
+    def heard(self, now: float, name: str) -> None:
+        """It has answered."""
+        if name not in self._since or now - self._last[name] > self._gap_s:
+            self._since[name] = now
+        self._last[name] = now
+
+    def down(self, name: str) -> None:
+        """The connection to it has ended: when it is heard next, that begins a new span."""
+        self._since.pop(name, None)
 
     def forget(self, name: str) -> None:
         """Nothing more is to be known of it."""
         self._since.pop(name, None)
+        self._last.pop(name, None)
 
     def gone(self, now: float, name: str) -> float:
-        """Seconds without it; 0 while it is linked."""
-        linked, since = self._since.get(name, (False, self._began))
-        return 0.0 if linked else now - since
+        """Seconds since it was heard last; 0 where that is no break."""
+        silent = now - self._last.get(name, self._began)
+        return 0.0 if name in self._since and silent <= self._gap_s else silent
 
     def steady(self, now: float, name: str) -> float:
-        """Seconds with it, without a break; 0 while it is not linked."""
-        linked, since = self._since.get(name, (False, self._began))
-        return now - since if linked else 0.0
+        """Seconds for which it has been heard without a break; 0 where it is not heard now."""
+        return now - self._since[name] if name in self._since and not self.gone(now, name) else 0.0
 
 
 class Sight(NamedTuple):
     """What one barn sees of the others, and is itself."""
 
-    gone: Mapping[str, float]  # seconds without each
-    steady: Mapping[str, float]  # seconds with each, without a break
+    gone: Mapping[str, float]  # seconds since each was heard
+    steady: Mapping[str, float]  # seconds for which each has been heard, without a break
     votes: bool  # in the asker's epoch
     counts: bool
     zone: str = ""
     old: bool = True  # whether a process that knows nothing of epochs is linked to it, or it is one
+    leaves: bool = False  # whether it has been told to end
+
+
+class Patience(NamedTuple):
+    """How long a voter has to be away, or a spare to be there, in seconds, before anything follows."""
+
+    replace_s: float  # away for so long, a voter gives its place to a spare that is whole
+    remove_s: float  # away for so long, it is let go without a successor
+    steady_s: float  # a spare has to be there for so long
 
 
 def plan(
-    voters: Voters, losses: int, sights: Mapping[str, Sight], gone_s: float, steady_s: float
+    voters: Voters, losses: int, sights: Mapping[str, Sight], patience: Patience
 ) -> tuple[str, ...] | None:
     """Who should vote next, by what was just heard; None where it should stay.
 
-    One that a majority of the voters has not seen for `gone_s` gives its place to a barn that counts and that
-    a majority has seen for `steady_s`. More such barns come in up to twice the losses to be borne and one.
-    Those that are gone and have no successor are let go where fewer are a majority then, and that is still
-    more than the losses. All of it only where nobody's version is older.
+    A voter that a majority of the voters has not seen for `replace_s`, or that has been told to end, gives
+    its place to a spare: a barn that is whole, that stays, and that a majority has seen for `steady_s`. Who
+    is away goes first. More spares come in up to twice the losses to be borne and one. Those away for
+    `remove_s` that have no successor are let go where fewer are a majority then, and that is still more than
+    the losses; one that was told to end may be back in a moment, so it keeps a place that nobody takes. All
+    of it only where nobody's version is older.
     """
     heard = [sights[name] for name in voters.names if name in sights and sights[name].votes]
     if len(heard) < voters.write or any(sight.old for sight in sights.values()):
@@ -271,26 +294,35 @@
     def many(seconds: Iterable[float], least: float) -> bool:
         return sum(value >= least for value in seconds) >= voters.write
 
-    gone = [
-        name for name in voters.names
-        if name not in sights and many((sight.gone.get(name, 0.0) for sight in heard), gone_s)
-    ]
-    ready = sorted(
-        name for name, sight in sights.items() if name not in voters.names and sight.counts
-        and many((other.steady.get(name, 0.0) for other in heard), steady_s)
+    def away(least: float) -> list[str]:
+        return [
+            name for name in voters.names
+            if name not in sights and many((sight.gone.get(name, 0.0) for sight in heard), least)
+        ]
+
+    spares = sorted(
+        name for name, sight in sights.items()
+        if name not in voters.names and sight.counts and not sight.leaves
+        and many((other.steady.get(name, 0.0) for other in heard), patience.steady_s)
     )
-    names = [name for name in voters.names if name not in gone]
-    room = len(gone) + max(0, 2 * losses + 1 - len(voters.names))
-    while ready and room:
-        zones = [sights[name].zone for name in names if name in sights]
-        best = min(ready, key=lambda name: (zones.count(sights[name].zone), name))
-        ready.remove(best)
-        names.append(best)
-        room -= 1
-    live = len(names)
-    stay = gone[max(0, live - len(voters.names) + len(gone)):]
-    if not (live // 2 + 1 < (live + len(stay)) // 2 + 1 and live // 2 + 1 > losses):
-        names += stay
+    leaving = [name for name in voters.names if name in sights and sights[name].leaves]
+    vacant = away(patience.replace_s) + leaving
+    room = len(vacant) + max(0, 2 * losses + 1 - len(voters.names))
+    names = [name for name in voters.names if name not in vacant]
+    joined: list[str] = []
+    while spares and len(joined) < room:
+        zones = [sights[name].zone for name in names + joined if name in sights]
+        best = min(spares, key=lambda name: (zones.count(sights[name].zone), name))
+        spares.remove(best)
+        joined.append(best)
+    kept = vacant[len(joined):]
+    names += joined
+    removable = [name for name in kept if name in away(patience.remove_s)]
+    stay = [name for name in kept if name not in removable]
+    live = len(names) + len(stay)
+    if not (live // 2 + 1 < (live + len(removable)) // 2 + 1 and live // 2 + 1 > losses):
+        stay = kept
+    names += stay
     found = Voters(voters.epoch + 1, tuple(sorted(names)))
     well = sum(name in sights and sights[name].counts for name in found.names)
     return found.names if found.names != voters.names and well >= found.write else None
--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -12,8 +13,9 @@
 
 from hollyport.http.message import Message
 from orchard import catalog, front, furrow
-from orchard.ballot import Ballot, Member, Proposal, Sight, Watch, accepted_of, holder, plan, row_of
+from orchard.ballot import Ballot, Member, Patience, Proposal, Sight, Watch, accepted_of, holder, plan, row_of
 from orchard.catalog import Item
+from orchard.contact import LEASE_PART, PULSE_PART, Contact, Safety, safety
 from orchard.faults import ANSWERS, Fault
 from orchard.feed import Copy
 from orchard.furrow import Dial, Furrow, pack
@@ -29,12 +31,17 @@
 ANSWER_S = 0.9  # an operator's call is answered within this
 LINGER_S = 0.02  # how long a writer waits for more than the fewest that it needs
 GATHER_S = 0.4  # nobody new for so long: the first voters are all there
-AGREE_S = 1.0  # how often barns compare what they have
+OVERSEE_S = 0.25  # how often a barn looks whether the voters are as they should be
+SETTLED_S = 0.5  # after a start or a change of voters no other change follows for so long
+GAP_S = 0.5  # contact with a majority that is missing for less is not told: a change of voters takes as long
+STOP_S = 0.3  # a barn that ends goes on answering for so long
+KILLED_S = 0.6  # of the grace that is left over when a barn ends, at the least
 FORGET_S = 6.0  # a stile's record outlasts its furrow by so much
 CLAIM_S = 1.0  # a round of claims or ballots is void after so long; a barn without its disk waits as long
 FETCH_S = 3.0  # how long all grants of others are waited for, which may be megabytes
 FINISH_S = 0.5  # sealed for so long with nothing decided, a voter proposes what it has accepted
 MOST_FORGOTTEN = 256
+MOST_HELD = 1024  # claims
 GATHERED_S = 0.02  # records of stiles that come together are told together
 
 
@@ -80,15 +87,24 @@
         self._turn = Turn(TURN_S)
         self._told_epochs: dict[str, int] = {}  # by barn: the epoch that it has told
         self._whole_first: set[str] = set()  # barns that told that they are whole, with no voters named yet
-        self._watch = Watch(self.loop.time())
+        contact_s = settings.bound("contact", 3.0)
+        self._pulse_s = contact_s * PULSE_PART
+        self._watch = Watch(self.loop.time(), 3 * self._pulse_s)
+        self._contact = Contact(self.me, contact_s * LEASE_PART)
+        self._pulses: dict[int, float] = {}  # by number: when it was sent
+        self._touch = self._touched = False  # in contact with a majority as last seen; ever, in this life
+        self._touched_at = self.loop.time()  # when there was contact last
+        self._fetching: set[str] = set()  # barns that are asked for what they hold
+        self._said_lost = self._said_thin = False
         self._life = int(time.time() * 1000)
-        self._opened: dict[str, float] = {}  # by barn: when its furrow was opened
         self._lives: dict[str, int] = {}  # by barn: the latest life that was heard of, 0 for an older version
         self._forgotten: dict[str, int] = {}  # by barn: the life that is over
         self._old_barns: set[str] = set()
         self._old_stiles: set[Furrow] = set()
         self._held: list[tuple[float, Furrow, list[Any]]] = []  # claims that come while voters change
         self._heir = ""
+        self._whole_epochs: dict[str, int] = {}  # by barn: the epoch that it has told to be whole in
+        self._began = self.loop.time()
         self._changing = self._settling = False
         self._tries = self._highest = 0
         self._since = self._accepted_at = self.loop.time()  # when the voters were learned; when sealed
@@ -128,14 +144,17 @@
         self.member.whole = max(1, self.voters.epoch) if whole else 0
 
     @property
-    def _steady_s(self) -> float:
-        """A barn that was seen for so long is there to stay: it has caught up, and all are in touch."""
-        return self.settings.bound("catch_up", 4.0) + self.settings.bound("contact", 3.0)
+    def _patience(self) -> Patience:
+        """A new machine stops counting as lost `catch_up` after its start: by then it has to have taken the
+        place of the one before, which is found to be gone within half of that. Where no spare is there a
+        voter keeps its place for longer, as its copy is worth more than a smaller majority."""
+        catch_up = self.settings.bound("catch_up", 4.0)
+        return Patience(catch_up / 2, self._gone_s, catch_up / 10)
 
     @property
     def _gone_s(self) -> float:
         """One that was not seen for so long is not about to return; with four times that it is forgotten."""
-        return 2 * self._steady_s
+        return 2 * (self.settings.bound("catch_up", 4.0) + self.settings.bound("contact", 3.0))
 
     # --- start
 
@@ -149,7 +168,8 @@
         for address in [*self.settings.seed_furrows, *self.voters.names, *self.member.before]:
             self._know(address)
         self._task(self._begin())
-        self._task(self._agree())
+        self._task(self._pulse())
+        self._task(self._oversee())
         logger.info("barn listens", counts=self.counts, items=len(self.items), keys=len(self.keys))
 
     def _task(self, work: Any) -> None:
@@ -224,18 +244,21 @@
             return
         self._settling = True
         try:
-            if not self.member.lasted:
-                await asyncio.sleep(CLAIM_S + 0.1)
             while not self.counts:
+                if self.member.may_have_promised and self.loop.time() < self._began + CLAIM_S + 0.1:
+                    await asyncio.sleep(0.02)  # until rounds that a former life answered are void
+                    continue
                 for voters, sealed in list(self.member.sources()):
                     if await self._hear_all(voters, sealed):
                         break
                 else:
-                    await asyncio.sleep(0.1)
+                    await asyncio.sleep(0.05)
         finally:
             self._settling = False
         logger.info("whole again", epoch=self.voters.epoch, items=len(self.items), keys=len(self.keys))
         self._tell_barns()
+        self._send_pulses(self._linked.values())
+        self._look_at_contact()
         self._claim_again()
 
     async def _hear_all(self, voters: Voters, sealed: bool) -> bool:
@@ -262,18 +285,46 @@
             self._know(seed)
 
     async def stop(self) -> None:
-        """Answer what is under way, then end."""
+        """Hand over what this barn alone may hold, answer what is under way, then end."""
         self.stopping = True
         live = self._live()
         if holder(self.voters, [self.me, *live], self._heir) == self.me:
-            # Usually a restart: it stays a voter, and another has the duty meanwhile.
             heir = holder(self.voters, live, "")
             for link in self._linked.values():
                 link.send([Word.HEIR, self.voters.epoch, heir])
+        await self._hand_over()
         self._door.listener.last_requests()
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(STOP_S)
         self._door.listener.shut()
 
+    @property
+    def handed_over(self) -> bool:
+        """Whether others hold all that this barn holds, as voters: it is none, and whoever votes and can be
+        reached is whole in the epoch without it."""
+        voters = self.voters
+        if self.me in voters.names:
+            return False
+        there = [name for name in voters.names if name in self._linked]
+        whole = [name for name in there if self._whole_epochs.get(name) == voters.epoch]
+        return len(whole) == len(there) and len(whole) >= voters.write
+
+    async def _hand_over(self) -> None:
+        """Give this barn's vote to a spare before it ends. Where there is none it stays for as long as the
+        platform lets it, in case one comes, and says that its place stays empty until it is back."""
+        if self.me not in self.voters.names or len(self.voters.names) == 1:
+            return
+        ends = self.loop.time() + self.settings.bound("grace", 6.0) - STOP_S - KILLED_S
+        while not self.handed_over and self.loop.time() < ends:
+            if self.me in self.voters.names and not self._changing and self.member.whole == self.voters.epoch:
+                await self._change_once()
+            if not self.handed_over:
+                await asyncio.sleep(min(0.1, max(0.0, ends - self.loop.time())))
+        if self.handed_over:
+            logger.info("vote handed over", epoch=self.voters.epoch, names=list(self.voters.names))
+        else:
+            logger.warning("this barn ends and no other has taken its place among the voters: start it "
+                           "again, or start another one", epoch=self.voters.epoch, names=list(self.voters.names))
+
     # --- other barns
 
     def _know(self, address: str, life: int = 0, itself: bool = False) -> None:
@@ -291,7 +342,7 @@
                 self._tell(self._barns())
             return
         self._newest_barn = self.loop.time()
-        self._watch.down(self._newest_barn, address)
+        self._watch.known(self._newest_barn, address)
         host, _, port = address.rpartition(":")
         self._dials[address] = Dial(
             Address(host, int(port)), self._hear, lambda link: self._barn_up(address, link),
@@ -303,13 +354,13 @@
     def _barn_up(self, address: str, link: Furrow) -> None:
         link.peer = address
         self._linked[address] = link
-        self._opened[address] = self.loop.time()
         link.send(self._hello())
+        self._send_pulses([link])
 
     def _barn_down(self, address: str, link: Furrow) -> None:
         if self._linked.get(address) is link:
             del self._linked[address]
-            self._watch.down(self.loop.time(), address)
+            self._watch.down(address)
 
     def _hello(self) -> list[Any]:
         return [
@@ -339,6 +390,9 @@
         """Another barn says who it is, who votes and whom it knows; an older version says less."""
         lives = lives or {}
         self._told_epochs[address] = voters[0]
+        if whole != self._whole_epochs.get(address) and address in self._linked:
+            self._send_pulses([self._linked[address]])  # it may count now
+        self._whole_epochs[address] = whole
         if whole == 1 and not voters[0]:
             self._whole_first.add(address)
         (self._old_barns.add if whole < 0 else self._old_barns.discard)(address)
@@ -413,6 +467,7 @@
         if not self.member.learn(told, before):
             return
         self._since, self._heir = self.loop.time(), ""
+        self._contact.clear()
         self._turn = Turn(TURN_S)  # a turn is one epoch's
         logger.info("voters", epoch=told.epoch, names=list(told.names))
         if len(told.names) < 2 * self.settings.losses + 1:
@@ -423,6 +478,7 @@
             self._know(name, self._forgotten.get(name, -1) + 1)
         self._tell_barns()
         self._tell(self._told_voters())
+        self._send_pulses(self._linked.values())
         self._claim_again()
         if not self.counts:
             self._task(self._settle())
@@ -496,7 +552,7 @@
         return Sight(
             {name: watch.gone(now, name) for name in self._dials},
             {name: watch.steady(now, name) for name in self._dials},
-            self.member.votes(epoch), self.counts, self.settings.zone, old,
+            self.member.votes(epoch), self.counts, self.settings.zone, old, self.stopping,
         )
 
     async def _change(self) -> None:
@@ -509,7 +565,7 @@
 
         def take(name: str, message: list[Any]) -> bool:
             if message[2] == voters.epoch:
-                sights[name] = Sight(*message[3:9])
+                sights[name] = Sight(*message[3:10])
             return True
 
         number, made = self._round(len(self._linked), take)
@@ -517,7 +573,7 @@
             link.send([Word.SIGHT, number, voters.epoch])
         await made.enough(ROUND_S)
         del self._rounds[number]
-        wish = plan(voters, self.settings.losses, sights, self._gone_s, self._steady_s)
+        wish = plan(voters, self.settings.losses, sights, self._patience)
         if wish is not None and self.voters == voters:
             logger.info("others should vote", epoch=voters.epoch + 1, names=list(wish))
             await self._propose(wish)
@@ -537,9 +593,6 @@
     def _consider(self) -> None:
         """Now and then: whether there is a reason to have other voters, and whom to forget."""
         now, voters, member = self.loop.time(), self.voters, self.member
-        for name, link in self._linked.items():
-            if link._at > self._opened[name]:
-                self._watch.up(now, name)
         for name in list(self._dials):
             if not self._keeps(name) and self._watch.gone(now, name) >= 4 * self._gone_s:
                 self._drop(name, self._lives.get(name, 0))
@@ -550,11 +603,13 @@
             if now > self._accepted_at + FINISH_S * (1 + random.random()):
                 self._task(self._change_once())
             return
-        gone = any(self._watch.gone(now, name) >= self._gone_s for name in voters.names if name != self.me)
+        patience = self._patience
+        away_s = max((self._watch.gone(now, name) for name in voters.names if name != self.me), default=0.0)
         few = len(voters.names) < 2 * self.settings.losses + 1
-        more = few and any(name not in voters.names for name in self._linked)
+        spare = any(name not in voters.names for name in self._linked)
+        reason = away_s >= patience.remove_s or (spare and (few or away_s >= patience.replace_s))
         mine = holder(voters, [self.me, *self._live()], self._heir) == self.me
-        if mine and (gone or more) and now >= self._since + self._steady_s:
+        if mine and reason and self.in_contact and now >= self._since + SETTLED_S:
             self._task(self._change_once())
 
     # --- messages
@@ -590,6 +645,13 @@
             self._vote(message, link.send)
             if message[2] < self.voters.epoch:
                 link.send(self._hello())
+        elif word == Word.PULSE:
+            votes = self.member.votes(self.voters.epoch)
+            link.send([Word.PULSED, message[1], self.voters.epoch, votes, self._safe.digest])
+            if message[2] < self.voters.epoch:
+                link.send(self._hello())
+        elif word == Word.PULSED:
+            self._pulsed(link, *message[1:5])
         elif word == Word.SIGHT:
             link.send([Word.SEEN, message[1], message[2], *self._sight(message[2])])
         elif word == Word.HEIR:
@@ -604,6 +666,8 @@
         elif word == Word.FOLLOW:
             self._follow(link, message[1])
         elif word == Word.PULL:
+            if not self._current(link):
+                return
             lacking = self._safe.lacking(message[1])
             link.put(self._packed_whole() if len(lacking) == len(self._safe.items) else self._packed(lacking))
         elif word == Word.ACK:
@@ -668,8 +732,8 @@
         never goes back, so what a loss of power can take must not reach it. Who follows another barn hears of
         it there, and here by eight bytes that there is news."""
         news = self._safe.take(items)
-        if not news:
-            return
+        if not news or not self._touch:
+            return  # once there is contact again all are told the digest of what there is then
         self._news += 1
         packed, total = self._packed(news), pack([Word.SUM, self._safe.digest])
         for link in self._stiles:
@@ -687,7 +751,7 @@
     def _follow(self, link: Furrow, digest: int | None) -> None:
         """A stile hears tables and changes from here from now on, or no longer. One that has nothing gets
         all; one that has something else than this barn says what it lacks."""
-        if digest is None:
+        if digest is None or not self._current(link):
             self._followers.discard(link)
             return
         self._followers.add(link)
@@ -795,24 +859,135 @@
         finally:
             del self._rounds[number]
 
-    async def _agree(self) -> None:
-        """Compare with one other now and then: what a cut or a freeze kept from here comes by this."""
+    async def _oversee(self) -> None:
+        """Look now and then whether others should vote."""
         while True:
-            await asyncio.sleep(AGREE_S * (0.75 + random.random() / 2))
+            await asyncio.sleep(OVERSEE_S * (0.75 + random.random() / 2))
             self._consider()
-            links = list(self._linked.values())
-            if not links:
-                continue
-
-            def take(name: str, message: list[Any]) -> bool:
-                self._take_over(message[3])
-                return True
-
-            number, made = self._round(1, take)
-            versions = {item.name: item.version + 1 for item in self.items.values()}
-            random.choice(links).send([Word.SYNC, number, versions, ""])
-            await made.enough(ROUND_S)
-            del self._rounds[number]
+
+    # --- contact with a majority
+
+    @property
+    def in_contact(self) -> bool:
+        """Whether a majority of the voters has been heard lately, by the steady clock as it stands now."""
+        votes = self.member.votes(self.voters.epoch)
+        return self._contact.holds(time.monotonic(), self.voters, votes)
+
+    async def _pulse(self) -> None:
+        """Ask all others at short intervals whether they are there and what they hold."""
+        while True:
+            await asyncio.sleep(self._pulse_s * (0.9 + random.random() / 5))
+            self._send_pulses(self._linked.values())
+            self._look_at_contact()
+
+    def _send_pulses(self, links: Iterable[Furrow]) -> None:
+        self._next += 1
+        now = time.monotonic()
+        self._pulses[self._next] = now
+        while self._pulses[next(iter(self._pulses))] < now - 20 * self._pulse_s:
+            del self._pulses[next(iter(self._pulses))]
+        packed = pack([Word.PULSE, self._next, self.voters.epoch])
+        for link in links:
+            link.put(packed)
+
+    def _pulsed(self, link: Furrow, number: int, epoch: int, votes: bool, digest: int) -> None:
+        """Another answers. It counts for the lease once all that it holds has been merged here."""
+        asked_at = self._pulses.get(number)
+        if asked_at is None:
+            return
+        self._watch.heard(self.loop.time(), link.peer)
+        if digest not in (self._safe.digest, 0):
+            if link.peer not in self._fetching:
+                self._task(self._fetch(link, asked_at, votes and epoch == self.voters.epoch))
+        elif votes and epoch == self.voters.epoch:
+            self._contact.answered(link.peer, asked_at)
+        self._look_at_contact()
+
+    async def _fetch(self, link: Furrow, asked_at: float, counts: bool) -> None:
+        """Take over what another holds and this machine does not: what a cut or a freeze kept from here."""
+        epoch = self.voters.epoch
+
+        def take(name: str, message: list[Any]) -> bool:
+            self._take_over(message[3])
+            return True
+
+        number, made = self._round(1, take)
+        self._fetching.add(link.peer)
+        versions = {item.name: item.version + 1 for item in self.items.values()}
+        link.send([Word.SYNC, number, versions, ""])
+        if await made.enough(ROUND_S) and counts and epoch == self.voters.epoch:
+            self._contact.answered(link.peer, asked_at)
+            self._look_at_contact()
+        self._fetching.discard(link.peer)
+        del self._rounds[number]
+
+    def _look_at_contact(self) -> None:
+        """Tell the sidecars and the log when contact is lost or found. A gap as short as a change of voters
+        leaves is not told, as every sidecar would turn to another machine and back."""
+        now = self.loop.time()
+        if self.in_contact:
+            self._touched_at = now
+            if not self._touch:
+                self._find_contact()
+            if self._held:
+                self._claim_again()
+        elif self._touch and now > self._touched_at + GAP_S:
+            self._lose_contact()
+        elif self.voters.epoch and not self._said_lost and now > self._touched_at + self._gone_s:
+            self._said_lost = True
+            logger.warning("no majority for long: nothing can be acknowledged until so many of these "
+                           "machines are back with their disks that {} of {} run", self.voters.write,
+                           len(self.voters.names), away=self._away())
+        self._look_at_safety()
+
+    def _find_contact(self) -> None:
+        self._touch = self._touched = True
+        self._said_lost = False
+        logger.info("in contact with a majority", epoch=self.voters.epoch)
+        self._tell([Word.CURRENT, True])
+        self._tell([Word.SUM, self._safe.digest])
+
+    def _lose_contact(self) -> None:
+        self._touch = False
+        logger.warning("out of contact with a majority", epoch=self.voters.epoch, away=self._away())
+        self._tell([Word.CURRENT, False])
+
+    def _current(self, link: Furrow) -> bool:
+        """Whether a sidecar may be told what this machine holds; if not, it is told to turn elsewhere."""
+        if self.in_contact:
+            return True
+        if self._touch:
+            self._lose_contact()
+        link.send([Word.CURRENT, False])
+        return False
+
+    def _away(self) -> list[str]:
+        """The voters that don't answer."""
+        heard = self._contact.heard(time.monotonic(), self.voters, self.member.votes(self.voters.epoch))
+        return [name for name in self.voters.names if name not in heard]
+
+    @property
+    def safety(self) -> Safety:
+        """What can be lost now, as far as this machine knows."""
+        return safety(self.voters, len(self.voters.names) - len(self._away()))
+
+    def _look_at_safety(self) -> None:
+        found = self.safety
+        thin = bool(self.voters.epoch) and found.losses < self.settings.losses
+        if thin != self._said_thin:
+            self._said_thin = thin
+            tell = logger.warning if thin else logger.info
+            say = "fewer losses can be borne than should be" if thin else "all losses can be borne again"
+            tell(say, copies=found.copies, losses=found.losses, wanted=self.settings.losses,
+                 away=self._away())
+
+    async def _contact_found(self, limit_s: float) -> bool:
+        """Whether there is contact with a majority. A process that has never had it is given a moment to
+        find it; one that has lost it says so at once."""
+        ends = self.loop.time() + limit_s
+        while not self.in_contact and not self._touched and self.loop.time() < ends:
+            await asyncio.sleep(0.01)
+        return self.in_contact
 
     # --- stiles
 
@@ -827,6 +1002,7 @@
         if news:
             self._records[node] = record
         if fresh:
+            link.send([Word.CURRENT, self._touch])
             link.send(self._barns())
             if self.voters.epoch:
                 link.send(self._told_voters())
@@ -834,7 +1010,7 @@
                 self._followers.add(link)
                 link.put(self._packed_whole())
                 link.send([Word.BEDS, list(self._records.values())])
-            else:
+            elif self._touch:
                 link.send([Word.SUM, self._safe.digest])
         if news:
             if not self._fresh_beds:
@@ -860,12 +1036,17 @@
         """Grant a key, in the claimant's epoch. One of an older epoch is told who votes; while a change is
         under way a claim is held, until it can be answered or its claimant counts it no more."""
         member = self.member
+        if member.votes(epoch) and not self.in_contact:
+            if not self._touched or self.loop.time() < self._touched_at + GAP_S:
+                self._hold(link, [claim, key, token, left_s, epoch])  # it is found out in a moment
+            else:
+                link.send([Word.CLAIMED, claim, -1, "", 0, None])
+            return
         if not member.votes(epoch):
             if epoch < self.voters.epoch:
                 link.send(self._told_voters())
             elif member.lasted and (epoch > self.voters.epoch or self.me in self.voters.names):
-                self._held.append((self.loop.time(), link, [claim, key, token, left_s, epoch]))
-                del self._held[:-1024]
+                self._hold(link, [claim, key, token, left_s, epoch])
                 return
             link.send([Word.CLAIMED, claim, -1, "", 0, None])
             return
@@ -882,6 +1063,11 @@
 
         self._granary.put(self._key_record(now, grant_row(now, key, grant)), written)
 
+    def _hold(self, link: Furrow, told: list[Any]) -> None:
+        """A claim that may be answered soon."""
+        self._held.append((self.loop.time(), link, told))
+        del self._held[:-MOST_HELD]
+
     def _claim_again(self) -> None:
         """What was held may be answered now."""
         held, self._held = self._held, []
@@ -913,7 +1099,9 @@
         elif path == b"/-/config" and message.method == b"GET":
             self._task(self._get(message))
         elif path == b"/-/readiness":
-            message.answer(200 if self.voters.epoch and self.counts else 503)
+            message.answer(200 if self.counts and self.in_contact else 503)
+        elif path == b"/-/status" and message.method == b"GET":
+            message.answer(200, self._status(), [(b"Content-Type", b"application/json")])
         else:
             message.answer(ANSWERS[Fault.NOT_HERE].status)
 
@@ -922,7 +1110,20 @@
         headers = [(b"Retry-After", b"0.1")] if kind.promise else []
         message.answer(kind.status, why.encode() or kind.text, headers)
 
+    def _status(self) -> bytes:
+        """What an operator wants to know of the voters, as this machine sees them."""
+        found = self.safety
+        return json.dumps({
+            "in_contact": self.in_contact, "counts": self.counts, "epoch": self.voters.epoch,
+            "voters": list(self.voters.names), "away": self._away(), "copies": found.copies,
+            "losses": found.losses, "losses_wanted": self.settings.losses, "items": len(self.items),
+        }).encode()  # fmt: skip
+
     async def _patch(self, message: Message) -> None:
+        # What is invalid on old state may be valid on what stands, so nothing is judged before.
+        if not await self._contact_found(max(0.0, ANSWER_S - ROUND_S)):
+            self._refuse(message, Fault.NO_QUORUM)
+            return
         read = catalog.read(message.body)
         if read.is_error():
             self._refuse(message, Fault.INVALID, read.error)
--- a/orchard/feed.py
+++ b/orchard/feed.py
@@ -57,6 +57,12 @@
         self._told: dict[str, tuple[int, float]] = {}  # by barn: the digest that it told last, and when
         self._asked: dict[str, tuple[int, int]] = {}  # by barn: its digest and the own one, when it was asked
         self._until = 0.0  # an answer is waited for
+        self._outdated: set[str] = set()  # barns that said that they are out of contact with a majority
+
+    def current(self, barn: str, yes: bool) -> None:
+        """A barn says whether it is in contact with a majority: one that is not is neither followed nor
+        asked, as what it has may be old."""
+        (self._outdated.discard if yes else self._outdated.add)(barn)
 
     def choose(self, linked: Iterable[str], zones: Mapping[str, str]) -> str | None:
         """Whom to follow from now on, where that is another than before. The own zone's come first; among
@@ -64,7 +70,7 @@
         def rank(barn: str) -> tuple[bool, int]:
             return zones.get(barn) != self._zone, crc32(f"{self._me} {barn}".encode())
 
-        there = [barn for barn in linked if barn in zones]
+        there = [barn for barn in linked if barn in zones and barn not in self._outdated]
         best = min(there, key=rank, default="")
         kept = self.barn in there and (best == self.barn or rank(self.barn)[0] == rank(best)[0])
         if kept or best == self.barn:
@@ -81,7 +87,7 @@
         """Whether to ask a barn for what is lacking; None where to look again later. `heard_at`: when the
         barn that is followed said anything last, as it may still be telling it."""
         told, since = self._told.get(barn, (0, now))
-        if told in (mine, 0) or self._asked.get(barn) == (told, mine):
+        if barn in self._outdated or told in (mine, 0) or self._asked.get(barn) == (told, mine):
             return False
         speaks = now - heard_at < LOOK_S / 2 and now - since < MOST_LOOK_S
         if now < self._until or speaks:
@@ -98,6 +104,7 @@
         """The furrow to a barn has ended."""
         self._told.pop(barn, None)
         self._asked.pop(barn, None)
+        self._outdated.discard(barn)
         self._until = 0.0
         if barn == self.barn:
             self.barn = ""
--- a/orchard/stile.py
+++ b/orchard/stile.py
@@ -523,6 +523,9 @@
             link.send([Word.ACK, message[1]])
         elif word == Word.SUM:
             self._sum(link, message[1])
+        elif word == Word.CURRENT:
+            self.following.current(link.peer, message[1])
+            self._follow()
         elif word == Word.BEDS:
             for record in message[1]:
                 if record[Record.NODE] != self.me:
--- a/orchard/words.py
+++ b/orchard/words.py
@@ -38,9 +38,12 @@
     SEAL = 62  # round, epoch, ballot, names of the next epoch's voters
     SEALED = 63  # round, yes, epoch, number promised
     SIGHT = 64  # round, epoch
-    SEEN = 65  # round, epoch, seconds without each, seconds with each, votes, counts, zone, old versions seen
+    SEEN = 65  # round, epoch, and what a `ballot.Sight` holds
     HEIR = 66  # epoch, address: who has the duty from now on
     FORGOTTEN = 67  # life: a barn to one that was forgotten with that life
+    PULSE = 68  # number, epoch: a barn to every other, at short intervals
+    PULSED = 69  # number, epoch, whether the barn votes in it, digest of its items
+    CURRENT = 70  # whether a barn is in contact with a majority of the voters: a barn to a stile
     ASK = 50  # number, request
     TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds: wait, work
     OVERDUE = 53  # number: its server has worked on it for unusually long
--- a/tests/orchard/test_orchard_api.py
+++ b/tests/orchard/test_orchard_api.py
@@ -161,6 +161,11 @@
         assert (await ask(make_barn((ME, "192.0.2.2:7000")).serve, "get", config)).status == 200
         await ask(make_barn((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", config)
         await ask(well.serve, "get", "/-/readiness")
+        status = json.loads((await ask(well.serve, "get", "/-/status")).body)
+        assert status["in_contact"] and (status["copies"], status["losses"], status["away"]) == (1, 0, [])
+        alone = json.loads((await ask(make_barn((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get",
+                                      "/-/status")).body)
+        assert not alone["in_contact"] and (alone["copies"], alone["losses"]) == (0, 0)
         assert (await ask(make_barn(()).serve, "get", "/-/readiness")).status == 503
         stile = Stile(settings.read(SETTINGS).ok)
         await ask(stile.readiness, "get", "/-/readiness")
