--- a/orchard/barn.py
+++ b/orchard/barn.py
@@ -323,7 +323,7 @@
             logger.info("vote handed over", epoch=self.voters.epoch, names=list(self.voters.names))
         else:
             logger.warning("this barn ends and no other has taken its place among the voters: start it "
-                           "again, or start another one", epoch=self.voters.epoch, names=list(self.voters.names))
+                           "again, or start another one", epoch=self.voters.epoch)
 
     # --- other barns
 
--- a/tests/orchard/orchard_world.py
+++ b/tests/orchard/orchard_world.py
@@ -657,6 +657,11 @@
         if self.trace:
             self.say(name, f"CUT {others or 'off'} for {for_s} s")
 
+    def cut_one_way(self, name: str, for_s: float, others: Iterable[str], outward: bool) -> None:
+        """Nothing passes from a machine to others, or nothing from others to it."""
+        for other in others:
+            self._cuts[(name, other) if outward else (other, name)] = self.now + for_s
+
     def blocked(self, one: str, other: str) -> float:
         """Until when nothing passes; 0 where it does."""
         until = self._cuts.get((one, other), 0.0)
--- a/tests/orchard/test_orchard_repair.py
+++ b/tests/orchard/test_orchard_repair.py
@@ -1,4 +1,4 @@
-"""A second loss after a repair: a planned replacement and then another machine's loss, struck at any point."""
+"""A second loss after a repair: a planned replacement, then another machine's loss, struck at each point."""
 
 from __future__ import annotations
 
