--- a/rehearsal/mesh/field.py
+++ b/rehearsal/mesh/field.py
@@ -171,6 +171,11 @@
         here = {machine.host for machine in machines}
         self.relay.cut(here, {one.host for one in (*self.barns, *self.stiles)} - here)
 
+    def cut_from_peers(self, barn: Machine) -> None:
+        """Nothing passes between a control machine and the other control machines; sidecars reach it."""
+        assert self.relay is not None
+        self.relay.cut({barn.host}, {one.host for one in self.barns if one is not barn})
+
     def heal(self) -> None:
         """All is joined again."""
         assert self.relay is not None
--- a/rehearsal/mesh/play.py
+++ b/rehearsal/mesh/play.py
@@ -276,6 +276,15 @@
     await rig.ready(*here)
 
 
+async def cut_peers(rig: Rig, within: Part) -> None:
+    """Nothing passes between a control machine and its peers; sidecars and operators still reach it."""
+    barn = rig.field.barns[0]
+    rig.field.cut_from_peers(barn)
+    await within()
+    rig.field.heal()
+    await rig.ready(barn)
+
+
 async def _closing(rig: Rig, within: Part, machines: list[Machine], wiped: bool) -> None:
     def strike(_: Machine) -> None:
         rig.history.kills += [(machine.name, time.monotonic()) for machine in machines if machine.runs]
@@ -310,8 +319,9 @@
     "none": none, "kill-barn": kill_barn, "kill-barns": kill_barns, "wipe-barn": wipe_barn,
     "kill-stile": kill_stile, "term-stile": term_stile, "roll-server": roll_server,
     "kill-all": kill_all, "wipe-after-ack": wipe_after_ack, "freeze-barn": freeze_barn, "cut": cut,
+    "cut-peers": cut_peers,
 }  # fmt: skip
-RELAYED = frozenset({"cut"})
+RELAYED = frozenset({"cut", "cut-peers"})
 
 
 async def play(folder: Path, seconds: float, seed: int, fault: str) -> Rig:
--- a/tests/orchard/test_orchard_field.py
+++ b/tests/orchard/test_orchard_field.py
@@ -88,3 +88,16 @@
 
 def test_a_barn_and_a_stile_are_cut_from_the_others(tmp_path: Path) -> None:
     played(tmp_path, play.cut, relayed=True)
+
+
+def test_a_control_machine_cut_from_its_peers_refuses_while_the_others_go_on(tmp_path: Path) -> None:
+    async def within(rig: Rig) -> None:
+        barn = rig.field.barns[0]
+        for _ in range(100):  # its lease is half of `contact`
+            if not await barn.ready():
+                break
+            await asyncio.sleep(0.05)
+        assert not await barn.ready(), "out of contact, and ready"
+        await rig.more(served=50, keyed=10, acked=2)
+
+    played(tmp_path, play.cut_peers, within, relayed=True)
