--- a/orchard/__main__.py
+++ b/orchard/__main__.py
@@ -7,7 +7,8 @@
 
 # SIGHUP says that the settings have changed: until they are read, it must not kill.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
-gc.disable()  # nothing that is imported is garbage; collected is from when a role has started
+if __name__ == "__main__":  # whoever imports this module keeps its collector
+    gc.disable()  # nothing that is imported is garbage; collected is from when a role has started
 
 import asyncio
 import contextlib
--- a/tests/orchard/test_orchard_deploy.py
+++ b/tests/orchard/test_orchard_deploy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import re
 import shlex
 import tomllib
@@ -35,3 +36,8 @@
     for role in DEPLOY["roles"].values():
         assert role["run"].split()[:3] == ["python3", "-m", "orchard"]
         assert callable(getattr(Orchard, role["run"].split()[3]))
+
+
+def test_importing_the_program_leaves_the_collector_on() -> None:
+    # Orchard is imported above: a worker whose collector was off afterwards failed tests of other parts.
+    assert gc.isenabled()
--- a/tests/registries/test_heap.py
+++ b/tests/registries/test_heap.py
@@ -16,6 +16,7 @@
 @pytest.fixture(autouse=True)
 def as_before():
     thresholds = gc.get_threshold()
+    assert gc.isenabled(), "another module has switched the collector off in this worker"
     yield
     gc.unfreeze()
     assert gc.get_threshold() == thresholds
