--- a/benchmarks/console.py
+++ b/benchmarks/console.py
@@ -109,9 +109,13 @@
         calls.append(asyncio.create_task(probe(at, due)))
     took = sorted(await asyncio.gather(*calls))
     await asyncio.gather(*load)
-    return {"served_a_second": round(served[0] / seconds), "mb_a_second": round(bodies[0] * 32 / seconds),
-            "p50_ms": round(took[len(took) // 2], 1), "p99_ms": round(took[int(len(took) * 0.99)], 1),
-            "most_ms": round(took[-1], 1)}
+    return {
+        "served_a_second": round(served[0] / seconds),
+        "mb_a_second": round(bodies[0] * 32 / seconds),
+        "p50_ms": round(took[len(took) // 2], 1),
+        "p99_ms": round(took[int(len(took) * 0.99)], 1),
+        "most_ms": round(took[-1], 1),
+    }
 
 
 def free_port() -> int:
@@ -132,20 +136,36 @@
     rows = []
     for variant, command in (("loop", ["-m", "hollyport"]), ("thread", ["-c", THREAD])):
         with contextlib.ExitStack() as stack, tempfile.TemporaryDirectory() as folder:
-            nodes = [stack.enter_context(subprocess.Popen(
-                [sys.executable, "-c", NODE], cwd=ROOT, stdout=subprocess.PIPE)) for _ in range(4)]
+            nodes = [
+                stack.enter_context(
+                    subprocess.Popen([sys.executable, "-c", NODE], cwd=ROOT, stdout=subprocess.PIPE)
+                )
+                for _ in range(4)
+            ]
             for process in nodes:
                 stack.callback(process.kill)
             ports = [int(process.stdout.readline()) for process in nodes if process.stdout is not None]
             port, at = free_port(), free_port()
-            config = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1",
-                      "console": f"127.0.0.1:{at}", "limits": {"sockets": 1024, "memory_mb": 192},
-                      "known": targets(ports), "settings": settings(False)}
+            config = {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "discovery": "127.0.0.1:1",
+                "seed": "1",
+                "console": f"127.0.0.1:{at}",
+                "limits": {"sockets": 1024, "memory_mb": 192},
+                "known": targets(ports),
+                "settings": settings(False),
+            }
             path = Path(folder) / "config.json"
             path.write_text(json.dumps(config))
-            daemon = stack.enter_context(subprocess.Popen(
-                [sys.executable, *command], cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)},
-                stderr=subprocess.PIPE))
+            daemon = stack.enter_context(
+                subprocess.Popen(
+                    [sys.executable, *command],
+                    cwd=ROOT,
+                    env={**os.environ, "NODE_CONFIG": str(path)},
+                    stderr=subprocess.PIPE,
+                )
+            )
             stack.callback(daemon.kill)
             assert daemon.stderr is not None and b"listening" in daemon.stderr.readline()
             for load, (small, large) in loads.items():
--- a/benchmarks/mesh_bytes.py
+++ b/benchmarks/mesh_bytes.py
@@ -1,12 +1,12 @@
 """What the mesh says to itself, by kind of message: its real processes on fake time, one table a phase.
 
-    python -m benchmarks.mesh_bytes [--stiles 13,40] [--barns 3] [--routes 310]
+    python -m benchmarks.mesh_bytes [--sidecars 13,40] [--controllers 3] [--routes 310]
 
 Phases: the start up to the first configuration, that configuration, one change of one route, ten seconds at
-rest, and a stile that ends and starts again. Bytes are those of the messages, without TCP's own; told is what
-an average stile gets and gives in the phase. Nothing is measured in time, so that any machine gives the same.
-Datagrams of the hedge are left out: eight a second and member, whatever the fleet's size (0010-fleet.md).
-Wants a checkout: the world of fake time is that of `tests/orchard`.
+rest, and a sidecar that ends and starts again. Bytes are those of the messages, without TCP's own; told is
+what an average sidecar gets and gives in the phase. Nothing is measured in time, so that any machine gives
+the same. Datagrams of the hedge are left out: eight a second and member, whatever the fleet's size
+(0010-fleet.md). Wants a checkout: the world of fake time is that of `tests/mesh`.
 """
 
 from __future__ import annotations
@@ -18,29 +18,29 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).parent.parent / "tests" / "orchard"))
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests" / "mesh"))
 
-from orchard_world import End, World, change, route, service, word  # noqa: E402
+from mesh_world import End, World, change, route, service, word  # noqa: E402
 
-from orchard import furrow  # noqa: E402
-from orchard.words import Word  # noqa: E402
+from mesh.transport import connection  # noqa: E402
+from mesh.transport.messages import MessageKind  # noqa: E402
 
-NAMES = {furrow.PING: "PING", furrow.PONG: "PONG", **{int(kind): kind.name for kind in Word}}
+NAMES = {connection.PING: "PING", connection.PONG: "PONG", **{int(kind): kind.name for kind in MessageKind}}
 
 
 class Count:
-    """Bytes and messages by kind, of those that a stile gets or gives."""
+    """Bytes and messages by kind, of those that a sidecar gets or gives."""
 
     def __init__(self, world: World) -> None:
         self.bytes: Counter[str] = Counter()
         self.messages: Counter[str] = Counter()
-        self._stiles = frozenset(world.stiles)
+        self._sidecars = frozenset(world.sidecars)
         plain = End._ship
 
         def ship(end: End, packed: bytes | None) -> None:
             if packed is not None and end.other is not None:
                 both = (end.process.host, end.other.process.host)
-                ends = sum(host in self._stiles for host in both)
+                ends = sum(host in self._sidecars for host in both)
                 self.bytes[NAMES[word(packed)]] += ends * len(packed)
                 self.messages[NAMES[word(packed)]] += ends
             plain(end, packed)
@@ -65,7 +65,7 @@
 
 
 def _have(world: World, version: int) -> bool:
-    roles = [world.machines[name].process.role for name in world.stiles]
+    roles = [world.machines[name].process.role for name in world.sidecars]
     return all(
         role is not None and "route/r0" in role.items and role.items["route/r0"].version >= version
         for role in roles
@@ -74,7 +74,7 @@
 
 async def story(world: World, routes: int, told: Callable[[str], None]) -> None:
     """All phases in turn."""
-    await _until(lambda: len(world.counting()) == len(world.barns))
+    await _until(lambda: len(world.counting()) == len(world.controllers))
     await asyncio.sleep(3.0)
     told("start, no configuration yet")
     first = [route(f"r{at}", 1, f"/a{at}/") for at in range(routes)]
@@ -88,25 +88,27 @@
     told("one change")
     await asyncio.sleep(10.0)
     told("ten seconds at rest")
-    world.kill(world.stiles[0])
+    world.kill(world.sidecars[0])
     await asyncio.sleep(0.2)
-    world.start_stile(world.stiles[0])
+    world.start_sidecar(world.sidecars[0])
     await _until(lambda: _have(world, 2))
     await asyncio.sleep(0.5)
-    told("a stile starts again")
+    told("a sidecar starts again")
 
 
-def play(stiles: int, barns: int, routes: int) -> None:
+def play(sidecars: int, controllers: int, routes: int) -> None:
     """One fleet, printed."""
-    print(f"\n{stiles} stiles, {barns} barns")
-    with World(seed=1, size=barns, claimants=stiles) as world:
+    print(f"\n{sidecars} sidecars, {controllers} controllers")
+    with World(seed=1, size=controllers, claimants=sidecars) as world:
         count = Count(world)
 
         def told(phase: str) -> None:
             sizes, numbers = count.take()
-            share = 1 if phase.startswith("a stile") else stiles
-            print(f"  {phase}: {sum(sizes.values()) / share:,.0f} bytes a stile, "
-                  f"{sum(numbers.values()) / share:,.1f} messages")
+            share = 1 if phase.startswith("a sidecar") else sidecars
+            print(
+                f"  {phase}: {sum(sizes.values()) / share:,.0f} bytes a sidecar, "
+                f"{sum(numbers.values()) / share:,.1f} messages"
+            )
             for name, size in sizes.most_common(6):
                 print(f"    {name:10} {size / share:12,.0f} bytes {numbers[name] / share:10,.1f} messages")
 
@@ -123,12 +125,12 @@
 def main() -> None:
     """Read the words, and play."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.mesh_bytes", description=__doc__)
-    parser.add_argument("--stiles", default="13,40")
-    parser.add_argument("--barns", type=int, default=3)
+    parser.add_argument("--sidecars", default="13,40")
+    parser.add_argument("--controllers", type=int, default=3)
     parser.add_argument("--routes", type=int, default=310)
     told = parser.parse_args()
-    for stiles in told.stiles.split(","):
-        play(int(stiles), told.barns, told.routes)
+    for sidecars in told.sidecars.split(","):
+        play(int(sidecars), told.controllers, told.routes)
 
 
 if __name__ == "__main__":
--- a/benchmarks/mesh_times.py
+++ b/benchmarks/mesh_times.py
@@ -1,12 +1,13 @@
 """How long the mesh takes for what it promises: real processes on loopback, one table.
 
-    python -m benchmarks.mesh_times [--barns 3,5] [--rounds 2] [--seed 1] [--json FILE]
-
-For each number of barns a mesh of six stiles is started, three beside each of two stand-in services. A round
-is: twenty changes, two hundred pairs of calls with and without a key, a kill each of a barn, of a stile and
-of a stile of each service, a wiped barn, a cut of 1 s and one of 4 s. All times are taken from outside: what
-clients, operators and the platform see, and what lies on a barn's disk. Two rounds take under two minutes.
-The cuts are played on a second mesh whose furrows pass a relay (`rehearsal.mesh.relay`). Wants free cores.
+    python -m benchmarks.mesh_times [--controllers 3,5] [--rounds 2] [--seed 1] [--json FILE]
+
+For each number of controllers a mesh of six sidecars is started, three beside each of two stand-in services.
+A round is: twenty changes, two hundred pairs of calls with and without a key, a kill each of a controller, of
+a sidecar and of a sidecar of each service, a wiped controller, a cut of 1 s and one of 4 s. All times are
+taken from outside: what clients, operators and the platform see, and what lies on a controller's disk. Two
+rounds take under two minutes. The cuts are played on a second mesh whose connections pass a relay
+(`rehearsal.mesh.relay`). Wants free cores.
 """
 
 from __future__ import annotations
@@ -26,7 +27,7 @@
 from pathlib import Path
 from typing import Any
 
-from orchard.granary import unframe
+from mesh.storage.record_store import unframe
 from rehearsal.mesh import wire
 from rehearsal.mesh.field import Field, Machine
 from rehearsal.mesh.judge import History
@@ -34,15 +35,15 @@
 from rehearsal.mesh.server import Server
 from rehearsal.worker import Lateness
 
-PAIRS = 3  # stiles a service
+PAIRS = 3  # sidecars a service
 CHANGES, KEYS = 20, 200  # a round
 LOOK_S = 0.003  # between two looks of one watcher
-PROBE_S = 0.025  # between two calls of one kind at one stile
+PROBE_S = 0.025  # between two calls of one kind at one sidecar
 CALL_S = 1.0  # what a call may take
 WATCH_S = 1.6  # calls are made for so long after a kill, or until they are served again
 SETTLE_S = 0.6  # and for so long before it
 LIMIT_S = 12.0  # nothing is waited for longer
-CUTS_S = (1.0, 4.0)  # shorter and longer than the silence that ends a furrow
+CUTS_S = (1.0, 4.0)  # shorter and longer than the silence that ends a connection
 
 
 def quantile(values: list[float], part: float) -> float:
@@ -77,14 +78,14 @@
 class Mesh:
     """One mesh with its stand-in servers, as `async with`."""
 
-    def __init__(self, folder: Path, barns: int, seed: int, relayed: bool = False) -> None:
+    def __init__(self, folder: Path, controllers: int, seed: int, relayed: bool = False) -> None:
         draw = random.Random(seed)
         self.history = History()
-        self.field = Field(folder, self.history, barns, PAIRS, relayed)
-        self.operator = Operator(self.field.barns, self.history, draw, itertools.count(1))
+        self.field = Field(folder, self.history, controllers, PAIRS, relayed)
+        self.operator = Operator(self.field.controllers, self.history, draw, itertools.count(1))
         self.servers = [
-            Server(stile, self.history, random.Random(draw.random()), 0.0, errs=False)
-            for stile in self.field.stiles
+            Server(sidecar, self.history, random.Random(draw.random()), 0.0, errs=False)
+            for sidecar in self.field.sidecars
         ]
         self.versions = itertools.count(1000)
         self.names = itertools.count(1)
@@ -94,11 +95,11 @@
             await self.field.start_all()
             for server in self.servers:
                 await server.start()
-            await self.ready(*self.field.barns)
+            await self.ready(*self.field.controllers)
             if await self.operator.first() != 200:
                 raise TimeoutError("the first configuration was not acknowledged")
-            await self.ready(*self.field.stiles)
-            await asyncio.sleep(SETTLE_S)  # all furrows between stiles are there
+            await self.ready(*self.field.sidecars)
+            await asyncio.sleep(SETTLE_S)  # all connections between sidecars are there
         except BaseException:
             await self.close()
             raise
@@ -119,8 +120,8 @@
             await until(machine.ready, f"{machine.name} ready")
 
     def of(self, service: str) -> list[Machine]:
-        """The stiles beside a service's servers."""
-        return [stile for stile in self.field.stiles if stile.service == service]
+        """The sidecars beside a service's servers."""
+        return [sidecar for sidecar in self.field.sidecars if sidecar.service == service]
 
     async def change(self) -> tuple[int, str]:
         """A change of the one route that no server serves; its version, and the path that it newly has."""
@@ -150,8 +151,10 @@
 def raw(kind: str, target: str, attempt: str, key: str = "", limit_s: float = CALL_S) -> bytes:
     """A call as a client sends it."""
     headers = {
-        "Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": str(int(limit_s * 1000)),
-    }  # fmt: skip
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": str(int(limit_s * 1000)),
+    }
     if key:
         headers["X-Operation-Key"] = key
     method = "GET" if kind == "pure" else "POST"
@@ -161,8 +164,8 @@
 # --- from an acknowledgement to in force
 
 
-async def in_force(stile: Machine, path: str) -> float:
-    """When a request was sent to a stile that was the first to be handled by the route of this path."""
+async def in_force(sidecar: Machine, path: str) -> float:
+    """When a request was sent to a sidecar that was the first to be handled by the route of this path."""
     line: wire.Line | None = None
     ends = time.monotonic() + LIMIT_S
     try:
@@ -170,7 +173,7 @@
             sent = time.monotonic()
             try:
                 async with asyncio.timeout(CALL_S):
-                    line = line or await wire.Line.open(stile.at("outbound"))
+                    line = line or await wire.Line.open(sidecar.at("outbound"))
                     if (await line.ask(raw("pure", path, f"w{sent}"))).status != 404:
                         return sent
             except (OSError, wire.Broken, TimeoutError):
@@ -181,18 +184,18 @@
     finally:
         if line is not None:
             line.close()
-    raise TimeoutError(f"{path} was not in force at {stile.name} within {LIMIT_S:g} s")
+    raise TimeoutError(f"{path} was not in force at {sidecar.name} within {LIMIT_S:g} s")
 
 
 async def changes(mesh: Mesh, table: Table) -> None:
-    """Changes one after the other, each looked for at all stiles."""
+    """Changes one after the other, each looked for at all sidecars."""
     for _ in range(CHANGES):
         began = time.monotonic()
         _, path = await mesh.change()
         acked = time.monotonic()
-        seen = await asyncio.gather(*(in_force(stile, path) for stile in mesh.field.stiles))
+        seen = await asyncio.gather(*(in_force(sidecar, path) for sidecar in mesh.field.sidecars))
         table.add("a change, sent to acknowledged", acked - began)
-        table.add("acknowledged to in force at all six stiles", max(seen) - acked)
+        table.add("acknowledged to in force at all six sidecars", max(seen) - acked)
 
 
 # --- keys
@@ -200,8 +203,8 @@
 
 async def keyed(mesh: Mesh, table: Table) -> None:
     """Calls with and without a key in turn, at an idle mesh, on one connection."""
-    stile = mesh.of("ferry")[0]
-    line = await wire.Line.open(stile.at("outbound"))
+    sidecar = mesh.of("ferry")[0]
+    line = await wire.Line.open(sidecar.at("outbound"))
     plain: list[float] = []
     with_key: list[float] = []
     for _ in range(KEYS):
@@ -225,11 +228,11 @@
 
 
 class Probes:
-    """Calls of each kind at some stiles at a steady pace, whatever becomes of those before."""
+    """Calls of each kind at some sidecars at a steady pace, whatever becomes of those before."""
 
-    def __init__(self, mesh: Mesh, stiles: list[Machine]) -> None:
-        self._mesh, self._stiles = mesh, stiles
-        self._idle: dict[str, list[wire.Line]] = {stile.name: [] for stile in stiles}
+    def __init__(self, mesh: Mesh, sidecars: list[Machine]) -> None:
+        self._mesh, self._sidecars = mesh, sidecars
+        self._idle: dict[str, list[wire.Line]] = {sidecar.name: [] for sidecar in sidecars}
         self.calls: dict[str, list[tuple[float, float, bool]]] = {"pure": [], "idempotent": []}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -241,9 +244,9 @@
             if due > began + for_s and (self._calm() or due > began + LIMIT_S):
                 return
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            for stile in self._stiles:
+            for sidecar in self._sidecars:
                 for kind in self.calls:
-                    task = asyncio.create_task(self._call(stile, kind))
+                    task = asyncio.create_task(self._call(sidecar, kind))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
 
@@ -256,18 +259,18 @@
         for line in itertools.chain(*self._idle.values()):
             line.close()
 
-    async def _call(self, stile: Machine, kind: str) -> None:
+    async def _call(self, sidecar: Machine, kind: str) -> None:
         name = f"p{next(self._mesh.names)}"
         sent, good = time.monotonic(), False
         line: wire.Line | None = None
-        idle = self._idle[stile.name]
+        idle = self._idle[sidecar.name]
         try:
             async with asyncio.timeout(CALL_S + 0.5):
                 while idle and line is None:
                     line = idle.pop()
                     if not line.open_ended:
                         line = None
-                line = line or await wire.Line.open(stile.at("outbound"))
+                line = line or await wire.Line.open(sidecar.at("outbound"))
                 key = f"key-{name}" if kind == "idempotent" else ""
                 good = (await line.ask(raw(kind, f"{PATHS[kind][0]}{name}", name, key))).status == 200
         except (OSError, wire.Broken, TimeoutError):
@@ -283,7 +286,7 @@
         for kind, calls in self.calls.items():
             calls.sort()
             met = [(sent, good) for sent, ended, good in calls if ended >= at]
-            runs = (n for n in range(len(met) - 9) if all(good for _, good in met[n:n + 10]))
+            runs = (n for n in range(len(met) - 9) if all(good for _, good in met[n : n + 10]))
             first = next(runs, None)
             if first is None:
                 raise TimeoutError(f"{row}: {kind} was not served again within {LIMIT_S:g} s")
@@ -295,10 +298,10 @@
 
 
 async def killed(
-    mesh: Mesh, table: Table, row: str, machines: list[Machine], stiles: list[Machine], back: bool
+    mesh: Mesh, table: Table, row: str, machines: list[Machine], sidecars: list[Machine], back: bool
 ) -> None:
-    """End processes while calls are made at some stiles; start them again at once, or when all is seen."""
-    probes = Probes(mesh, stiles)
+    """End processes while calls are made at some sidecars; start them again at once, or when all is seen."""
+    probes = Probes(mesh, sidecars)
     calling = asyncio.create_task(probes.run(SETTLE_S + WATCH_S))
     await asyncio.sleep(SETTLE_S)
     at = time.monotonic()
@@ -318,33 +321,33 @@
 async def kills(mesh: Mesh, table: Table, number: int) -> None:
     """One kill of each sort."""
     ferry, till = mesh.of("ferry"), mesh.of("till")
-    barn = mesh.field.barns[number % len(mesh.field.barns)]
-    await killed(mesh, table, "a barn killed", [barn], ferry, False)
-    await killed(mesh, table, "a stile killed and started, its own clients", ferry[:1], ferry[:1], True)
+    controller = mesh.field.controllers[number % len(mesh.field.controllers)]
+    await killed(mesh, table, "a controller killed", [controller], ferry, False)
+    await killed(mesh, table, "a sidecar killed and started, its own clients", ferry[:1], ferry[:1], True)
     servers = [ferry[2], till[number % PAIRS]]
-    await killed(mesh, table, "a stile of each service killed, others' clients", servers, ferry[:2], False)
+    await killed(mesh, table, "a sidecar of each service killed, others' clients", servers, ferry[:2], False)
 
 
 async def wiped(mesh: Mesh, table: Table, number: int) -> None:
-    """A barn loses its disk: from its start until it counts again."""
-    barn = mesh.field.barns[number % len(mesh.field.barns)]
-    await mesh.field.kill(barn)
-    mesh.field.wipe(barn)
+    """A controller loses its disk: from its start until it counts again."""
+    controller = mesh.field.controllers[number % len(mesh.field.controllers)]
+    await mesh.field.kill(controller)
+    mesh.field.wipe(controller)
     began = time.monotonic()
-    await mesh.field.start(barn)
-    held = await until(barn.ready, f"{barn.name} whole again")
+    await mesh.field.start(controller)
+    held = await until(controller.ready, f"{controller.name} whole again")
     await asyncio.sleep(SETTLE_S)
-    said = [json.loads(line) for line in mesh.field.log(barn) if '"whole again"' in line]
+    said = [json.loads(line) for line in mesh.field.log(controller) if '"whole again"' in line]
     told = said[-1] if said else {}
     note = f"{told.get('items')} items, {told.get('keys')} keys"
-    table.add("a wiped barn, start to whole again", held - began, note)
+    table.add("a wiped controller, start to whole again", held - began, note)
 
 
 # --- cuts
 
 
 def on_disk(folder: Path, name: str) -> int:
-    """The version of an item that a barn's disk holds."""
+    """The version of an item that a controller's disk holds."""
     newest = -1
     for path in sorted(folder.glob("g*.dat")):
         with contextlib.suppress(OSError):
@@ -355,9 +358,10 @@
 
 
 async def healed(mesh: Mesh, table: Table, for_s: float) -> None:
-    """A barn and two stiles are cut off, a change is made beside them: from the cut's end to agreement."""
+    """A controller and two sidecars are cut off, a change is made beside them: from the cut's end to
+    agreement."""
     field = mesh.field
-    here = [field.barns[0], *field.stiles[:2]]
+    here = [field.controllers[0], *field.sidecars[:2]]
     field.cut(*here)
     await asyncio.sleep(0.2)
     version, path = await mesh.change()
@@ -365,23 +369,25 @@
     await asyncio.sleep(max(0.0, ends - time.monotonic()))
 
     async def copied() -> bool:
-        return all(on_disk(field.data(barn), "route/timed") >= version for barn in field.barns)
+        return all(
+            on_disk(field.data(controller), "route/timed") >= version for controller in field.controllers
+        )
 
     at = time.monotonic()
     field.heal()
-    looks = [asyncio.create_task(in_force(stile, path)) for stile in field.stiles]
+    looks = [asyncio.create_task(in_force(sidecar, path)) for sidecar in field.sidecars]
     held = await until(copied, "all copies agree")
     seen = await asyncio.gather(*looks)
-    table.add(f"a cut of {for_s:g} s, its end to in force at all six stiles", max(0.0, max(seen) - at))
-    table.add(f"a cut of {for_s:g} s, its end to on every barn's disk", max(0.0, held - at))
+    table.add(f"a cut of {for_s:g} s, its end to in force at all six sidecars", max(0.0, max(seen) - at))
+    table.add(f"a cut of {for_s:g} s, its end to on every controller's disk", max(0.0, held - at))
     await asyncio.sleep(2 * SETTLE_S)
 
 
 # --- all
 
 
-async def measure(folder: Path, barns: int, rounds: int, seed: int) -> tuple[Table, float]:
-    """One number of barns; the table, and how late this process was (ms, 99%)."""
+async def measure(folder: Path, controllers: int, rounds: int, seed: int) -> tuple[Table, float]:
+    """One number of controllers; the table, and how late this process was (ms, 99%)."""
     table, late = Table(), Lateness()
 
     async def beat() -> None:
@@ -393,7 +399,7 @@
     beating = asyncio.create_task(beat())
     (direct := folder / "direct").mkdir()
     (relayed := folder / "relayed").mkdir()
-    async with Mesh(direct, barns, seed) as mesh:
+    async with Mesh(direct, controllers, seed) as mesh:
         for number in range(rounds):
             await changes(mesh, table)
             await keyed(mesh, table)
@@ -401,7 +407,7 @@
             await wiped(mesh, table, number)
         mesh.field.read_logs()
         troubles = mesh.history.troubles
-    async with Mesh(relayed, barns, seed, relayed=True) as mesh:
+    async with Mesh(relayed, controllers, seed, relayed=True) as mesh:
         await mesh.change()
         for _ in range(rounds):
             for for_s in CUTS_S:
@@ -415,29 +421,30 @@
 
 
 def main() -> int:
-    """Measure, and print a table for each number of barns."""
+    """Measure, and print a table for each number of controllers."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.mesh_times", description=__doc__)
-    parser.add_argument("--barns", default="3,5")
+    parser.add_argument("--controllers", default="3,5")
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", type=Path)
     told = parser.parse_args()
     found: dict[str, Any] = {}
-    for barns in map(int, told.barns.split(",")):
+    for controllers in map(int, told.controllers.split(",")):
         began, load = time.monotonic(), os.getloadavg()[0]
         with tempfile.TemporaryDirectory(prefix="mesh-times-") as folder:
             try:
-                table, late_ms = asyncio.run(measure(Path(folder), barns, told.rounds, told.seed))
+                table, late_ms = asyncio.run(measure(Path(folder), controllers, told.rounds, told.seed))
             except (TimeoutError, RuntimeError) as error:
-                print(f"{barns} barns: {error}", file=sys.stderr)
+                print(f"{controllers} controllers: {error}", file=sys.stderr)
                 return 1
         took = time.monotonic() - began
         print(
-            f"{barns} barns, 6 stiles, {told.rounds} rounds in {took:.0f} s; {os.cpu_count()} cores, load "
-            f"{load:.1f} before, {os.getloadavg()[0]:.1f} after; the rig late by {late_ms:.1f} ms (99%)"
-        )  # fmt: skip
+            f"{controllers} controllers, 6 sidecars, {told.rounds} rounds in {took:.0f} s; "
+            f"{os.cpu_count()} cores, load {load:.1f} before, {os.getloadavg()[0]:.1f} after; "
+            f"the rig late by {late_ms:.1f} ms (99%)"
+        )
         print(*table.lines(), "", sep="\n")
-        found[str(barns)] = {"rows": table.rows, "late_ms": late_ms, "rounds": told.rounds}
+        found[str(controllers)] = {"rows": table.rows, "late_ms": late_ms, "rounds": told.rounds}
     if told.json is not None:
         told.json.write_text(json.dumps(found), encoding="utf-8")
     return 0
--- a/benchmarks/sums.py
+++ b/benchmarks/sums.py
@@ -71,12 +71,17 @@
     verdict, spent = fleet.verdict(), fleet.spent
     each = day.servers * day.seconds
     return {
-        "sidecars": day.sidecars, "servers": day.servers, "G": round(verdict.figure, 3),
-        "served": round(verdict.whole, 3), "late": round(verdict.ends.get("late", 0.0), 3),
+        "sidecars": day.sidecars,
+        "servers": day.servers,
+        "G": round(verdict.figure, 3),
+        "served": round(verdict.whole, 3),
+        "late": round(verdict.ends.get("late", 0.0), 3),
         "refused": round(verdict.ends.get("refused", 0.0), 3),
         "wasted": round(spent.wasted / max(1.0, spent.work), 3),
-        "tries": round(spent.tries / each, 2), "attempts": round(spent.attempts / each, 2),
-        "probes": round(spent.probes / each, 3), "handshakes": round(spent.handshakes / each, 3),
+        "tries": round(spent.tries / each, 2),
+        "attempts": round(spent.attempts / each, 2),
+        "probes": round(spent.probes / each, 3),
+        "handshakes": round(spent.handshakes / each, 3),
         "lists": round(spent.lists / each, 4),
     }
 
--- a/emulator/crowd.py
+++ b/emulator/crowd.py
@@ -52,8 +52,14 @@
     "discovery": "subscribe",
     "reporting": {"how": "probe"},
     "limits": {"mayProbe": True, "maxAttempts": 5, "retryAfter": True, "maxRetryAfterNs": 2 * SECOND},
-    "invariants": {"coldFrom": COLD_FROM, "coldNs": int(COLD_S * SECOND), "fallMultiple": MULTIPLE,
-                   "fallNs": int(WINDOW_S * SECOND), "mustAskInNs": 10 * SECOND, "drainGraceNs": SECOND},
+    "invariants": {
+        "coldFrom": COLD_FROM,
+        "coldNs": int(COLD_S * SECOND),
+        "fallMultiple": MULTIPLE,
+        "fallNs": int(WINDOW_S * SECOND),
+        "mustAskInNs": 10 * SECOND,
+        "drainGraceNs": SECOND,
+    },
     "prices": {"probe": 0.08, "handshake": 0.08, "discovery": 0.05, "waste": 0.2},
     "periodNs": MS,
 }
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -27,7 +27,9 @@
 
 
 CLASSES = (
-    Class("read", 0.34, 1.0), Class("push", 0.31, 1.0, scale=1.05), Class("set", 0.22, 5.0),
+    Class("read", 0.34, 1.0),
+    Class("push", 0.31, 1.0, scale=1.05),
+    Class("set", 0.22, 5.0),
     Class("confirm", 0.13, 8.0, "single_shot"),
 )
 
@@ -61,9 +63,15 @@
     tenants: tuple[float, ...] = (0.24, 0.21, 0.12, 0.11, 0.1, 0.09, 0.05, 0.04, 0.04)
     usage: tuple[float, float] = (0.55, 1.35)  # of a tenant's part against its share
     allowance: float = 0.88  # of what all servers can do, shared out to the tenants
-    shape: Shape = field(default_factory=lambda: Shape(
-        queue=8, choke_at=6.0, choke_slower=2.5, cold_from=0.4, cold_ns=8 * SECOND,
-    ))
+    shape: Shape = field(
+        default_factory=lambda: Shape(
+            queue=8,
+            choke_at=6.0,
+            choke_slower=2.5,
+            cold_from=0.4,
+            cold_ns=8 * SECOND,
+        )
+    )
     handshake_ns: int = 2 * MS  # of the node's work
     handshake_rtts: int = 2
     idle_ns: int = 10 * SECOND
@@ -73,34 +81,67 @@
     lines_a_second: float = 40_000.0
     warm_up_s: float = 1.0
     prices: tuple[tuple[str, float], ...] = (
-        ("crossZone", 0.005), ("discovery", 0.05), ("handshake", 0.08), ("lateFail", 0.08), ("probe", 0.08),
+        ("crossZone", 0.005),
+        ("discovery", 0.05),
+        ("handshake", 0.08),
+        ("lateFail", 0.08),
+        ("probe", 0.08),
         ("waste", 0.2),
     )
 
     def told(self, index: int) -> Settings:
         """The settings that one sidecar is started with."""
-        return Settings.parse({
-            "classes": [
-                {"name": c.name, "onTimeNs": self.aim_ns, "hardLimitNs": self.deadline_ns, "repeat": c.repeat,
-                 "credit": c.worth, "windowNs": 5 * SECOND} for c in self.classes
-            ],
-            "failureDomains": [f"hall-{i}" for i in range(self.halls)],
-            "discovery": "subscribe", "zone": index % self.halls,
-            "index": index, "replicasOfMe": self.sidecars,
-            "reporting": {"how": "probe", "columns": ["inflight", "queue"]},
-            "limits": {"mayProbe": True, "maxAttempts": 5, "cancel": True, "secondCopies": True,
-                       "retryAfter": True, "maxRetryAfterNs": 2 * SECOND, "connIdleNs": self.idle_ns,
-                       "connectTimeoutNs": self.connect_timeout_ns},
-            "invariants": {"coldFrom": self.shape.cold_from, "coldNs": self.shape.cold_ns or SECOND,
-                           "fallMultiple": 2.5, "fallNs": 1_500 * MS, "mustAskInNs": 10 * SECOND,
-                           "drainGraceNs": SECOND, "graceToAnswerNs": 5 * MS},
-            "prices": dict(self.prices), "overShareWorth": 0.05, "periodNs": MS,
-            "projects": [
-                {"name": f"tenant-{i}", "share": share,
-                 "allowancePerS": self.allowance * share * self.capacity}
-                for i, share in enumerate(self.tenants)
-            ],
-        })
+        return Settings.parse(
+            {
+                "classes": [
+                    {
+                        "name": c.name,
+                        "onTimeNs": self.aim_ns,
+                        "hardLimitNs": self.deadline_ns,
+                        "repeat": c.repeat,
+                        "credit": c.worth,
+                        "windowNs": 5 * SECOND,
+                    }
+                    for c in self.classes
+                ],
+                "failureDomains": [f"hall-{i}" for i in range(self.halls)],
+                "discovery": "subscribe",
+                "zone": index % self.halls,
+                "index": index,
+                "replicasOfMe": self.sidecars,
+                "reporting": {"how": "probe", "columns": ["inflight", "queue"]},
+                "limits": {
+                    "mayProbe": True,
+                    "maxAttempts": 5,
+                    "cancel": True,
+                    "secondCopies": True,
+                    "retryAfter": True,
+                    "maxRetryAfterNs": 2 * SECOND,
+                    "connIdleNs": self.idle_ns,
+                    "connectTimeoutNs": self.connect_timeout_ns,
+                },
+                "invariants": {
+                    "coldFrom": self.shape.cold_from,
+                    "coldNs": self.shape.cold_ns or SECOND,
+                    "fallMultiple": 2.5,
+                    "fallNs": 1_500 * MS,
+                    "mustAskInNs": 10 * SECOND,
+                    "drainGraceNs": SECOND,
+                    "graceToAnswerNs": 5 * MS,
+                },
+                "prices": dict(self.prices),
+                "overShareWorth": 0.05,
+                "periodNs": MS,
+                "projects": [
+                    {
+                        "name": f"tenant-{i}",
+                        "share": share,
+                        "allowancePerS": self.allowance * share * self.capacity,
+                    }
+                    for i, share in enumerate(self.tenants)
+                ],
+            }
+        )
 
     @property
     def capacity(self) -> float:
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -179,9 +179,9 @@
         """An attempt's work: the request's own, lognormal, times the attempt's."""
         kind, day = self.day.classes[request.cls], self.day
         sigma = kind.cv * 0.9
-        noise = self._noise.lognormvariate(-day.noise**2 / 2, day.noise)
+        noise = self._noise.lognormvariate(-(day.noise**2) / 2, day.noise)
         times = day.tail[1] if request.heavy else 1.0
-        return float(times * day.work_ns * kind.scale * size**sigma * noise * math.exp(-sigma**2 / 2))
+        return float(times * day.work_ns * kind.scale * size**sigma * noise * math.exp(-(sigma**2) / 2))
 
     # --- clients
 
@@ -282,8 +282,11 @@
 
     def _reaches(self, i: int, machine: Machine) -> bool:
         here, there = f"hall-{i % self.day.halls}", f"hall-{machine.hall}"
-        return machine.fault != "silent" and self.network.reaches(machine.name, i) and (
-            self.network.joined(here, there))
+        return (
+            machine.fault != "silent"
+            and self.network.reaches(machine.name, i)
+            and (self.network.joined(here, there))
+        )
 
     def _way(self, i: int, machine: Machine) -> int:
         return self.network.delay(f"hall-{i % self.day.halls}", f"hall-{machine.hall}")
--- a/emulator/worth.py
+++ b/emulator/worth.py
@@ -107,7 +107,12 @@
     mixed += goal.tenant * shares["tenant"]
     ends = Counter(request.end or "open" for request in asked)
     return Verdict(
-        mixed - sum(cost.values()), whole, window, shares["cls"], shares["tenant"], cost,
+        mixed - sum(cost.values()),
+        whole,
+        window,
+        shares["cls"],
+        shares["tenant"],
+        cost,
         {name: number / count for name, number in ends.items()},
         [by_class[i][0] / by_class[i][1] for i in sorted(by_class)],
     )
--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -63,11 +63,17 @@
         except Exception as error:
             print(f"{config.name}: reload: old configuration kept: {error}", file=sys.stderr, flush=True)
             continue
-        rest = [key for key in ("name", "listen", "console", "sockets", "settings")
-                if getattr(new, key) != getattr(config, key)]
+        rest = [
+            key
+            for key in ("name", "listen", "console", "sockets", "settings")
+            if getattr(new, key) != getattr(config, key)
+        ]
         note = f"; a restart is needed for {', '.join(rest)}" if rest else ""
-        print(f"{config.name}: reload: discovery at {':'.join(map(str, new.discovery))}{note}",
-              file=sys.stderr, flush=True)
+        print(
+            f"{config.name}: reload: discovery at {':'.join(map(str, new.discovery))}{note}",
+            file=sys.stderr,
+            flush=True,
+        )
         if new.discovery != config.discovery:
             sidecar.move_discovery(new.discovery)
         sidecar.take_options(switched)
@@ -77,8 +83,12 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Entry point of `python -m hollyport`."""
     parser = argparse.ArgumentParser(prog="hollyport", description="A sidecar load balancer; see README.md.")
-    parser.add_argument("--options", metavar="FILE", default=os.environ.get(OPTIONS),
-                        help=f"the operators' file; also by the variable {OPTIONS}")
+    parser.add_argument(
+        "--options",
+        metavar="FILE",
+        default=os.environ.get(OPTIONS),
+        help=f"the operators' file; also by the variable {OPTIONS}",
+    )
     parser.add_argument("--check", metavar="FILE", help="check an operators' file, and do nothing else")
     told = parser.parse_args(arguments)
     try:
--- a/hollyport/core/requests.py
+++ b/hollyport/core/requests.py
@@ -83,8 +83,15 @@
     """The requests of one pool of nodes (hollyport.core.contract.Service)."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Clock, beat: Beat, ids: Ids, settings: Settings,
-        seed: int, upstream: Nodes, refused_by: Callable[[str], None] = lambda server: None,
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        beat: Beat,
+        ids: Ids,
+        settings: Settings,
+        seed: int,
+        upstream: Nodes,
+        refused_by: Callable[[str], None] = lambda server: None,
         tally: Tally | None = None,
     ) -> None:
         self._loop, self._clock, self._settings = loop, clock, settings
@@ -162,10 +169,19 @@
         request = self._requests[tid] = Request(tid, asked, terms)
         if not terms.growing:
             request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
-        self.deliver(Accept(
-            tid, terms.cls, wait - MARGIN_NS, terms.cost_ns, terms.tenant, terms.key, terms.retry,
-            terms.write, terms.growing,
-        ))
+        self.deliver(
+            Accept(
+                tid,
+                terms.cls,
+                wait - MARGIN_NS,
+                terms.cost_ns,
+                terms.tenant,
+                terms.key,
+                terms.retry,
+                terms.write,
+                terms.growing,
+            )
+        )
 
     def whole(self, asked: Asked) -> None:
         """The last byte of a request that was growing has come: the client's time begins."""
@@ -250,7 +266,9 @@
         exchange = None
         if not request.over:
             exchange = self._upstream.exchange(
-                server, lambda: request.asked.wire((abandon - self._clock()) / 1e9), (abandon - sent) / 1e9,
+                server,
+                lambda: request.asked.wire((abandon - self._clock()) / 1e9),
+                (abandon - sent) / 1e9,
                 ended,
             )
             if exchange is not None and request.growing:
--- a/hollyport/fleet/part.py
+++ b/hollyport/fleet/part.py
@@ -78,7 +78,11 @@
     """Runs one member."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, options: FleetOptions, name: str, heir: bool,
+        self,
+        loop: asyncio.AbstractEventLoop,
+        options: FleetOptions,
+        name: str,
+        heir: bool,
         log: Callable[[str, str], Tells] = _log,
     ) -> None:
         """`heir`: this process takes over from another of its name. `log` makes what takes the events, from
--- a/hollyport/guards/admission.py
+++ b/hollyport/guards/admission.py
@@ -261,5 +261,3 @@
 def networks(texts: Iterable[str]) -> tuple[Network, ...]:
     """Networks by their texts. Raise ValueError on what is none."""
     return tuple(ip_network(text) for text in texts)
-
-
--- a/hollyport/guests/listener.py
+++ b/hollyport/guests/listener.py
@@ -40,7 +40,11 @@
     """
 
     def __init__(
-        self, guest: Callable[[Listener], Guest], most: int, crowd: int, keep_s: float = KEEP_S,
+        self,
+        guest: Callable[[Listener], Guest],
+        most: int,
+        crowd: int,
+        keep_s: float = KEEP_S,
         door: Door | None = None,
     ) -> None:
         self._guest = guest
@@ -233,7 +237,10 @@
         assert self._loop is not None
         now = self._loop.time()
         for queue, age in (
-            (self.leaving, HUSH_S), (self.visitors, HUSH_S), (self.silent, HUSH_S), (self.kept, SPARE_S),
+            (self.leaving, HUSH_S),
+            (self.visitors, HUSH_S),
+            (self.silent, HUSH_S),
+            (self.kept, SPARE_S),
             (self.kept, HURRY_S),
         ):
             for connection, since in list(queue.items()) if queue else ():
--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -83,7 +83,10 @@
     """One HTTP/1.1 connection as a client. An answer that has no or an ambiguous length is spoilt, too."""
 
     def __init__(
-        self, on_lost: Callable[[Connection], None], max_body: int = MAX_BODY, stall_s: float = 0.0,
+        self,
+        on_lost: Callable[[Connection], None],
+        max_body: int = MAX_BODY,
+        stall_s: float = 0.0,
         ledger: Ledger | None = None,
     ) -> None:
         super().__init__(on_lost, stall_s)
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -51,8 +51,13 @@
     """
 
     def __init__(
-        self, listener: Listener, loop: asyncio.AbstractEventLoop, service: Service,
-        admit: Callable[[Message], Terms | int], pages: Mapping[bytes, Callable[[], bytes]], ledger: Ledger,
+        self,
+        listener: Listener,
+        loop: asyncio.AbstractEventLoop,
+        service: Service,
+        admit: Callable[[Message], Terms | int],
+        pages: Mapping[bytes, Callable[[], bytes]],
+        ledger: Ledger,
     ) -> None:
         super().__init__(listener, loop)
         self._service, self._admit, self._pages, self._ledger = service, admit, pages, ledger
@@ -81,7 +86,7 @@
                 self._put_off(data[at:])
                 return
             size = self._piece()
-            piece = data[at:at + size] if len(data) - at > size or at else data
+            piece = data[at : at + size] if len(data) - at > size or at else data
             at += size
             self._parse(piece)
         if self._active is None and not self._deaf:
@@ -191,9 +196,12 @@
             message.target = heads.origin(message.target)
         message.old = version == "1.0"
         if (
-            len(lengths) > 1 or any(DIGITS.fullmatch(value) is None for value in lengths)
+            len(lengths) > 1
+            or any(DIGITS.fullmatch(value) is None for value in lengths)
             or (codings and (lengths or version != "1.1" or [v.lower() for v in codings] != [b"chunked"]))
-            or hosts > 1 or (not hosts and version == "1.1") or version not in ("1.0", "1.1")
+            or hosts > 1
+            or (not hosts and version == "1.1")
+            or version not in ("1.0", "1.1")
         ):
             self._error = 400
         elif lengths and int(lengths[0]) > self._max_body:
--- a/hollyport/http/message.py
+++ b/hollyport/http/message.py
@@ -14,10 +14,20 @@
     from hollyport.http.back import Flowing, Reply
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    417: "Expectation Failed",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
 }
 
 
--- a/hollyport/lifecycle/steward.py
+++ b/hollyport/lifecycle/steward.py
@@ -34,7 +34,11 @@
     """One sidecar's listeners under one machine. `changed` is told what holds after each move."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, machine: Machine, doors: Sequence[Doors], longest_s: float,
+        self,
+        loop: asyncio.AbstractEventLoop,
+        machine: Machine,
+        doors: Sequence[Doors],
+        longest_s: float,
         changed: Callable[[Effects], None],
     ) -> None:
         self._loop, self.machine, self._doors, self._changed = loop, machine, doors, changed
--- a/hollyport/lists/pools.py
+++ b/hollyport/lists/pools.py
@@ -73,7 +73,10 @@
     """Deals the list's lines out to the pools."""
 
     def __init__(
-        self, speak: Mapping[str, str], rules: Sequence[NodeRule], settings: Settings,
+        self,
+        speak: Mapping[str, str],
+        rules: Sequence[NodeRule],
+        settings: Settings,
         note: Callable[[str], None] | None = None,
     ) -> None:
         """`speak`: the pool of each protocol that is switched on."""
--- a/hollyport/nodes/upstream.py
+++ b/hollyport/nodes/upstream.py
@@ -171,8 +171,13 @@
     """All servers that the list has named, and the connections to them."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, connect_timeout_ns: int, idle_ns: int, most: int,
-        stall_s: float, back: Back,
+        self,
+        loop: asyncio.AbstractEventLoop,
+        connect_timeout_ns: int,
+        idle_ns: int,
+        most: int,
+        stall_s: float,
+        back: Back,
     ) -> None:
         self.loop = loop
         self.connect_timeout_s = connect_timeout_ns / 1e9
--- a/hollyport/settings/options.py
+++ b/hollyport/settings/options.py
@@ -138,7 +138,7 @@
             table = path = inside(parts)
         else:
             match = _KEY.match(line)
-            if match is None or not line[match.end():].startswith("="):
+            if match is None or not line[match.end() :].startswith("="):
                 continue
             path = (*table, *(part.strip("\"'") for part in _PART.findall(match.group(1))))
         shared = 0
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -49,7 +49,10 @@
     """Wires fronts, nodes and discovery to the decision module."""
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, options: Options | None = None,
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        options: Options | None = None,
         shared: socket.socket | None = None,
     ) -> None:
         self._config, self._loop, self._shared = config, loop, shared
@@ -63,13 +66,24 @@
         self._ledger = ledger = Ledger(part.memory_mb)
         self._presence: Presence | None = None
         self._upstream = Upstream(
-            loop, limits.connect_timeout_ns, limits.conn_idle_ns, part.servers,
-            min(c.aim_ns for c in settings.classes) / 2e9, HttpBack(settings.reports != "none", ledger),
+            loop,
+            limits.connect_timeout_ns,
+            limits.conn_idle_ns,
+            part.servers,
+            min(c.aim_ns for c in settings.classes) / 2e9,
+            HttpBack(settings.reports != "none", ledger),
         )
         self._beat, self._ids = Beat(loop), Ids(2 * self._longest_ns / 1e9)
         self.tally = Tally([c.name for c in settings.classes])
         self.core = Core(
-            loop, self._clock, self._beat, self._ids, settings, config.seed, self._upstream, self._refused_by,
+            loop,
+            self._clock,
+            self._beat,
+            self._ids,
+            settings,
+            config.seed,
+            self._upstream,
+            self._refused_by,
             self.tally,
         )
         self.core.closing = True  # until a list is known
@@ -96,15 +110,20 @@
             self._open_gateway(options, most)
         admit = Gate(settings).admit
         self._listener = Listener(
-            lambda listener: ClientConnection(listener, loop, self.core, admit, pages, ledger), clients,
-            config.sockets // 4 // self._parts, door=self._door(clients, turned_away),
+            lambda listener: ClientConnection(listener, loop, self.core, admit, pages, ledger),
+            clients,
+            config.sockets // 4 // self._parts,
+            door=self._door(clients, turned_away),
         )
         self._listener.on_lost = self._listener_lost
         self._listeners = [self._listener]
         if self._gateway is not None:
             self._listeners += self._gateway.listeners
         self.steward = Steward(
-            loop, Machine(loop.time(), shared is not None), self._listeners, self._longest_ns / 1e9,
+            loop,
+            Machine(loop.time(), shared is not None),
+            self._listeners,
+            self._longest_ns / 1e9,
             self._changed,
         )
         self._fleet = self._open_fleet(options)
@@ -265,13 +284,18 @@
         self._pools = gateway.pools(table, settings)
         self._backs = gateway.backs(table, settings)
         core = Core(
-            self._loop, self._clock, self._beat, self._ids, gateway.pool_settings(table, settings),
-            config.seed + 1, self._upstream, self._refused_by, self.tally,
+            self._loop,
+            self._clock,
+            self._beat,
+            self._ids,
+            gateway.pool_settings(table, settings),
+            config.seed + 1,
+            self._upstream,
+            self._refused_by,
+            self.tally,
         )
         self._cores[POOL] = core
-        self._gateway = gateway.Gateway(
-            self._loop, table, settings, core, self._counters, most, self._door
-        )
+        self._gateway = gateway.Gateway(self._loop, table, settings, core, self._counters, most, self._door)
 
     def _open_fleet(self, options: Options | None) -> FleetPart | None:
         """Other sidecars, where the operators' file switches the fleet on; else none of it is loaded."""
@@ -316,8 +340,17 @@
         from hollyport.registries.feed import Feed
 
         config = self._config
-        return Feed(self._loop, table, config.discovery, self._settings, known, config.name, config.seed,
-                    self._clock, self._told)
+        return Feed(
+            self._loop,
+            table,
+            config.discovery,
+            self._settings,
+            known,
+            config.name,
+            config.seed,
+            self._clock,
+            self._told,
+        )
 
     def take_options(self, options: Options) -> None:
         """The operators' file was read again. What of it can change while running does."""
@@ -325,9 +358,7 @@
         if self._feed is not None and table is not None:
             self._feed.take_options(table)
         fleet = options.sections.get("fleet")
-        if (fleet is None) != (self._fleet is None) or (
-            fleet is not None and not self._fleet_takes(fleet)
-        ):
+        if (fleet is None) != (self._fleet is None) or (fleet is not None and not self._fleet_takes(fleet)):
             print("options: a change of the fleet table needs a restart", file=sys.stderr, flush=True)
         for name, now in (("thrift", self._thrift), ("guards", self._guards)):
             if options.sections.get(name) != now:
--- a/hollyport/thrift/gateway.py
+++ b/hollyport/thrift/gateway.py
@@ -88,8 +88,14 @@
     """The listeners of one daemon."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, options: ThriftOptions, settings: Settings, service: Service,
-        counters: Counters, most: int, guard: Callable[[int, Answer], Guard | None],
+        self,
+        loop: asyncio.AbstractEventLoop,
+        options: ThriftOptions,
+        settings: Settings,
+        service: Service,
+        counters: Counters,
+        most: int,
+        guard: Callable[[int, Answer], Guard | None],
     ) -> None:
         """`most`: connections that clients may hold on all listeners together."""
         self._options, self._loop = options, loop
@@ -112,10 +118,15 @@
                 tuple(c.name for c in settings.classes), counters.add,
             )  # fmt: skip
             part = max(1, most // len(options.listeners))
-            self.listeners.append(Listener(
-                lambda listener, door=door: ThriftGuest(listener, loop, door),  # type: ignore[misc]
-                part, part, options.idle_s, guard(part, partial(turned_away, door.form)),
-            ))
+            self.listeners.append(
+                Listener(
+                    lambda listener, door=door: ThriftGuest(listener, loop, door),  # type: ignore[misc]
+                    part,
+                    part,
+                    options.idle_s,
+                    guard(part, partial(turned_away, door.form)),
+                )
+            )
 
     def _origin(self, tenant: int) -> Origin:
         self._count += 1
@@ -127,5 +138,3 @@
             await listener.start(self._loop, told.address.host, told.address.port)
             for told, listener in zip(self._options.listeners, self.listeners, strict=True)
         ]
-
-
--- /dev/null
+++ b/mesh/__init__.py
@@ -0,0 +1,2 @@
+"""The mesh: sidecars beside servers carry the traffic, controllers on core machines hold what all must agree
+on."""
--- a/orchard/__main__.py
+++ b/mesh/__main__.py
@@ -1,4 +1,4 @@
-"""`python3 -m orchard ROLE`: one program, the role is a subcommand."""
+"""`python3 -m mesh ROLE`: one program, the role is a subcommand."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 import uvloop
 from loguru import logger
 
-from orchard import settings
+from mesh import settings
 
 FILE = "HOLLYPORT_NODE_FILE"
 LOOK_S = 1.0  # how often the settings file is looked at
@@ -80,14 +80,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
     part: Any
-    if role == "barn":
-        from orchard.barn import Barn
+    if role == "controller":
+        from mesh.control.controller import Controller
 
-        part = Barn(told)
+        part = Controller(told)
     else:
-        from orchard.stile import Stile
+        from mesh.proxy.sidecar import Sidecar
 
-        part = Stile(told)
+        part = Sidecar(told)
     await part.start()
     gc.freeze()
     gc.enable()
@@ -98,23 +98,23 @@
 
 
 def _run(role: str, file: str) -> None:
-    from orchard import log
+    from mesh import logs
 
     told = _settings(file)
-    log.start(told.name)
+    logs.start(told.name)
     uvloop.run(_serve(role, told, file or os.environ[FILE]))
 
 
-class Orchard:
+class Commands:
     """The mesh's one program; each role is a subcommand."""
 
-    def stile(self, file: str = "") -> None:
+    def sidecar(self, file: str = "") -> None:
         """Carry requests beside a server. `file`: settings, by default the one the environment names."""
-        _run("stile", file)
+        _run("sidecar", file)
 
-    def barn(self, file: str = "") -> None:
+    def controller(self, file: str = "") -> None:
         """Hold configuration, records and keys on a core machine."""
-        _run("barn", file)
+        _run("controller", file)
 
     def check(self, file: str = "") -> None:
         """Read a settings file and say whether it can be used."""
@@ -124,12 +124,12 @@
 def main(words: list[str]) -> None:
     """Run the command line. A role without more words, as platforms start it, is not parsed by fire, whose
     import is a tenth of the time until a process that was killed listens again."""
-    if words in (["stile"], ["barn"]):
+    if words in (["sidecar"], ["controller"]):
         _run(words[0], "")
         return
     import fire
 
-    fire.Fire(Orchard(), command=words, name="orchard")
+    fire.Fire(Commands(), command=words, name="mesh")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/mesh/control/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: agreement on the configuration, grants of operation keys, membership."""
--- a/orchard/agreement.py
+++ b/mesh/control/agreement.py
@@ -14,16 +14,17 @@
 
 from loguru import logger
 
-from orchard import catalog, consensus
-from orchard.ballot import Ballot, Member
-from orchard.catalog import Item
-from orchard.consensus import Promise, Replica, draft_of
-from orchard.faults import Fault
-from orchard.feed import Copy
-from orchard.furrow import Furrow, pack
-from orchard.quorum import Turn, Voters
-from orchard.rounds import Rounds
-from orchard.words import Word
+from mesh.control import consensus
+from mesh.control.ballot import Ballot, Member
+from mesh.control.consensus import Promise, Replica, draft_of
+from mesh.control.rounds import Rounds
+from mesh.errors import ErrorKind
+from mesh.state import configuration
+from mesh.state.configuration import Item
+from mesh.state.distribution import Copy
+from mesh.state.quorum import Turn, Voters
+from mesh.transport.connection import PeerConnection, pack
+from mesh.transport.messages import MessageKind
 
 ROUND_S = 0.4  # how long a round waits: the operator waits a second, and a change takes two
 TURN_S = 1.2  # how long a machine keeps other proposers waiting for one that says nothing more
@@ -31,7 +32,9 @@
 AGAIN_S = 0.02, 0.08  # pause of a proposer that was refused
 COMPARISON = 0  # the epoch of a question that only compares: nobody answers it as a voter
 
-WORDS = frozenset({Word.PREPARE, Word.ACCEPT, Word.COMMIT, Word.ABANDON, Word.FETCH})
+MESSAGE_KINDS = frozenset(
+    {MessageKind.PREPARE, MessageKind.ACCEPT, MessageKind.COMMIT, MessageKind.ABANDON, MessageKind.FETCH}
+)
 
 
 class Machine(Protocol):
@@ -41,10 +44,10 @@
     member: Member
     rounds: Rounds
 
-    def link_to(self, name: str) -> Furrow | None:
+    def link_to(self, name: str) -> PeerConnection | None:
         """The connection to another control machine, where there is one."""
 
-    def links(self) -> Iterable[Furrow]:
+    def links(self) -> Iterable[PeerConnection]:
         """Those to all others."""
 
     def write(self, record: list[Any], done: Callable[[bool], None] | None = None) -> None:
@@ -60,7 +63,7 @@
 class Outcome(NamedTuple):
     """What became of an operator's call; no fault: it is in force."""
 
-    fault: Fault | None = None
+    fault: ErrorKind | None = None
     why: str = ""
 
 
@@ -123,18 +126,18 @@
 
     # --- answers to others
 
-    def hear(self, link: Furrow, message: list[Any]) -> None:
-        """One message of `WORDS`."""
+    def hear(self, link: PeerConnection, message: list[Any]) -> None:
+        """One message of `MESSAGE_KINDS`."""
         word = message[0]
-        if word == Word.PREPARE:
+        if word == MessageKind.PREPARE:
             self._prepared(link, *message[1:5])
-        elif word == Word.ACCEPT:
+        elif word == MessageKind.ACCEPT:
             self._accepted(link, *message[1:7])
-        elif word == Word.COMMIT:
+        elif word == MessageKind.COMMIT:
             self._committed(Ballot(*message[1]), message[2], message[3])
-        elif word == Word.ABANDON:
+        elif word == MessageKind.ABANDON:
             self._turn.over(message[1])
-        elif word == Word.FETCH:
+        elif word == MessageKind.FETCH:
             self._fetched(link, *message[1:5])
 
     def _promise(self, epoch: int, ballot: Ballot, done: Callable[[bool], None]) -> bool:
@@ -149,15 +152,19 @@
         self._machine.write(["promise", *ballot], done)
         return True
 
-    def _prepared(self, link: Furrow, number: int, epoch: int, ballot: list[Any], buckets: bytes) -> None:
+    def _prepared(
+        self, link: PeerConnection, number: int, epoch: int, ballot: list[Any], buckets: bytes
+    ) -> None:
         open_ = self.replica.open
         answer = [
-            self.replica.sequence, open_.row() if open_ is not None else None, self.lacking(buckets),
-        ]  # fmt: skip
+            self.replica.sequence,
+            open_.row() if open_ is not None else None,
+            self.lacking(buckets),
+        ]
 
         def tell(yes: bool) -> None:
             told = answer if yes else [0, None, []]
-            link.send([Word.PROMISE, number, yes, epoch, self.replica.promised.number, *told])
+            link.send([MessageKind.PROMISE, number, yes, epoch, self.replica.promised.number, *told])
 
         if not self._promise(epoch, Ballot(*ballot), tell):
             tell(False)
@@ -175,14 +182,23 @@
         self._machine.write(["draft", made.draft.row()], done)
 
     def _accepted(
-        self, link: Furrow, number: int, epoch: int, ballot: list[Any], sequence: int, rows: list[Any],
+        self,
+        link: PeerConnection,
+        number: int,
+        epoch: int,
+        ballot: list[Any],
+        sequence: int,
+        rows: list[Any],
         base: list[Any],
     ) -> None:
         if base:  # this copy is behind: all that was chosen before comes with the change
             self.learn((Item(*row) for row in base), sequence - 1)
         self._accept(
-            epoch, Ballot(*ballot), sequence, [Item(*row) for row in rows],
-            lambda ok: link.send([Word.ACCEPTED, number, ok, epoch]),
+            epoch,
+            Ballot(*ballot),
+            sequence,
+            [Item(*row) for row in rows],
+            lambda ok: link.send([MessageKind.ACCEPTED, number, ok, epoch]),
         )
 
     def _committed(self, ballot: Ballot, sequence: int, rows: list[Any]) -> None:
@@ -190,14 +206,23 @@
         items = [Item(*row) for row in rows]
         self._become(self.replica.commit(sequence, items), items)
 
-    def _fetched(self, link: Furrow, number: int, epoch: int, sealed: bool, buckets: bytes) -> None:
+    def _fetched(self, link: PeerConnection, number: int, epoch: int, sealed: bool, buckets: bytes) -> None:
         """Tell what this copy holds, and whether it answers as a voter of the epoch, or as a sealed one."""
+
         def tell(yes: bool) -> None:
             open_ = self.replica.open
-            link.send([
-                Word.FETCHED, number, yes, epoch, self.replica.sequence, self.lacking(buckets),
-                open_.row() if open_ is not None else None, list(self.replica.promised),
-            ])  # fmt: skip
+            link.send(
+                [
+                    MessageKind.FETCHED,
+                    number,
+                    yes,
+                    epoch,
+                    self.replica.sequence,
+                    self.lacking(buckets),
+                    open_.row() if open_ is not None else None,
+                    list(self.replica.promised),
+                ]
+            )
 
         if sealed:
             self._machine.tell_when_sealed(epoch, tell)
@@ -206,7 +231,7 @@
 
     # --- questions to others
 
-    def _links(self, voters: Voters) -> list[Furrow]:
+    def _links(self, voters: Voters) -> list[PeerConnection]:
         found = [self._machine.link_to(name) for name in voters.names]
         return [link for link in found if link is not None]
 
@@ -234,7 +259,7 @@
 
         links = self._links(voters)
         number, made = self._machine.rounds.open(need, len(links), ROUND_S, take)
-        packed = pack([Word.FETCH, number, voters.epoch, sealed, self.copy.packed_buckets()])
+        packed = pack([MessageKind.FETCH, number, voters.epoch, sealed, self.copy.packed_buckets()])
         for link in links:
             link.put(packed)
         try:
@@ -242,7 +267,7 @@
         finally:
             self._machine.rounds.close(number)
 
-    async def compare(self, link: Furrow) -> bool:
+    async def compare(self, link: PeerConnection) -> bool:
         """Take over what one other holds; whether it has answered. One question at a time."""
         if link.peer in self._fetching:
             return False
@@ -253,7 +278,7 @@
 
         number, made = self._machine.rounds.open(1, 1, ROUND_S, take)
         self._fetching.add(link.peer)
-        link.send([Word.FETCH, number, COMPARISON, False, self.copy.packed_buckets()])
+        link.send([MessageKind.FETCH, number, COMPARISON, False, self.copy.packed_buckets()])
         try:
             return await made.enough()
         finally:
@@ -286,7 +311,7 @@
             if outcome is not None:
                 return outcome
             if self._loop.time() > ends - ROUND_S:
-                return Outcome(Fault.NO_QUORUM)
+                return Outcome(ErrorKind.NO_QUORUM)
             await self._pause()
 
     @staticmethod
@@ -305,11 +330,11 @@
             logger.info("a change that was left half way is finished", sequence=found.sequence + 1)
             await self._propose(voters, prepared, found.unfinished.items)
             return None
-        change = catalog.change(self.replica.items, call or ())
+        change = configuration.change(self.replica.items, call or ())
         if change.is_ok() and change.ok:
             return Outcome() if await self._propose(voters, prepared, change.ok) else None
         self._abandon(voters, ballot)
-        return Outcome(Fault.INVALID, change.error) if change.is_error() else Outcome()
+        return Outcome(ErrorKind.INVALID, change.error) if change.is_error() else Outcome()
 
     async def _prepare(self, voters: Voters) -> Prepared | None:
         self._tries += 1
@@ -338,7 +363,7 @@
                 made.no(me)
 
         mine = Promise(self.replica.sequence, self.replica.open)
-        packed = pack([Word.PREPARE, number, voters.epoch, list(ballot), self.copy.packed_buckets()])
+        packed = pack([MessageKind.PREPARE, number, voters.epoch, list(ballot), self.copy.packed_buckets()])
         for link in links:
             link.put(packed)
         if own and not self._promise(voters.epoch, ballot, promised):
@@ -370,11 +395,9 @@
             promise = heard.get(link.peer)
             behind = promise is not None and promise.sequence < found.sequence
             base = [list(item) for item in self.replica.items.values()] if behind else []
-            link.send([Word.ACCEPT, number, voters.epoch, list(ballot), sequence, packed_rows, base])
+            link.send([MessageKind.ACCEPT, number, voters.epoch, list(ballot), sequence, packed_rows, base])
         if own:
-            self._accept(
-                voters.epoch, ballot, sequence, rows, lambda ok: made.yes(me) if ok else made.no(me)
-            )
+            self._accept(voters.epoch, ballot, sequence, rows, lambda ok: made.yes(me) if ok else made.no(me))
         try:
             chosen = await made.enough()
         finally:
@@ -384,7 +407,7 @@
             return False
         self._turn.over(ballot.who)
         self._become(self.replica.commit(sequence, rows), rows)
-        packed = pack([Word.COMMIT, list(ballot), sequence, packed_rows])
+        packed = pack([MessageKind.COMMIT, list(ballot), sequence, packed_rows])
         for link in self._machine.links():
             link.put(packed)
         return True
@@ -392,7 +415,7 @@
     def _abandon(self, voters: Voters, ballot: Ballot) -> None:
         """Let others propose."""
         self._turn.over(ballot.who)
-        packed = pack([Word.ABANDON, ballot.who])
+        packed = pack([MessageKind.ABANDON, ballot.who])
         for link in self._links(voters):
             link.put(packed)
 
--- a/orchard/ballot.py
+++ b/mesh/control/ballot.py
@@ -1,13 +1,16 @@
-"""How voters follow voters: what one barn has said of it, what a proposer counts, who should vote. No I/O.
+"""How voters follow voters: what one controller has said of it, what a proposer counts, who should vote. No
+I/O.
 
 The voters of epoch 1 are named once. Those of epoch e + 1 are decided by those of epoch e, in one agreement
-on one value (single-decree Paxos: Lamport, "Paxos Made Simple", 2001, with the acceptors of e). Any barn may
-propose; that one usually does is a matter of calm, never of safety. The messages, by their words:
+on one value (single-decree Paxos: Lamport, "Paxos Made Simple", 2001, with the acceptors of e). Any
+controller may propose; that one usually does is a matter of calm, never of safety. The messages, by their
+words:
 
     BID e, ballot          proposer to the voters of e   -> BOUND: promised, with what was accepted so far
     SEAL e, ballot, names  the same, after a majority    -> SEALED: accepted
-    BARN (e + 1, names)    anybody to anybody            that e is followed, once a majority has accepted
-    KEYS, SYNC e, sealed   whoever is not whole in e + 1 -> KEYED, SYNCED: grants and items of a sealed voter
+    CONTROLLER (e + 1, names)    anybody to anybody            that e is followed, once a majority has
+    accepted KEYS, SYNC e, sealed   whoever is not whole in e + 1 -> KEYED, SYNCED: grants and items of a
+    sealed voter
 
 Each answer waits until what it says lies on the disk. Times are seconds of the asker's own steady clock.
 
@@ -35,7 +38,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-from orchard.quorum import NOBODY, Voters
+from mesh.state.quorum import NOBODY, Voters
 
 
 class Ballot(NamedTuple):
@@ -56,8 +59,8 @@
 
 
 class Member:
-    """One barn's word on who votes, and on what its own disk is worth. Whoever calls writes `records` to the
-    disk, and waits for it, before an answer goes out."""
+    """One controller's word on who votes, and on what its own disk is worth. Whoever calls writes `records`
+    to the disk, and waits for it, before an answer goes out."""
 
     def __init__(self, me: str) -> None:
         self.me = me
@@ -112,8 +115,8 @@
     # --- ballots
 
     def bid(self, epoch: int, ballot: Ballot) -> bool:
-        """Promise to say yes to nothing lower. False where a higher one has that promise, and for a barn that
-        is no voter or not whole: it may have forgotten what it said."""
+        """Promise to say yes to nothing lower. False where a higher one has that promise, and for a
+        controller that is no voter or not whole: it may have forgotten what it said."""
         if not self._may(epoch) or ballot < self.promised:
             return False
         self.promised = ballot
@@ -194,21 +197,21 @@
         self._highest = FIRST
         self.asked = False  # whether enough are bound: from then on `names` stand
 
-    def bound(self, now: float, barn: str, accepted: Accepted | None) -> bool:
+    def bound(self, now: float, controller: str, accepted: Accepted | None) -> bool:
         """A voter has promised. True once, when enough have: then all are asked to seal."""
-        if self.asked or barn not in self.voters.names or now > self._ends:
+        if self.asked or controller not in self.voters.names or now > self._ends:
             return False
-        self._bound.add(barn)
+        self._bound.add(controller)
         if accepted is not None and accepted.ballot > self._highest:
             self._highest, self.names = accepted
         self.asked = len(self._bound) >= self.voters.write
         return self.asked
 
-    def sealed(self, now: float, barn: str) -> bool:
+    def sealed(self, now: float, controller: str) -> bool:
         """A voter has accepted. True once so many have that this is decided."""
-        if not self.asked or barn not in self.voters.names or now > self._ends:
+        if not self.asked or controller not in self.voters.names or now > self._ends:
             return False
-        self._sealed.add(barn)
+        self._sealed.add(controller)
         return len(self._sealed) >= self.voters.write
 
     @property
@@ -255,8 +258,8 @@
         return now - self._since[name] if name in self._since and not self.gone(now, name) else 0.0
 
 
-class Sight(NamedTuple):
-    """What one barn sees of the others, and is itself."""
+class PeerView(NamedTuple):
+    """What one controller sees of the others, and is itself."""
 
     gone: Mapping[str, float]  # seconds since each was heard
     steady: Mapping[str, float]  # seconds for which each has been heard, without a break
@@ -276,13 +279,13 @@
 
 
 def plan(
-    voters: Voters, losses: int, sights: Mapping[str, Sight], patience: Patience
+    voters: Voters, losses: int, sights: Mapping[str, PeerView], patience: Patience
 ) -> tuple[str, ...] | None:
     """Who should vote next, by what was just heard; None where it should stay.
 
     A voter that a majority of the voters has not seen for `replace_s`, or that has been told to end, gives
-    its place to a spare: a barn that is whole, that stays, and that a majority has seen for `steady_s`. Who
-    is away goes first. More spares come in up to twice the losses to be borne and one. Those away for
+    its place to a spare: a controller that is whole, that stays, and that a majority has seen for `steady_s`.
+    Who is away goes first. More spares come in up to twice the losses to be borne and one. Those away for
     `remove_s` that have no successor are let go where fewer are a majority then, and that is still more than
     the losses; one that was told to end may be back in a moment, so it keeps a place that nobody takes. All
     of it only where nobody's version is older.
@@ -296,13 +299,17 @@
 
     def away(least: float) -> list[str]:
         return [
-            name for name in voters.names
+            name
+            for name in voters.names
             if name not in sights and many((sight.gone.get(name, 0.0) for sight in heard), least)
         ]
 
     spares = sorted(
-        name for name, sight in sights.items()
-        if name not in voters.names and sight.counts and not sight.leaves
+        name
+        for name, sight in sights.items()
+        if name not in voters.names
+        and sight.counts
+        and not sight.leaves
         and many((other.steady.get(name, 0.0) for other in heard), patience.steady_s)
     )
     leaving = [name for name in voters.names if name in sights and sights[name].leaves]
@@ -315,7 +322,7 @@
         best = min(spares, key=lambda name: (zones.count(sights[name].zone), name))
         spares.remove(best)
         joined.append(best)
-    kept = vacant[len(joined):]
+    kept = vacant[len(joined) :]
     names += joined
     removable = [name for name in kept if name in away(patience.remove_s)]
     stay = [name for name in kept if name not in removable]
--- a/orchard/consensus.py
+++ b/mesh/control/consensus.py
@@ -12,7 +12,7 @@
     COMMIT n, ballot, items     after a majority       to everybody: the change was chosen
 
 Each answer waits until what it says lies on the disk. Items that were committed merge by version in any order
-and from anybody (`catalog.merge`); only `sequence` says which changes they contain in full.
+and from anybody (`configuration.merge`); only `sequence` says which changes they contain in full.
 
 Invariants, which an explorer looks at after every step (`verify/items.py`):
 
@@ -34,9 +34,9 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-from orchard import catalog
-from orchard.ballot import FIRST, Ballot
-from orchard.catalog import EMPTY, Item, Items
+from mesh.control.ballot import FIRST, Ballot
+from mesh.state import configuration
+from mesh.state.configuration import EMPTY, Item, Items
 
 
 class Draft(NamedTuple):
@@ -93,7 +93,9 @@
 
     def learn(self, items: Iterable[Item], sequence: int) -> Replica:
         """Merge all that a copy at some place of the sequence holds and this one lacks."""
-        made = self._replace(items=catalog.merge(self.items, items), sequence=max(sequence, self.sequence))
+        made = self._replace(
+            items=configuration.merge(self.items, items), sequence=max(sequence, self.sequence)
+        )
         return made if made.open is not None else made._replace(draft=None)
 
     def adopt(self, draft: Draft | None, promised: Ballot) -> Replica:
@@ -121,7 +123,7 @@
         """One record, oldest first."""
         kind = record[0]
         if kind == "item":
-            return self._replace(items=catalog.merge(self.items, [Item(*record[1])]))
+            return self._replace(items=configuration.merge(self.items, [Item(*record[1])]))
         if kind == "sequence":
             return self.learn((), record[1])
         if kind == "promise":
@@ -150,7 +152,8 @@
     next number with the highest ballot may have been chosen, and nothing else may."""
     sequence = max([known, *(promise.sequence for promise in heard.values())])
     drafts = [
-        promise.draft for promise in heard.values()
+        promise.draft
+        for promise in heard.values()
         if promise.draft is not None and promise.draft.sequence == sequence + 1
     ]
     return Plan(sequence, max(drafts, key=lambda draft: draft.ballot, default=None))
--- a/orchard/barn.py
+++ b/mesh/control/controller.py
@@ -1,4 +1,5 @@
-"""A barn: one core machine's part of the control state. Takes writes, merges, tells stiles, grants keys."""
+"""A controller: one core machine's part of the control state. Takes writes, merges, tells sidecars, grants
+keys."""
 
 from __future__ import annotations
 
@@ -12,92 +13,115 @@
 from loguru import logger
 
 from hollyport.http.message import Message
-from orchard import catalog, front, furrow
-from orchard.agreement import ROUND_S, WORDS, Agreement
-from orchard.ballot import Ballot, Member, Patience, Proposal, Sight, Watch, accepted_of, holder, plan, row_of
-from orchard.catalog import Item
-from orchard.contact import LEASE_PART, PULSE_PART, Contact, Safety, safety
-from orchard.faults import ANSWERS, Fault
-from orchard.furrow import Dial, Furrow, pack
-from orchard.granary import Granary
-from orchard.keys import Registry
-from orchard.keys import row_of as grant_row
-from orchard.quorum import Voters
-from orchard.rounds import Rounds
-from orchard.settings import Address, Settings
-from orchard.words import Record, Word
+from mesh.control.agreement import MESSAGE_KINDS, ROUND_S, Agreement
+from mesh.control.ballot import (
+    Ballot,
+    Member,
+    Patience,
+    PeerView,
+    Proposal,
+    Watch,
+    accepted_of,
+    holder,
+    plan,
+    row_of,
+)
+from mesh.control.lease import LEASE_PART, PULSE_PART, ReadLease, Safety, safety
+from mesh.control.rounds import Rounds
+from mesh.errors import ANSWERS, ErrorKind
+from mesh.settings import Address, Settings
+from mesh.state import configuration
+from mesh.state.configuration import Item
+from mesh.state.idempotency import Registry
+from mesh.state.idempotency import row_of as grant_row
+from mesh.state.quorum import Voters
+from mesh.storage.record_store import RecordStore
+from mesh.transport import connection, http_server
+from mesh.transport.connection import Dial, PeerConnection, pack
+from mesh.transport.messages import MessageKind, Record
 
 ANSWER_S = 0.9  # an operator's call is answered within this
 GATHER_S = 0.4  # nobody new for so long: the first voters are all there
-OVERSEE_S = 0.25  # how often a barn looks whether the voters are as they should be
+OVERSEE_S = 0.25  # how often a controller looks whether the voters are as they should be
 SETTLED_S = 0.5  # after a start or a change of voters no other change follows for so long
 GAP_S = 0.5  # contact with a majority that is missing for less is not told: a change of voters takes as long
-STOP_S = 0.3  # a barn that ends goes on answering for so long
-KILLED_S = 1.2  # of the grace that is left over when a barn ends, at the least
-FORGET_S = 6.0  # a stile's record outlasts its furrow by so much
-CLAIM_S = 1.0  # a round of claims or ballots is void after so long; a barn without its disk waits as long
+STOP_S = 0.3  # a controller that ends goes on answering for so long
+KILLED_S = 1.2  # of the grace that is left over when a controller ends, at the least
+FORGET_S = 6.0  # a sidecar's record outlasts its connection by so much
+# a round of claims or ballots is void after so long; a controller without its disk waits as long
+CLAIM_S = 1.0
 FETCH_S = 3.0  # how long all grants of others are waited for, which may be megabytes
 FINISH_S = 0.5  # sealed for so long with nothing decided, a voter proposes what it has accepted
 MOST_FORGOTTEN = 256
 MOST_HELD = 1024  # claims
-GATHERED_S = 0.02  # records of stiles that come together are told together
+GATHERED_S = 0.02  # records of sidecars that come together are told together
 
 
-ANSWERED = frozenset({
-    Word.PROMISE, Word.ACCEPTED, Word.FETCHED, Word.KEYED, Word.BOUND, Word.SEALED, Word.SEEN,
-})  # fmt: skip
+ANSWERED = frozenset(
+    {
+        MessageKind.PROMISE,
+        MessageKind.ACCEPTED,
+        MessageKind.FETCHED,
+        MessageKind.KEYED,
+        MessageKind.BOUND,
+        MessageKind.SEALED,
+        MessageKind.SEEN,
+    }
+)
 
 
-class Barn:
+class Controller:
     """One process of the role."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.loop = asyncio.get_running_loop()
-        self.me = settings.furrow.text
+        self.me = settings.peer_address.text
         self._anchor = time.time() - self.loop.time()
         self.keys = Registry(settings.bound("key_window", 60.0))
         self.member = Member(self.me)
         self.rounds = Rounds()
-        self._told_epochs: dict[str, int] = {}  # by barn: the epoch that it has told
-        self._whole_first: set[str] = set()  # barns that told that they are whole, with no voters named yet
+        self._told_epochs: dict[str, int] = {}  # by controller: the epoch that it has told
+        # controllers that told that they are whole, with no voters named yet
+        self._whole_first: set[str] = set()
         contact_s = settings.bound("contact", 3.0)
         self._pulse_s = contact_s * PULSE_PART
         self._watch = Watch(self.loop.time(), 3 * self._pulse_s)
-        self._contact = Contact(self.me, contact_s * LEASE_PART)
+        self._contact = ReadLease(self.me, contact_s * LEASE_PART)
         self._pulses: dict[int, float] = {}  # by number: when it was sent
         self._touch = self._touched = False  # in contact with a majority as last seen; ever, in this life
         self._touched_at = self.loop.time()  # when there was contact last
         self._said_lost = self._said_thin = False
         self._life = int(time.time() * 1000)
         self.agreement = Agreement(self, self._life)
-        self._lives: dict[str, int] = {}  # by barn: the latest life that was heard of, 0 for an older version
-        self._forgotten: dict[str, int] = {}  # by barn: the life that is over
-        self._old_barns: set[str] = set()
-        self._old_stiles: set[Furrow] = set()
-        self._held: list[tuple[float, Furrow, list[Any]]] = []  # claims that come while voters change
+        # by controller: the latest life that was heard of, 0 for an older version
+        self._lives: dict[str, int] = {}
+        self._forgotten: dict[str, int] = {}  # by controller: the life that is over
+        self._old_controllers: set[str] = set()
+        self._old_sidecars: set[PeerConnection] = set()
+        self._held: list[tuple[float, PeerConnection, list[Any]]] = []  # claims that come while voters change
         self._heir = ""
-        self._whole_epochs: dict[str, int] = {}  # by barn: the epoch that it has told to be whole in
+        self._whole_epochs: dict[str, int] = {}  # by controller: the epoch that it has told to be whole in
         self._began = self.loop.time()
         self._changing = self._settling = False
         self._tries = self._highest = 0
         self._since = self._accepted_at = self.loop.time()  # when the voters were learned; when sealed
-        self._granary = Granary(settings.data_dir or "/tmp/granary", self._state)
+        self._store = RecordStore(settings.data_dir or "/tmp/record_store", self._state)
         self._dials: dict[str, Dial] = {}
-        self._linked: dict[str, Furrow] = {}
-        self._stiles: dict[Furrow, str] = {}
+        self._linked: dict[str, PeerConnection] = {}
+        self._sidecars: dict[PeerConnection, str] = {}
         self._records: dict[str, list[Any]] = {}
         self._news = 0
         self._whole: tuple[Any, bytes] = (None, b"")  # all of it, as it is packed once for all who ask
-        self._followers: set[Furrow] = set()  # the stiles that hear tables and changes from here
-        self._fresh_beds: dict[str, list[Any]] = {}  # records that are to be told, by node
-        self.acked: dict[str, int] = {}  # by stile: the last change that it has acknowledged
-        self._newest_barn = self.loop.time()
+        self._followers: set[PeerConnection] = set()  # the sidecars that hear tables and changes from here
+        self._fresh_endpoints: dict[str, list[Any]] = {}  # records that are to be told, by node
+        self.acked: dict[str, int] = {}  # by sidecar: the last change that it has acknowledged
+        self._newest_controller = self.loop.time()
         self._tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
 
     @property
-    def items(self) -> catalog.Items:
+    def items(self) -> configuration.Items:
         """The configuration as it stands here."""
         return self.agreement.replica.items
 
@@ -137,16 +161,16 @@
     async def start(self) -> None:
         """Read the disk, listen, find the others."""
         self._load()
-        self._server = await furrow.listen(self.settings.furrow, self._hear, self._came, self._left)
+        self._server = await connection.listen(self.settings.peer_address, self._hear, self._came, self._left)
         control = self.settings.control
         assert control is not None
-        self._door = await front.open_door(control, self.serve)
-        for address in [*self.settings.seed_furrows, *self.voters.names, *self.member.before]:
+        self._http_server = await http_server.open_http_server(control, self.serve)
+        for address in [*self.settings.seed_peers, *self.voters.names, *self.member.before]:
             self._know(address)
         self._task(self._begin())
         self._task(self._pulse())
         self._task(self._oversee())
-        logger.info("barn listens", counts=self.counts, items=len(self.items), keys=len(self.keys))
+        logger.info("controller listens", counts=self.counts, items=len(self.items), keys=len(self.keys))
 
     def _task(self, work: Any) -> None:
         task = self.loop.create_task(work)
@@ -158,10 +182,10 @@
         return self._anchor + self.loop.time()
 
     def _load(self) -> None:
-        """What the disk holds. A barn that had written anything is whole; grants carry times of day, as the
-        steady clock does not outlast the process."""
+        """What the disk holds. A controller that had written anything is whole; grants carry times of day, as
+        the steady clock does not outlast the process."""
         now = self._now()
-        records = self._granary.load()
+        records = self._store.load()
         # At the first start, or where this process ended before anything was written at all.
         self._fresh = not records
         for record in records:
@@ -194,14 +218,14 @@
 
     async def _begin(self) -> None:
         """The first voters, or what a lost disk held."""
-        seeds = self.settings.seed_furrows
+        seeds = self.settings.seed_peers
         if not self.voters.epoch and seeds and seeds[0] == self.me and self._fresh:
             while not self.voters.epoch:
-                # Only the first start has barns that are whole and know of no voters: seeds that are all new
-                # must never name voters beside those that there are.
+                # Only the first start has controllers that are whole and know of no voters: seeds that are
+                # all new must never name voters beside those that there are.
                 met = all(self._told_epochs.get(seed) == 0 for seed in seeds if seed != self.me)
                 first = self.counts or bool(self._whole_first)
-                if met and first and self.loop.time() > self._newest_barn + GATHER_S:
+                if met and first and self.loop.time() > self._newest_controller + GATHER_S:
                     self._elect(Voters(1, tuple(sorted({self.me, *self._dials}))))
                     break
                 await asyncio.sleep(0.02)
@@ -209,7 +233,8 @@
             await self._settle()
 
     async def _settle(self) -> None:
-        """Be whole again, in the epoch that stands: a barn whose disk is gone, or one whose epoch is over.
+        """Be whole again, in the epoch that stands: a controller whose disk is gone, or one whose epoch is
+        over.
 
         It is so once so many others have been heard that nothing that was acknowledged, and no key that was
         granted, can be missing."""
@@ -229,7 +254,7 @@
         finally:
             self._settling = False
         logger.info("whole again", epoch=self.voters.epoch, items=len(self.items), keys=len(self.keys))
-        self._tell_barns()
+        self._tell_controllers()
         self._send_pulses(self._linked.values())
         self._look_at_contact()
         self._claim_again()
@@ -244,8 +269,8 @@
             return False
         done: asyncio.Future[bool] = self.loop.create_future()
         for record in self._state():
-            self._granary.put(record)
-        self._granary.put(["whole", epoch], done.set_result)
+            self._store.put(record)
+        self._store.put(["whole", epoch], done.set_result)
         if not await done:
             return False
         self.member.settle(epoch)
@@ -254,26 +279,26 @@
     def resettle(self, settings: Settings) -> None:
         """Take over what may change while this process runs: seeds and bounds. The rest needs a restart."""
         self.settings = settings
-        for seed in settings.seed_furrows:
+        for seed in settings.seed_peers:
             self._know(seed)
 
     async def stop(self) -> None:
-        """Hand over what this barn alone may hold, answer what is under way, then end."""
+        """Hand over what this controller alone may hold, answer what is under way, then end."""
         self.stopping = True
         live = self._live()
         if holder(self.voters, [self.me, *live], self._heir) == self.me:
             heir = holder(self.voters, live, "")
             for link in self._linked.values():
-                link.send([Word.HEIR, self.voters.epoch, heir])
+                link.send([MessageKind.HEIR, self.voters.epoch, heir])
         await self._hand_over()
-        self._door.listener.last_requests()
+        self._http_server.listener.last_requests()
         await asyncio.sleep(STOP_S)
-        self._door.listener.shut()
+        self._http_server.listener.shut()
 
     @property
     def handed_over(self) -> bool:
-        """Whether others hold all that this barn holds, as voters: it is none, and whoever votes and can be
-        reached is whole in the epoch without it."""
+        """Whether others hold all that this controller holds, as voters: it is none, and whoever votes and
+        can be reached is whole in the epoch without it."""
         voters = self.voters
         if self.me in voters.names:
             return False
@@ -282,8 +307,8 @@
         return len(whole) == len(there) and len(whole) >= voters.write
 
     async def _hand_over(self) -> None:
-        """Give this barn's vote to a spare before it ends. Where there is none it stays for as long as the
-        platform lets it, in case one comes, and says that its place stays empty until it is back."""
+        """Give this controller's vote to a spare before it ends. Where there is none it stays for as long as
+        the platform lets it, in case one comes, and says that its place stays empty until it is back."""
         if self.me not in self.voters.names or len(self.voters.names) == 1:
             return
         ends = self.loop.time() + self.settings.bound("grace", 6.0) - STOP_S - KILLED_S
@@ -295,14 +320,17 @@
         if self.handed_over:
             logger.info("vote handed over", epoch=self.voters.epoch, names=list(self.voters.names))
         else:
-            logger.warning("this barn ends and no other has taken its place among the voters: start it "
-                           "again, or start another one", epoch=self.voters.epoch)
+            logger.warning(
+                "this controller ends and no other has taken its place among the voters: start it "
+                "again, or start another one",
+                epoch=self.voters.epoch,
+            )
 
-    # --- other barns
+    # --- other controllers
 
     def _know(self, address: str, life: int = 0, itself: bool = False) -> None:
-        """Hear of a barn, from others or by its own word. One that was forgotten is known again by a later
-        life alone: what others tell may be old."""
+        """Hear of a controller, from others or by its own word. One that was forgotten is known again by a
+        later life alone: what others tell may be old."""
         over = self._forgotten.get(address, -1)
         if address == self.me or (life <= over and not itself):
             return
@@ -311,56 +339,76 @@
         self._lives[address] = max(life, known)
         if address in self._dials:
             if life > known > 0:  # whoever has forgotten the life before has to hear of this one
-                self._tell_barns()
-                self._tell(self._barns())
+                self._tell_controllers()
+                self._tell(self._controllers())
             return
-        self._newest_barn = self.loop.time()
-        self._watch.known(self._newest_barn, address)
+        self._newest_controller = self.loop.time()
+        self._watch.known(self._newest_controller, address)
         host, _, port = address.rpartition(":")
         self._dials[address] = Dial(
-            Address(host, int(port)), self._hear, lambda link: self._barn_up(address, link),
-            lambda link: self._barn_down(address, link),
+            Address(host, int(port)),
+            self._hear,
+            lambda link: self._controller_up(address, link),
+            lambda link: self._controller_down(address, link),
         )
-        self._tell_barns()
-        self._tell(self._barns())
+        self._tell_controllers()
+        self._tell(self._controllers())
 
-    def _barn_up(self, address: str, link: Furrow) -> None:
+    def _controller_up(self, address: str, link: PeerConnection) -> None:
         link.peer = address
         self._linked[address] = link
         link.send(self._hello())
         self._send_pulses([link])
 
-    def _barn_down(self, address: str, link: Furrow) -> None:
+    def _controller_down(self, address: str, link: PeerConnection) -> None:
         if self._linked.get(address) is link:
             del self._linked[address]
             self._watch.down(address)
 
     def _hello(self) -> list[Any]:
         return [
-            Word.BARN, self.me, [self.voters.epoch, list(self.voters.names)], [self.me, *self._dials],
-            self.settings.zone, list(self.member.before), self.member.whole, self._all_lives(),
+            MessageKind.CONTROLLER,
+            self.me,
+            [self.voters.epoch, list(self.voters.names)],
+            [self.me, *self._dials],
+            self.settings.zone,
+            list(self.member.before),
+            self.member.whole,
+            self._all_lives(),
             self._forgotten,
         ]
 
-    def _barns(self) -> list[Any]:
+    def _controllers(self) -> list[Any]:
         return [
-            Word.BARNS, [self.me, *self._dials], self.settings.zone, self._all_lives(), self._forgotten
+            MessageKind.CONTROLLERS,
+            [self.me, *self._dials],
+            self.settings.zone,
+            self._all_lives(),
+            self._forgotten,
         ]
 
     def _all_lives(self) -> dict[str, int]:
         return {self.me: self._life} | {name: self._lives.get(name, 0) for name in self._dials}
 
-    def _tell_barns(self) -> None:
+    def _tell_controllers(self) -> None:
         packed = pack(self._hello())
         for link in self._linked.values():
             link.put(packed)
 
-    def _barn(
-        self, link: Furrow, address: str, voters: list[Any], barns: list[str], zone: str = "",
-        before: Iterable[str] = (), whole: int = -1, lives: dict[str, int] | None = None,
-        forgotten: dict[str, int] | None = None, *_: Any,
+    def _controller(
+        self,
+        link: PeerConnection,
+        address: str,
+        voters: list[Any],
+        controllers: list[str],
+        zone: str = "",
+        before: Iterable[str] = (),
+        whole: int = -1,
+        lives: dict[str, int] | None = None,
+        forgotten: dict[str, int] | None = None,
+        *_: Any,
     ) -> None:
-        """Another barn says who it is, who votes and whom it knows; an older version says less."""
+        """Another controller says who it is, who votes and whom it knows; an older version says less."""
         lives = lives or {}
         self._told_epochs[address] = voters[0]
         if whole != self._whole_epochs.get(address) and address in self._linked:
@@ -368,31 +416,33 @@
         self._whole_epochs[address] = whole
         if whole == 1 and not voters[0]:
             self._whole_first.add(address)
-        (self._old_barns.add if whole < 0 else self._old_barns.discard)(address)
+        (self._old_controllers.add if whole < 0 else self._old_controllers.discard)(address)
         over = self._forgotten.get(address, -1)
         if lives.get(address, 0) <= over:
-            link.send([Word.FORGOTTEN, over])
+            link.send([MessageKind.FORGOTTEN, over])
         self._know(address, lives.get(address, 0), itself=True)
         if address in self._dials and address not in self._linked:
             self._dials[address].hurry()
-        for other in barns:
+        for other in controllers:
             self._know(other, lives.get(other, 0))
         for other, life in (forgotten or {}).items():
-            self._forget_barn(other, life)
+            self._forget_controller(other, life)
         self._elect(Voters(voters[0], tuple(voters[1])), tuple(before))
 
     def _keeps(self, address: str) -> bool:
-        """Whether a barn is dialled for as long as it takes."""
-        return address in self.voters.names or address in self.settings.seed_furrows
+        """Whether a controller is dialled for as long as it takes."""
+        return address in self.voters.names or address in self.settings.seed_peers
 
-    def _forget_barn(self, address: str, life: int) -> None:
-        """Others have forgotten a barn."""
+    def _forget_controller(self, address: str, life: int) -> None:
+        """Others have forgotten a controller."""
         if address == self.me:
             self._live_on(life)
         elif address in self._linked:
-            self._linked[address].send([Word.FORGOTTEN, life])
-        elif life >= self._lives.get(address, 0) and not self._keeps(address) and (
-            address not in self._dials or self._watch.gone(self.loop.time(), address) >= self._gone_s
+            self._linked[address].send([MessageKind.FORGOTTEN, life])
+        elif (
+            life >= self._lives.get(address, 0)
+            and not self._keeps(address)
+            and (address not in self._dials or self._watch.gone(self.loop.time(), address) >= self._gone_s)
         ):
             self._drop(address, life)
 
@@ -400,8 +450,8 @@
         """Others have forgotten this life: the next one is heard of again."""
         if life >= self._life:
             self._life = max(life + 1, int(self._now() * 1000))
-            self._tell_barns()
-            self._tell(self._barns())
+            self._tell_controllers()
+            self._tell(self._controllers())
 
     def _drop(self, address: str, life: int) -> None:
         if self._forgotten.get(address, -1) >= life:
@@ -413,17 +463,17 @@
         self._watch.forget(address)
         dial = self._dials.pop(address, None)
         if dial is not None:
-            logger.info("forgotten", barn=address)
+            logger.info("forgotten", controller=address)
             dial.stop()
-        self._tell_barns()
-        self._tell(self._barns())
+        self._tell_controllers()
+        self._tell(self._controllers())
 
-    def _came(self, link: Furrow) -> None:
+    def _came(self, link: PeerConnection) -> None:
         """Whoever dialled says who it is."""
 
-    def _left(self, link: Furrow) -> None:
-        node = self._stiles.pop(link, None)
-        self._old_stiles.discard(link)
+    def _left(self, link: PeerConnection) -> None:
+        node = self._sidecars.pop(link, None)
+        self._old_sidecars.discard(link)
         self._followers.discard(link)
         record = self._records.get(node) if node is not None else None
         if record is not None and node is not None:
@@ -431,11 +481,11 @@
 
     def _forget(self, node: str, life: int) -> None:
         record = self._records.get(node)
-        if record is None or record[Record.LIFE] != life or node in self._stiles.values():
+        if record is None or record[Record.LIFE] != life or node in self._sidecars.values():
             return
         del self._records[node]
-        self._fresh_beds.pop(node, None)
-        self._tell([Word.GONE, node, life])
+        self._fresh_endpoints.pop(node, None)
+        self._tell([MessageKind.GONE, node, life])
 
     def _elect(self, told: Voters, before: tuple[str, ...] = ()) -> None:
         """Learn who votes."""
@@ -446,12 +496,14 @@
         self.agreement.renew()
         logger.info("voters", epoch=told.epoch, names=list(told.names))
         if len(told.names) < 2 * self.settings.losses + 1:
-            logger.warning("fewer barns than the losses to be borne take: nothing acknowledged is lost, but "
-                           "less can be served while some are down")
+            logger.warning(
+                "fewer controllers than the losses to be borne take: nothing acknowledged is lost, but "
+                "less can be served while some are down"
+            )
         self._keep()
         for name in told.names:
             self._know(name, self._forgotten.get(name, -1) + 1)
-        self._tell_barns()
+        self._tell_controllers()
         self._tell(self._told_voters())
         self._send_pulses(self._linked.values())
         self._claim_again()
@@ -459,14 +511,14 @@
             self._task(self._settle())
 
     def _told_voters(self) -> list[Any]:
-        return [Word.VOTERS, self.voters.epoch, list(self.voters.names)]
+        return [MessageKind.VOTERS, self.voters.epoch, list(self.voters.names)]
 
     def _keep(self, done: Callable[[bool], None] | None = None) -> None:
-        """Write down this barn's word on who votes."""
+        """Write down this controller's word on who votes."""
         *first, last = self.member.records()
         for record in first:
-            self._granary.put(record)
-        self._granary.put(last, done)
+            self._store.put(record)
+        self._store.put(last, done)
 
     # --- voters that follow voters
 
@@ -474,10 +526,10 @@
         """Answer a proposer, once the answer lies on the disk."""
         word, number, epoch = message[:3]
         ballot, member = Ballot(*message[3]), self.member
-        if word == Word.BID:
-            kind, yes = Word.BOUND, member.bid(epoch, ballot)
+        if word == MessageKind.BID:
+            kind, yes = MessageKind.BOUND, member.bid(epoch, ballot)
         else:
-            kind, yes = Word.SEALED, member.seal(epoch, ballot, tuple(message[4]))
+            kind, yes = MessageKind.SEALED, member.seal(epoch, ballot, tuple(message[4]))
             self._accepted_at = self.loop.time()
         answer = [kind, number, yes, epoch, member.promised.number, row_of(member.accepted)]
         if yes:
@@ -485,13 +537,14 @@
         else:
             tell(answer)
 
-    async def _poll(self, made: Proposal, word: Word) -> bool:
+    async def _poll(self, made: Proposal, word: MessageKind) -> bool:
         """One of a proposal's two rounds; whether enough said yes in time."""
+
         def take(name: str, message: list[Any]) -> bool:
             if not message[2] or message[3] != made.voters.epoch:
                 self._highest = max(self._highest, message[4])
                 return False
-            if word == Word.BID:
+            if word == MessageKind.BID:
                 made.bound(self.loop.time(), name, accepted_of(message[5]) if message[5] else None)
             else:
                 made.sealed(self.loop.time(), name)
@@ -501,7 +554,7 @@
         own = int(self.me in made.voters.names)
         number, round_ = self.rounds.open(made.voters.write, len(links) + own, CLAIM_S, take)
         message = [word, number, made.voters.epoch, list(made.ballot)]
-        if word == Word.SEAL:
+        if word == MessageKind.SEAL:
             message.append(list(made.names))
         for link in links:
             link.send(message)
@@ -518,22 +571,26 @@
         number = max(self.member.promised.number, self._highest) + 1
         ballot = Ballot(number, f"{self.me}/{self._life}/{self._tries}")
         made = Proposal(voters, ballot, tuple(wish), self.loop.time(), CLAIM_S)
-        if await self._poll(made, Word.BID) and made.asked:
-            await self._poll(made, Word.SEAL)
+        if await self._poll(made, MessageKind.BID) and made.asked:
+            await self._poll(made, MessageKind.SEAL)
         if made.decided is not None:
             self._elect(made.decided, voters.names)
 
-    def _sight(self, epoch: int) -> Sight:
+    def _sight(self, epoch: int) -> PeerView:
         now, watch = self.loop.time(), self._watch
-        old = any(name in self._linked for name in self._old_barns) or bool(self._old_stiles)
-        return Sight(
+        old = any(name in self._linked for name in self._old_controllers) or bool(self._old_sidecars)
+        return PeerView(
             {name: watch.gone(now, name) for name in self._dials},
             {name: watch.steady(now, name) for name in self._dials},
-            self.member.votes(epoch), self.counts, self.settings.zone, old, self.stopping,
+            self.member.votes(epoch),
+            self.counts,
+            self.settings.zone,
+            old,
+            self.stopping,
         )
 
     async def _change(self) -> None:
-        """Look whether others should vote, with all who can be asked; if so, propose them."""
+        """LoadQuery whether others should vote, with all who can be asked; if so, propose them."""
         voters = self.voters
         if self.member.accepted is not None:
             await self._propose(self.member.accepted.names)
@@ -542,12 +599,12 @@
 
         def take(name: str, message: list[Any]) -> bool:
             if message[2] == voters.epoch:
-                sights[name] = Sight(*message[3:10])
+                sights[name] = PeerView(*message[3:10])
             return True
 
         number, made = self.rounds.open(len(self._linked), len(self._linked), ROUND_S, take)
         for link in self._linked.values():
-            link.send([Word.SIGHT, number, voters.epoch])
+            link.send([MessageKind.SIGHT, number, voters.epoch])
         await made.enough()
         self.rounds.close(number)
         wish = plan(voters, self.settings.losses, sights, self._patience)
@@ -591,67 +648,74 @@
 
     # --- messages
 
-    def _hear(self, link: Furrow, message: list[Any]) -> None:
+    def _hear(self, link: PeerConnection, message: list[Any]) -> None:
         word = message[0]
-        if word == Word.CLAIM:
+        if word == MessageKind.CLAIM:
             self._claim(link, *message[1:])
-        elif word == Word.DONE:
+        elif word == MessageKind.DONE:
             self._keep_answer(*message[1:])
-        elif word == Word.FREE:
+        elif word == MessageKind.FREE:
             self._let_go("free", *message[1:])
-        elif word == Word.BROKE:
+        elif word == MessageKind.BROKE:
             self._let_go("broke", *message[1:])
         elif word in ANSWERED:
             self.rounds.answer(link.peer, message)
-        elif word in WORDS:
+        elif word in MESSAGE_KINDS:
             self.agreement.hear(link, message)
-        elif word == Word.KEYS:
+        elif word == MessageKind.KEYS:
             self._keyed(link, *message[1:4])
-        elif word == Word.BARN:
-            self._barn(link, *message[1:])
-        elif word in (Word.BID, Word.SEAL):
+        elif word == MessageKind.CONTROLLER:
+            self._controller(link, *message[1:])
+        elif word in (MessageKind.BID, MessageKind.SEAL):
             self._vote(message, link.send)
             if message[2] < self.voters.epoch:
                 link.send(self._hello())
-        elif word == Word.PULSE:
+        elif word == MessageKind.PULSE:
             votes = self.member.votes(self.voters.epoch)
             agreement = self.agreement
-            link.send([
-                Word.PULSED, message[1], self.voters.epoch, votes, agreement.copy.digest,
-                agreement.replica.sequence,
-            ])  # fmt: skip
+            link.send(
+                [
+                    MessageKind.PULSED,
+                    message[1],
+                    self.voters.epoch,
+                    votes,
+                    agreement.copy.digest,
+                    agreement.replica.sequence,
+                ]
+            )
             if message[2] < self.voters.epoch:
                 link.send(self._hello())
-        elif word == Word.PULSED:
+        elif word == MessageKind.PULSED:
             self._pulsed(link, *message[1:6])
-        elif word == Word.SIGHT:
-            link.send([Word.SEEN, message[1], message[2], *self._sight(message[2])])
-        elif word == Word.HEIR:
+        elif word == MessageKind.SIGHT:
+            link.send([MessageKind.SEEN, message[1], message[2], *self._sight(message[2])])
+        elif word == MessageKind.HEIR:
             if message[1] == self.voters.epoch:
                 self._heir = message[2]
-        elif word == Word.FORGOTTEN:
+        elif word == MessageKind.FORGOTTEN:
             self._live_on(message[1])
-        elif word == Word.STILE:
-            if link not in self._stiles and len(message) < 3:
-                self._old_stiles.add(link)
-            self._stile(link, message[1], message[2] if len(message) > 2 else 0)
-        elif word == Word.FOLLOW:
+        elif word == MessageKind.SIDECAR:
+            if link not in self._sidecars and len(message) < 3:
+                self._old_sidecars.add(link)
+            self._sidecar(link, message[1], message[2] if len(message) > 2 else 0)
+        elif word == MessageKind.FOLLOW:
             self._follow(link, message[1])
-        elif word == Word.PULL:
+        elif word == MessageKind.PULL:
             if not self._current(link):
                 return
             lacking = self.agreement.copy.lacking(message[1])
             link.put(self._packed_whole() if len(lacking) == len(self.items) else self._packed(lacking))
-        elif word == Word.ACK:
-            node = self._stiles.get(link)
+        elif word == MessageKind.ACK:
+            node = self._sidecars.get(link)
             if node is not None:
                 self.acked[node] = message[1]
 
-    def _keyed(self, link: Furrow, number: int, epoch: int = 1, sealed: bool = False) -> None:
+    def _keyed(self, link: PeerConnection, number: int, epoch: int = 1, sealed: bool = False) -> None:
         """Tell grants, in the same way."""
+
         def tell(yes: bool) -> None:
             rows = self.keys.rows(self._now()) if yes else []
-            link.send([Word.KEYED, number, yes, rows, epoch, list(self.member.promised)])
+            link.send([MessageKind.KEYED, number, yes, rows, epoch, list(self.member.promised)])
 
         if sealed:
             self.tell_when_sealed(epoch, tell)
@@ -659,25 +723,26 @@
             tell(self.member.votes(epoch))
 
     def tell_when_sealed(self, epoch: int, tell: Callable[[bool], None]) -> None:
-        """Tell whether this barn is sealed, and whole, in an epoch: for good, so it lies on the disk."""
+        """Tell whether this controller is sealed, and whole, in an epoch: for good, so it lies on the
+        disk."""
         if self.member.holds(epoch):
             self._keep(lambda ok: tell(ok and self.member.holds(epoch)))
         else:
             tell(False)
 
-    def link_to(self, name: str) -> Furrow | None:
+    def link_to(self, name: str) -> PeerConnection | None:
         """The connection to another control machine, where there is one."""
         return self._linked.get(name)
 
-    def links(self) -> Iterable[Furrow]:
+    def links(self) -> Iterable[PeerConnection]:
         """Those to all others."""
         return self._linked.values()
 
     def write(self, record: list[Any], done: Callable[[bool], None] | None = None) -> None:
         """Have a record written; `done` hears whether it lies on the disk."""
-        self._granary.put(record, done)
+        self._store.put(record, done)
 
-    def _voting(self, voters: Voters) -> list[Furrow]:
+    def _voting(self, voters: Voters) -> list[PeerConnection]:
         return [self._linked[name] for name in voters.names if name in self._linked]
 
     # --- items
@@ -688,12 +753,12 @@
         if not self._touch:
             return
         self._news += 1
-        packed, total = self._packed(items), pack([Word.SUM, self.agreement.copy.digest])
-        for link in self._stiles:
+        packed, total = self._packed(items), pack([MessageKind.SUM, self.agreement.copy.digest])
+        for link in self._sidecars:
             link.put(packed if link in self._followers else total)
 
     def _packed(self, items: Iterable[Item]) -> bytes:
-        return pack([Word.ITEMS, self._news, [list(item) for item in items]])
+        return pack([MessageKind.ITEMS, self._news, [list(item) for item in items]])
 
     def _packed_whole(self) -> bytes:
         items = self.agreement.copy.items
@@ -701,18 +766,18 @@
             self._whole = items, self._packed(items.values())
         return self._whole[1]
 
-    def _follow(self, link: Furrow, digest: int | None) -> None:
-        """A stile hears tables and changes from here from now on, or no longer. One that has nothing gets
-        all; one that has something else than this barn says what it lacks."""
+    def _follow(self, link: PeerConnection, digest: int | None) -> None:
+        """A sidecar hears tables and changes from here from now on, or no longer. One that has nothing gets
+        all; one that has something else than this controller says what it lacks."""
         if digest is None or not self._current(link):
             self._followers.discard(link)
             return
         self._followers.add(link)
-        link.send([Word.BEDS, list(self._records.values())])
+        link.send([MessageKind.ENDPOINTS, list(self._records.values())])
         if not digest:
             link.put(self._packed_whole())
         else:
-            link.send([Word.SUM, self.agreement.copy.digest])
+            link.send([MessageKind.SUM, self.agreement.copy.digest])
 
     async def _fetch_keys(self, voters: Voters, need: int, sealed: bool) -> bool:
         def take(name: str, message: list[Any]) -> bool:
@@ -726,14 +791,14 @@
         links = self._voting(voters)
         number, made = self.rounds.open(need, len(links), FETCH_S, take)
         for link in links:
-            link.send([Word.KEYS, number, voters.epoch, sealed])
+            link.send([MessageKind.KEYS, number, voters.epoch, sealed])
         try:
             return await made.enough()
         finally:
             self.rounds.close(number)
 
     async def _oversee(self) -> None:
-        """Look now and then whether others should vote, and whether a change was left half way here."""
+        """LoadQuery now and then whether others should vote, and whether a change was left half way here."""
         while True:
             await asyncio.sleep(OVERSEE_S * (0.75 + random.random() / 2))
             self._consider()
@@ -755,17 +820,17 @@
             self._send_pulses(self._linked.values())
             self._look_at_contact()
 
-    def _send_pulses(self, links: Iterable[Furrow]) -> None:
+    def _send_pulses(self, links: Iterable[PeerConnection]) -> None:
         number, now = self.rounds.number(), time.monotonic()
         self._pulses[number] = now
         while self._pulses[next(iter(self._pulses))] < now - 20 * self._pulse_s:
             del self._pulses[next(iter(self._pulses))]
-        packed = pack([Word.PULSE, number, self.voters.epoch])
+        packed = pack([MessageKind.PULSE, number, self.voters.epoch])
         for link in links:
             link.put(packed)
 
     def _pulsed(
-        self, link: Furrow, number: int, epoch: int, votes: bool, digest: int, sequence: int
+        self, link: PeerConnection, number: int, epoch: int, votes: bool, digest: int, sequence: int
     ) -> None:
         """Another answers. It counts for the lease once all that it holds has been merged here."""
         asked_at = self._pulses.get(number)
@@ -782,7 +847,7 @@
             self._contact.answered(link.peer, asked_at)
         self._look_at_contact()
 
-    async def _compare(self, link: Furrow, asked_at: float, counts: bool) -> None:
+    async def _compare(self, link: PeerConnection, asked_at: float, counts: bool) -> None:
         """Take over what another holds and this machine does not: what a cut or a freeze kept from here."""
         epoch = self.voters.epoch
         if await self.agreement.compare(link) and counts and epoch == self.voters.epoch:
@@ -803,30 +868,34 @@
             self._lose_contact()
         elif self.voters.epoch and not self._said_lost and now > self._touched_at + self._gone_s:
             self._said_lost = True
-            logger.warning("no majority for long: nothing can be acknowledged until so many of these "
-                           "machines are back with their disks that {} of {} run", self.voters.write,
-                           len(self.voters.names), away=self._away())
+            logger.warning(
+                "no majority for long: nothing can be acknowledged until so many of these "
+                "machines are back with their disks that {} of {} run",
+                self.voters.write,
+                len(self.voters.names),
+                away=self._away(),
+            )
         self._look_at_safety()
 
     def _find_contact(self) -> None:
         self._touch = self._touched = True
         self._said_lost = False
         logger.info("in contact with a majority", epoch=self.voters.epoch)
-        self._tell([Word.CURRENT, True])
-        self._tell([Word.SUM, self.agreement.copy.digest])
+        self._tell([MessageKind.CURRENT, True])
+        self._tell([MessageKind.SUM, self.agreement.copy.digest])
 
     def _lose_contact(self) -> None:
         self._touch = False
         logger.warning("out of contact with a majority", epoch=self.voters.epoch, away=self._away())
-        self._tell([Word.CURRENT, False])
+        self._tell([MessageKind.CURRENT, False])
 
-    def _current(self, link: Furrow) -> bool:
+    def _current(self, link: PeerConnection) -> bool:
         """Whether a sidecar may be told what this machine holds; if not, it is told to turn elsewhere."""
         if self.in_contact:
             return True
         if self._touch:
             self._lose_contact()
-        link.send([Word.CURRENT, False])
+        link.send([MessageKind.CURRENT, False])
         return False
 
     def _away(self) -> list[str]:
@@ -846,8 +915,9 @@
             self._said_thin = thin
             tell = logger.warning if thin else logger.info
             say = "fewer losses can be borne than should be" if thin else "all losses can be borne again"
-            tell(say, copies=found.copies, losses=found.losses, wanted=self.settings.losses,
-                 away=self._away())
+            tell(
+                say, copies=found.copies, losses=found.losses, wanted=self.settings.losses, away=self._away()
+            )
 
     async def _contact_found(self, limit_s: float) -> bool:
         """Whether there is contact with a majority. A process that has never had it, or had it a moment ago,
@@ -859,49 +929,49 @@
             await asyncio.sleep(0.01)
         return self.in_contact
 
-    # --- stiles
+    # --- sidecars
 
-    def _stile(self, link: Furrow, record: list[Any], version: int) -> None:
+    def _sidecar(self, link: PeerConnection, record: list[Any], version: int) -> None:
         node = record[Record.NODE]
-        fresh = link not in self._stiles
-        self._stiles[link] = node
+        fresh = link not in self._sidecars
+        self._sidecars[link] = node
         known = self._records.get(node)
-        news = known is None or record[Record.LIFE:] > known[Record.LIFE:]
+        news = known is None or record[Record.LIFE :] > known[Record.LIFE :]
         if fresh and known is not None and known[Record.LIFE] > record[Record.LIFE]:
-            link.send([Word.LIFE, known[Record.LIFE]])
+            link.send([MessageKind.LIFE, known[Record.LIFE]])
         if news:
             self._records[node] = record
         if fresh:
-            link.send([Word.CURRENT, self._touch])
-            link.send(self._barns())
+            link.send([MessageKind.CURRENT, self._touch])
+            link.send(self._controllers())
             if self.voters.epoch:
                 link.send(self._told_voters())
             if version < 2:  # of an older version: it takes whatever is told
                 self._followers.add(link)
                 link.put(self._packed_whole())
-                link.send([Word.BEDS, list(self._records.values())])
+                link.send([MessageKind.ENDPOINTS, list(self._records.values())])
             elif self._touch:
-                link.send([Word.SUM, self.agreement.copy.digest])
+                link.send([MessageKind.SUM, self.agreement.copy.digest])
         if news:
-            if not self._fresh_beds:
-                self.loop.call_later(GATHERED_S, self._tell_beds)
-            self._fresh_beds[node] = record
+            if not self._fresh_endpoints:
+                self.loop.call_later(GATHERED_S, self._tell_endpoints)
+            self._fresh_endpoints[node] = record
 
-    def _tell_beds(self) -> None:
-        """Tell all stiles of records that are news."""
-        records, self._fresh_beds = list(self._fresh_beds.values()), {}
+    def _tell_endpoints(self) -> None:
+        """Tell all sidecars of records that are news."""
+        records, self._fresh_endpoints = list(self._fresh_endpoints.values()), {}
         if records:
-            self._tell([Word.BEDS, records])
+            self._tell([MessageKind.ENDPOINTS, records])
 
     def _tell(self, message: list[Any]) -> None:
         packed = pack(message)
-        for link in self._stiles:
+        for link in self._sidecars:
             link.put(packed)
 
     # --- keys
 
     def _claim(
-        self, link: Furrow, claim: int, key: str, token: str, left_s: float, epoch: int = 1, *_: Any
+        self, link: PeerConnection, claim: int, key: str, token: str, left_s: float, epoch: int = 1, *_: Any
     ) -> None:
         """Grant a key, in the claimant's epoch. One of an older epoch is told who votes; while a change is
         under way a claim is held, until it can be answered or its claimant counts it no more."""
@@ -910,7 +980,7 @@
             if not self._touched or self.loop.time() < self._touched_at + GAP_S:
                 self._hold(link, [claim, key, token, left_s, epoch])  # it is found out in a moment
             else:
-                link.send([Word.CLAIMED, claim, -1, "", 0, None])
+                link.send([MessageKind.CLAIMED, claim, -1, "", 0, None])
             return
         if not member.votes(epoch):
             if epoch < self.voters.epoch:
@@ -918,22 +988,22 @@
             elif member.lasted and (epoch > self.voters.epoch or self.me in self.voters.names):
                 self._hold(link, [claim, key, token, left_s, epoch])
                 return
-            link.send([Word.CLAIMED, claim, -1, "", 0, None])
+            link.send([MessageKind.CLAIMED, claim, -1, "", 0, None])
             return
         now = self._now()
         grant, fresh = self.keys.claim(now, key, token, left_s)
         if grant.token != token or grant.mark != 1:
-            link.send([Word.CLAIMED, claim, 0, grant.token, int(grant.mark), grant.answer])
+            link.send([MessageKind.CLAIMED, claim, 0, grant.token, int(grant.mark), grant.answer])
             return
 
         def written(ok: bool) -> None:
             if not ok and fresh:
                 self.keys.undo(key, token)
-            link.send([Word.CLAIMED, claim, 1 if ok else -1, token, 1, None])
+            link.send([MessageKind.CLAIMED, claim, 1 if ok else -1, token, 1, None])
 
-        self._granary.put(self._key_record(now, grant_row(now, key, grant)), written)
+        self._store.put(self._key_record(now, grant_row(now, key, grant)), written)
 
-    def _hold(self, link: Furrow, told: list[Any]) -> None:
+    def _hold(self, link: PeerConnection, told: list[Any]) -> None:
         """A claim that may be answered soon."""
         self._held.append((self.loop.time(), link, told))
         del self._held[:-MOST_HELD]
@@ -951,13 +1021,13 @@
     def _keep_answer(self, key: str, token: str, answer: Any) -> None:
         now = self._now()
         if self.keys.done(now, key, token, answer):
-            self._granary.put(self._key_record(now, self.keys.row(now, key)))
+            self._store.put(self._key_record(now, self.keys.row(now, key)))
 
     def _let_go(self, what: str, key: str, token: str) -> None:
         self._held = [held for held in self._held if held[2][2] != token]
         now = self._now()
         if (self.keys.free if what == "free" else self.keys.broke)(now, key, token):
-            self._granary.put([what, key, token])
+            self._store.put([what, key, token])
 
     # --- operators
 
@@ -973,9 +1043,9 @@
         elif path == b"/-/status" and message.method == b"GET":
             message.answer(200, self._status(), [(b"Content-Type", b"application/json")])
         else:
-            message.answer(ANSWERS[Fault.NOT_HERE].status)
+            message.answer(ANSWERS[ErrorKind.NOT_HERE].status)
 
-    def _refuse(self, message: Message, fault: Fault, why: str = "") -> None:
+    def _refuse(self, message: Message, fault: ErrorKind, why: str = "") -> None:
         kind = ANSWERS[fault]
         headers = [(b"Retry-After", b"0.1")] if kind.promise else []
         message.answer(kind.status, why.encode() or kind.text, headers)
@@ -983,20 +1053,28 @@
     def _status(self) -> bytes:
         """What an operator wants to know of the voters, as this machine sees them."""
         found = self.safety
-        return json.dumps({
-            "in_contact": self.in_contact, "counts": self.counts, "epoch": self.voters.epoch,
-            "voters": list(self.voters.names), "away": self._away(), "copies": found.copies,
-            "losses": found.losses, "losses_wanted": self.settings.losses, "items": len(self.items),
-        }).encode()  # fmt: skip
+        return json.dumps(
+            {
+                "in_contact": self.in_contact,
+                "counts": self.counts,
+                "epoch": self.voters.epoch,
+                "voters": list(self.voters.names),
+                "away": self._away(),
+                "copies": found.copies,
+                "losses": found.losses,
+                "losses_wanted": self.settings.losses,
+                "items": len(self.items),
+            }
+        ).encode()
 
     async def _patch(self, message: Message) -> None:
         # What is invalid on old state may be valid on what stands, so nothing is judged before.
         if not await self._contact_found(max(0.0, ANSWER_S - ROUND_S)):
-            self._refuse(message, Fault.NO_QUORUM)
+            self._refuse(message, ErrorKind.NO_QUORUM)
             return
-        read = catalog.read(message.body)
+        read = configuration.read(message.body)
         if read.is_error():
-            self._refuse(message, Fault.INVALID, read.error)
+            self._refuse(message, ErrorKind.INVALID, read.error)
             return
         outcome = await self.agreement.change(read.ok, ANSWER_S)
         if outcome.fault is not None:
@@ -1006,6 +1084,6 @@
 
     async def _get(self, message: Message) -> None:
         if not await self.agreement.read(ANSWER_S):
-            self._refuse(message, Fault.NO_QUORUM)
+            self._refuse(message, ErrorKind.NO_QUORUM)
             return
-        message.answer(200, catalog.whole(self.items), [(b"Content-Type", b"application/json")])
+        message.answer(200, configuration.whole(self.items), [(b"Content-Type", b"application/json")])
--- a/orchard/contact.py
+++ b/mesh/control/lease.py
@@ -21,13 +21,13 @@
 
 from typing import NamedTuple
 
-from orchard.quorum import Voters
+from mesh.state.quorum import Voters
 
 LEASE_PART = 0.5  # of the bound `contact`
 PULSE_PART = 0.1  # of the bound `contact`: how often others are asked
 
 
-class Contact:
+class ReadLease:
     """The lease of one machine."""
 
     def __init__(self, me: str, lease_s: float) -> None:
@@ -42,7 +42,8 @@
         """The voters that count now. `votes`: whether this machine is one that may answer as a voter."""
         oldest = now - self._lease_s
         return [
-            name for name in voters.names
+            name
+            for name in voters.names
             if (votes if name == self._me else self._asked_at.get(name, oldest - 1.0) >= oldest)
         ]
 
--- a/orchard/faults.py
+++ b/mesh/errors.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 
-class Fault(enum.IntEnum):
-    """One kind of failure; the numbers also travel between stiles."""
+class ErrorKind(enum.IntEnum):
+    """One kind of failure; the numbers also travel between sidecars."""
 
     REFUSED = 1  # has not run and never will: come back
     FULL = 2  # likewise, as the server's queue is full
@@ -21,7 +21,7 @@
     BAD = 10
     TOO_LARGE = 11
     INVALID = 12  # a configuration that can't be taken
-    NO_QUORUM = 13  # too few barns could be asked
+    NO_QUORUM = 13  # too few controllers could be asked
     NOT_HERE = 14
     OWN = 15
 
@@ -34,22 +34,22 @@
     text: bytes
 
 
-ANSWERS: dict[Fault, Answer] = {
-    Fault.REFUSED: Answer(503, True, b"refused\n"),
-    Fault.FULL: Answer(503, True, b"full\n"),
-    Fault.LEAVING: Answer(503, True, b"leaving\n"),
-    Fault.NO_SERVER: Answer(503, True, b"no server\n"),
-    Fault.BROKEN: Answer(502, False, b"failed\n"),
-    Fault.LATE: Answer(504, False, b"late\n"),
-    Fault.AT_WORK: Answer(409, False, b"at work\n"),
-    Fault.LOST_KEY: Answer(502, False, b"its answer is lost\n"),
-    Fault.NO_ROUTE: Answer(404, False, b"no route\n"),
-    Fault.BAD: Answer(400, False, b"bad request\n"),
-    Fault.TOO_LARGE: Answer(413, False, b"too large\n"),
-    Fault.INVALID: Answer(400, False, b"invalid\n"),
-    Fault.NO_QUORUM: Answer(503, True, b"no quorum\n"),
-    Fault.NOT_HERE: Answer(404, False, b"not here\n"),
-    Fault.OWN: Answer(500, False, b"own error\n"),
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.REFUSED: Answer(503, True, b"refused\n"),
+    ErrorKind.FULL: Answer(503, True, b"full\n"),
+    ErrorKind.LEAVING: Answer(503, True, b"leaving\n"),
+    ErrorKind.NO_SERVER: Answer(503, True, b"no server\n"),
+    ErrorKind.BROKEN: Answer(502, False, b"failed\n"),
+    ErrorKind.LATE: Answer(504, False, b"late\n"),
+    ErrorKind.AT_WORK: Answer(409, False, b"at work\n"),
+    ErrorKind.LOST_KEY: Answer(502, False, b"its answer is lost\n"),
+    ErrorKind.NO_ROUTE: Answer(404, False, b"no route\n"),
+    ErrorKind.BAD: Answer(400, False, b"bad request\n"),
+    ErrorKind.TOO_LARGE: Answer(413, False, b"too large\n"),
+    ErrorKind.INVALID: Answer(400, False, b"invalid\n"),
+    ErrorKind.NO_QUORUM: Answer(503, True, b"no quorum\n"),
+    ErrorKind.NOT_HERE: Answer(404, False, b"not here\n"),
+    ErrorKind.OWN: Answer(500, False, b"own error\n"),
 }
 PROMISES = frozenset(kind for kind, answer in ANSWERS.items() if answer.promise)
 """Kinds that are told only where nothing has run and nothing will."""
--- a/orchard/log.py
+++ b/mesh/logs.py
@@ -15,9 +15,11 @@
 def _line(message: Message) -> None:
     record = message.record
     line: dict[str, Any] = {
-        "at": record["time"].isoformat(timespec="milliseconds"), "level": record["level"].name.lower(),
-        "say": record["message"], **record["extra"],
-    }  # fmt: skip
+        "at": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "say": record["message"],
+        **record["extra"],
+    }
     if record["exception"] is not None:
         line["error"] = repr(record["exception"].value)
     sys.stderr.write(json.dumps(line, default=str) + "\n")
--- /dev/null
+++ b/mesh/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: requests from clients to servers, by the sidecar beside each server."""
--- a/orchard/carts.py
+++ b/mesh/proxy/chunked_transfer.py
@@ -1,4 +1,4 @@
-"""Large bodies between stiles: the one that gets them says how much may be on its way. No I/O.
+"""Large bodies between sidecars: the one that gets them says how much may be on its way. No I/O.
 
 A machine's link serves in the order in which bytes come, and a few bodies of hundreds of kilobytes that
 come together keep every small message there waiting for a second. So a body that would hold the link for
--- a/orchard/pick.py
+++ b/mesh/proxy/endpoints.py
@@ -1,7 +1,7 @@
-"""The pick in the caller's stile: the less loaded of two servers drawn. No I/O.
+"""The pick in the caller's sidecar: the less loaded of two servers drawn. No I/O.
 
 A caller that is one of many has a call or none in flight to each server, so most draws are ties by own
-calls, and its last answer from a server is seconds old: it picks blindly. So it asks the stiles beside both
+calls, and its last answer from a server is seconds old: it picks blindly. So it asks the sidecars beside both
 how a call would fare there now, and goes by that (exception "told load"); by own calls in flight where
 neither tells.
 """
@@ -20,12 +20,28 @@
 FRESH_S = 0.02  # what was told of a server's load counts for so long: beyond, others have taken what was free
 
 
-class Bed:
-    """A server and the stile beside it, as seen from here. Times in seconds."""
-
-    __slots__ = ("node", "link", "service", "instance", "zone", "slots", "draining", "inflight", "latency",
-                 "closed_until", "cold_until", "room", "paces", "free_at", "told_at", "version",
-                 "ill")  # fmt: skip
+class Endpoint:
+    """A server and the sidecar beside it, as seen from here. Times in seconds."""
+
+    __slots__ = (
+        "node",
+        "link",
+        "service",
+        "instance",
+        "zone",
+        "slots",
+        "draining",
+        "inflight",
+        "latency",
+        "closed_until",
+        "cold_until",
+        "room",
+        "paces",
+        "free_at",
+        "told_at",
+        "version",
+        "ill",
+    )
 
     def __init__(self, node: str, service: str) -> None:
         self.node, self.service = node, service
@@ -35,14 +51,14 @@
         self.draining = False
         self.inflight = 0  # own calls
         self.latency = 0.0
-        self.closed_until = 0.0  # its stile has said that it takes nothing until then
+        self.closed_until = 0.0  # its sidecar has said that it takes nothing until then
         self.cold_until = 0.0
         self.room = 1
-        self.paces: dict[str, float] = {}  # by kind of call: what its stile told that it takes, of late
-        self.free_at = 0.0  # when a call sent now would go, as its stile told
-        self.told_at = -1.0  # when its stile told that
-        self.ill = 0.0  # part of calls that fail there of late, as its stile told
-        self.version = 0  # of what its stile understands
+        self.paces: dict[str, float] = {}  # by kind of call: what its sidecar told that it takes, of late
+        self.free_at = 0.0  # when a call sent now would go, as its sidecar told
+        self.told_at = -1.0  # when its sidecar told that
+        self.ill = 0.0  # part of calls that fail there of late, as its sidecar told
+        self.version = 0  # of what its sidecar understands
 
     def renew(self) -> None:
         """Another process serves there: nothing learned of the old one holds."""
@@ -51,7 +67,7 @@
         self.paces.clear()
 
     def told(self, now: float, kind: str, wait: float, pace: float, ill: float = 0.0) -> None:
-        """Its stile has told how long a call waits there, and what one of this kind takes, in seconds; and
+        """Its sidecar has told how long a call waits there, and what one of this kind takes, in seconds; and
         which part of calls fails there of late."""
         self.free_at, self.told_at, self.ill = now + wait, now, ill
         if pace > 0 and (kind in self.paces or len(self.paces) < MOST_KINDS):
@@ -71,42 +87,60 @@
 
 
 def draw(
-    now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
-    usable: Callable[[Bed], bool], zone: str = "", near: bool = False,
-) -> list[Bed]:
+    now: float,
+    endpoints: Sequence[Endpoint],
+    tried: Iterable[Endpoint],
+    random: Callable[[], float],
+    usable: Callable[[Endpoint], bool],
+    zone: str = "",
+    near: bool = False,
+) -> list[Endpoint]:
     """Two drawn at random of those that can take a call; with `near`, two of the own zone besides, as large
     bodies and answers are dear to carry over. Fewer where there are fewer, none where none can."""
-    found = _two(now, beds, tried, random, usable)
+    found = _two(now, endpoints, tried, random, usable)
     if near:
-        found += [bed for bed in _two(now, [bed for bed in beds if bed.zone == zone], tried, random, usable)
-                  if bed not in found and now >= bed.closed_until]  # fmt: skip
+        found += [
+            endpoint
+            for endpoint in _two(
+                now, [endpoint for endpoint in endpoints if endpoint.zone == zone], tried, random, usable
+            )
+            if endpoint not in found and now >= endpoint.closed_until
+        ]
     return found
 
 
 def _two(
-    now: float, beds: Sequence[Bed], tried: Iterable[Bed], random: Callable[[], float],
-    usable: Callable[[Bed], bool],
-) -> list[Bed]:
-    found: list[Bed] = []
-    size = len(beds)
+    now: float,
+    endpoints: Sequence[Endpoint],
+    tried: Iterable[Endpoint],
+    random: Callable[[], float],
+    usable: Callable[[Endpoint], bool],
+) -> list[Endpoint]:
+    found: list[Endpoint] = []
+    size = len(endpoints)
     if not size:
         return found
     for _ in range(DRAWS):
-        bed = beds[int(random() * size)]
-        if bed not in found and bed not in tried and usable(bed) and now >= bed.closed_until:
-            found.append(bed)
+        endpoint = endpoints[int(random() * size)]
+        if (
+            endpoint not in found
+            and endpoint not in tried
+            and usable(endpoint)
+            and now >= endpoint.closed_until
+        ):
+            found.append(endpoint)
             if len(found) == 2:
                 return found
     if not found:
-        left = [bed for bed in beds if usable(bed) and bed not in tried]
+        left = [endpoint for endpoint in endpoints if usable(endpoint) and endpoint not in tried]
         if left:
-            found = [min(left, key=lambda bed: (bed.closed_until, random()))]
+            found = [min(left, key=lambda endpoint: (endpoint.closed_until, random()))]
     return found
 
 
-def fresh(now: float, beds: Iterable[Bed]) -> bool:
-    """Whether the stiles beside all of them have told lately what can be had there."""
-    return all(now - bed.told_at <= FRESH_S for bed in beds)
+def fresh(now: float, endpoints: Iterable[Endpoint]) -> bool:
+    """Whether the sidecars beside all of them have told lately what can be had there."""
+    return all(now - endpoint.told_at <= FRESH_S for endpoint in endpoints)
 
 
 class Near(NamedTuple):
@@ -117,16 +151,23 @@
 
 
 def best(
-    now: float, beds: Sequence[Bed], zone: str, kind: str, near: Near = Near(),  # noqa: B008
+    now: float,
+    endpoints: Sequence[Endpoint],
+    zone: str,
+    kind: str,
+    near: Near = Near(),  # noqa: B008
     carries: Mapping[str, float] = MappingProxyType({}),
-) -> Bed:
-    """The least loaded of those drawn. By what their stiles told just now, where all or some did; else by own
-    calls in flight, and ties by the time to an answer. `carries`: how long the body would be on its way, by
-    node."""
-    def rank(bed: Bed) -> tuple[int, float, bool]:
-        far = bed.zone != zone
-        time = (bed.expects(now, kind) + carries.get(bed.node, 0.0)) * (FAR + near.part if far else 1.0)
-        return (0 if told else bed.inflight + far * near.calls), time, far
-
-    told = [bed for bed in beds if now - bed.told_at <= FRESH_S]
-    return min(told or beds, key=rank)
+) -> Endpoint:
+    """The least loaded of those drawn. By what their sidecars told just now, where all or some did; else by
+    own calls in flight, and ties by the time to an answer. `carries`: how long the body would be on its way,
+    by node."""
+
+    def rank(endpoint: Endpoint) -> tuple[int, float, bool]:
+        far = endpoint.zone != zone
+        time = (endpoint.expects(now, kind) + carries.get(endpoint.node, 0.0)) * (
+            FAR + near.part if far else 1.0
+        )
+        return (0 if told else endpoint.inflight + far * near.calls), time, far
+
+    told = [endpoint for endpoint in endpoints if now - endpoint.told_at <= FRESH_S]
+    return min(told or endpoints, key=rank)
--- a/orchard/hedge.py
+++ b/mesh/proxy/failure_detector.py
@@ -1,7 +1,7 @@
-"""The hedge: which stiles live, by probes to a few in turn, second opinions, and suspicion before removal.
+"""The hedge: which sidecars live, by probes to a few in turn, second opinions, and suspicion before removal.
 
 The state machine and its datagrams are the daemon's fleet part (`hollyport.fleet`, SWIM with Lifeguard's
-local health). Its names come here from the stiles' records and not from a file. What it says is one more
+local health). Its names come here from the sidecars' records and not from a file. What it says is one more
 reason to pass over it: whoever is held for dead and is not gets no requests until the next datagram.
 """
 
@@ -17,8 +17,8 @@
 from hollyport.fleet.options import FleetOptions
 from hollyport.fleet.part import FleetPart
 
-FLEET = "orchard"
-KEY = b"orchard, no secret"  # machines of one system trust each other: a digest finds what was garbled
+FLEET = "mesh"
+KEY = b"mesh, no secret"  # machines of one system trust each other: a digest finds what was garbled
 PERIOD_S = 0.5  # from probe to probe
 LATER_S = 0.2  # names that come together are taken together
 TOLD = frozenset({"dead", "stalled", "alone", "together", "name_in_use", "fault", "send_failed"})
@@ -40,8 +40,8 @@
         """Its name never changes."""
 
 
-class Hedge:
-    """One stile's part in it. `dead` is called with the name of whoever is held for dead."""
+class FailureDetector:
+    """One sidecar's part in it. `dead` is called with the name of whoever is held for dead."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, name: str, address: str, zone: str, dead: Callable[[str], None]
@@ -72,17 +72,17 @@
         self._part.start()
 
     def stop(self) -> None:
-        """Say that this stile leaves."""
+        """Say that this sidecar leaves."""
         self._part.stop()
 
     def knows(self, name: str, zone: str, address: str) -> None:
-        """A stile is there, or elsewhere than before."""
+        """A sidecar is there, or elsewhere than before."""
         if self._members.get(name) != (zone, address):
             self._members[name] = (zone, address)
             self._later()
 
     def forgets(self, name: str) -> None:
-        """A stile is gone for good."""
+        """A sidecar is gone for good."""
         if name != self._name and self._members.pop(name, None) is not None:
             self._later()
 
--- a/orchard/age.py
+++ b/mesh/proxy/request_age.py
@@ -11,7 +11,7 @@
 SURE = 16  # fewer than so many tell of no longest yet
 
 
-class Ages:
+class RequestAges:
     """The tries of one route. Times in seconds."""
 
     __slots__ = ("_before", "_here", "_count")
--- a/orchard/plot.py
+++ b/mesh/proxy/server_queue.py
@@ -1,4 +1,4 @@
-"""The plot beside a stile: its one server, the connections to it, and the calls that wait for it in order."""
+"""The queue beside a server: its connections, and the calls that wait for it in order."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 from hollyport.http.back import HttpBack, Reply
 from hollyport.nodes.upstream import Exchange, Upstream
 from hollyport.settings.config import Address as NodeAddress
-from orchard.faults import Fault
-from orchard.settings import Address
+from mesh.errors import ErrorKind
+from mesh.settings import Address
 
 FIRST_BACKOFF_NS, LAST_BACKOFF_NS = 100_000_000, 2_000_000_000
 KEPT_S = 15.0  # idle connections are retired from IDLE_SHARE of this on, or of what the server tells
@@ -37,12 +37,31 @@
     `due` is the last start that makes an answer in time likely, `last` the last one that makes any likely.
     """
 
-    __slots__ = ("make", "tid", "deadline", "due", "last", "done", "kind", "trial", "exchange", "began",
-                 "over", "overdue", "timer")  # fmt: skip
+    __slots__ = (
+        "make",
+        "tid",
+        "deadline",
+        "due",
+        "last",
+        "done",
+        "kind",
+        "trial",
+        "exchange",
+        "began",
+        "over",
+        "overdue",
+        "timer",
+    )
 
     def __init__(
-        self, make: Callable[[float, str], bytes], tid: bytes, deadline: float, due: float, last: float,
-        done: Callable[[Fault | None, bool, Reply | None], None], kind: str = "",
+        self,
+        make: Callable[[float, str], bytes],
+        tid: bytes,
+        deadline: float,
+        due: float,
+        last: float,
+        done: Callable[[ErrorKind | None, bool, Reply | None], None],
+        kind: str = "",
     ) -> None:
         self.make, self.tid, self.done, self.kind = make, tid, done, kind
         self.deadline, self.due, self.last = deadline, due, last
@@ -53,8 +72,8 @@
         self.began = 0.0
 
 
-class Plot:
-    """One server as its own stile sees it."""
+class ServerQueue:
+    """One server as its own sidecar sees it."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, most: int) -> None:
         self._loop = loop
@@ -101,14 +120,14 @@
             self.budget.most = min(STEPS, slots, self.max_conns)
         self.open = is_open
         if not is_open:
-            self.turn_away(Fault.LEAVING)
+            self.turn_away(ErrorKind.LEAVING)
         self._pump()
 
     def probe(self, path: str, found: Callable[[str], None]) -> None:
         """Ask the server who it is, where no beat has told yet; `found` gets its id, if it is well."""
         name = "probe"
         self.upstream.update(name, self._address, 0, True)
-        request = b"GET %s HTTP/1.1\r\nHost: stile\r\n\r\n" % path.encode()
+        request = b"GET %s HTTP/1.1\r\nHost: sidecar\r\n\r\n" % path.encode()
 
         def ended(how: How, answer: Any) -> None:
             self.upstream.remove(name)
@@ -132,9 +151,9 @@
             self.over.add(self.instance)
             self.upstream.remove(self.instance)
         self.instance = ""
-        self.turn_away(Fault.LEAVING)
+        self.turn_away(ErrorKind.LEAVING)
 
-    def turn_away(self, fault: Fault) -> None:
+    def turn_away(self, fault: ErrorKind) -> None:
         """Give back all that waits."""
         queue, self.queue = self.queue, []
         late, self.late = self.late, deque()
@@ -188,10 +207,10 @@
         """Take a call; it goes at once, waits by when it is due, or is given back."""
         now = self._loop.time()
         if not self.open or not self.instance:
-            self._end(job, Fault.LEAVING, False)
+            self._end(job, ErrorKind.LEAVING, False)
             return
         if not self.budget.k and (self.budget.trial or now * 1e9 < self.budget.retry_at):
-            self._end(job, Fault.FULL, False)  # nothing can take it soon
+            self._end(job, ErrorKind.FULL, False)  # nothing can take it soon
             return
         if self.out >= self.budget.budget and not self.light(job.kind):
             # What is refused is refused at once: kept to be refused later, it would cost its client time.
@@ -199,7 +218,7 @@
             if starts > job.due and now + self.wait() > job.last:
                 self._pump()
                 if self.out >= self.budget.budget:
-                    self._end(job, Fault.FULL, False)
+                    self._end(job, ErrorKind.FULL, False)
                     return
         self._count += 1
         order = job.due
@@ -220,7 +239,7 @@
             if now <= job.last:
                 return job
             self.late.popleft()
-            self._end(job, Fault.FULL, False)
+            self._end(job, ErrorKind.FULL, False)
         return None
 
     def _pump(self) -> None:
@@ -249,21 +268,23 @@
         now = self._loop.time()
         for job in [job for job in self.late if now > job.last]:
             self.late.remove(job)
-            self._end(job, Fault.FULL, False)
+            self._end(job, ErrorKind.FULL, False)
         self._pump()
 
     def _send(self, now: float, job: Job, trial: bool) -> None:
         left = job.deadline - now
         instance = self.instance
         if left <= HOP_S:
-            self._end(job, Fault.FULL, False)
+            self._end(job, ErrorKind.FULL, False)
             return
         exchange = self.upstream.exchange(
-            instance, lambda: job.make(job.deadline - self._loop.time(), instance), left,
+            instance,
+            lambda: job.make(job.deadline - self._loop.time(), instance),
+            left,
             lambda how, answer: self._ended(job, instance, how, answer),
         )
         if exchange is None:
-            self._end(job, Fault.LEAVING, False)
+            self._end(job, ErrorKind.LEAVING, False)
             return
         exchange.expect = (b"x-attempt-id", job.tid)
         job.trial, job.exchange, job.began = trial, exchange, now
@@ -291,7 +312,7 @@
                     self.replaced((reply.header(b"x-instance-id") or b"").decode("latin-1"))
                 else:
                     budget.refused()
-            self._end(job, Fault.LEAVING if reply.status == 421 else Fault.FULL, True, reply)
+            self._end(job, ErrorKind.LEAVING if reply.status == 421 else ErrorKind.FULL, True, reply)
         elif reply is not None and (reply.header(b"x-server-seal") is not None or reply.status >= 400):
             if current:
                 self._learn(reply)
@@ -299,11 +320,11 @@
                 self._served(now, job, trial, reply.status < 500)
             self._end(job, None, True, reply)
         else:
-            fault, arrived = Fault.BROKEN, True
+            fault, arrived = ErrorKind.BROKEN, True
             if how == How.TIMEOUT:
-                fault = Fault.LATE
+                fault = ErrorKind.LATE
             elif how in (How.MOOT, How.CONNECT_FAILED) and not self._written(job):
-                fault, arrived = Fault.FULL, False
+                fault, arrived = ErrorKind.FULL, False
             if current and how != How.MOOT:
                 self._judge(True)
                 self._failed(now, trial, how in (How.CONNECT_FAILED, How.RESET))
@@ -347,7 +368,7 @@
         if kept is not None and kept.startswith(b"timeout=") and kept[8:].isdigit():
             self.upstream.keep(min(KEPT_S, float(kept[8:]) * 1.5) * IDLE_SHARE)
 
-    def _end(self, job: Job, fault: Fault | None, arrived: bool, reply: Reply | None = None) -> None:
+    def _end(self, job: Job, fault: ErrorKind | None, arrived: bool, reply: Reply | None = None) -> None:
         if not job.over:
             job.over = True
             job.done(fault, arrived, reply)
--- a/orchard/settings.py
+++ b/mesh/settings.py
@@ -171,12 +171,12 @@
         return self.bounds.get(name, default)
 
     @property
-    def furrow(self) -> Address:
+    def peer_address(self) -> Address:
         """Where this process listens for others of the system."""
         return Address(self.ip, self.ports[0])
 
     @property
-    def seed_furrows(self) -> list[str]:
+    def seed_peers(self) -> list[str]:
         """Where the seeds listen for others: ports are the same on all machines."""
         return sorted(Address(seed.host, self.ports[0]).text for seed in self.seeds)
 
--- a/orchard/catalog.py
+++ b/mesh/state/configuration.py
@@ -17,7 +17,7 @@
 from expression import Error, Ok, Result
 from pyrsistent import PMap, pmap
 
-from orchard.settings import seconds
+from mesh.settings import seconds
 
 VERSION = re.compile(r"r([0-9]{1,40})")
 SLACK_S = 60.0  # a target that exceeds its route's time-out by so much is a mistake
@@ -65,7 +65,8 @@
     """
     rows = tuple(call)
     other = [
-        f"{item.name} r{item.version} stands with another content" for item in rows
+        f"{item.name} r{item.version} stands with another content"
+        for item in rows
         if item.name in items and items[item.name].version == item.version and items[item.name] != item
     ]
     if other:
@@ -207,8 +208,10 @@
     raw = json.loads(item.content)
     if item.name == "limit":
         return Limits(
-            _count(raw.get("max_header_bytes", 16384), 1), _count(raw.get("max_body_bytes", 48 << 20), 1),
-            seconds(raw.get("header_timeout", "3s")), seconds(raw.get("idle_timeout", "15s")),
+            _count(raw.get("max_header_bytes", 16384), 1),
+            _count(raw.get("max_body_bytes", 48 << 20), 1),
+            seconds(raw.get("header_timeout", "3s")),
+            seconds(raw.get("idle_timeout", "15s")),
         )
     if item.name.startswith("service/"):
         health = raw.get("health_path", "/health")
@@ -246,8 +249,15 @@
     if aim >= timeout + SLACK_S:
         raise ValueError(f"{item.name}: its target exceeds its time-out")
     return Route(
-        rule["name"], raw["hostname"].strip().lower(), prefix, variant, tuple(targets), timeout, aim,
-        _count(effect.get("max_attempts", 1), 1), _count(rule.get("priority", 0)),
+        rule["name"],
+        raw["hostname"].strip().lower(),
+        prefix,
+        variant,
+        tuple(targets),
+        timeout,
+        aim,
+        _count(effect.get("max_attempts", 1), 1),
+        _count(rule.get("priority", 0)),
     )
 
 
--- /dev/null
+++ b/mesh/state/distribution.py
@@ -0,0 +1,139 @@
+"""How configuration reaches the sidecars: each follows one controller, and looks to others when it lacks
+something.
+
+A whole table goes over a sidecar's link once, and a change once, however many controllers there are: each
+other controller tells eight bytes, the digest of all that it may tell (`SUM`). Who finds that a controller's
+digest is not its own, and does not hear the difference from the controller it follows, asks that one for what
+it lacks (`PULL`). So a controller that is frozen, cut off or behind costs its followers `LOOK_S`, not their
+configuration. No I/O; times are seconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from zlib import crc32
+
+from mesh.state import configuration
+from mesh.state.configuration import Item, Items
+
+BUCKETS = 64  # of a copy's digest: what differs is told by bucket
+LOOK_S = 0.15  # how long a sidecar waits for its own controller before it asks another that knows more
+MOST_LOOK_S = 0.6  # at most so long, also where its own controller says something all the time
+PULL_S = 1.0  # how long the answer of the one that was asked is waited for
+
+
+class Copy:
+    """Items as they stand at one place, their digest, and that of each bucket of names."""
+
+    def __init__(self) -> None:
+        self.items: Items = configuration.EMPTY
+        self.digest = 0
+        self._buckets = [0] * BUCKETS
+        self._names: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
+
+    def take(self, news: Iterable[Item]) -> list[Item]:
+        """Merge; what of it is news here."""
+        rows = list(news)
+        before, self.items = self.items, configuration.merge(self.items, rows)
+        found = []
+        for name in dict.fromkeys(item.name for item in rows):
+            old, item = before.get(name), self.items[name]
+            if item != old:
+                changed = configuration.mark(item) ^ (configuration.mark(old) if old is not None else 0)
+                bucket = crc32(name.encode()) % BUCKETS
+                self.digest ^= changed
+                self._buckets[bucket] ^= changed
+                self._names[bucket][name] = None
+                found.append(item)
+        return found
+
+    def packed_buckets(self) -> bytes:
+        """The digest of each bucket, eight bytes each: so much goes over a link where copies are compared,
+        however many items there are."""
+        return b"".join(digest.to_bytes(8, "big") for digest in self._buckets)
+
+    def differing(self, buckets: bytes) -> list[Item]:
+        """The items of all buckets that are not as another copy has them; it merges, so what is older here
+        does nothing there."""
+        return [
+            self.items[name]
+            for at, digest in enumerate(self._buckets)
+            if buckets[8 * at : 8 * at + 8] != digest.to_bytes(8, "big")
+            for name in self._names[at]
+        ]
+
+    def marks(self) -> dict[str, int]:
+        """By name, what tells one version and content of it from others."""
+        return {name: configuration.mark(item) for name, item in self.items.items()}
+
+    def lacking(self, marks: Mapping[str, int]) -> list[Item]:
+        """What another with these marks may lack; it merges, so what is older here does nothing there."""
+        return [item for name, item in self.items.items() if marks.get(name) != configuration.mark(item)]
+
+
+class Following:
+    """One sidecar's choice of whom to follow, and of when to ask another."""
+
+    def __init__(self, me: str, zone: str) -> None:
+        self._me, self._zone = me, zone
+        self.controller = ""  # whom it follows
+        self._told: dict[str, tuple[int, float]] = {}  # by controller: the digest that it told last, and when
+        # by controller: its digest and the own one, when it was asked
+        self._asked: dict[str, tuple[int, int]] = {}
+        self._until = 0.0  # an answer is waited for
+        self._outdated: set[str] = set()  # controllers that said that they are out of contact with a majority
+
+    def current(self, controller: str, yes: bool) -> None:
+        """A controller says whether it is in contact with a majority: one that is not is neither followed nor
+        asked, as what it has may be old."""
+        (self._outdated.discard if yes else self._outdated.add)(controller)
+
+    def choose(self, linked: Iterable[str], zones: Mapping[str, str]) -> str | None:
+        """Whom to follow from now on, where that is another than before. The own zone's come first; among
+        equals each sidecar has an order of its own, so that no controller has them all."""
+
+        def rank(controller: str) -> tuple[bool, int]:
+            return zones.get(controller) != self._zone, crc32(f"{self._me} {controller}".encode())
+
+        there = [
+            controller for controller in linked if controller in zones and controller not in self._outdated
+        ]
+        best = min(there, key=rank, default="")
+        kept = self.controller in there and (
+            best == self.controller or rank(self.controller)[0] == rank(best)[0]
+        )
+        if kept or best == self.controller:
+            return None
+        self.controller = best
+        return best
+
+    def told(self, now: float, controller: str, digest: int, mine: int) -> bool:
+        """A controller's digest has come; whether to look again after `LOOK_S`."""
+        self._told[controller] = digest, now
+        return digest not in (mine, 0)
+
+    def lacks(self, now: float, controller: str, mine: int, heard_at: float) -> bool | None:
+        """Whether to ask a controller for what is lacking; None where to look again later. `heard_at`: when
+        the controller that is followed said anything last, as it may still be telling it."""
+        told, since = self._told.get(controller, (0, now))
+        if controller in self._outdated or told in (mine, 0) or self._asked.get(controller) == (told, mine):
+            return False
+        speaks = now - heard_at < LOOK_S / 2 and now - since < MOST_LOOK_S
+        if now < self._until or speaks:
+            return None
+        self._asked[controller] = told, mine
+        self._until = now + PULL_S
+        return True
+
+    def answered(self) -> None:
+        """What was asked for has come."""
+        self._until = 0.0
+
+    def down(self, controller: str) -> None:
+        """The connection to a controller has ended."""
+        self._told.pop(controller, None)
+        self._asked.pop(controller, None)
+        self._outdated.discard(controller)
+        self._until = 0.0
+        if controller == self.controller:
+            self.controller = ""
--- a/orchard/keys.py
+++ b/mesh/state/idempotency.py
@@ -1,9 +1,9 @@
-"""Operations by key: what one barn has granted, and what a claimant makes of several answers. No I/O.
+"""Operations by key: what one controller has granted, and what a claimant makes of several answers. No I/O.
 
-A claim is a lock by quorum: each barn grants a key to the first token that it has on its disk, and takes a
-grant back only at the word of whoever holds that token and knows that nothing ran with it. A token that so
-many barns granted that any two such sets share one may run; no second one ever has as many within the
-window. Times are seconds of one clock; ages travel, never times of day.
+A claim is a lock by quorum: each controller grants a key to the first token that it has on its disk, and
+takes a grant back only at the word of whoever holds that token and knows that nothing ran with it. A token
+that so many controllers granted that any two such sets share one may run; no second one ever has as many
+within the window. Times are seconds of one clock; ages travel, never times of day.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 
 class Grant(NamedTuple):
-    """What a barn knows of one key."""
+    """What a controller knows of one key."""
 
     token: str
     mark: Mark
@@ -37,7 +37,7 @@
 
 
 class Registry:
-    """The grants of one barn."""
+    """The grants of one controller."""
 
     def __init__(self, window_s: float) -> None:
         self._window = window_s
@@ -63,9 +63,7 @@
         grant = self.look(now, key)
         if grant is not None:
             return grant, False
-        grant = self._grants[key] = Grant(
-            token, Mark.CLAIMED, now + left_s, now + max(self._window, left_s)
-        )
+        grant = self._grants[key] = Grant(token, Mark.CLAIMED, now + left_s, now + max(self._window, left_s))
         return grant, True
 
     def done(self, now: float, key: str, token: str, answer: Any) -> bool:
@@ -110,7 +108,7 @@
                 return
             del self._grants[key]
 
-    # --- for disks and other barns
+    # --- for disks and other controllers
 
     def rows(self, now: float) -> list[list[Any]]:
         """All that stands, with ages in place of times."""
@@ -121,10 +119,11 @@
         return row_of(now, key, self._grants[key])
 
     def take(self, now: float, rows: Iterable[list[Any]]) -> None:
-        """Merge what a disk or another barn knows: an answer wins over a claim, a claim over nothing.
+        """Merge what a disk or another controller knows: an answer wins over a claim, a claim over nothing.
 
-        Where claims disagree it is not known which of them enough barns granted, and any of them may come to
-        that by the next barn's word: the key is then nobody's here, until the last of them expires.
+        Where claims disagree it is not known which of them enough controllers granted, and any of them may
+        come to that by the next controller's word: the key is then nobody's here, until the last of them
+        expires.
         """
         for key, token, mark, until, expires, answer in rows:
             grant = Grant(token, Mark(mark), now + until, now + expires, answer)
@@ -158,9 +157,10 @@
 
 @dataclass
 class Claim:
-    """One claimant's count. `barns` are asked, `enough` must grant, all within `limit_s` of the start."""
+    """One claimant's count. `controllers` are asked, `enough` must grant, all within `limit_s` of the
+    start."""
 
-    barns: int
+    controllers: int
     enough: int
     started: float
     limit_s: float
@@ -170,22 +170,22 @@
     _marks: dict[str, Mark] = field(default_factory=dict)
     _failed: set[str] = field(default_factory=set)
 
-    def granted(self, barn: str) -> None:
-        """A barn has it on its disk for this token."""
-        self._mine.add(barn)
+    def granted(self, controller: str) -> None:
+        """A controller has it on its disk for this token."""
+        self._mine.add(controller)
 
-    def held(self, barn: str, token: str, mark: Mark, answer: Any) -> None:
-        """A barn holds it for another."""
-        self._others.setdefault(token, set()).add(barn)
+    def held(self, controller: str, token: str, mark: Mark, answer: Any) -> None:
+        """A controller holds it for another."""
+        self._others.setdefault(token, set()).add(controller)
         self._marks[token] = max(mark, self._marks.get(token, Mark.CLAIMED))
         if mark == Mark.DONE:
             self.answer = answer
             self._marks[token] = Mark.DONE
 
-    def failed(self, barn: str) -> None:
-        """A barn can't grant anything."""
-        if barn not in self._mine and not any(barn in held for held in self._others.values()):
-            self._failed.add(barn)
+    def failed(self, controller: str) -> None:
+        """A controller can't grant anything."""
+        if controller not in self._mine and not any(controller in held for held in self._others.values()):
+            self._failed.add(controller)
 
     @property
     def troubled(self) -> bool:
@@ -195,22 +195,22 @@
     silent = failed  # nor one that has said nothing in time
 
     def verdict(self, now: float) -> Verdict:
-        """As far as the answers go. A round that took too long grants nothing: a barn that lost its disk
-        waits for as long before it counts, so whatever was granted in time is known to those it asks."""
+        """As far as the answers go. A round that took too long grants nothing: a controller that lost its
+        disk waits for as long before it counts, so whatever was granted in time is known to those it asks."""
         if self.answer is not None:
             return Verdict.REPEAT
         in_time = now - self.started <= self.limit_s
         if len(self._mine) >= self.enough and in_time:
             return Verdict.RUN
         others = set[str]().union(*self._others.values()) if self._others else set[str]()
-        open_ = self.barns - len(self._mine) - len(others) - len(self._failed)
+        open_ = self.controllers - len(self._mine) - len(others) - len(self._failed)
         if len(self._mine) + open_ >= self.enough and in_time:
             return Verdict.WAIT
-        for token, barns in self._others.items():
-            if len(barns) + open_ >= self.enough or len(barns) >= self.enough:
+        for token, controllers in self._others.items():
+            if len(controllers) + open_ >= self.enough or len(controllers) >= self.enough:
                 if self._marks[token] == Mark.BROKEN:
                     return Verdict.LOST
-                if len(barns) >= self.enough or not in_time or not open_:
+                if len(controllers) >= self.enough or not in_time or not open_:
                     return Verdict.AT_WORK
                 return Verdict.WAIT
         return Verdict.AGAIN
--- a/orchard/quorum.py
+++ b/mesh/state/quorum.py
@@ -6,10 +6,10 @@
 
 
 class Voters(NamedTuple):
-    """The barns whose disks count, of one epoch."""
+    """The controllers whose disks count, of one epoch."""
 
     epoch: int
-    names: tuple[str, ...]  # addresses of their furrows, sorted
+    names: tuple[str, ...]  # addresses of their connections, sorted
 
     @property
     def write(self) -> int:
@@ -18,8 +18,8 @@
 
     @property
     def read(self) -> int:
-        """Barns with whole disks to hear from, so that nothing acknowledged can be missing: so many meet each
-        set that a write went to, also where others of that set have lost their disks."""
+        """Controllers with whole disks to hear from, so that nothing acknowledged can be missing: so many
+        meet each set that a write went to, also where others of that set have lost their disks."""
         return len(self.names) - self.write + 1
 
     def newer(self, other: Voters | None) -> bool:
@@ -31,10 +31,10 @@
 
 
 class Turn:
-    """One barn's word on whose turn it is to write: one writer at a time, for a while.
+    """One controller's word on whose turn it is to write: one writer at a time, for a while.
 
-    A write is taken only from the writer whose turn still stands here. Any two sets of as many barns as a
-    write needs share one, so no write gets through beside another that did not see it. What was promised is
+    A write is taken only from the writer whose turn still stands here. Any two sets of as many controllers as
+    a write needs share one, so no write gets through beside another that did not see it. What was promised is
     forgotten when the process ends: then the writer's write is refused here, which is safe.
     """
 
--- /dev/null
+++ b/mesh/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What lies on a controller's disk."""
--- a/orchard/granary.py
+++ b/mesh/storage/record_store.py
@@ -37,17 +37,17 @@
     """All whole batches of a data file, in order. What is torn or missing between them is passed over."""
     at = 0
     while at + 12 <= len(data):
-        if data[at:at + 4] == MAGIC:
-            size = int.from_bytes(data[at + 4:at + 8], "big")
-            body = data[at + 12:at + 12 + size]
-            if len(body) == size and zlib.crc32(body) == int.from_bytes(data[at + 8:at + 12], "big"):
+        if data[at : at + 4] == MAGIC:
+            size = int.from_bytes(data[at + 4 : at + 8], "big")
+            body = data[at + 12 : at + 12 + size]
+            if len(body) == size and zlib.crc32(body) == int.from_bytes(data[at + 8 : at + 12], "big"):
                 yield from cbor2.loads(body)
                 at += -(-(12 + size) // BLOCK) * BLOCK
                 continue
         at += BLOCK
 
 
-class Granary:
+class RecordStore:
     """The records of one process. `state` tells all that still counts, for the next generation."""
 
     def __init__(self, folder: str, state: Callable[[], Iterable[Any]]) -> None:
@@ -58,7 +58,7 @@
         self._size = 0
         self._waiting: list[Waiting] = []
         self._busy = self._due = False
-        self._thread = ThreadPoolExecutor(1, "granary")
+        self._thread = ThreadPoolExecutor(1, "record_store")
         self.well = True  # whether the last batch went to the disk
 
     # --- at the start
--- a/orchard/furrow.py
+++ b/mesh/transport/connection.py
@@ -1,4 +1,4 @@
-"""Furrows: held TCP connections between the system's processes, carrying cbor2 messages.
+"""Connections: held TCP connections between the system's processes, carrying cbor2 messages.
 
 A message is a list that begins with its kind. It goes as four bytes of length and the encoding. Whoever has
 heard nothing for a while asks; one that stays silent is given up, also where a cut says nothing (RFC 5482 for
@@ -17,7 +17,7 @@
 import cbor2
 from loguru import logger
 
-from orchard.settings import Address
+from mesh.settings import Address
 
 PING, PONG = 0, 1
 MOST = 80 << 20  # bytes of one message
@@ -27,14 +27,18 @@
 DIAL_S = 0.8
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.05, 0.8
 
-Heard = Callable[["Furrow", list[Any]], None]
+Heard = Callable[["PeerConnection", list[Any]], None]
 
 
-class Furrow(asyncio.Protocol):
+class PeerConnection(asyncio.Protocol):
     """One connection, either end."""
 
     def __init__(
-        self, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None], ask_s: float = ASK_S
+        self,
+        heard: Heard,
+        up: Callable[[PeerConnection], None],
+        down: Callable[[PeerConnection], None],
+        ask_s: float = ASK_S,
     ) -> None:
         self._heard, self._up, self._down = heard, up, down
         self._ask_s = ask_s
@@ -88,8 +92,8 @@
     def attend(self, more: int) -> None:
         """So many more answers are waited for here: while any is, the other side is asked as often as usual.
 
-        A stile has a furrow to each other one, and asking on all of them each second, whether anything is
-        under way or not, grows with the fleet; who is silent there is told by the hedge as well.
+        A sidecar has a connection to each other one, and asking on all of them each second, whether anything
+        is under way or not, grows with the fleet; who is silent there is told by the hedge as well.
         """
         self._waits += more
         if self._waits == more == 1 and self._ask_s > ASK_S and self._timer is not None:
@@ -113,17 +117,17 @@
         rest += data
         at, size = 0, len(rest)
         while size - at >= 4:
-            length = int.from_bytes(rest[at:at + 4], "big")
+            length = int.from_bytes(rest[at : at + 4], "big")
             if length > MOST:
                 self.end()
                 return
             if size - at - 4 < length:
                 break
             try:
-                message = cbor2.loads(bytes(rest[at + 4:at + 4 + length]))
+                message = cbor2.loads(bytes(rest[at + 4 : at + 4 + length]))
                 kind = message[0]
             except Exception:
-                logger.warning("a message that can't be read; the furrow is closed")
+                logger.warning("a message that can't be read; the connection is closed")
                 self.end()
                 return
             at += 4 + length
@@ -140,7 +144,7 @@
             del rest[:at]
 
     def send(self, message: list[Any]) -> None:
-        """Write a message; what is sent to a closed furrow is lost, which its owner has been told."""
+        """Write a message; what is sent to a closed connection is lost, which its owner has been told."""
         self.put(pack(message))
 
     def put(self, packed: bytes) -> None:
@@ -164,21 +168,25 @@
 
 
 def pack(message: list[Any]) -> bytes:
-    """A message as it goes over a furrow."""
+    """A message as it goes over a connection."""
     data = cbor2.dumps(message)
     return len(data).to_bytes(4, "big") + data
 
 
 class Dial:
-    """Keeps one furrow to an address, opened again whenever it has ended."""
+    """Keeps one connection to an address, opened again whenever it has ended."""
 
     def __init__(
-        self, address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None],
+        self,
+        address: Address,
+        heard: Heard,
+        up: Callable[[PeerConnection], None],
+        down: Callable[[PeerConnection], None],
         ask_s: float = ASK_S,
     ) -> None:
         self.address, self._ask_s = address, ask_s
         self._heard, self._on_up, self._on_down = heard, up, down
-        self.furrow: Furrow | None = None
+        self.connection: PeerConnection | None = None
         self._again = asyncio.Event()
         self._hurried = asyncio.Event()
         self._stopped = False
@@ -188,22 +196,22 @@
         """Keep it no more."""
         self._stopped = True
         self._task.cancel()
-        if self.furrow is not None:
-            self.furrow.end()
+        if self.connection is not None:
+            self.connection.end()
 
     def hurry(self) -> None:
         """The other side is there, as it has just said: don't wait for the next try."""
         self._hurried.set()
 
-    def _up(self, furrow: Furrow) -> None:
-        self.furrow = furrow
-        self._on_up(furrow)
+    def _up(self, connection: PeerConnection) -> None:
+        self.connection = connection
+        self._on_up(connection)
 
-    def _down(self, furrow: Furrow) -> None:
-        if self.furrow is furrow:
-            self.furrow = None
+    def _down(self, connection: PeerConnection) -> None:
+        if self.connection is connection:
+            self.connection = None
         self._again.set()
-        self._on_down(furrow)
+        self._on_down(connection)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -213,7 +221,7 @@
             try:
                 async with asyncio.timeout(DIAL_S):
                     await loop.create_connection(
-                        lambda: Furrow(self._heard, self._up, self._down, self._ask_s), *self.address
+                        lambda: PeerConnection(self._heard, self._up, self._down, self._ask_s), *self.address
                     )
             except (OSError, TimeoutError):
                 pass
@@ -229,11 +237,14 @@
 
 
 async def listen(
-    address: Address, heard: Heard, up: Callable[[Furrow], None], down: Callable[[Furrow], None],
+    address: Address,
+    heard: Heard,
+    up: Callable[[PeerConnection], None],
+    down: Callable[[PeerConnection], None],
     ask_s: float = ASK_S,
 ) -> asyncio.Server:
-    """Take furrows that others dial."""
+    """Take connections that others dial."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: Furrow(heard, up, down, ask_s), address.host, address.port, backlog=512
+        lambda: PeerConnection(heard, up, down, ask_s), address.host, address.port, backlog=512
     )
--- a/orchard/front.py
+++ b/mesh/transport/http_server.py
@@ -1,4 +1,5 @@
-"""A front for the mesh's own doors: the sidecar's HTTP/1.1 front, with whole bodies and one handler."""
+"""A front for the mesh's own http_servers: the sidecar's HTTP/1.1 front, with whole bodies and one
+handler."""
 
 from __future__ import annotations
 
@@ -12,13 +13,13 @@
 from hollyport.guests.listener import Listener
 from hollyport.http.front import MAX_BODY, MAX_HEAD, ClientConnection
 from hollyport.http.message import Message
-from orchard.settings import Address
+from mesh.settings import Address
 
 LEDGER = Ledger(0)
 MOST = 2500
 
 
-class Door:
+class HttpServer:
     """A listening address, and what its connections need to know."""
 
     listener: Listener
@@ -36,9 +37,9 @@
 class Caller(ClientConnection):
     """One connection of whoever calls."""
 
-    def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop, door: Door) -> None:
+    def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop, door: HttpServer) -> None:
         super().__init__(listener, loop, door, _nothing, {}, LEDGER)  # type: ignore[arg-type]
-        self._door = door
+        self._http_server = door
         self._max_body, self._max_head = door.max_body, door.max_head
 
     def _read_terms(self, message: Message) -> None:
@@ -49,7 +50,7 @@
         self._asked = True
         self._listener.move(self, None)
         try:
-            self._door.serve(message)
+            self._http_server.serve(message)
         except Exception:
             traceback.print_exc(file=sys.stderr)
             message.answer(500)
@@ -59,13 +60,15 @@
     return 404
 
 
-async def open_door(
-    address: Address, serve: Callable[[Message], None], hangup: Callable[[Message], None] | None = None,
+async def open_http_server(
+    address: Address,
+    serve: Callable[[Message], None],
+    hangup: Callable[[Message], None] | None = None,
     most: int = MOST,
-) -> Door:
+) -> HttpServer:
     """Listen at an address."""
     loop = asyncio.get_running_loop()
-    door = Door(serve, hangup or (lambda message: None))
+    door = HttpServer(serve, hangup or (lambda message: None))
     door.listener = Listener(lambda house: Caller(house, loop, door), most, most)
     await door.listener.start(loop, address.host, address.port)
     return door
--- a/orchard/words.py
+++ b/mesh/transport/messages.py
@@ -1,26 +1,30 @@
-"""What is said over furrows: the kinds of messages (0 and 1 are the furrow's own)."""
+"""What is said over connections: the kinds of messages (0 and 1 are the connection's own)."""
 
 from __future__ import annotations
 
 import enum
 
 
-class Word(enum.IntEnum):
+class MessageKind(enum.IntEnum):
     """Kinds of messages, and what follows the kind in each."""
 
-    BARN = 10  # address, voters, barns, zone, voters before, whole, lives, those forgotten: a barn to a barn,
+    # address, voters, controllers, zone, voters before, whole, lives, those forgotten: a controller to
+    # a controller,
+    CONTROLLER = 10
     # first of all and when any of it changes
-    STILE = 11  # record, version (first of all): a stile to a barn, first of all and when any of it changes
-    FOLLOW = 14  # digest of own items: a stile to the one barn that it hears whole tables and changes from
-    SUM = 15  # digest of the items that may be told: a barn to a stile
-    PULL = 16  # versions by name: a stile to a barn, for what it lacks of them
-    BARNS = 12  # addresses of all barns that are known, own zone, lives, those forgotten
-    VOTERS = 13  # epoch, addresses: a barn to a stile
+    # record, version (first of all): a sidecar to a controller, first of all and when any of it changes
+    SIDECAR = 11
+    # digest of own items: a sidecar to the one controller that it hears whole tables and changes from
+    FOLLOW = 14
+    SUM = 15  # digest of the items that may be told: a controller to a sidecar
+    PULL = 16  # versions by name: a sidecar to a controller, for what it lacks of them
+    CONTROLLERS = 12  # addresses of all controllers that are known, own zone, lives, those forgotten
+    VOTERS = 13  # epoch, addresses: a controller to a sidecar
     ITEMS = 20  # number, rows of items
     ACK = 21  # number
-    BEDS = 22  # records of stiles
+    ENDPOINTS = 22  # records of sidecars
     GONE = 23  # node, incarnation
-    LIFE = 24  # a barn to a stile: a record of its name and a later life is known
+    LIFE = 24  # a controller to a sidecar: a record of its name and a later life is known
     PREPARE = 30  # round, epoch, ballot, digests of buckets: a proposer to the voters
     PROMISE = 31  # round, yes, epoch, number promised, sequence, draft, items that the proposer lacks
     ACCEPT = 32  # round, epoch, ballot, sequence, items, all items where the voter is behind
@@ -30,7 +34,7 @@
     FETCH = 38  # round, epoch, whether sealed ones are asked, digests of buckets
     FETCHED = 39  # round, whether it votes (or is sealed), epoch, sequence, items, draft, ballot promised
     KEYS = 34  # round, epoch, whether sealed ones are asked
-    KEYED = 35  # round, whether the barn votes (or is sealed), rows of grants, epoch, ballot promised
+    KEYED = 35  # round, whether the controller votes (or is sealed), rows of grants, epoch, ballot promised
     CLAIM = 40  # claim, key, token, seconds left, epoch from the second on
     CLAIMED = 41  # claim, outcome (-1 can't tell, 0 another's, 1 granted), token, mark, answer
     DONE = 42  # key, token, answer
@@ -41,16 +45,17 @@
     SEAL = 62  # round, epoch, ballot, names of the next epoch's voters
     SEALED = 63  # round, yes, epoch, number promised
     SIGHT = 64  # round, epoch
-    SEEN = 65  # round, epoch, and what a `ballot.Sight` holds
+    SEEN = 65  # round, epoch, and what a `ballot.PeerView` holds
     HEIR = 66  # epoch, address: who has the duty from now on
-    FORGOTTEN = 67  # life: a barn to one that was forgotten with that life
-    PULSE = 68  # number, epoch: a barn to every other, at short intervals
-    PULSED = 69  # number, epoch, whether the barn votes in it, digest of its items, sequence
-    CURRENT = 70  # whether a barn is in contact with a majority of the voters: a barn to a stile
+    FORGOTTEN = 67  # life: a controller to one that was forgotten with that life
+    PULSE = 68  # number, epoch: a controller to every other, at short intervals
+    PULSED = 69  # number, epoch, whether the controller votes in it, digest of its items, sequence
+    # whether a controller is in contact with a majority of the voters: a controller to a sidecar
+    CURRENT = 70
     ASK = 50  # number, request
     TOLD = 51  # number, fault (0: none), whether a server saw it, status, headers, body, seconds: wait, work
     OVERDUE = 53  # number: its server has worked on it for unusually long
-    LEAVING = 52  # record: a stile to those that send to it
+    LEAVING = 52  # record: a sidecar to those that send to it
     WANT = 54  # number, bytes: so much of the body of an ASK may be sent, from its beginning
     PIECE = 55  # number, bytes: the next piece of it
     DROP = 56  # number: its ASK is given up, and the rest will not come
@@ -59,12 +64,12 @@
 
 
 VERSION = 2
-"""Of what is said over furrows, as a stile tells it: from 2 on it follows one barn, takes bodies in pieces,
-and answers a LOOK."""
+"""Of what is said over connections, as a sidecar tells it: from 2 on it follows one controller, takes bodies
+in pieces, and answers a LOOK."""
 
 
 class Record(enum.IntEnum):
-    """Places in a stile's record."""
+    """Places in a sidecar's record."""
 
     NODE = 0
     LINK = 1
@@ -76,4 +81,4 @@
     COLD = 7  # seconds
     LIFE = 8
     NUMBER = 9
-    VERSION = 10  # of what it understands; an older stile tells none
+    VERSION = 10  # of what it understands; an older sidecar tells none
--- a/rehearsal/mesh/__init__.py
+++ b/rehearsal/mesh/__init__.py
@@ -1,1 +1,2 @@
-"""A small rehearsal of the mesh: real stiles and barns on loopback, a server beside each stile, a judge."""
+"""A small rehearsal of the mesh: real sidecars and controllers on loopback, a server beside each sidecar, a
+judge."""
--- a/rehearsal/mesh/__main__.py
+++ b/rehearsal/mesh/__main__.py
@@ -19,7 +19,7 @@
 
 PASS, FAIL, VOID = 0, 1, 3
 SHOWN = 5  # breaches of one invariant
-ROUNDS = ROOT / "tests" / "orchard" / "test_orchard_rounds.py"
+ROUNDS = ROOT / "tests" / "mesh" / "test_mesh_rounds.py"
 
 
 def main() -> int:
--- a/rehearsal/mesh/behind.py
+++ b/rehearsal/mesh/behind.py
@@ -1,7 +1,7 @@
 """The mesh's own program behind a relay: `python -m rehearsal.mesh.behind HOST PORT BEHIND ROLE`.
 
-Its furrow is told to all as HOST:PORT, where the rig's relay listens; the process itself listens at BEHIND,
-and dials others from HOST, by which the relay knows it. All else is `python -m orchard ROLE` as it is.
+Its connection is told to all as HOST:PORT, where the rig's relay listens; the process itself listens at
+BEHIND, and dials others from HOST, by which the relay knows it. All else is `python -m mesh ROLE` as it is.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 
 def main() -> None:
-    """Run the program on a loop that moves its furrow."""
+    """Run the program on a loop that moves its connection."""
     host, port, behind = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
 
     async def create_connection(loop: Any, factory: Any, *where: Any, **how: Any) -> Any:
@@ -35,8 +35,8 @@
             runner.run(work)
 
     vars(uvloop)["run"] = run
-    sys.argv = ["orchard", *sys.argv[4:]]
-    runpy.run_module("orchard", run_name="__main__")
+    sys.argv = ["mesh", *sys.argv[4:]]
+    runpy.run_module("mesh", run_name="__main__")
 
 
 if __name__ == "__main__":
--- a/rehearsal/mesh/caller.py
+++ b/rehearsal/mesh/caller.py
@@ -1,4 +1,4 @@
-"""Clients on the machines of the stiles. They try again only as a client of the protocol may."""
+"""Clients on the machines of the sidecars. They try again only as a client of the protocol may."""
 
 from __future__ import annotations
 
@@ -38,9 +38,13 @@
     """One client at a machine. `keyed` holds the keyed operations of all of them, for repeats."""
 
     def __init__(
-        self, machine: Machine, others: list[Machine], history: History, draw: random.Random,
+        self,
+        machine: Machine,
+        others: list[Machine],
+        history: History,
+        draw: random.Random,
         keyed: list[Operation],
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.machine, self._others, self._history, self._draw = machine, others, history, draw
         self._keyed = keyed
         self._line: wire.Line | None = None
@@ -123,13 +127,22 @@
     ) -> tuple[Try, float, wire.Line | None]:
         """One try: what became of it, when to come again, and the connection where it can be kept."""
         one = Try(
-            f"{self._draw.getrandbits(64):016x}", made.kind, machine.name, machine.service,
-            summary(made.method, made.target, made.body), made.key, time.monotonic(), how="unconnected",
-        )  # fmt: skip
+            f"{self._draw.getrandbits(64):016x}",
+            made.kind,
+            machine.name,
+            machine.service,
+            summary(made.method, made.target, made.body),
+            made.key,
+            time.monotonic(),
+            how="unconnected",
+        )
         headers = {
-            "Host": HOST, "X-Attempt-Id": one.attempt, "X-Deadline-Ms": str(int(left_s * 1000)),
-            "X-Caller-Service": "nobody", "Accept-Encoding": "identity",
-        }  # fmt: skip
+            "Host": HOST,
+            "X-Attempt-Id": one.attempt,
+            "X-Deadline-Ms": str(int(left_s * 1000)),
+            "X-Caller-Service": "nobody",
+            "Accept-Encoding": "identity",
+        }
         if made.key:
             headers["X-Operation-Key"] = made.key
         raw = wire.request(made.method, made.target, headers, made.body, self._draw.random() < 0.2)
