--- a/rehearsal/mesh/field.py
+++ b/rehearsal/mesh/field.py
@@ -27,7 +27,7 @@
 BOUNDS = [f"grace={GRACE_S:g}s", "retry_ratio=0.2", "retry_window=10s", "retry_slack=5", "key_window=600s"]
 SERVICES = ("ferry", "till")
 ERRORS = ("Traceback", "could not be handled")  # in a log: a fault of the program
-DOORS = ("furrow", "control", "outbound", "ready", "app", "behind")
+DOORS = ("connection", "control", "outbound", "ready", "app", "behind")
 
 
 def hosts(draw: random.Random, count: int) -> list[str]:
@@ -58,7 +58,7 @@
         self.name, self.role, self.host, self.service = name, role, host, service
         self._ports = ports
         self.process: asyncio.subprocess.Process | None = None
-        self.in_use = role == "stile"  # whether clients send here
+        self.in_use = role == "sidecar"  # whether clients send here
 
     def at(self, door: str) -> str:
         """An address of it."""
@@ -75,7 +75,9 @@
 
     async def ready(self) -> bool:
         """Whether it says so, as the platform asks."""
-        told = await wire.ask(self.at("ready" if self.role == "stile" else "control"), "GET", "/-/readiness")
+        told = await wire.ask(
+            self.at("ready" if self.role == "sidecar" else "control"), "GET", "/-/readiness"
+        )
         return told is not None and told.status == 200
 
 
@@ -83,18 +85,20 @@
     """All machines."""
 
     def __init__(
-        self, folder: Path, history: History, barns: int = 3, pairs: int = 2, relayed: bool = False
+        self, folder: Path, history: History, controllers: int = 3, pairs: int = 2, relayed: bool = False
     ) -> None:
         self._folder, self._history = folder, history
         self._first = True
         self._struck: list[asyncio.subprocess.Process] = []
         self.relay = Relay() if relayed else None
-        where = hosts(random.SystemRandom(), barns + pairs * len(SERVICES))
+        where = hosts(random.SystemRandom(), controllers + pairs * len(SERVICES))
         ports = dict(zip(DOORS, free_ports(where, len(DOORS)), strict=True))
-        self.barns = [Machine(f"barn{n}", "barn", where[n], ports) for n in range(barns)]
-        self.stiles = [
-            Machine(f"stile{n}", "stile", host, ports, SERVICES[n % len(SERVICES)])
-            for n, host in enumerate(where[barns:])
+        self.controllers = [
+            Machine(f"controller{n}", "controller", where[n], ports) for n in range(controllers)
+        ]
+        self.sidecars = [
+            Machine(f"sidecar{n}", "sidecar", host, ports, SERVICES[n % len(SERVICES)])
+            for n, host in enumerate(where[controllers:])
         ]
 
     def _settings(self, machine: Machine) -> str:
@@ -103,13 +107,13 @@
             "node_name": machine.name,
             "ip": machine.host,
             "zone": f"pier-{number % 2}",
-            "port_range": [machine.port("furrow")] * 2,
-            "seed_list": [barn.at("control") for barn in self.barns],
+            "port_range": [machine.port("connection")] * 2,
+            "seed_list": [controller.at("control") for controller in self.controllers],
             "first_start": self._first,
             "bound_set": BOUNDS,
         }
         doors = ["control"]
-        if machine.role == "barn":
+        if machine.role == "controller":
             told["data_dir"] = str(self.data(machine))
         else:
             told |= {"app_addr": machine.at("app"), "service": machine.service}
@@ -120,9 +124,9 @@
     async def start_all(self) -> None:
         """The first start of the whole system; the machines' settings say so this once."""
         if self.relay is not None:
-            for machine in (*self.barns, *self.stiles):
-                await self.relay.front(machine.host, machine.port("furrow"), machine.port("behind"))
-        for machine in (*self.barns, *self.stiles):
+            for machine in (*self.controllers, *self.sidecars):
+                await self.relay.front(machine.host, machine.port("connection"), machine.port("behind"))
+        for machine in (*self.controllers, *self.sidecars):
             await self.start(machine)
         self._first = False
 
@@ -131,16 +135,25 @@
         path = self._folder / f"{machine.name}.toml"
         path.write_text(self._settings(machine), encoding="utf-8")
         environ = {**environment(), "HOLLYPORT_NODE_FILE": str(path), "TMPDIR": str(self._folder)}
-        program = [sys.executable, "-m", "orchard", machine.role]
+        program = [sys.executable, "-m", "mesh", machine.role]
         if self.relay is not None:
-            ports = [str(machine.port(door)) for door in ("furrow", "behind")]
+            ports = [str(machine.port(door)) for door in ("connection", "behind")]
             program[2:3] = ["rehearsal.mesh.behind", machine.host, *ports]
         with open(self._folder / f"{machine.name}.log", "ab") as log:
             machine.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-S", "-E", str(LEASH), str(os.getpid()), str(SOCKETS), *program,
-                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ,
-            )  # fmt: skip
-        if machine.role == "stile":
+                sys.executable,
+                "-S",
+                "-E",
+                str(LEASH),
+                str(os.getpid()),
+                str(SOCKETS),
+                *program,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environ,
+            )
+        if machine.role == "sidecar":
             machine.in_use = True
 
     def strike(self, *machines: Machine) -> None:
@@ -169,12 +182,12 @@
         """Nothing passes between these and all others, until `heal`; wants a relayed field."""
         assert self.relay is not None
         here = {machine.host for machine in machines}
-        self.relay.cut(here, {one.host for one in (*self.barns, *self.stiles)} - here)
+        self.relay.cut(here, {one.host for one in (*self.controllers, *self.sidecars)} - here)
 
-    def cut_from_peers(self, barn: Machine) -> None:
+    def cut_from_peers(self, controller: Machine) -> None:
         """Nothing passes between a control machine and the other control machines; sidecars reach it."""
         assert self.relay is not None
-        self.relay.cut({barn.host}, {one.host for one in self.barns if one is not barn})
+        self.relay.cut({controller.host}, {one.host for one in self.controllers if one is not controller})
 
     def heal(self) -> None:
         """All is joined again."""
@@ -198,17 +211,17 @@
             self._history.troubles.append(f"{machine.name} ended with {code} after SIGTERM")
 
     def wipe(self, machine: Machine) -> None:
-        """Empty the disk of a barn that does not run."""
+        """Empty the disk of a controller that does not run."""
         assert not machine.runs
         shutil.rmtree(self.data(machine))
 
     def data(self, machine: Machine) -> Path:
-        """The folder that is a barn's disk."""
+        """The folder that is a controller's disk."""
         return self._folder / f"{machine.name}-data"
 
     def watch(self) -> None:
         """Note whatever ended by itself."""
-        for machine in (*self.barns, *self.stiles):
+        for machine in (*self.controllers, *self.sidecars):
             if machine.process is not None and machine.process.returncode is not None:
                 told = f"{machine.process.returncode}: {self.log(machine)[-3:]}"
                 self._history.troubles.append(f"{machine.name} ended by itself with {told}")
@@ -221,13 +234,13 @@
 
     def read_logs(self) -> None:
         """Note the errors that processes told."""
-        for machine in (*self.barns, *self.stiles):
+        for machine in (*self.controllers, *self.sidecars):
             for line in self.log(machine):
                 if any(word in line for word in ERRORS):
                     self._history.troubles.append(f"{machine.name}: {line[:400]}")
 
     async def close(self) -> None:
         """End all that is left."""
-        await self.kill(*self.barns, *self.stiles)
+        await self.kill(*self.controllers, *self.sidecars)
         if self.relay is not None:
             await self.relay.close()
--- a/rehearsal/mesh/judge.py
+++ b/rehearsal/mesh/judge.py
@@ -74,8 +74,9 @@
     tries: list[Try] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
-    readings: list[Items] = field(default_factory=list)  # the configuration at the end, as each barn told it
-    kills: list[tuple[str, float]] = field(default_factory=list)  # stiles that were ended without a word
+    # the configuration at the end, as each controller told it
+    readings: list[Items] = field(default_factory=list)
+    kills: list[tuple[str, float]] = field(default_factory=list)  # sidecars that were ended without a word
     backs: list[float] = field(default_factory=list)  # when all that a fault had ended was ready again
     troubles: list[str] = field(default_factory=list)  # of processes: ends and errors nobody asked for
     late_s: float = 0.0  # how late the rig itself was at the most
@@ -94,8 +95,9 @@
         seen[run.attempt].append(run.server)
     return [
         f"{attempt} ran {len(servers)} times, on {', '.join(servers)}"
-        for attempt, servers in seen.items() if len(servers) > 1 and attempt not in repeatable
-    ]  # fmt: skip
+        for attempt, servers in seen.items()
+        if len(servers) > 1 and attempt not in repeatable
+    ]
 
 
 def keys(history: History) -> list[str]:
@@ -125,9 +127,10 @@
     """What was refused with a promise has not run."""
     ran = {run.attempt for run in history.runs}
     return [
-        f"{one.attempt} got {one.status} and ran" for one in history.tries
+        f"{one.attempt} got {one.status} and ran"
+        for one in history.tries
         if one.how == "answered" and one.status in PROMISES and one.kind != "pure" and one.attempt in ran
-    ]  # fmt: skip
+    ]
 
 
 def answers(history: History) -> list[str]:
@@ -168,15 +171,16 @@
 
 
 def whole(history: History) -> list[str]:
-    """What a stile has read gets a whole answer, unless that stile is killed."""
+    """What a sidecar has read gets a whole answer, unless that sidecar is killed."""
     made = []
     arrived = {arrival.attempt for arrival in history.arrivals}
     slack = SLACK_S + history.late_s
     for one in history.tries:
         if one.how not in ("cut", "silent"):
             continue
-        killed = any(one.machine == name and one.sent - slack <= at <= one.ended + slack
-                     for name, at in history.kills)  # fmt: skip
+        killed = any(
+            one.machine == name and one.sent - slack <= at <= one.ended + slack for name, at in history.kills
+        )
         if not killed and (one.attempt in arrived or one.ended - one.sent > slack):
             after = one.ended - one.sent
             made.append(f"{one.attempt} on {one.machine} was {one.how} after {after:.3f} s, and was read")
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -1,4 +1,5 @@
-"""The operator: changes the configuration at any barn, goes on to others after a failure, reads it back."""
+"""The operator: changes the configuration at any controller, goes on to others after a failure, reads it
+back."""
 
 from __future__ import annotations
 
@@ -14,8 +15,10 @@
 
 HOST = "mesh.example"
 PATHS = {
-    "pure": ("/sailings/", "ferry"), "effectful": ("/bookings/", "till"), "idempotent": ("/berths/", "till"),
-}  # fmt: skip
+    "pure": ("/sailings/", "ferry"),
+    "effectful": ("/bookings/", "till"),
+    "idempotent": ("/berths/", "till"),
+}
 SPARE = 12  # routes that no client asks for, set and dropped all the time
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.05, 0.4
 PACE_S = 0.12
@@ -28,10 +31,14 @@
 ) -> dict[str, Any]:
     """A route, as it stands in a call."""
     return {
-        "name": name, "variant": variant, "target": "300ms", "priority": 1, "revision": f"r{version}",
+        "name": name,
+        "variant": variant,
+        "target": "300ms",
+        "priority": 1,
+        "revision": f"r{version}",
         "matcher": {"path_prefix": prefix},
         "effect": {"service": service, "timeout": timeout, "max_attempts": 2},
-    }  # fmt: skip
+    }
 
 
 def laid_out(raw: dict[str, Any]) -> dict[str, Any]:
@@ -55,16 +62,16 @@
     """One of them. Several share their versions, and overtake each other."""
 
     def __init__(
-        self, barns: list[Machine], history: History, draw: random.Random, versions: Iterator[int]
+        self, controllers: list[Machine], history: History, draw: random.Random, versions: Iterator[int]
     ) -> None:
-        self._barns, self._history, self._draw, self._versions = barns, history, draw, versions
+        self._controllers, self._history, self._draw, self._versions = controllers, history, draw, versions
         self.stopping = False
         self.acknowledged: Callable[[Machine], None] | None = None  # told in the turn that an answer came in
 
     async def change(
         self, upserts: dict[str, Any], drops: list[str], version: int, valid: bool = True
     ) -> int:
-        """Send a call until it is answered, to one barn after the other; the status, or 0."""
+        """Send a call until it is answered, to one controller after the other; the status, or 0."""
         items: dict[str, Any] = {**laid_out(upserts), **{f"route/{name}": None for name in drops}}
         told = Change(version, items, valid)
         self._history.changes.append(told)
@@ -77,13 +84,13 @@
     async def _insist(self, body: bytes) -> wire.Message | None:
         loop = asyncio.get_running_loop()
         until, pause = loop.time() + CALL_S, FIRST_PAUSE_S
-        at = self._draw.randrange(len(self._barns))
+        at = self._draw.randrange(len(self._controllers))
         while loop.time() < until:
-            barn = self._barns[at % len(self._barns)]
-            answer = await wire.ask(barn.at("control"), "PATCH", "/-/config", body)
+            controller = self._controllers[at % len(self._controllers)]
+            answer = await wire.ask(controller.at("control"), "PATCH", "/-/config", body)
             if answer is not None and answer.status in ENDS:
                 if answer.status == 200 and self.acknowledged is not None:
-                    self.acknowledged(barn)
+                    self.acknowledged(controller)
                 return answer
             at += 1
             await asyncio.sleep(pause)
@@ -95,9 +102,17 @@
         version = next(self._versions)
         rules = [rule(kind, kind, prefix, to, version) for kind, (prefix, to) in PATHS.items()]
         clusters = [
-            {"name": name, "health_path": "/health", "max_conns": 80, "protocol": "h1", "tls": False,
-             "idempotent": False, "revision": f"r{version}"} for name in SERVICES
-        ]  # fmt: skip
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_conns": 80,
+                "protocol": "h1",
+                "tls": False,
+                "idempotent": False,
+                "revision": f"r{version}",
+            }
+            for name in SERVICES
+        ]
         limits = {"max_body_bytes": 1 << 20, "revision": f"r{version}"}
         upserts = {
             "limit_set": limits,
@@ -114,9 +129,17 @@
             names = draw.sample(range(SPARE), draw.randint(1, 3))
             drops = [f"spare{number}" for number in names if draw.random() < 0.3]
             rules = [
-                rule(f"spare{number}", "pure", f"/spare{number}/", draw.choice(SERVICES), version,
-                     f"{draw.randint(1, 9)}s") for number in names if f"spare{number}" not in drops
-            ]  # fmt: skip
+                rule(
+                    f"spare{number}",
+                    "pure",
+                    f"/spare{number}/",
+                    draw.choice(SERVICES),
+                    version,
+                    f"{draw.randint(1, 9)}s",
+                )
+                for number in names
+                if f"spare{number}" not in drops
+            ]
             valid = draw.random() < 0.9
             if not valid:
                 rules.append(rule(f"wrong{version}", "pure", f"/wrong{version}/", "nowhere", version))
@@ -124,12 +147,12 @@
             await self.change(upserts, drops, version, valid=valid)
             await asyncio.sleep(PACE_S * draw.uniform(0.5, 1.5))
 
-    async def read(self, barn: Machine, limit_s: float) -> Items | None:
-        """The configuration as one barn tells it; None where it does not."""
+    async def read(self, controller: Machine, limit_s: float) -> Items | None:
+        """The configuration as one controller tells it; None where it does not."""
         loop = asyncio.get_running_loop()
         until = loop.time() + limit_s
         while loop.time() < until:
-            answer = await wire.ask(barn.at("control"), "GET", "/-/config")
+            answer = await wire.ask(controller.at("control"), "GET", "/-/config")
             if answer is not None and answer.status == 200:
                 found = laid_out(json.loads(answer.body))
                 return {name: (_version(content), content) for name, content in found.items()}
--- a/rehearsal/mesh/play.py
+++ b/rehearsal/mesh/play.py
@@ -22,7 +22,7 @@
 LOOK_S = 0.02
 BEAT_S = 0.02
 LATE_MS = 200.0  # a rig that runs later than this, one beat in a hundred, says nothing
-PROBE_S, MISSES = 1.0, 2  # the platform's looks at a stile, and how many it may miss
+PROBE_S, MISSES = 1.0, 2  # the platform's looks at a sidecar, and how many it may miss
 READ_S = 6.0
 BACK_S = 0.5  # a closing fault's machines are started again after so long
 REPEATS = 40  # keyed operations from just before a closing fault that are sent once more after it
@@ -38,18 +38,19 @@
         self._late = Lateness()
         versions = itertools.count(1)
         self._operators = [
-            Operator(self.field.barns, self.history, random.Random(draw.random()), versions)
+            Operator(self.field.controllers, self.history, random.Random(draw.random()), versions)
             for _ in range(OPERATORS)
         ]
-        stiles = self.field.stiles
+        sidecars = self.field.sidecars
         self.servers = {
-            machine.name: Server(machine, self.history, random.Random(draw.random())) for machine in stiles
+            machine.name: Server(machine, self.history, random.Random(draw.random())) for machine in sidecars
         }
         self.keyed: list[Operation] = []
         self.callers = [
-            Caller(machine, stiles, self.history, random.Random(draw.random()), self.keyed)
-            for machine in stiles for _ in range(CALLERS)
-        ]  # fmt: skip
+            Caller(machine, sidecars, self.history, random.Random(draw.random()), self.keyed)
+            for machine in sidecars
+            for _ in range(CALLERS)
+        ]
         self._players: list[asyncio.Task[None]] = []
         self._watchers: list[asyncio.Task[None]] = []
 
@@ -61,16 +62,16 @@
             await self.field.start_all()
             for server in self.servers.values():
                 await server.start()
-            await self.ready(*self.field.barns, limit_s=15.0)
+            await self.ready(*self.field.controllers, limit_s=15.0)
             if await self._operators[0].first() != 200:
                 raise TimeoutError("the first configuration was not acknowledged")
-            await self.ready(*self.field.stiles, limit_s=15.0)
+            await self.ready(*self.field.sidecars, limit_s=15.0)
         except BaseException:
             await self._close()
             raise
         loop = asyncio.get_running_loop()
         self._players = [loop.create_task(player.run()) for player in self._all()]
-        self._watchers = [loop.create_task(self._probe(machine)) for machine in self.field.stiles]
+        self._watchers = [loop.create_task(self._probe(machine)) for machine in self.field.sidecars]
         self._watchers.append(loop.create_task(self._beat()))
         return self
 
@@ -94,7 +95,7 @@
             self.history.late_s = max(self.history.late_s, late / 1e6)
 
     async def _probe(self, machine: Machine) -> None:
-        """Clients are sent to a machine until its stile has missed some answers."""
+        """Clients are sent to a machine until its sidecar has missed some answers."""
         missed = 0
         while True:
             await asyncio.sleep(PROBE_S)
@@ -141,9 +142,10 @@
 
         asked = [now + more for now, more in zip(figures(), (served, keyed, acked), strict=True)]
         await self.until(
-            lambda: all(now >= then for now, then in zip(figures(), asked, strict=True)), limit_s,
+            lambda: all(now >= then for now, then in zip(figures(), asked, strict=True)),
+            limit_s,
             f"{served} more served, {keyed} keys run, {acked} changes acknowledged",
-        )  # fmt: skip
+        )
 
     async def repeat(self, operations: list[Operation]) -> list[Try]:
         """Send keyed operations once more; what became of them."""
@@ -151,28 +153,30 @@
         return [one for one in await asyncio.gather(*made) if one is not None]
 
     async def acknowledged(self, then: Callable[[Machine], None], limit_s: float = 10.0) -> Machine:
-        """The barn that acknowledges the next change; `then` is told of it in the turn that this is heard."""
+        """The controller that acknowledges the next change; `then` is told of it in the turn that this is
+        heard."""
         heard: asyncio.Future[Machine] = asyncio.get_running_loop().create_future()
 
-        def hear(barn: Machine) -> None:
+        def hear(controller: Machine) -> None:
             if not heard.done():
-                then(barn)
-                heard.set_result(barn)
+                then(controller)
+                heard.set_result(controller)
 
         for operator in self._operators:
             operator.acknowledged = hear
         return await asyncio.wait_for(heard, limit_s)
 
     async def finish(self) -> History:
-        """Stop the clients, read the configuration back at every barn that runs, and take the history."""
+        """Stop the clients, read the configuration back at every controller that runs, and take the
+        history."""
         for player in self._all():
             player.stopping = True
         await asyncio.wait_for(asyncio.gather(*self._players), 20.0)
-        for barn in self.field.barns:
-            if barn.runs:
-                found = await self._operators[0].read(barn, READ_S)
+        for controller in self.field.controllers:
+            if controller.runs:
+                found = await self._operators[0].read(controller, READ_S)
                 if found is None:
-                    self.history.troubles.append(f"{barn.name} told no configuration in {READ_S:g} s")
+                    self.history.troubles.append(f"{controller.name} told no configuration in {READ_S:g} s")
                 else:
                     self.history.readings.append(found)
         self.field.watch()
@@ -187,13 +191,15 @@
         )
         runs = history.runs
         return {
-            "tries": len(history.tries), "served": sum(one.good for one in history.tries),
+            "tries": len(history.tries),
+            "served": sum(one.good for one in history.tries),
             **dict(sorted(counts.items())),
-            "arrivals": len(history.arrivals), "runs": len(runs),
+            "arrivals": len(history.arrivals),
+            "runs": len(runs),
             "keys run": sum(run.key != "" for run in runs),
             "changes": len(history.changes),
             "changes acknowledged": sum(change.status == 200 for change in history.changes),
-        }  # fmt: skip
+        }
 
 
 # --- faults: each begins, has something go on within it, and ends
@@ -206,70 +212,71 @@
     await within()
 
 
-async def kill_barn(rig: Rig, within: Part) -> None:
-    """A barn ends without a word, and comes back with its disk."""
-    await _away(rig, within, *rig.field.barns[:1])
+async def kill_controller(rig: Rig, within: Part) -> None:
+    """A controller ends without a word, and comes back with its disk."""
+    await _away(rig, within, *rig.field.controllers[:1])
 
 
-async def kill_barns(rig: Rig, within: Part) -> None:
+async def kill_controllers(rig: Rig, within: Part) -> None:
     """All of them at once."""
-    await _away(rig, within, *rig.field.barns)
+    await _away(rig, within, *rig.field.controllers)
 
 
-async def wipe_barn(rig: Rig, within: Part) -> None:
-    """A barn loses its disk. Once it counts again another ends: now all needs what the first one holds."""
-    barn, other = rig.field.barns[:2]
-    await rig.field.kill(barn)
-    rig.field.wipe(barn)
-    await rig.field.start(barn)
-    await rig.ready(barn)
+async def wipe_controller(rig: Rig, within: Part) -> None:
+    """A controller loses its disk. Once it counts again another ends: now all needs what the first one
+    holds."""
+    controller, other = rig.field.controllers[:2]
+    await rig.field.kill(controller)
+    rig.field.wipe(controller)
+    await rig.field.start(controller)
+    await rig.ready(controller)
     await _away(rig, within, other)
 
 
-async def kill_stile(rig: Rig, within: Part) -> None:
-    """A stile ends without a word, its server does not, and it comes back."""
-    await _away(rig, within, rig.field.stiles[1])
+async def kill_sidecar(rig: Rig, within: Part) -> None:
+    """A sidecar ends without a word, its server does not, and it comes back."""
+    await _away(rig, within, rig.field.sidecars[1])
 
 
-async def term_stile(rig: Rig, within: Part) -> None:
-    """A stile is asked to end while clients use it, and comes back."""
-    stile = rig.field.stiles[1]
-    at = [caller for caller in rig.callers if caller.machine is stile]
+async def term_sidecar(rig: Rig, within: Part) -> None:
+    """A sidecar is asked to end while clients use it, and comes back."""
+    sidecar = rig.field.sidecars[1]
+    at = [caller for caller in rig.callers if caller.machine is sidecar]
     await rig.until(lambda: sum(caller.asking for caller in at) > 1, 10.0, "two calls at once")
-    await rig.field.term(stile)
-    await _away(rig, within, stile)
+    await rig.field.term(sidecar)
+    await _away(rig, within, sidecar)
 
 
 async def roll_server(rig: Rig, within: Part) -> None:
     """A server leaves in order, and a new life of it comes later."""
-    server = rig.servers[rig.field.stiles[1].name]
+    server = rig.servers[rig.field.sidecars[1].name]
     await server.leave()
     await within()
     await server.start()
 
 
 async def kill_all(rig: Rig, within: Part) -> None:
-    """Right after an acknowledgement every barn and every stile ends, and is back within a second."""
-    await _closing(rig, within, [*rig.field.barns, *rig.field.stiles], wiped=False)
+    """Right after an acknowledgement every controller and every sidecar ends, and is back within a second."""
+    await _closing(rig, within, [*rig.field.controllers, *rig.field.sidecars], wiped=False)
 
 
 async def wipe_after_ack(rig: Rig, within: Part) -> None:
-    """Right after an acknowledgement all barns end, and the one that gave it loses its disk."""
-    await _closing(rig, within, rig.field.barns, wiped=True)
+    """Right after an acknowledgement all controllers end, and the one that gave it loses its disk."""
+    await _closing(rig, within, rig.field.controllers, wiped=True)
 
 
-async def freeze_barn(rig: Rig, within: Part) -> None:
-    """A barn stands still, and goes on as if no time had gone by."""
-    barn = rig.field.barns[0]
-    rig.field.freeze(barn)
+async def freeze_controller(rig: Rig, within: Part) -> None:
+    """A controller stands still, and goes on as if no time had gone by."""
+    controller = rig.field.controllers[0]
+    rig.field.freeze(controller)
     await within()
-    rig.field.freeze(barn, still=False)
-    await rig.ready(barn)
+    rig.field.freeze(controller, still=False)
+    await rig.ready(controller)
 
 
 async def cut(rig: Rig, within: Part) -> None:
-    """Nothing passes between a barn with a stile and all others. Clients are sent there still."""
-    here = rig.field.barns[0], rig.field.stiles[1]
+    """Nothing passes between a controller with a sidecar and all others. Clients are sent there still."""
+    here = rig.field.controllers[0], rig.field.sidecars[1]
     rig.field.cut(*here)
     await within()
     rig.field.heal()
@@ -278,11 +285,11 @@
 
 async def cut_peers(rig: Rig, within: Part) -> None:
     """Nothing passes between a control machine and its peers; sidecars and operators still reach it."""
-    barn = rig.field.barns[0]
-    rig.field.cut_from_peers(barn)
+    controller = rig.field.controllers[0]
+    rig.field.cut_from_peers(controller)
     await within()
     rig.field.heal()
-    await rig.ready(barn)
+    await rig.ready(controller)
 
 
 async def _closing(rig: Rig, within: Part, machines: list[Machine], wiped: bool) -> None:
@@ -290,12 +297,12 @@
         rig.history.kills += [(machine.name, time.monotonic()) for machine in machines if machine.runs]
         rig.field.strike(*machines)
 
-    barn = await rig.acknowledged(strike)
+    controller = await rig.acknowledged(strike)
     struck = time.monotonic()
     across = rig.keyed[-REPEATS:]
     await rig.field.kill()
     if wiped:
-        rig.field.wipe(barn)
+        rig.field.wipe(controller)
     await asyncio.sleep(max(0.0, struck + BACK_S - time.monotonic()))
     for machine in machines:
         await rig.field.start(machine)
@@ -316,11 +323,19 @@
 
 
 FAULTS: dict[str, Callable[[Rig, Part], Awaitable[None]]] = {
-    "none": none, "kill-barn": kill_barn, "kill-barns": kill_barns, "wipe-barn": wipe_barn,
-    "kill-stile": kill_stile, "term-stile": term_stile, "roll-server": roll_server,
-    "kill-all": kill_all, "wipe-after-ack": wipe_after_ack, "freeze-barn": freeze_barn, "cut": cut,
+    "none": none,
+    "kill-controller": kill_controller,
+    "kill-controllers": kill_controllers,
+    "wipe-controller": wipe_controller,
+    "kill-sidecar": kill_sidecar,
+    "term-sidecar": term_sidecar,
+    "roll-server": roll_server,
+    "kill-all": kill_all,
+    "wipe-after-ack": wipe_after_ack,
+    "freeze-controller": freeze_controller,
+    "cut": cut,
     "cut-peers": cut_peers,
-}  # fmt: skip
+}
 RELAYED = frozenset({"cut", "cut-peers"})
 
 
--- a/rehearsal/mesh/relay.py
+++ b/rehearsal/mesh/relay.py
@@ -1,11 +1,11 @@
-"""The furrows between real processes, through sockets of the rig: any two machines can be cut off.
-
-Where `rehearsal.fabric` carries datagrams, this carries TCP. A machine's furrow address is held by a socket
-here, and its process listens behind it (`behind.py`); who dials is known by the address that each process
-binds. Nothing passes a cut, neither bytes nor a connection's end, and nothing of what was sent before is
-lost: it comes when the cut is over, as TCP would send it again. A connection made through a cut stands here
-unanswered and is reset when the cut ends; in a real one the dial itself would go unanswered. The probes
-between stiles (UDP) do not pass here and are never cut.
+"""The connections between real processes, through sockets of the rig: any two machines can be cut off.
+
+Where `rehearsal.fabric` carries datagrams, this carries TCP. A machine's connection address is held by a
+socket here, and its process listens behind it (`behind.py`); who dials is known by the address that each
+process binds. Nothing passes a cut, neither bytes nor a connection's end, and nothing of what was sent before
+is lost: it comes when the cut is over, as TCP would send it again. A connection made through a cut stands
+here unanswered and is reset when the cut ends; in a real one the dial itself would go unanswered. The probes
+between sidecars (UDP) do not pass here and are never cut.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 class Relay:
-    """All furrows of one field."""
+    """All connections of one field."""
 
     def __init__(self) -> None:
         self._cut: set[frozenset[str]] = set()  # pairs of hosts
--- a/rehearsal/mesh/server.py
+++ b/rehearsal/mesh/server.py
@@ -1,4 +1,4 @@
-"""A stand-in for the application server beside a stile: tells it of itself, and records all arrivals."""
+"""A stand-in for the application server beside a sidecar: tells it of itself, and records all arrivals."""
 
 from __future__ import annotations
 
@@ -31,9 +31,13 @@
     """One server; each start is a life with an id of its own."""
 
     def __init__(
-        self, machine: Machine, history: History, draw: random.Random, work_s: float = WORK_S,
+        self,
+        machine: Machine,
+        history: History,
+        draw: random.Random,
+        work_s: float = WORK_S,
         errs: bool = True,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`work_s`: what a run takes, about. `errs`: whether some runs fail or break off."""
         self._machine, self._history, self._draw = machine, history, draw
         self._work_s, self._errs = work_s, errs
@@ -54,12 +58,17 @@
         self._beats = asyncio.create_task(self._beat())
 
     async def beat(self) -> bool:
-        """Tell the stile; whether it has acknowledged."""
+        """Tell the sidecar; whether it has acknowledged."""
         self._call += 1
         told = {
-            "service": self._machine.service, "address": self._machine.at("app"), "revision": "v1",
-            "slots": SLOTS, "state": self._state, "cold_left": "0ms", "call_seq": self._call,
-        }  # fmt: skip
+            "service": self._machine.service,
+            "address": self._machine.at("app"),
+            "revision": "v1",
+            "slots": SLOTS,
+            "state": self._state,
+            "cold_left": "0ms",
+            "call_seq": self._call,
+        }
         return await self._tell("PUT", json.dumps(told).encode())
 
     async def _tell(self, method: str, body: bytes = b"") -> bool:
@@ -118,10 +127,14 @@
             status = 200 if self._state == "ready" else 503
             return wire.answer(status, {"X-Instance-Id": self.instance}, b""), True
         arrival = Arrival(
-            asked.header("x-attempt-id"), f"{self._machine.name}/{self.instance}",
-            summary(method, target, asked.body), asked.header("x-caller-service"),
-            asked.header("x-operation-key"), now, ran=False,
-        )  # fmt: skip
+            asked.header("x-attempt-id"),
+            f"{self._machine.name}/{self.instance}",
+            summary(method, target, asked.body),
+            asked.header("x-caller-service"),
+            asked.header("x-operation-key"),
+            now,
+            ran=False,
+        )
         self._history.arrivals.append(arrival)
         if not arrival.attempt:
             return self._refused(arrival, 400)
--- a/rehearsal/mesh/wire.py
+++ b/rehearsal/mesh/wire.py
@@ -47,7 +47,7 @@
         raise Broken(f"no answer: {start!r}")
     length = message.header("content-length") or ("" if answer else "0")
     if not length.isdigit() or message.header("transfer-encoding"):
-        raise Broken("no length")  # neither stiles nor barns nor the servers here send chunks
+        raise Broken("no length")  # neither sidecars nor controllers nor the servers here send chunks
     try:
         message.body = await reader.readexactly(int(length))
     except asyncio.IncompleteReadError as error:
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -278,9 +278,7 @@
         for i, hall in enumerate(_spread(halls, size.nodes)):
             self._add(f"n{i:03d}", hall, -1, speaks=speaks.get(i, ""))
 
-    def _add(
-        self, name: str, hall: int, born_us: int, cell: int | None = None, speaks: str = ""
-    ) -> int:
+    def _add(self, name: str, hall: int, born_us: int, cell: int | None = None, speaks: str = "") -> int:
         kind, link = self._scenario.node, self._scenario.link
         draw = _stream(self._seed, "node", name)
         number = len(self.nodes)
--- a/tests/backend.py
+++ b/tests/backend.py
@@ -91,8 +91,17 @@
 
 
 def line(name: str, port: int, **changes: Any) -> dict[str, Any]:
-    return {"name": name, "address": f"127.0.0.1:{port}", "zone": "a", "type": "m", "group": 0,
-            "status": "SERVING", "weight": 1.0, "since_ms": 0, **changes}
+    return {
+        "name": name,
+        "address": f"127.0.0.1:{port}",
+        "zone": "a",
+        "type": "m",
+        "group": 0,
+        "status": "SERVING",
+        "weight": 1.0,
+        "since_ms": 0,
+        **changes,
+    }
 
 
 def listing(*lines: dict[str, Any], index: int = 1, snapshot: bool = True) -> dict[str, Any]:
@@ -104,9 +113,14 @@
     kinds = ("free", "single_shot", "guarded")
     raw: dict[str, Any] = {
         "classes": [{"name": k, "onTimeNs": 3 * 10**9, "hardLimitNs": 6 * 10**9, "repeat": k} for k in kinds],
-        "failureDomains": ["a", "b"], "kinds": ["m"],
-        "limits": {"maxAttempts": 3, "retryAfter": True, "maxRetryAfterNs": 10**9,
-                   "connectTimeoutNs": 2 * 10**9},
+        "failureDomains": ["a", "b"],
+        "kinds": ["m"],
+        "limits": {
+            "maxAttempts": 3,
+            "retryAfter": True,
+            "maxRetryAfterNs": 10**9,
+            "connectTimeoutNs": 2 * 10**9,
+        },
         "invariants": {"drainGraceNs": 10**9},
     }
     for key, value in changes.items():
@@ -131,8 +145,15 @@
         body = await self.reader.readexactly(int(headers["content-length"]))
         return int(first.split(" ")[1]), headers, body
 
-    async def ask(self, cls: str = "free", rid: str = "", timeout: str | None = "5",
-                  method: str = "", body: bytes = b"", **headers: str) -> tuple[int, dict[str, str], bytes]:
+    async def ask(
+        self,
+        cls: str = "free",
+        rid: str = "",
+        timeout: str | None = "5",
+        method: str = "",
+        body: bytes = b"",
+        **headers: str,
+    ) -> tuple[int, dict[str, str], bytes]:
         rid = rid or f"id-{next(IDS)}"  # new with every request
         method = method or ("GET" if cls == "free" else "POST")
         lines = [f"{method} /{cls}?q=1 HTTP/1.1", "Host: app", f"X-Request-ID: {rid}"]
@@ -157,8 +178,15 @@
 async def sidecar(
     *lines: dict[str, Any], discovery: int = 1, raw: dict[str, Any] | None = None, sockets: int = 1024
 ) -> AsyncIterator[World]:
-    config = Config("n0", Address("127.0.0.1", 0), Address("127.0.0.1", discovery), 7, sockets,
-                    listing(*lines), Settings.parse(raw or settings(discovery="subscribe")))
+    config = Config(
+        "n0",
+        Address("127.0.0.1", 0),
+        Address("127.0.0.1", discovery),
+        7,
+        sockets,
+        listing(*lines),
+        Settings.parse(raw or settings(discovery="subscribe")),
+    )
     made = Sidecar(config, asyncio.get_running_loop())
     yield World(made, await made.start())
 
--- a/tests/build.py
+++ b/tests/build.py
@@ -14,14 +14,28 @@
 def settings(**changes: Any) -> Settings:
     raw: dict[str, Any] = {
         "classes": [
-            {"name": name, "onTimeNs": 400 * MS, "hardLimitNs": SECOND, "repeat": name, "credit": 1.0 + i,
-             "group": "zone", "windowNs": SECOND}
+            {
+                "name": name,
+                "onTimeNs": 400 * MS,
+                "hardLimitNs": SECOND,
+                "repeat": name,
+                "credit": 1.0 + i,
+                "group": "zone",
+                "windowNs": SECOND,
+            }
             for i, name in enumerate(CLASSES)
         ],
         "failureDomains": ["a", "b"],
         "limits": {"maxAttempts": 3, "retryAfter": True, "maxRetryAfterNs": SECOND},
-        "invariants": {"coldFrom": 0.3, "coldNs": 5 * SECOND, "fallMultiple": 3.0, "fallNs": SECOND,
-                       "drainGraceNs": SECOND, "mustAskInNs": 10 * SECOND, "graceToAnswerNs": 20 * MS},
+        "invariants": {
+            "coldFrom": 0.3,
+            "coldNs": 5 * SECOND,
+            "fallMultiple": 3.0,
+            "fallNs": SECOND,
+            "drainGraceNs": SECOND,
+            "mustAskInNs": 10 * SECOND,
+            "graceToAnswerNs": 20 * MS,
+        },
         "periodNs": MS,
     }
     for key, value in changes.items():
@@ -30,9 +44,10 @@
 
 
 def fleet(count: int, lifecycle: str = "up", started_ns: int = 0) -> Directory:
-    return Directory("FULL", tuple(
-        Entry(f"10.0.0.{i}:80", i % 2, 0, i // 2, lifecycle, 1.0, started_ns) for i in range(count)
-    ))
+    return Directory(
+        "FULL",
+        tuple(Entry(f"10.0.0.{i}:80", i % 2, 0, i // 2, lifecycle, 1.0, started_ns) for i in range(count)),
+    )
 
 
 def balancer(servers: int = 4, seed: int = 1, **changes: Any) -> Balancer:
--- a/tests/console/test_server.py
+++ b/tests/console/test_server.py
@@ -62,12 +62,14 @@
             for _ in range(200):
                 await asyncio.sleep(0)
             assert made.callers <= 1
+
     play(scene)
 
 
 @pytest.mark.parametrize("say", [b"", b"GET /api/re"], ids=["nothing", "half a call"])
 def test_an_honest_call_is_answered_behind_a_thousand_that_stay(say):
     """A ring that waited for its callers would keep it out for as long as they stay."""
+
     async def scene():
         async with standing() as (made, port):
             crowd = await asyncio.to_thread(silent, port, 900, say)
@@ -76,22 +78,26 @@
             assert made.callers <= MOST
             for sock in crowd:
                 sock.close()
+
     play(scene)
 
 
 def test_a_caller_that_is_put_out_gets_the_answer_to_what_it_has_sent():
     """Only the loop was late: its call had come whole."""
+
     async def scene():
         async with standing() as (made, port):
             made._loop.remove_reader(made._socket.fileno())  # the loop has other work
             held = await asyncio.to_thread(
-                silent, port, 3 * MOST, b"GET /api/ready HTTP/1.1\r\nHost: c\r\n\r\n")
+                silent, port, 3 * MOST, b"GET /api/ready HTTP/1.1\r\nHost: c\r\n\r\n"
+            )
             made._loop.add_reader(made._socket.fileno(), made._accept)
             loop = asyncio.get_running_loop()
             for sock in held:
                 sock.setblocking(False)
                 assert (await loop.sock_recv(sock, 100)).startswith(b"HTTP/1.1 200")
                 sock.close()
+
     play(scene)
 
 
@@ -106,6 +112,7 @@
             writer.close()
             while made.callers:
                 await asyncio.sleep(0.01)
+
     play(scene)
 
 
@@ -121,6 +128,7 @@
                 await asyncio.sleep(0.01)
             for sock in held:
                 sock.close()
+
     play(scene)
 
 
@@ -133,14 +141,23 @@
         async with standing(handlers) as (_, port):
             assert (await call(port, "/api/ready"))[0] == 500
             assert (await call(port, "/api/telemetry"))[0] == 200
+
     play(scene)
 
 
 @contextlib.asynccontextmanager
 async def staffed(*lines):
     """A sidecar with a second address."""
-    config = Config("n0", Address("127.0.0.1", 0), Address("127.0.0.1", 1), 7, 1024, listing(*lines),
-                    Settings.parse(settings(discovery="subscribe")), Address("127.0.0.1", 0))
+    config = Config(
+        "n0",
+        Address("127.0.0.1", 0),
+        Address("127.0.0.1", 1),
+        7,
+        1024,
+        listing(*lines),
+        Settings.parse(settings(discovery="subscribe")),
+        Address("127.0.0.1", 0),
+    )
     made = Sidecar(config, asyncio.get_running_loop())
     port = await made.start()
     yield made, port, made.console_port
@@ -180,6 +197,7 @@
             while (await call(at, "/api/telemetry"))[1]["in_progress"]:
                 pass  # the client has left: in progress no more, and in none of the ends that are told
             assert (await call(at, "/api/telemetry"))[1]["passed"] == told["passed"]
+
     play(scene)
 
 
@@ -189,6 +207,7 @@
         async with staffed(*lines) as (_, _, at):
             told = (await call(at, "/api/telemetry"))[1]
             assert (told["known_servers"], told["skipped_servers"]) == (2, 1)
+
     play(scene)
 
 
@@ -211,6 +230,7 @@
                 self.left -= 1
                 raise OSError(getattr(errno, self._error), self._error)
             return plain(*args, **more)
+
         return failing
 
 
@@ -234,19 +254,29 @@
 @pytest.mark.parametrize("error", [*WANTING, "ECONNABORTED"])
 def test_an_accept_that_fails_costs_a_pause_and_no_later_call(error):
     """Want of descriptors keeps the queue readable: the loop must neither spin nor give the console up."""
+
     async def scene():
         async with standing() as (made, port):
             made._socket = failing = Wanting(made._socket, "accept", error, 3)
             assert (await call(port, "/api/ready"))[0] == 200
             assert not failing.left
+
     play(scene)
 
 
 @pytest.mark.parametrize("error", WANTING)
-@pytest.mark.parametrize(("name", "later"), [
-    ("setblocking", False), ("recv", False), ("send", False), ("shutdown", False),
-    ("recv", True), ("send", True), ("shutdown", True),  # found on the loop's own call, with nobody above
-])
+@pytest.mark.parametrize(
+    ("name", "later"),
+    [
+        ("setblocking", False),
+        ("recv", False),
+        ("send", False),
+        ("shutdown", False),
+        ("recv", True),
+        ("send", True),
+        ("shutdown", True),  # found on the loop's own call, with nobody above
+    ],
+)
 def test_a_callers_call_that_fails_costs_that_caller_alone(name, later, error, monkeypatch):
     monkeypatch.setattr(console, "WAIT_S", 60.0)  # the sweep, which ends everybody in time, is no help here
     monkeypatch.setattr(console, "LINGER_S", 60.0)
@@ -270,6 +300,7 @@
             made._socket = Listening()
             words = b"GET /api/ready HTTP/1.1\r\nHost: c\r\n\r\n"
             await served_after_one_that_was_not(made, port, *((b"", words) if later else (words,)))
+
     play(scene)
 
 
@@ -280,6 +311,7 @@
             made._loop = failing = Wanting(made._loop, "add_reader", error)
             await served_after_one_that_was_not(made, port, b"")  # has said nothing yet
             assert not failing.left
+
     play(scene)
 
 
@@ -293,4 +325,5 @@
             made.start(Address("127.0.0.1", 0))
         made.close()
         assert len(os.listdir("/proc/self/fd")) == before and not made.callers
+
     play(scene)
--- a/tests/core/test_pools.py
+++ b/tests/core/test_pools.py
@@ -29,8 +29,10 @@
 
 
 def told(dealt) -> dict:
-    return {pool: [(entry.entry.server, entry.entry.lifecycle) for entry in share.lines]
-            for pool, share in dealt.shares.items()}
+    return {
+        pool: [(entry.entry.server, entry.entry.lifecycle) for entry in share.lines]
+        for pool, share in dealt.shares.items()
+    }
 
 
 def test_a_node_speaks_what_it_says_then_what_a_rule_says_then_http():
@@ -41,11 +43,18 @@
     assert told(dealt) == {"thrift": [("a", "up"), ("b", "up")], "http": [("c", "up"), ("d", "up")]}
 
 
-@pytest.mark.parametrize(("rule", "fits"), [
-    ({}, "abc"), ({"names": ("a*",)}, "a"), ({"halls": ("b",)}, "b"), ({"kinds": ("thrift-m",)}, "c"),
-    ({"networks": (ip_network("10.0.0.0/31"),)}, "a"), ({"ports": (1, 2)}, "c"),
-    ({"names": ("a*",), "ports": (1,)}, ""),
-])
+@pytest.mark.parametrize(
+    ("rule", "fits"),
+    [
+        ({}, "abc"),
+        ({"names": ("a*",)}, "a"),
+        ({"halls": ("b",)}, "b"),
+        ({"kinds": ("thrift-m",)}, "c"),
+        ({"networks": (ip_network("10.0.0.0/31"),)}, "a"),
+        ({"ports": (1, 2)}, "c"),
+        ({"names": ("a*",), "ports": (1,)}, ""),
+    ],
+)
 def test_all_conditions_of_a_rule_must_fit(rule, fits):
     lines = line("a1"), line("b1", host="name.local", zone=1), line("c1", host="10.0.0.9", kind=1, port=1)
     found = [one.entry.server[0] for one in lines if NodeRule("x", **rule).fits(one, SETTINGS)]
@@ -59,7 +68,9 @@
     assert told(dealt) == {"http": [("a", "removed")], "thrift": [("a", "up")]}
     assert [one.entry.lifecycle for one in dealt.lines] == ["removed", "up"]
     assert told(made.deal(Listing(3, False, (line("a", lifecycle="removed"),)))) == {
-        "http": [], "thrift": [("a", "removed")]}
+        "http": [],
+        "thrift": [("a", "removed")],
+    }
     assert told(made.deal(Listing(4, False, (line("a", lifecycle="removed"),)))) == {"http": [], "thrift": []}
 
 
@@ -125,6 +136,7 @@
                 assert (await http.ask("free", timeout_s=0.5)).what == "refused"
                 assert node.connections > before and len(node.calls) == 2
                 assert world.core._module.book.servers["s1"].started == 10**6
+
     play(scene)
 
 
@@ -142,4 +154,5 @@
             world.sidecar._told(read_listing(raw, world.sidecar._settings))
             assert (await client.ask("single_shot")).what == "served"
             assert node.connections == before + 1 and len(node.calls) == 2
+
     play(scene)
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -58,8 +58,14 @@
 build.venv.create, build.subprocess.run = create, run
 sys.exit(build.build(root))
 """
-CUTS = ["nothing made yet", "an empty folder", "an interpreter that can't be run",
-        "an interpreter and no packages", "a package that is not there yet", "all but the stamp"]
+CUTS = [
+    "nothing made yet",
+    "an empty folder",
+    "an interpreter that can't be run",
+    "an interpreter and no packages",
+    "a package that is not there yet",
+    "all but the stamp",
+]
 
 
 def start(root: Path, cut: str = "") -> subprocess.Popen[bytes]:
@@ -116,4 +122,6 @@
 def test_the_deploy_file_builds_with_it() -> None:
     assert 'build = "python3 deploy/build.py"' in (ROOT / "deploy" / "balancer.toml").read_text()
     assert [pin.split("==")[0] for pin in build.pins((ROOT / "requirements.txt").read_text())] == [
-        "httptools", "uvloop"]
+        "httptools",
+        "uvloop",
+    ]
--- a/tests/emulator/test_clock.py
+++ b/tests/emulator/test_clock.py
@@ -57,7 +57,11 @@
     told = [
         subprocess.run(
             [sys.executable, "-c", DRAW],
-            cwd=ROOT, env={**os.environ, "PYTHONHASHSEED": seed}, capture_output=True, text=True, check=True,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            capture_output=True,
+            text=True,
+            check=True,
         ).stdout
         for seed in ("0", "4711")
     ]
--- a/tests/emulator/test_connection.py
+++ b/tests/emulator/test_connection.py
@@ -52,9 +52,17 @@
         door.give_back("a", 0)
 
 
-@given(st.integers(1, 5), st.lists(st.tuples(
-    st.integers(0, 4), st.sampled_from(["take"] * 5 + ["keep"] * 3 + ["close", "leave", "reset"]),
-    st.sampled_from("abc")), max_size=60))
+@given(
+    st.integers(1, 5),
+    st.lists(
+        st.tuples(
+            st.integers(0, 4),
+            st.sampled_from(["take"] * 5 + ["keep"] * 3 + ["close", "leave", "reset"]),
+            st.sampled_from("abc"),
+        ),
+        max_size=60,
+    ),
+)
 def test_every_connection_is_open_or_ended_once(cap, plan):
     door, now, out = Door(Terms(cap=cap, idle_ns=6)), 0, dict.fromkeys("abc", 0)
     for gap, what, who in plan:
@@ -98,12 +106,18 @@
     assert network.reaches("s1", "n1")
 
 
-@pytest.mark.parametrize(("make", "key"), [
-    (lambda: Terms(cap=0), "cap"), (lambda: Terms(idle_ns=0), "idle_ns"),
-    (lambda: Terms(handshake_ns=-1), "handshake_ns"), (lambda: Terms(full_tax=float("nan")), "full_tax"),
-    (lambda: Distance(same_ns=-1), "same_ns"), (lambda: Distance(jitter=float("nan")), "jitter"),
-    (lambda: Distance(pairs={("a", "b"): -5}), "a to b"),
-])
+@pytest.mark.parametrize(
+    ("make", "key"),
+    [
+        (lambda: Terms(cap=0), "cap"),
+        (lambda: Terms(idle_ns=0), "idle_ns"),
+        (lambda: Terms(handshake_ns=-1), "handshake_ns"),
+        (lambda: Terms(full_tax=float("nan")), "full_tax"),
+        (lambda: Distance(same_ns=-1), "same_ns"),
+        (lambda: Distance(jitter=float("nan")), "jitter"),
+        (lambda: Distance(pairs={("a", "b"): -5}), "a to b"),
+    ],
+)
 def test_what_makes_no_sense_names_its_key(make, key):
     with pytest.raises(ValueError, match=key):
         make()
--- a/tests/emulator/test_hard.py
+++ b/tests/emulator/test_hard.py
@@ -23,6 +23,7 @@
     def turn(fleet):
         for machine in list(fleet.machines.values())[: max(1, int(part * len(fleet.machines)))]:
             machine.fault = kind
+
     return turn
 
 
@@ -51,13 +52,15 @@
 def swap(fleet):
     """Six in ten are replaced at once; those that leave die a second and a half after the list has told."""
     old = list(fleet.machines.values())[: len(fleet.machines) * 6 // 10]
-    fleet.news(*(fleet.start_server().entry() for _ in old),
-               *(m.entry()._replace(lifecycle="draining") for m in old))
+    fleet.news(
+        *(fleet.start_server().entry() for _ in old), *(m.entry()._replace(lifecycle="draining") for m in old)
+    )
 
     def gone():
         fleet.news(*(m.entry()._replace(lifecycle="removed") for m in old))
         for machine in old:
             machine.node.die()
+
     fleet.clock.after(1_500 * MS, gone)
 
 
@@ -81,8 +84,13 @@
     ("a cut that comes and goes", DAY, FLAPS, 0.6, 0.8),
     ("all are silent", DAY, [at(FROM, fault(1.0, "silent")), at(TO, fault(1.0, ""))], 0.0, 0.8),
     ("a fifth is silent", DAY, [at(FROM, fault(0.2, "silent")), at(TO, fault(1.0, ""))], 0.6, 0.8),
-    ("the list shrinks to the far side of a cut", DAY,
-     [at(FROM, part), at(FROM, far_side), at(TO, join), at(TO, all_back)], 0.0, 0.8),
+    (
+        "the list shrinks to the far side of a cut",
+        DAY,
+        [at(FROM, part), at(FROM, far_side), at(TO, join), at(TO, all_back)],
+        0.0,
+        0.8,
+    ),
     ("half of the lists come late", DAY, [at(FROM, half_deaf), at(FROM, swap)], 0.4, 0.6),
     ("nearly more than all can do", replace(DAY, load=0.9), [], 0.6, 0.6),
     ("two calls a second beside fifty", replace(DAY, uneven=2.0), [], 0.8, 0.8),
@@ -111,11 +119,15 @@
     assert not sum(sidecar.witness.owed for sidecar in fleet.sidecars)
 
 
-@pytest.mark.parametrize("numbers", [
-    lambda i, n: {"index": 0},  # all stand at one place
-    lambda i, n: {"replicas": 1},  # each believes that it is alone
-    lambda i, n: {"replicas": 10 * n},
-], ids=["index", "alone", "too many"])
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        lambda i, n: {"index": 0},  # all stand at one place
+        lambda i, n: {"replicas": 1},  # each believes that it is alone
+        lambda i, n: {"replicas": 10 * n},
+    ],
+    ids=["index", "alone", "too many"],
+)
 def test_wrong_numbers_cost_evenness_and_break_nothing(numbers, monkeypatch):
     monkeypatch.setitem(globals(), "NUMBERS", numbers)
     fields = {name: getattr(DAY, name) for name in DAY.__dataclass_fields__}
@@ -177,10 +189,14 @@
         self.promises.may_refuse = lambda call: True
 
 
-@pytest.mark.parametrize("module, match", [
-    (Twice, "a second final answer"), (Deaf, "draining, gone or unlisted"),
-    (Bold, "may run twice|may be untrue"),
-])
+@pytest.mark.parametrize(
+    "module, match",
+    [
+        (Twice, "a second final answer"),
+        (Deaf, "draining, gone or unlisted"),
+        (Bold, "may run twice|may be untrue"),
+    ],
+)
 def test_the_witness_sees_each_rule_broken(module, match):
     troubles = [at(FROM, fault(0.3, "errors")), at(FROM, swap)]
     with pytest.raises(Broken, match=match):
--- a/tests/emulator/test_node.py
+++ b/tests/emulator/test_node.py
@@ -143,8 +143,15 @@
     node.check()
 
 
-WRONG = [{"cores": 0}, {"slots": 0}, {"queue": -1}, {"speed": 0.0}, {"speed": math.nan}, {"cold_from": 0.0},
-         {"choke_slower": 0.5}]
+WRONG = [
+    {"cores": 0},
+    {"slots": 0},
+    {"queue": -1},
+    {"speed": 0.0},
+    {"speed": math.nan},
+    {"cold_from": 0.0},
+    {"choke_slower": 0.5},
+]
 
 
 @pytest.mark.parametrize("wrong", WRONG)
@@ -155,14 +162,24 @@
 
 @settings(max_examples=60, deadline=None)
 @given(
-    st.integers(1, 3), st.integers(1, 4), st.integers(0, 4), st.booleans(),
-    st.lists(st.tuples(st.integers(0, 60), st.sampled_from(["call"] * 6 + ["pause", "share", "die"]),
-                       st.integers(1, 50)), max_size=40),
+    st.integers(1, 3),
+    st.integers(1, 4),
+    st.integers(0, 4),
+    st.booleans(),
+    st.lists(
+        st.tuples(
+            st.integers(0, 60), st.sampled_from(["call"] * 6 + ["pause", "share", "die"]), st.integers(1, 50)
+        ),
+        max_size=40,
+    ),
 )
 def test_every_call_has_one_outcome_and_work_is_kept(cores, slots, queue, drops, plan):
     clock, outcomes = Clock(), []
-    node = Node(clock, Shape(cores=cores, slots=slots, queue=queue, drops_expired=drops, cold_from=0.5,
-                             cold_ns=SECOND), cold=True)
+    node = Node(
+        clock,
+        Shape(cores=cores, slots=slots, queue=queue, drops_expired=drops, cold_from=0.5, cold_ns=SECOND),
+        cold=True,
+    )
     when, calls, served_work = 0, 0, []
 
     def done(number, work):
@@ -170,6 +187,7 @@
             outcomes.append(number)
             if served:
                 served_work.append(work)
+
         return told
 
     for gap, what, size in plan:
--- a/tests/emulator/test_soak.py
+++ b/tests/emulator/test_soak.py
@@ -15,15 +15,38 @@
 
 MINUTES = 45
 DAY = Day(
-    sidecars=2, servers=6, seconds=MINUTES * 60.0, burst=(0.0, 0.0, 1.0), load=0.5, work_ns=250 * MS,
-    aim_ns=1_080 * MS, deadline_ns=2_640 * MS, shape=Shape(queue=8, cold_from=0.4, cold_ns=4 * SECOND),
+    sidecars=2,
+    servers=6,
+    seconds=MINUTES * 60.0,
+    burst=(0.0, 0.0, 1.0),
+    load=0.5,
+    work_ns=250 * MS,
+    aim_ns=1_080 * MS,
+    deadline_ns=2_640 * MS,
+    shape=Shape(queue=8, cold_from=0.4, cold_ns=4 * SECOND),
 )
 
 
-KEPT = {f"dunefield.{name}" for name in (
-    "rules", "retries", "asking", "hold", "pick", "promises", "trust", "speeds", "idle", "ring", "book",
-    "demand", "crowding", "patience", "state",
-)}
+KEPT = {
+    f"dunefield.{name}"
+    for name in (
+        "rules",
+        "retries",
+        "asking",
+        "hold",
+        "pick",
+        "promises",
+        "trust",
+        "speeds",
+        "idle",
+        "ring",
+        "book",
+        "demand",
+        "crowding",
+        "patience",
+        "state",
+    )
+}
 
 
 def sizes(thing, path="", seen=None):
@@ -61,6 +84,7 @@
             old.node.die()
             fleet.news(old.entry()._replace(lifecycle="removed"))
             fleet.clock.after(3 * SECOND, lambda: fleet.machines.pop(old.name))
+
         fleet.clock.after(3 * SECOND, gone)
 
     for turn in range(int(DAY.seconds) // 10 - 1):
@@ -78,8 +102,10 @@
 def grown(minutes):
     """Tables that held more in the last third than half as much again as in the first, and a few."""
     third = len(minutes) // 3
-    first, last = ({k: max(m.get(k, 0) for m in part) for k in {k for m in part for k in m}}
-                   for part in (minutes[:third], minutes[-third:]))
+    first, last = (
+        {k: max(m.get(k, 0) for m in part) for k in {k for m in part for k in m}}
+        for part in (minutes[:third], minutes[-third:])
+    )
     return sorted(k for k in last if last[k] > 1.5 * first.get(k, 0) + 8)
 
 
--- a/tests/emulator/test_whole.py
+++ b/tests/emulator/test_whole.py
@@ -45,7 +45,8 @@
     first, again, blind = (play(SMALL, 5, module) for module in (Balancer, Balancer, Blind))
     assert first.verdict() == again.verdict() and first.clock.played == again.clock.played
     assert [(r.at, r.cls, r.tenant, r.worth) for r in first.asked] == [
-        (r.at, r.cls, r.tenant, r.worth) for r in blind.asked]
+        (r.at, r.cls, r.tenant, r.worth) for r in blind.asked
+    ]
     assert first.verdict().figure != blind.verdict().figure
 
 
--- a/tests/flow/raw.py
+++ b/tests/flow/raw.py
@@ -86,6 +86,7 @@
 
 def answers(*pieces: bytes, close: bool = False) -> Play:
     """Read requests, and say the same to each."""
+
     async def play(node: Node, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             await node.read(reader)
@@ -94,6 +95,7 @@
                 await writer.drain()
             if close:
                 return
+
     return play
 
 
--- a/tests/flow/test_large.py
+++ b/tests/flow/test_large.py
@@ -44,6 +44,7 @@
             writer.write(get("b"))
             assert (await message_of(reader)).body == b"ok"
             assert world.sidecar.tally.in_progress == 0
+
     play(scene)
 
 
@@ -64,6 +65,7 @@
             writer.write(get("b"))
             assert (await message_of(reader)).body == BIG  # the client's connection is kept in any case
             assert world.sidecar.core.tally.ended(0)["free"] == 2
+
     play(scene)
 
 
@@ -74,6 +76,7 @@
             old = get("a").replace(b"HTTP/1.1", b"HTTP/1.0")
             got, reader, _ = await asked(world, old)
             assert got.body == BIG and "transfer-encoding" not in got.headers and reader.at_eof()
+
     play(scene)
 
 
@@ -95,15 +98,20 @@
             go.set()
             rest = await client.reader.readexactly(len(BIG) - 900_000 + begun.index(b"\r\n\r\n") + 4)
             assert (begun + rest).endswith(BIG)
+
     play(scene)
 
 
 @pytest.mark.parametrize("form", ["length", "chunks"])
 def test_an_answer_that_breaks_off_shows_that_it_is_not_whole(form):
     """Seeded: with a clean end in place of the break, this fails."""
+
     async def scene():
-        whole = with_length(BIG) if form == "length" else (
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(BIG, 70_000))
+        whole = (
+            with_length(BIG)
+            if form == "length"
+            else (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(BIG, 70_000))
+        )
 
         async def script(node, reader, writer):
             await node.read(reader)
@@ -117,6 +125,7 @@
             assert node.connections == 1  # nothing was tried again once it had begun
             tally = world.sidecar.tally
             assert tally.in_progress == 0 and tally.ended(2)["free"] == 1
+
     play(scene)
 
 
@@ -134,6 +143,7 @@
         ):  # fmt: skip
             for number in range(4):
                 assert (await asked(world, get(f"r{number}")))[0].body == b"ok"
+
     play(scene)
 
 
@@ -153,6 +163,7 @@
             got, *_ = await asked(world, post("a", f"Content-Length: {len(BIG)}") + BIG)
             assert got.body == b"ok" and node.calls[0].body == BIG
             assert not world.sidecar.core._requests
+
     play(scene)
 
 
@@ -177,13 +188,16 @@
             client.writer.transport.abort()
             await gone.wait()
             assert world.sidecar.tally.in_progress == 0
+
     play(scene)
 
 
 def test_what_has_not_gone_out_beyond_what_is_kept_goes_to_another_server():
     """The first refuses the connection; the body is still whole in its beginning."""
+
     async def scene():
         import socket
+
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             closed = free.getsockname()[1]
@@ -193,11 +207,13 @@
                 got, *_ = await asked(world, sent)
                 assert got.body == b"ok"
             assert [call.body for call in node.calls] == [BIG] * 4
+
     play(scene)
 
 
 def test_what_has_gone_out_beyond_that_is_refused_as_it_can_t_have_run():
     """The node resets in the middle: its request was never whole, so the client may try again."""
+
     async def scene():
         async def script(node, reader, writer):
             await reader.readexactly(500_000)
@@ -212,12 +228,14 @@
             got = await message_of(client.reader)
             assert got.first.split()[1] == "503" and got.headers["connection"] == "close"
             assert one.connections + two.connections == 1
+
     play(scene)
 
 
 @pytest.mark.parametrize("how", ["resets", "turns away"])
 def test_an_attempt_that_ends_before_more_has_gone_out_is_followed_by_another(how):
     """Found on reading: the sink that had ended was still attached, and the next attempt failed on it."""
+
     async def scene():
         turned = []
 
@@ -244,6 +262,7 @@
             await client.send(sent[67_000:])
             assert (await message_of(client.reader)).body == b"ok"
             assert [call.body for call in (*one.calls, *two.calls)] == [BIG]
+
     play(scene)
 
 
@@ -260,23 +279,28 @@
             await asyncio.sleep(0.2)
             await client.send(BIG[1 << 20 :])
             assert (await message_of(client.reader)).first.split()[1] == "503"
+
     play(scene)
 
 
-@pytest.mark.parametrize(("sent", "status"), [
-    (post("a", "Content-Length: 99999999"), "413"),
-    (post("a", "Content-Length: 200000", "Transfer-Encoding: chunked"), "400"),
-    (post("a", "Content-Length: 200000").replace(b"single_shot", b"nosuch"), "404"),
-    (get("a", "Content-Length: 200000"), "400"),
-    (post("a", "Content-Length: 200000", "X-Timeout: soon"), "400"),
-    (post("a", "Transfer-Encoding: chunked") + b"30000\r\n" + BIG[:0x30000] + b"\r\nzz\r\n", "400"),
-])
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (post("a", "Content-Length: 99999999"), "413"),
+        (post("a", "Content-Length: 200000", "Transfer-Encoding: chunked"), "400"),
+        (post("a", "Content-Length: 200000").replace(b"single_shot", b"nosuch"), "404"),
+        (get("a", "Content-Length: 200000"), "400"),
+        (post("a", "Content-Length: 200000", "X-Timeout: soon"), "400"),
+        (post("a", "Transfer-Encoding: chunked") + b"30000\r\n" + BIG[:0x30000] + b"\r\nzz\r\n", "400"),
+    ],
+)
 def test_a_large_request_that_is_no_use_is_refused_and_reaches_no_server_whole(sent, status):
     async def scene():
         async with Node(answers(OK)) as node, sidecar(line("s1", node.port)) as world:
             got, reader, _ = await asked(world, sent)
             assert got.first.split()[1] == status and not node.calls
             assert world.sidecar.tally.in_progress == 0
+
     play(scene)
 
 
@@ -290,6 +314,7 @@
             assert got.first.split()[1] == "408" and not node.calls
             while not node.broken:
                 await asyncio.sleep(0.005)
+
     play(scene)
 
 
@@ -305,6 +330,7 @@
             body = bytes(24 << 20)
             client.writer.write(post("a", f"Content-Length: {len(body)}") + body)
             assert (await message_of(client.reader)).first.split()[1] == "503"
+
     play(scene)
 
 
@@ -321,6 +347,7 @@
             while world.sidecar.core._requests:
                 await asyncio.sleep(0.01)
             assert world.sidecar.tally.in_progress == 0
+
     play(scene)
 
 
@@ -333,6 +360,7 @@
             assert [(await message_of(client.reader)).body for _ in range(3)] == [b"ok"] * 3
             assert [call.headers["x-request-id"] for call in node.calls] == ["a", "b", "c"]
             assert node.calls[1].body == BIG
+
     play(scene)
 
 
@@ -341,8 +369,8 @@
 def test_messages_split_anywhere_come_out_the_same(data):
     """Requests and answers of every form, pipelined, in pieces of any size on both sides."""
     sizes = st.sampled_from([0, 1, 9, 5000, 65_535, 65_536, 65_537, 70_000, 300_000])
-    bodies = [BIG[:data.draw(sizes)] for _ in range(3)]
-    replies = [BIG[:data.draw(sizes)] for _ in range(3)]
+    bodies = [BIG[: data.draw(sizes)] for _ in range(3)]
+    replies = [BIG[: data.draw(sizes)] for _ in range(3)]
     pieces = data.draw(st.lists(st.sampled_from([1, 2, 7, 100, 4096, 60_000]), min_size=1, max_size=6))
     sent, said = [], []
     for number, (body, reply) in enumerate(zip(bodies, replies, strict=True)):
@@ -385,12 +413,15 @@
                 assert (got.first.split()[1], got.body) == ("200", reply)
             await sending
             assert sorted((c.headers["x-request-id"], c.body) for c in node.calls) == [
-                (f"r{number}", body) for number, body in enumerate(bodies)]
+                (f"r{number}", body) for number, body in enumerate(bodies)
+            ]
+
     play(scene)
 
 
 def test_a_small_call_beside_a_large_body_waits_for_none_of_it():
     """The large one stands still, with all that its share allows held; the small one passes."""
+
     async def script(node, reader, writer):
         while True:
             got = await node.read(reader)
@@ -405,4 +436,5 @@
             for number in range(5):
                 assert (await asked(world, get(f"r{number}")))[0].body == b"ok"
             assert world.sidecar.tally.in_progress == 1
+
     play(scene)
--- a/tests/flow/test_leaving.py
+++ b/tests/flow/test_leaving.py
@@ -24,6 +24,7 @@
 
 def test_what_a_slow_client_still_takes_is_not_cut_off_and_one_that_takes_nothing_is_ended():
     """Found on reading: 2 s after the last byte was handed over the rest of an answer was thrown away."""
+
     async def scene():
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             listener, loop = world.sidecar._listener, asyncio.get_running_loop()
@@ -41,4 +42,5 @@
             assert listener.busy()
             slow.left = [0]
             assert not listener.busy()
+
     play(scene)
--- a/tests/flow/test_memory.py
+++ b/tests/flow/test_memory.py
@@ -33,6 +33,7 @@
 
 def test_fifty_answers_of_32_mb_with_slow_readers_stay_far_below_the_limit(tmp_path):
     """Held whole they would be 1,600 MB; each may hold 320 KB, beside some 20 MB of the daemon's own."""
+
     async def script(node, reader, writer):
         await node.read(reader)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
@@ -46,14 +47,25 @@
             sock.bind(("127.0.0.1", 0))
             port = sock.getsockname()[1]
         async with Node(script) as node:
-            raw = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "ff",
-                   "limits": {"sockets": 1024, "memory_mb": LIMIT_MB},
-                   "known": listing(line("s1", node.port)), "settings": settings()}
+            raw = {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "discovery": "127.0.0.1:1",
+                "seed": "ff",
+                "limits": {"sockets": 1024, "memory_mb": LIMIT_MB},
+                "known": listing(line("s1", node.port)),
+                "settings": settings(),
+            }
             path = tmp_path / "config.json"
             path.write_text(json.dumps(raw))
             daemon = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hollyport", cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "hollyport",
+                cwd=ROOT,
+                env={**os.environ, "NODE_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )
             assert b"listening" in await daemon.stderr.readline()
             process, most, held = psutil.Process(daemon.pid), 0, []
             try:
@@ -69,4 +81,5 @@
                 daemon.send_signal(signal.SIGTERM)
                 assert await daemon.wait() == 0
             assert most < LIMIT_MB << 20, f"{most >> 20} MB"
+
     play(scene)
--- a/tests/guards/test_admission.py
+++ b/tests/guards/test_admission.py
@@ -150,8 +150,11 @@
             by_address = sum(other == address for other, _ in held)
             by_prefix = sum(door.prefix_of(other) == prefix for other, _ in held)
             capped = not free and (
-                by_address >= caps.connections or left(address, caps) < 1
-                or by_prefix >= wide.connections or left(prefix, wide) < 1)
+                by_address >= caps.connections
+                or left(address, caps) < 1
+                or by_prefix >= wide.connections
+                or left(prefix, wide) < 1
+            )
             unknown = sum(not was for _, was in held)
             room = len(held) < 8 and (known or unknown < 8 - reserve)
             verdict = door.ask(address, now)
@@ -170,11 +173,18 @@
         assert (door.heaviest() == "") is (not held)
 
 
-@pytest.mark.parametrize(("table", "path"), [
-    ({"known": ["10.0.0.1/8"]}, "known"), ({"reserve": 1.5}, "reserve"), ({"typo": 1}, "typo"),
-    ({"address": {"connections": 0}}, "address.connections"), ({"prefix": {"per_s": "x"}}, "prefix.per_s"),
-    ({"prefix_v4": 64}, "prefix_v4"), ({"address": {"x": 1}}, "address.x"),
-])
+@pytest.mark.parametrize(
+    ("table", "path"),
+    [
+        ({"known": ["10.0.0.1/8"]}, "known"),
+        ({"reserve": 1.5}, "reserve"),
+        ({"typo": 1}, "typo"),
+        ({"address": {"connections": 0}}, "address.connections"),
+        ({"prefix": {"per_s": "x"}}, "prefix.per_s"),
+        ({"prefix_v4": 64}, "prefix_v4"),
+        ({"address": {"x": 1}}, "address.x"),
+    ],
+)
 def test_a_wrong_key_is_named(table, path):
     with pytest.raises(BadValue) as error:
         read(table)
--- a/tests/guards/test_door.py
+++ b/tests/guards/test_door.py
@@ -52,9 +52,10 @@
 
 def test_one_address_is_held_to_its_cap_and_another_goes_on():
     async def scene():
-        async with Node(HTTP, ok) as node, sidecar(
-            HTTP, HTTP.line("s1", node.port), raw=PROBED, options=guarded(TIGHT)
-        ) as world:
+        async with (
+            Node(HTTP, ok) as node,
+            sidecar(HTTP, HTTP.line("s1", node.port), raw=PROBED, options=guarded(TIGHT)) as world,
+        ):
             usual = await connect(world, "127.0.0.2")
             assert (await usual.ask("free")).what == "served"
             greedy = [await connect(world, "127.0.0.3") for _ in range(4)]
@@ -69,17 +70,20 @@
             while len(world.sidecar._listener.connections) > 4:
                 await asyncio.sleep(0.01)
             assert (await (await connect(world, "127.0.0.3")).ask("free")).what == "served"
+
     play(scene)
 
 
 @pytest.mark.parametrize("tongue", [HTTP, *THRIFT], ids=lambda tongue: tongue.name)
 def test_a_request_that_was_begun_is_refused_with_when_to_come_back(tongue):
     """It lies in the kernel when the connection is looked at; nothing of it is taken."""
+
     async def scene():
         options = guarded({**TIGHT, "address": {"connections": 1}}, tongue if tongue is not HTTP else None)
-        async with Node(tongue, ok) as node, sidecar(
-            tongue, tongue.line("s1", node.port), raw=PROBED, options=options
-        ) as world:
+        async with (
+            Node(tongue, ok) as node,
+            sidecar(tongue, tongue.line("s1", node.port), raw=PROBED, options=options) as world,
+        ):
             first = await connect(world, "127.0.0.2", tongue)
             assert (await first.ask("free")).what == "served"
             held = world.sidecar._listeners[-1]
@@ -95,18 +99,26 @@
                 got = await second.answer()
                 assert (got.what, got.again_s) == ("refused", 1.0)
             assert len(node.calls) == 1
+
     play(scene)
 
 
 def test_ten_thousand_unknown_connections_leave_known_clients_their_service():
     """From 5,000 addresses; each attempt is closed in time, and afterwards nothing of it is left."""
+
     async def scene():
         loop = asyncio.get_running_loop()
-        table = {"address": {"connections": 8, "per_s": 100, "burst": 100}, "reserve": 0.3,
-                 "prefix": {"connections": 20, "per_s": 200, "burst": 200}}
-        async with Node(HTTP, ok) as node, sidecar(
-            HTTP, HTTP.line("s1", node.port), raw=PROBED, sockets=256, options=guarded(table)
-        ) as world:
+        table = {
+            "address": {"connections": 8, "per_s": 100, "burst": 100},
+            "reserve": 0.3,
+            "prefix": {"connections": 20, "per_s": 200, "burst": 200},
+        }
+        async with (
+            Node(HTTP, ok) as node,
+            sidecar(
+                HTTP, HTTP.line("s1", node.port), raw=PROBED, sockets=256, options=guarded(table)
+            ) as world,
+        ):
             known = [await connect(world, "127.0.0.2") for _ in range(4)]
             for client in known:
                 for _ in range(3):
@@ -148,14 +160,16 @@
             assert process.num_fds() <= descriptors + 16
             assert len(listener._hosts) == len(listener.connections) == listener._door._admission.total
             assert listener._door.sizes()[1] <= 4096
+
     play(scene)
 
 
 def test_without_descriptors_the_next_in_line_is_closed_and_not_left_waiting(monkeypatch):
     async def scene():
-        async with Node(HTTP, ok) as node, sidecar(
-            HTTP, HTTP.line("s1", node.port), raw=PROBED, options=guarded({})
-        ) as world:
+        async with (
+            Node(HTTP, ok) as node,
+            sidecar(HTTP, HTTP.line("s1", node.port), raw=PROBED, options=guarded({})) as world,
+        ):
             listener = world.sidecar._listener
             real = listener._socket
 
@@ -182,6 +196,7 @@
             scarce.fails = False
             assert (await (await connect(world, "127.0.0.2")).ask("free")).what == "served"
             assert (await counted(world))["door"] == {"-": {"descriptors": 3}}
+
     play(scene)
 
 
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -33,21 +33,37 @@
         raw = settings(discovery="subscribe")
         for cls in raw["classes"]:
             cls.update(onTimeNs=int(DEADLINE_S / 2 * 1e9), hardLimitNs=int(DEADLINE_S * 1e9))
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "ff",
-                  "discovery": f"127.0.0.1:{discovery}",
-                  "limits": {"sockets": 384, "memory_mb": 80},
-                  "known": listing(*(line(f"s{n}", server_port) for n in range(6))), "settings": raw}
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "ff",
+            "discovery": f"127.0.0.1:{discovery}",
+            "limits": {"sockets": 384, "memory_mb": 80},
+            "known": listing(*(line(f"s{n}", server_port) for n in range(6))),
+            "settings": raw,
+        }
         (folder / "config.json").write_text(json.dumps(config))
 
     async def start(self) -> tuple[asyncio.subprocess.Process, int]:
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             console = free.getsockname()[1]
-        env = {**os.environ, "NODE_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
-               "NODE_ACCEPT_FD": str(self.sock.fileno()), "NODE_CONSOLE": f"127.0.0.1:{console}"}
+        env = {
+            **os.environ,
+            "NODE_CONFIG": str(self.folder / "config.json"),
+            "TMPDIR": str(self.folder),
+            "NODE_ACCEPT_FD": str(self.sock.fileno()),
+            "NODE_CONSOLE": f"127.0.0.1:{console}",
+        }
         made = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "hollyport", cwd=ROOT, env=env, stderr=asyncio.subprocess.DEVNULL,
-            pass_fds=(self.sock.fileno(),))
+            sys.executable,
+            "-m",
+            "hollyport",
+            cwd=ROOT,
+            env=env,
+            stderr=asyncio.subprocess.DEVNULL,
+            pass_fds=(self.sock.fileno(),),
+        )
         return made, console
 
     async def ready(self, console: int) -> None:
@@ -111,8 +127,10 @@
 
 def test_twenty_upgrades_in_a_row_under_load_lose_nothing(tmp_path):
     """SIGTERM and SIGKILL at random moments; every fourth new process is killed before its yes."""
+
     async def scene():
         rng = random.Random(11)
+
         async def lists(talk: Conversation, call: Call) -> None:
             if "wait_ms=0" not in call.target and "?" in call.target:
                 await asyncio.sleep(60)
@@ -152,6 +170,7 @@
             assert load.served > 500 and load.turned_back <= 2 * ROUNDS
             assert [name for name in os.listdir(tmp_path) if name.startswith("hollyport-")] == []
             platform.sock.close()
+
     play(scene, limit_s=120)
 
 
@@ -188,11 +207,13 @@
             new.send_signal(signal.SIGTERM)
             assert await new.wait() == 0
             platform.sock.close()
+
     play(scene)
 
 
 def test_what_the_old_one_has_accepted_it_reads_and_answers(tmp_path):
     """A connection that is open and silent at the signal sends its request after it."""
+
     async def scene():
         async with Server(ok) as server:
             platform = Platform(tmp_path, server.port)
@@ -211,6 +232,7 @@
             platform.sock.settimeout(0.0)  # it is as it was: open, listening, with nobody in front of it
             assert platform.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN) == 1
             platform.sock.close()
+
     play(scene)
 
 
@@ -240,4 +262,5 @@
             platform.sock.shutdown(socket.SHUT_RDWR)
             assert await old.wait() == 1
             platform.sock.close()
+
     play(scene)
--- a/tests/lifecycle/test_evacuation.py
+++ b/tests/lifecycle/test_evacuation.py
@@ -51,8 +51,16 @@
 
 @contextlib.asynccontextmanager
 async def staffed(*lines):
-    config = Config("n0", Address("127.0.0.1", 0), Address("127.0.0.1", 1), 7, 1024, listing(*lines),
-                    Settings.parse(settings(discovery="subscribe")), Address("127.0.0.1", 0))
+    config = Config(
+        "n0",
+        Address("127.0.0.1", 0),
+        Address("127.0.0.1", 1),
+        7,
+        1024,
+        listing(*lines),
+        Settings.parse(settings(discovery="subscribe")),
+        Address("127.0.0.1", 0),
+    )
     made = Sidecar(config, asyncio.get_running_loop())
     yield Staffed(made, await made.start())
 
@@ -81,6 +89,7 @@
             _, headers, _ = await back.ask()
             assert "connection" not in headers
             assert (await world.call("/api/rejoin"))[0] == 200  # and so is this
+
     play(scene)
 
 
@@ -95,6 +104,7 @@
             await world.call("/api/evacuate")
             await asyncio.sleep(0.2)
             assert (await client.ask())[0] == 200
+
     play(scene)
 
 
@@ -111,9 +121,9 @@
                 asked.set()
                 if stage == "in a large answer":
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-                    writer.write(body[:1 << 20])
+                    writer.write(body[: 1 << 20])
                     await go.wait()
-                    writer.write(body[1 << 20:])
+                    writer.write(body[1 << 20 :])
                 else:
                     await go.wait()
                     rid = got.headers["x-request-id"].encode()
@@ -142,6 +152,7 @@
                 assert await client.reader.read() == b""
                 await world.state(State.EVACUATED)
             assert world.sidecar.tally.in_progress == 0
+
     for rejoin in (False, True):
         play(lambda rejoin=rejoin: scene(rejoin))
 
@@ -166,4 +177,5 @@
             go.set()
             assert (await asking)[2] == b"done"
             await stopping
+
     play(scene)
--- a/tests/orchard/orchard_world.py
+++ b/tests/mesh/mesh_world.py
@@ -1,8 +1,8 @@
-"""A world of fake time for barns and stiles: a loop for each process, links and disks that can fail.
+"""A world of fake time for controllers and sidecars: a loop for each process, links and disks that can fail.
 
-Nothing is real but the roles' own code: `Barn`, `Stile` (as a claimant), `Furrow` and `Dial` run as they are.
-One clock is shared; it goes on only when no process has anything to do. Every delivery of a message and every
-sync of a disk has a number, and a fault may strike at any of them.
+Nothing is real but the roles' own code: `Controller`, `Sidecar` (as a claimant), `PeerConnection` and `Dial`
+run as they are. One clock is shared; it goes on only when no process has anything to do. Every delivery of a
+message and every sync of a disk has a number, and a fault may strike at any of them.
 """
 
 from __future__ import annotations
@@ -24,20 +24,25 @@
 import pytest
 
 from hollyport.http.message import Message
-from orchard import agreement, catalog, furrow, settings
-from orchard import barn as barns
-from orchard import stile as stiles
-from orchard.barn import Barn
-from orchard.catalog import Item
-from orchard.faults import Fault
-from orchard.granary import frame, unframe
-from orchard.quorum import Voters
-from orchard.stile import Stile
-from orchard.words import Word
+from mesh import settings
+from mesh.control import agreement
+from mesh.control import controller as controllers
+from mesh.control.controller import Controller
+from mesh.errors import ErrorKind
+from mesh.proxy import sidecar as sidecars
+from mesh.proxy.sidecar import Sidecar
+from mesh.state import configuration
+from mesh.state.configuration import Item
+from mesh.state.quorum import Voters
+from mesh.storage.record_store import frame, unframe
+from mesh.transport import connection
+from mesh.transport.messages import MessageKind
 
 DAY = 1_900_000_000.0  # the time of day when a world begins
-TELLS = frozenset({Word.FETCHED, Word.PROMISE, Word.ACCEPTED, Word.KEYED, Word.CLAIMED})
-BEATS = frozenset({Word.PULSE, Word.PULSED})  # heartbeats: no points of their own
+TELLS = frozenset(
+    {MessageKind.FETCHED, MessageKind.PROMISE, MessageKind.ACCEPTED, MessageKind.KEYED, MessageKind.CLAIMED}
+)
+BEATS = frozenset({MessageKind.PULSE, MessageKind.PULSED})  # heartbeats: no points of their own
 SETTINGS = """
 node_name = "{name}"
 ip = "{name}"
@@ -68,9 +73,9 @@
 ) -> settings.Settings:
     """What a process is told at its start."""
     listed = ", ".join(f'"{seed}:82"' for seed in seeds)
-    return settings.read(SETTINGS.format(
-        name=name, seeds=listed, first=str(first).lower(), bounds=bounds, losses=losses
-    )).ok  # fmt: skip
+    return settings.read(
+        SETTINGS.format(name=name, seeds=listed, first=str(first).lower(), bounds=bounds, losses=losses)
+    ).ok
 
 
 class Loop(asyncio.BaseEventLoop):
@@ -177,8 +182,8 @@
     def write(self, data: bytes) -> None:
         at = 0
         while at < len(data):
-            size = 4 + int.from_bytes(data[at:at + 4], "big")
-            self._ship(data[at:at + size])
+            size = 4 + int.from_bytes(data[at : at + 4], "big")
+            self._ship(data[at : at + size])
             at += size
 
     def _ship(self, packed: bytes | None) -> None:
@@ -203,7 +208,7 @@
         if packed is None:
             other.ended()
             return
-        if word(packed) > furrow.PONG and word(packed) not in BEATS:
+        if word(packed) > connection.PONG and word(packed) not in BEATS:
             self.world.point(other.process, self.process)
         if not other.process.machine.up:
             self.lost = True
@@ -217,9 +222,9 @@
             if not late:
                 other.process.soon(lambda: other.take(packed))
             if again or late:
-                self.world.after(self.world.random.uniform(0, 0.1), lambda: other.process.soon(
-                    lambda: other.take(packed)
-                ))
+                self.world.after(
+                    self.world.random.uniform(0, 0.1), lambda: other.process.soon(lambda: other.take(packed))
+                )
 
     def take(self, packed: bytes) -> None:
         if not self.closed and self.protocol is not None:
@@ -227,6 +232,7 @@
 
     def ended(self) -> None:
         """The other side has closed, or its machine knows nothing of this connection."""
+
         def close() -> None:
             if not self.closed:
                 self.closed = True
@@ -253,7 +259,8 @@
         self.frozen = False
         self.wiped = wiped  # not at the first start, and on a disk that does not say that it is whole
         self.began = world.now
-        self.heard: dict[int, set[str]] = {Word.FETCHED: set(), Word.KEYED: set()}  # whoever counted
+        # whoever counted
+        self.heard: dict[int, set[str]] = {MessageKind.FETCHED: set(), MessageKind.KEYED: set()}
         self.ends: dict[End, None] = {}  # in the order in which they began
         self.role: Any = None
         machine.lives += 1
@@ -307,7 +314,8 @@
 
 
 class Store:
-    """`orchard.granary.Granary` on a fake disk: one batch at a time, a generation anew in each life."""
+    """`mesh.storage.record_store.RecordStore` on a fake disk: one batch at a time, a generation anew in each
+    life."""
 
     def __init__(self, folder: str, state: Callable[[], Iterable[Any]]) -> None:
         self._process = asyncio.get_running_loop().process  # type: ignore[attr-defined]
@@ -360,7 +368,7 @@
         self._begin()
 
 
-class Door:
+class HttpServer:
     """A role's HTTP address: calls are handed to the role itself."""
 
     def __init__(self) -> None:
@@ -370,12 +378,12 @@
         pass
 
 
-async def open_door(*told: Any) -> Door:
-    return Door()
+async def open_http_server(*told: Any) -> HttpServer:
+    return HttpServer()
 
 
 class Nothing:
-    """In place of the probes between stiles: nobody here is one's rival or friend."""
+    """In place of the probes between sidecars: nobody here is one's rival or friend."""
 
     def __init__(self, *told: Any) -> None:
         self.start = self.stop = self.knows = self.forgets = lambda *told: None
@@ -417,11 +425,17 @@
 
 
 class World:
-    """Barns and claimants on machines of their own, an operator, and what was promised to whom."""
+    """Controllers and claimants on machines of their own, an operator, and what was promised to whom."""
 
     def __init__(
-        self, seed: int = 1, size: int = 3, claimants: int = 2, trace: bool = False, spares: int = 0,
-        bounds: str = "", losses: int = 1,
+        self,
+        seed: int = 1,
+        size: int = 3,
+        claimants: int = 2,
+        trace: bool = False,
+        spares: int = 0,
+        bounds: str = "",
+        losses: int = 1,
     ) -> None:
         self.now = 100.0
         self.random = random.Random(seed)
@@ -445,32 +459,33 @@
         self.said: list[tuple[int, str, str]] = []
         self.sets: dict[int, tuple[str, ...]] = {}  # by epoch: the voters that anybody believed in
         self._told = {"bounds": bounds, "losses": losses}
-        self.barns = [f"10.0.0.{1 + at}" for at in range(size)]
+        self.controllers = [f"10.0.0.{1 + at}" for at in range(size)]
         self.spares = [f"10.0.0.{1 + size + at}" for at in range(spares)]
-        self.seeds = tuple(self.barns)
-        self.stiles = [f"10.0.1.{1 + at}" for at in range(claimants)]
-        for name in [*self.barns, *self.spares, *self.stiles, "10.0.2.1"]:
+        self.seeds = tuple(self.controllers)
+        self.sidecars = [f"10.0.1.{1 + at}" for at in range(claimants)]
+        for name in [*self.controllers, *self.spares, *self.sidecars, "10.0.2.1"]:
             self.machines[name] = Machine(name)
         self.operator = Process(self, self.machines["10.0.2.1"])
         self._patch = pytest.MonkeyPatch()
 
     def __enter__(self) -> World:
         clock = SimpleNamespace(
-            time=lambda: DAY + self.now, time_ns=lambda: int((DAY + self.now) * 1e9),
+            time=lambda: DAY + self.now,
+            time_ns=lambda: int((DAY + self.now) * 1e9),
             monotonic=lambda: self.now,
         )
-        doors = SimpleNamespace(open_door=open_door, Door=Door)
-        for module in (barns, stiles):
+        http_servers = SimpleNamespace(open_http_server=open_http_server, HttpServer=HttpServer)
+        for module in (controllers, sidecars):
             self._patch.setattr(module, "time", clock)
-            self._patch.setattr(module, "front", doors)
-        for module in (barns, stiles, furrow, agreement):
+            self._patch.setattr(module, "http_server", http_servers)
+        for module in (controllers, sidecars, connection, agreement):
             self._patch.setattr(module, "random", self.random)
             self._patch.setattr(module, "logger", Log(self))
-        count = iter(range(1 << 30))  # sets of furrows in the same order in every play
+        count = iter(range(1 << 30))  # sets of connections in the same order in every play
         born = lambda made: made.__dict__.setdefault("_born", next(count))  # noqa: E731
-        self._patch.setattr(furrow.Furrow, "__hash__", born)
-        self._patch.setattr(barns, "Granary", Store)
-        self._patch.setattr(stiles, "Hedge", Nothing)
+        self._patch.setattr(connection.PeerConnection, "__hash__", born)
+        self._patch.setattr(controllers, "RecordStore", Store)
+        self._patch.setattr(sidecars, "FailureDetector", Nothing)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -524,12 +539,16 @@
 
     def say(self, who: str, what: Any) -> None:
         if isinstance(what, list):
-            what = [Word(what[0]).name, *what[1:]] if what[0] > furrow.PONG else ["PING", "PONG"][what[0]]
+            what = (
+                [MessageKind(what[0]).name, *what[1:]]
+                if what[0] > connection.PONG
+                else ["PING", "PONG"][what[0]]
+            )
         print(f"{self.now - 100:8.4f} {self.points:4} {who}: {what}")
 
     # --- machines
 
-    def start_barn(self, name: str, first: bool = False) -> None:
+    def start_controller(self, name: str, first: bool = False) -> None:
         """Switch a machine on, or begin its next life."""
         machine = self.machines[name]
         if machine.process is not None and machine.process.alive:
@@ -543,36 +562,40 @@
         process = machine.process = Process(self, machine, not whole)
 
         async def main() -> None:
-            process.role = Barn(read_settings(name, self.seeds, first, **self._told))
+            process.role = Controller(read_settings(name, self.seeds, first, **self._told))
             await process.role.start()
 
         process.run(main())
 
-    def start_stile(self, name: str) -> None:
+    def start_sidecar(self, name: str) -> None:
         machine = self.machines[name]
         process = machine.process = Process(self, machine)
 
         async def main() -> None:
-            process.role = Stile(read_settings(name, self.seeds, False, **self._told))
+            process.role = Sidecar(read_settings(name, self.seeds, False, **self._told))
             await process.role.start()
 
         process.run(main())
 
     def start(self) -> None:
         """The first start of the whole system."""
-        for name in self.barns:
-            self.after(self.random.uniform(0, 0.1), lambda name=name: self.start_barn(name, True))
-        for name in self.stiles:
-            self.after(self.random.uniform(0, 0.1), lambda name=name: self.start_stile(name))
+        for name in self.controllers:
+            self.after(self.random.uniform(0, 0.1), lambda name=name: self.start_controller(name, True))
+        for name in self.sidecars:
+            self.after(self.random.uniform(0, 0.1), lambda name=name: self.start_sidecar(name))
 
-    def barn(self, name: str) -> Barn | None:
+    def controller(self, name: str) -> Controller | None:
         process = self.machines[name].process
         return process.role if process is not None and process.alive else None
 
     def counting(self) -> list[str]:
-        """Barns that know the voters and count."""
-        found = [(name, self.barn(name)) for name in self.barns + self.spares]
-        return [name for name, barn in found if barn is not None and barn.counts and barn.voters.epoch]
+        """Controllers that know the voters and count."""
+        found = [(name, self.controller(name)) for name in self.controllers + self.spares]
+        return [
+            name
+            for name, controller in found
+            if controller is not None and controller.counts and controller.voters.epoch
+        ]
 
     # --- faults
 
@@ -581,9 +604,9 @@
         self.points += 1
         strike = self.strikes.pop(self.points, None)
         if strike is not None:
-            names = self.barns + self.spares
+            names = self.controllers + self.spares
             name = at.host if at.host in names else by.host
-            strike(name if name in names else self.barns[0])
+            strike(name if name in names else self.controllers[0])
 
     def power_off(self, name: str, back_s: float | None = None) -> None:
         """Only what was synced is left."""
@@ -595,7 +618,7 @@
         if self.trace:
             self.say(name, "POWER LOST")
         if back_s is not None:
-            self.after(back_s, lambda: self.start_barn(name))
+            self.after(back_s, lambda: self.start_controller(name))
 
     def kill(self, name: str, back_s: float | None = None) -> None:
         """All that was written is left."""
@@ -605,7 +628,7 @@
         if self.trace:
             self.say(name, "KILLED")
         if back_s is not None:
-            self.after(back_s, lambda: self.start_barn(name))
+            self.after(back_s, lambda: self.start_controller(name))
 
     def term(self, name: str, grace_s: float = 6.0) -> None:
         """SIGTERM: the role ends by itself, or is killed when its grace is over."""
@@ -631,7 +654,7 @@
         self.kill(name)
         machine.disk = Disk()
         if back_s is not None:
-            self.after(back_s, lambda: self.start_barn(name))
+            self.after(back_s, lambda: self.start_controller(name))
 
     def freeze(self, name: str, for_s: float) -> None:
         """A process that stands still, and does not know it."""
@@ -682,10 +705,10 @@
             process.heard[kind].add(by.host)
 
     def told(self, process: Process, message: list[Any]) -> None:
-        """A barn tells something that only one that counts may tell."""
+        """A controller tells something that only one that counts may tell."""
         kind = message[0]
         self.believed(process.role.voters)
-        if kind == Word.CLAIMED and message[2] == 1:
+        if kind == MessageKind.CLAIMED and message[2] == 1:
             key = self._key_of(process, message)
             if key is not None:
                 key.grants.setdefault(message[3], set()).add(process.host)
@@ -695,12 +718,12 @@
                 for ran in key.ran:
                     if ran != message[3] and len(counted) >= voters.write:
                         self.errors.append(f"a key that {ran} ran was granted to {message[3]} by enough")
-        yes = message[2] >= 0 if kind == Word.CLAIMED else message[2]
+        yes = message[2] >= 0 if kind == MessageKind.CLAIMED else message[2]
         if yes and process.wiped:
             # Whole in an epoch by as many as were to be heard in it, or in one before that it follows.
             until = max(1, process.role.member.whole)
             need = min((Voters(*told).read for told in self.sets.items() if told[0] <= until), default=1)
-            few = [Word(kind).name for kind, by in process.heard.items() if len(by) < need]
+            few = [MessageKind(kind).name for kind, by in process.heard.items() if len(by) < need]
             if few or not process.role.voters.epoch:
                 self.errors.append(f"{process.name}, wiped, tells {message} before it has recovered: {few}")
             self._whole(process)
@@ -715,8 +738,8 @@
         return self.keys[name] if name is not None else None
 
     def _whole(self, process: Process) -> None:
-        """A wiped barn that counts has all that was acknowledged before it began: among its items, or as a
-        change that it has accepted in the place of those who had."""
+        """A wiped controller that counts has all that was acknowledged before it began: among its items, or
+        as a change that it has accepted in the place of those who had."""
         open_ = process.role.agreement.replica.open
         drafted = {item.name: item for item in open_.items} if open_ is not None else {}
         for when, item in self.acked_at:
@@ -727,7 +750,7 @@
     # --- the operator
 
     def call(self, name: str, method: bytes, body: bytes, then: Callable[[int, bytes], None]) -> None:
-        """One call on a barn's control address."""
+        """One call on a controller's control address."""
         machine = self.machines[name]
 
         def arrive() -> None:
@@ -758,7 +781,7 @@
                 self.after(self.delay(), lambda: heard.done() or heard.set_result((status, answer)))
 
         if method == b"PATCH":
-            for item in catalog.read(body).ok:
+            for item in configuration.read(body).ok:
                 if item not in self.sent.setdefault(item.name, []):
                     self.sent[item.name].append(item)
         self.call(name, method, body, then)
@@ -773,14 +796,14 @@
         return answer
 
     def _acknowledge(self, body: bytes) -> None:
-        for item in catalog.read(body).ok:
+        for item in configuration.read(body).ok:
             self.acked.setdefault(item.name, []).append(item)
             self.acked_at.append((self.now, item))
 
     async def patch(self, first: int, body: bytes, tries: int = 12) -> int:
-        """A change, sent again to the next barn until it is answered for good."""
+        """A change, sent again to the next controller until it is answered for good."""
         for at in range(tries):
-            status, _ = await self.ask(self.barns[(first + at) % len(self.barns)], b"PATCH", body)
+            status, _ = await self.ask(self.controllers[(first + at) % len(self.controllers)], b"PATCH", body)
             if status in (200, 400):
                 return status
             await asyncio.sleep(0.1)
@@ -792,7 +815,7 @@
         """Have a claimant's real code claim a key. The list gets its outcome."""
         process = self.machines[name].process
         assert process is not None
-        stile = process.role
+        sidecar = process.role
         tokens = self.tokens
         token = f"{name}/{len(tokens)}"
         tokens[token] = key
@@ -812,14 +835,14 @@
             job.outcome.append("RUN")
 
         def tell(fault: int, *_: Any) -> None:
-            outcome.append(Fault(fault).name if fault else "REPEAT")
+            outcome.append(ErrorKind(fault).name if fault else "REPEAT")
 
         def begin() -> None:
-            stile.plot.submit = submit
+            sidecar.server_queue.submit = submit
             job = SimpleNamespace(token=token, outcome=outcome)
             told = {"key": key, "token": token, "left": left_s, "patience": 1.0, "job": job, "tell": tell}
-            known = inspect.signature(stile._claim).parameters
-            stile._claim(**{name: value for name, value in told.items() if name in known})
+            known = inspect.signature(sidecar._claim).parameters
+            sidecar._claim(**{name: value for name, value in told.items() if name in known})
 
         if self.trace:
             self.say(token, f"claims {key}")
@@ -844,7 +867,10 @@
 
 def route(name: str, version: int, prefix: str, to: str = "berths", timeout: str = "2s") -> dict[str, Any]:
     return {
-        "name": name, "variant": "pure", "revision": f"r{version}", "matcher": {"path_prefix": prefix},
+        "name": name,
+        "variant": "pure",
+        "revision": f"r{version}",
+        "matcher": {"path_prefix": prefix},
         "effect": {"service": to, "timeout": timeout},
     }
 
@@ -873,7 +899,9 @@
 
 def contents(body: bytes) -> dict[str, Item]:
     """What GET answered, as items."""
-    return {item.name: item for item in catalog.read(json.dumps({"upserts": json.loads(body)}).encode()).ok}
+    return {
+        item.name: item for item in configuration.read(json.dumps({"upserts": json.loads(body)}).encode()).ok
+    }
 
 
 def read_back(world: World, body: bytes) -> None:
--- a/tests/orchard/test_orchard_api.py
+++ b/tests/mesh/test_mesh_api.py
@@ -13,17 +13,22 @@
 import pytest
 
 from hollyport.http.message import Message
-from orchard import barn as barns
-from orchard import catalog, settings
-from orchard.barn import Barn
-from orchard.quorum import Voters
-from orchard.stile import Stile
+from mesh import settings
+from mesh.control import controller as controllers
+from mesh.control.controller import Controller
+from mesh.proxy.sidecar import Sidecar
+from mesh.state import configuration
+from mesh.state.quorum import Voters
 
 FILE = json.loads((Path(__file__).parents[2] / "docs" / "api" / "mesh.json").read_text())
 SCHEMAS = FILE["components"]["schemas"]
 METHODS = ("get", "put", "post", "patch", "delete")
-OPERATIONS = [(path, method, entry[method]) for path, entry in FILE["paths"].items() for method in METHODS
-              if method in entry]
+OPERATIONS = [
+    (path, method, entry[method])
+    for path, entry in FILE["paths"].items()
+    for method in METHODS
+    if method in entry
+]
 CHANGE = FILE["paths"]["/-/config"]["patch"]["requestBody"]["content"]["application/json"]["example"]
 BEAT = FILE["paths"]["/-/instances/{id}"]["put"]["requestBody"]["content"]["application/json"]["example"]
 SETTINGS = """
@@ -62,9 +67,9 @@
             done(self.well)
 
 
-def make_barn(voters: tuple[str, ...] = (ME,), well: bool = True) -> Barn:
-    made = Barn(settings.read(SETTINGS).ok)
-    made._granary = Disk(well)  # type: ignore[assignment]
+def make_controller(voters: tuple[str, ...] = (ME,), well: bool = True) -> Controller:
+    made = Controller(settings.read(SETTINGS).ok)
+    made._store = Disk(well)  # type: ignore[assignment]
     made.counts = True
     if voters:
         made.voters = Voters(1, voters)
@@ -86,12 +91,13 @@
     return ear
 
 
-def doors() -> dict[tuple[str, str], Callable[[Message], None]]:
+def http_servers() -> dict[tuple[str, str], Callable[[Message], None]]:
     """By role and address: what answers there."""
-    stile = Stile(settings.read(SETTINGS).ok)
+    sidecar = Sidecar(settings.read(SETTINGS).ok)
     return {
-        ("barn", "control"): make_barn().serve, ("stile", "control"): stile.beat,
-        ("stile", "ready"): stile.readiness,
+        ("controller", "control"): make_controller().serve,
+        ("sidecar", "control"): sidecar.beat,
+        ("sidecar", "ready"): sidecar.readiness,
     }
 
 
@@ -102,21 +108,21 @@
 
 def test_each_door_answers_what_the_file_says_and_404_to_all_else() -> None:
     async def play() -> None:
-        for (role, door), serve in doors().items():
+        for (role, door), serve in http_servers().items():
             for path in [*FILE["paths"], *STRANGE]:
                 for method in METHODS:
                     body = {"put": BEAT, "patch": CHANGE}.get(method)
                     ear = await call(serve, method, path.replace("{id}", "i-1") + "?q=1", body)
                     if told(path, method, role, door):
                         assert ear.status == 200 or path == "/-/readiness" and ear.status == 503
-                    elif path != "/-/readiness" or (role, door) == ("stile", "control"):
+                    elif path != "/-/readiness" or (role, door) == ("sidecar", "control"):
                         assert ear.status == 404, (role, door, method, path)
 
     asyncio.run(play())
 
 
 def test_roles_and_doors_of_the_file_exist() -> None:
-    known = {("barn", "control"), ("stile", "control"), ("stile", "ready")}
+    known = {("controller", "control"), ("sidecar", "control"), ("sidecar", "ready")}
     for _, _, operation in OPERATIONS:
         assert set(operation["x-role"]) == set(operation["x-door"])
         assert set(operation["x-door"].items()) <= known
@@ -136,8 +142,8 @@
 
 
 def test_every_answer_that_the_file_tells_is_given(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(barns, "ROUND_S", 0.0)
-    monkeypatch.setattr(barns, "ANSWER_S", 0.0)
+    monkeypatch.setattr(controllers, "ROUND_S", 0.0)
+    monkeypatch.setattr(controllers, "ANSWER_S", 0.0)
     seen: dict[tuple[str, str], set[int]] = {(path, method): set() for path, method, _ in OPERATIONS}
 
     async def ask(serve: Callable[[Message], None], method: str, path: str, body: Any = None) -> Ear:
@@ -147,7 +153,7 @@
 
     async def play() -> None:
         config, instance = "/-/config", "/-/instances/{id}"
-        well = make_barn()
+        well = make_controller()
         await ask(well.serve, "patch", config, CHANGE)
         whole = json.loads((await ask(well.serve, "get", config)).body)
         by_host = sorted(CHANGE["upserts"]["listener_list"], key=lambda listener: listener["hostname"])
@@ -155,26 +161,29 @@
         assert whole == {**CHANGE["upserts"], "listener_list": by_host, "cluster_list": by_name}
         await ask(well.serve, "patch", config, b"{")
         unknown = {"upserts": {"listener_list": CHANGE["upserts"]["listener_list"]}}
-        assert (await ask(make_barn().serve, "patch", config, unknown)).status == 400
-        await ask(make_barn(()).serve, "patch", config, CHANGE)
-        assert (await ask(make_barn(well=False).serve, "patch", config, CHANGE)).status == 503
-        assert (await ask(make_barn((ME, "192.0.2.2:7000")).serve, "get", config)).status == 200
-        await ask(make_barn((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", config)
+        assert (await ask(make_controller().serve, "patch", config, unknown)).status == 400
+        await ask(make_controller(()).serve, "patch", config, CHANGE)
+        assert (await ask(make_controller(well=False).serve, "patch", config, CHANGE)).status == 503
+        assert (await ask(make_controller((ME, "192.0.2.2:7000")).serve, "get", config)).status == 200
+        await ask(make_controller((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", config)
         await ask(well.serve, "get", "/-/readiness")
         status = json.loads((await ask(well.serve, "get", "/-/status")).body)
         assert status["in_contact"] and (status["copies"], status["losses"], status["away"]) == (1, 0, [])
-        alone = json.loads((await ask(make_barn((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get",
-                                      "/-/status")).body)
+        alone = json.loads(
+            (
+                await ask(make_controller((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", "/-/status")
+            ).body
+        )
         assert not alone["in_contact"] and (alone["copies"], alone["losses"]) == (0, 0)
-        assert (await ask(make_barn(()).serve, "get", "/-/readiness")).status == 503
-        stile = Stile(settings.read(SETTINGS).ok)
-        await ask(stile.readiness, "get", "/-/readiness")
-        stile._take_items([list(item) for item in catalog.read(json.dumps(CHANGE).encode()).ok])
-        await ask(stile.beat, "put", instance, BEAT)
-        assert (await ask(stile.readiness, "get", "/-/readiness")).status == 200
-        await ask(stile.beat, "put", instance, {**BEAT, "call_seq": 1})
-        await ask(stile.beat, "put", instance, {**BEAT, "service": "other", "call_seq": 99})
-        await ask(stile.beat, "delete", instance)
+        assert (await ask(make_controller(()).serve, "get", "/-/readiness")).status == 503
+        sidecar = Sidecar(settings.read(SETTINGS).ok)
+        await ask(sidecar.readiness, "get", "/-/readiness")
+        sidecar._take_items([list(item) for item in configuration.read(json.dumps(CHANGE).encode()).ok])
+        await ask(sidecar.beat, "put", instance, BEAT)
+        assert (await ask(sidecar.readiness, "get", "/-/readiness")).status == 200
+        await ask(sidecar.beat, "put", instance, {**BEAT, "call_seq": 1})
+        await ask(sidecar.beat, "put", instance, {**BEAT, "service": "other", "call_seq": 99})
+        await ask(sidecar.beat, "delete", instance)
 
     asyncio.run(play())
     assert seen == {(path, method): set(map(int, op["responses"])) for path, method, op in OPERATIONS}
@@ -219,7 +228,7 @@
 
 
 def taken(change: Any) -> bool:
-    return bool(catalog.read(json.dumps(change).encode()).is_ok())
+    return bool(configuration.read(json.dumps(change).encode()).is_ok())
 
 
 PLACES = list(places({"$ref": "#/components/schemas/Change"}, CHANGE))
@@ -278,13 +287,13 @@
 
 def test_variants_and_every_one_of_them() -> None:
     variants = SCHEMAS["Rule"]["properties"]["variant"]["enum"]
-    assert tuple(variants) == catalog.VARIANTS
+    assert tuple(variants) == configuration.VARIANTS
     way = ("upserts", "listener_list", 0, "rule_set", 0, "variant")
     assert all(taken(changed(CHANGE, way, variant)) for variant in variants)
 
 
 def test_patterns_are_the_code_s_own() -> None:
-    assert SCHEMAS["Revision"]["pattern"] == f"^{catalog.VERSION.pattern}$"
+    assert SCHEMAS["Revision"]["pattern"] == f"^{configuration.VERSION.pattern}$"
     assert SCHEMAS["Duration"]["pattern"] == f"^{settings.DURATION.pattern}$"
 
 
@@ -294,13 +303,13 @@
 
     async def play() -> None:
         for key in BEAT:
-            stile = Stile(settings.read(SETTINGS).ok)
+            sidecar = Sidecar(settings.read(SETTINGS).ok)
             body = {name: value for name, value in BEAT.items() if name != key}
-            ear = await call(stile.beat, "put", "/-/instances/i-1", body)
+            ear = await call(sidecar.beat, "put", "/-/instances/i-1", body)
             assert ear.status == (400 if key in schema["required"] else 200), key
         for state in schema["properties"]["state"]["enum"]:
-            stile = Stile(settings.read(SETTINGS).ok)
-            await call(stile.beat, "put", "/-/instances/i-1", {**BEAT, "state": state})
-            assert stile.plot.open == (state == "ready")
+            sidecar = Sidecar(settings.read(SETTINGS).ok)
+            await call(sidecar.beat, "put", "/-/instances/i-1", {**BEAT, "state": state})
+            assert sidecar.server_queue.open == (state == "ready")
 
     asyncio.run(play())
--- a/tests/orchard/test_orchard_budget.py
+++ b/tests/mesh/test_mesh_budget.py
@@ -1,12 +1,12 @@
-"""What one server is sent at once, what all stiles together may send again, and which server is picked."""
+"""What one server is sent at once, what all sidecars together may send again, and which server is picked."""
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from dunefield.budget import STEPS, Budget
-from orchard.pick import DRAWS, FRESH_S, MOST_KINDS, Bed, Near, best, draw, fresh
-from orchard.spend import Spend
+from mesh.proxy.endpoints import DRAWS, FRESH_S, MOST_KINDS, Endpoint, Near, best, draw, fresh
+from mesh.proxy.retry_budget import RetryBudget
 
 MS = 1_000_000
 
@@ -147,23 +147,25 @@
         assert sum(out) == made.trial
 
 
-# --- all stiles
+# --- all sidecars
 
 
 @given(
-    st.integers(1, 4), st.sampled_from((0.0, 0.1, 0.25, 1.0)), st.sampled_from((0, 1, 8)),
+    st.integers(1, 4),
+    st.sampled_from((0.0, 0.1, 0.25, 1.0)),
+    st.sampled_from((0, 1, 8)),
     st.lists(st.tuples(st.integers(0, 40), st.integers(0, 3), st.integers(0, 6)), max_size=120),
 )
-def test_the_sum_over_all_stiles_keeps_below_the_ratio(stiles, ratio, slack, events):
+def test_the_sum_over_all_sidecars_keeps_below_the_ratio(sidecars, ratio, slack, events):
     window = 16.0
-    spends = [Spend(ratio, window, slack) for _ in range(stiles)]
+    spends = [RetryBudget(ratio, window, slack) for _ in range(sidecars)]
     now, asked, spent = 0.0, [], []
     for step, who, tries in events:
         now += step / 8
-        spend = spends[who % stiles]
+        spend = spends[who % sidecars]
         spend.asked(now)
         asked.append(now)
-        spent += [now for _ in range(tries) if spend.take(now, stiles)]
+        spent += [now for _ in range(tries) if spend.take(now, sidecars)]
 
     def count(times, end):
         return sum(end - window <= at <= end for at in times)
@@ -174,7 +176,7 @@
 
 
 def test_under_steady_load_a_useful_part_is_given():
-    spend = Spend(0.2, 10.0, 0.0)
+    spend = RetryBudget(0.2, 10.0, 0.0)
     given_ = 0
     for i in range(1000):
         spend.asked(i / 10)
@@ -183,22 +185,22 @@
 
 
 def test_with_no_requests_only_the_slack_is_given_and_comes_back_after_the_window():
-    spend = Spend(0.2, 10.0, 8.0)
+    spend = RetryBudget(0.2, 10.0, 8.0)
     assert [spend.take(0.0, 2) for _ in range(3)] == [True, True, False]
     assert not spend.take(10.0, 2)
     assert spend.take(10.1, 2)
-    assert not Spend(0.2, 10.0, 0.0).take(0.0, 1)
+    assert not RetryBudget(0.2, 10.0, 0.0).take(0.0, 1)
 
 
 # --- the pick
 
 
-def beds(*inflight):
+def endpoints(*inflight):
     made = []
     for i, count in enumerate(inflight):
-        bed = Bed(f"n{i}", "s")
-        bed.inflight = count
-        made.append(bed)
+        endpoint = Endpoint(f"n{i}", "s")
+        endpoint.inflight = count
+        made.append(endpoint)
     return made
 
 
@@ -208,7 +210,7 @@
     return lambda: (next(turn) + 0.5) / size
 
 
-def anyone(bed):
+def anyone(endpoint):
     return True
 
 
@@ -219,14 +221,14 @@
 
 
 def test_the_less_loaded_of_two_is_taken_and_no_third_is_looked_at():
-    made = beds(5, 2, 0)
+    made = endpoints(5, 2, 0)
     assert choose(0.0, made, (), draws(0, 1, size=3), anyone) is made[1]
     assert choose(0.0, made, (), draws(1, 0, size=3), anyone) is made[1]
     assert choose(0.0, made, (), draws(0, 2, size=3), anyone) is made[2]
 
 
 def test_a_tie_goes_by_latency():
-    made = beds(1, 1)
+    made = endpoints(1, 1)
     made[0].answered(0.2)
     made[1].answered(0.1)
     assert choose(0.0, made, (), draws(0, 1, size=2), anyone) is made[1]
@@ -235,8 +237,8 @@
     assert choose(0.0, made, (), draws(0, 1, size=2), anyone) is made[0]
 
 
-def test_a_tie_goes_by_what_the_stile_beside_the_server_told_not_by_zone():
-    near, far = Bed("near", "s"), Bed("far", "s")
+def test_a_tie_goes_by_what_the_sidecar_beside_the_server_told_not_by_zone():
+    near, far = Endpoint("near", "s"), Endpoint("far", "s")
     near.zone, far.zone = "east", "west"
 
     def taken(now):
@@ -259,48 +261,48 @@
 
 
 def test_paces_are_kept_for_so_many_kinds_only():
-    bed = Bed("b", "s")
+    endpoint = Endpoint("b", "s")
     for number in range(10 * MOST_KINDS):
-        bed.told(0.0, f"kind {number}", 0.0, 0.1)
-    assert len(bed.paces) == MOST_KINDS
+        endpoint.told(0.0, f"kind {number}", 0.0, 0.1)
+    assert len(endpoint.paces) == MOST_KINDS
 
 
-def test_a_closed_bed_is_passed_over_until_its_time():
-    made = beds(0, 5, 9)
+def test_a_closed_endpoint_is_passed_over_until_its_time():
+    made = endpoints(0, 5, 9)
     made[0].closed_until = 1.0
     assert choose(0.5, made, (), draws(0, 1, 2, size=3), anyone) is made[1]
     assert choose(1.0, made, (), draws(0, 1, 2, size=3), anyone) is made[0]
 
 
 def test_where_all_are_closed_one_is_taken_all_the_same():
-    made = beds(3, 1)
-    for bed in made:
-        bed.closed_until = 9.0
+    made = endpoints(3, 1)
+    for endpoint in made:
+        endpoint.closed_until = 9.0
     assert choose(0.0, made, (), draws(0, 1, size=2), anyone) in made
 
 
 @given(st.lists(st.tuples(st.integers(0, 3), st.booleans(), st.booleans()), max_size=6), st.randoms())
 def test_tried_and_unusable_ones_are_never_taken_and_any_other_is_found(rows, random):
-    made = beds(*(row[0] for row in rows))
-    tried = [bed for bed, row in zip(made, rows, strict=True) if row[1]]
-    good = [bed for bed, row in zip(made, rows, strict=True) if row[2]]
-    took = choose(0.0, made, tried, random.random, lambda bed: bed in good)
-    left = [bed for bed in good if bed not in tried]
+    made = endpoints(*(row[0] for row in rows))
+    tried = [endpoint for endpoint, row in zip(made, rows, strict=True) if row[1]]
+    good = [endpoint for endpoint, row in zip(made, rows, strict=True) if row[2]]
+    took = choose(0.0, made, tried, random.random, lambda endpoint: endpoint in good)
+    left = [endpoint for endpoint in good if endpoint not in tried]
     assert took in left if left else took is None
 
 
 def test_the_only_one_left_is_found_though_no_draw_hits_it():
-    made = beds(0, 0, 4)
+    made = endpoints(0, 0, 4)
     assert choose(0.0, made, made[:2], draws(0, 1, size=3), anyone) is made[2]
     assert choose(0.0, (), (), draws(0, size=1), anyone) is None
 
 
 def test_with_near_the_own_zone_is_taken_while_it_holds_little_more_than_the_other():
-    far, own = Bed("far", "s"), Bed("own", "s")
+    far, own = Endpoint("far", "s"), Endpoint("own", "s")
     far.zone, own.zone = "west", "east"
 
     def taken(near, random=lambda: 0.0):
-        return choose(0.0, [far, own], (), random, lambda bed: True, "east", near).node
+        return choose(0.0, [far, own], (), random, lambda endpoint: True, "east", near).node
 
     own.inflight = 2
     assert taken(0) == "far" and taken(1) == "far" and taken(2) == "own"
@@ -311,7 +313,7 @@
 
 
 def test_what_was_told_just_now_goes_before_own_calls():
-    made = beds(0, 3)
+    made = endpoints(0, 3)
     made[0].told(1.0, "search", 0.4, 0.1)
     made[1].told(1.0, "search", 0.0, 0.2)
     assert fresh(1.0, made) and best(1.0, made, "", "search") is made[1]
@@ -322,10 +324,10 @@
 
 
 def test_the_way_of_a_large_body_counts():
-    made = beds(0, 0)
-    for bed in made:
-        bed.zone = "east"
-        bed.told(0.0, "upload", 0.0, 0.2)
+    made = endpoints(0, 0)
+    for endpoint in made:
+        endpoint.zone = "east"
+        endpoint.told(0.0, "upload", 0.0, 0.2)
     assert best(0.0, made, "east", "upload", Near(), {"n0": 1.5, "n1": 0.1}) is made[1]
     made[1].zone = "west"
     assert best(0.0, made, "east", "upload", Near(3, 0.5), {"n0": 0.2, "n1": 0.1}) is made[0]
--- a/tests/orchard/test_orchard_carts.py
+++ b/tests/mesh/test_mesh_chunked_transfer.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchard.carts import LEAST_WINDOW, PIECE, STUCK_S, Intake
+from mesh.proxy.chunked_transfer import LEAST_WINDOW, PIECE, STUCK_S, Intake
 
 NARROW = 2.65 * 125_000  # bytes a second
 
--- a/tests/orchard/test_orchard_furrow.py
+++ b/tests/mesh/test_mesh_connection.py
@@ -1,14 +1,14 @@
-"""A furrow that is one of many asks seldom while nothing is waited for, and as others do while it is."""
+"""A connection that is one of many asks seldom while nothing is waited for, and as others do while it is."""
 
 from __future__ import annotations
 
 import asyncio
 
 import pytest
-from orchard_world import World
+from mesh_world import World
 
-from orchard import furrow
-from orchard.furrow import ASK_S, DEAD_S, PONG, QUIET_S, Furrow, pack
+from mesh.transport import connection
+from mesh.transport.connection import ASK_S, DEAD_S, PONG, QUIET_S, PeerConnection, pack
 
 
 class Wire:
@@ -31,7 +31,7 @@
 
 
 def watched(ask_s, story):
-    """A furrow on fake time; when it asked, and when it was given up."""
+    """A connection on fake time; when it asked, and when it was given up."""
     world = World()
     found = {}
 
@@ -43,7 +43,7 @@
         def down(made):
             found["down"] = loop.time() - began
 
-        made = Furrow(lambda *_: None, lambda _: None, down, ask_s)
+        made = PeerConnection(lambda *_: None, lambda _: None, down, ask_s)
         made.connection_made(wire)
         await story(made)
         found["asked"] = [round(at - began, 3) for at in wire.written]
@@ -93,4 +93,4 @@
 
 
 def test_the_figures_leave_room_for_an_answer():
-    assert ASK_S < DEAD_S < QUIET_S and furrow.DIAL_S < DEAD_S
+    assert ASK_S < DEAD_S < QUIET_S and connection.DIAL_S < DEAD_S
--- a/tests/orchard/test_orchard_deploy.py
+++ b/tests/mesh/test_mesh_deploy.py
@@ -8,7 +8,7 @@
 import tomllib
 from pathlib import Path
 
-from orchard.__main__ import Orchard
+from mesh.__main__ import Commands
 
 ROOT = Path(__file__).parents[2]
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -34,10 +34,10 @@
 
 def test_the_roles_are_subcommands_of_the_program() -> None:
     for role in DEPLOY["roles"].values():
-        assert role["run"].split()[:3] == ["python3", "-m", "orchard"]
-        assert callable(getattr(Orchard, role["run"].split()[3]))
+        assert role["run"].split()[:3] == ["python3", "-m", "mesh"]
+        assert callable(getattr(Commands, role["run"].split()[3]))
 
 
 def test_importing_the_program_leaves_the_collector_on() -> None:
-    # Orchard is imported above: a worker whose collector was off afterwards failed tests of other parts.
+    # Commands is imported above: a worker whose collector was off afterwards failed tests of other parts.
     assert gc.isenabled()
--- a/tests/orchard/test_orchard_feed.py
+++ b/tests/mesh/test_mesh_distribution.py
@@ -1,4 +1,5 @@
-"""How configuration reaches stiles: once over each link, and by another barn where the followed one fails."""
+"""How configuration reaches sidecars: once over each link, and by another controller where the followed one
+fails."""
 
 from __future__ import annotations
 
@@ -7,12 +8,12 @@
 import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
-from orchard_world import World, change, route, service
-from test_orchard_faults import until
+from mesh_world import World, change, route, service
+from test_mesh_faults import until
 
-from orchard.catalog import Item
-from orchard.feed import LOOK_S, Copy, Following
-from orchard.words import Word
+from mesh.state.configuration import Item
+from mesh.state.distribution import LOOK_S, Copy, Following
+from mesh.transport.messages import MessageKind
 
 ITEMS = st.builds(Item, st.sampled_from("abc"), st.integers(1, 3), st.sampled_from(["", "x", "y"]))
 
@@ -31,7 +32,7 @@
     assert not empty.take([]) and {item.name for item in here.lacking({})} == set(here.items)
 
 
-def test_the_own_zones_barn_is_followed_and_kept_while_it_is_there():
+def test_the_own_zones_controller_is_followed_and_kept_while_it_is_there():
     following = Following("me", "east")
     zones = {"far": "west", "near": "east", "next": "east"}
     assert following.choose(["far"], {"far": "west"}) == "far"
@@ -61,11 +62,11 @@
 
 
 def _told(world: World) -> dict[str, int]:
-    """Bytes of items that each stile has been told, from now on."""
+    """Bytes of items that each sidecar has been told, from now on."""
     found: dict[str, int] = {}
 
     def count(process, by, packed):
-        if cbor2.loads(packed[4:])[0] == Word.ITEMS:
+        if cbor2.loads(packed[4:])[0] == MessageKind.ITEMS:
             found[process.host] = found.get(process.host, 0) + len(packed)
         return plain(process, by, packed)
 
@@ -74,29 +75,31 @@
 
 
 def _caught_up(world: World, version: int) -> bool:
-    roles = [world.machines[name].process.role for name in world.stiles]
+    roles = [world.machines[name].process.role for name in world.sidecars]
     held = [role.items.get("service/berths") if role is not None else None for role in roles]
     return all(item is not None and item.version >= version for item in held)
 
 
 async def _ready(world: World, routes: int = 0) -> None:
-    """All count, and all stiles have the first configuration."""
-    assert await until(lambda: len(world.counting()) == len(world.barns))
+    """All count, and all sidecars have the first configuration."""
+    assert await until(lambda: len(world.counting()) == len(world.controllers))
     many = [route(f"r{at}", 1, f"/{at}/") for at in range(routes)]
     assert await world.patch(0, change([service("berths", 1)], many)) == 200
     assert await until(lambda: _caught_up(world, 1))
 
 
-def test_a_stile_that_starts_is_told_a_large_table_once():
+def test_a_sidecar_that_starts_is_told_a_large_table_once():
     async def story(world: World) -> None:
         await _ready(world, 50)
         told = _told(world)
-        world.kill(world.stiles[0])
-        world.start_stile(world.stiles[0])
+        world.kill(world.sidecars[0])
+        world.start_sidecar(world.sidecars[0])
         assert await until(lambda: _caught_up(world, 1))
         await asyncio.sleep(2.0)
-        whole = len(cbor2.dumps([list(item) for item in world.barn(world.barns[0]).items.values()]))
-        assert told == {world.stiles[0]: told[world.stiles[0]]} and told[world.stiles[0]] < whole + 50
+        whole = len(
+            cbor2.dumps([list(item) for item in world.controller(world.controllers[0]).items.values()])
+        )
+        assert told == {world.sidecars[0]: told[world.sidecars[0]]} and told[world.sidecars[0]] < whole + 50
 
     played(story)
 
@@ -109,30 +112,34 @@
         task.result()
 
 
-def test_a_table_goes_over_each_stiles_link_once_and_a_change_once():
+def test_a_table_goes_over_each_sidecars_link_once_and_a_change_once():
     async def story(world: World) -> None:
         await _ready(world, 50)
         told = _told(world)
         assert await world.patch(1, change([service("berths", 2)])) == 200
         assert await until(lambda: _caught_up(world, 2))
         await asyncio.sleep(1.0)
-        size = len(cbor2.dumps([Word.ITEMS, 2, [list(world.barn(world.barns[0]).items["service/berths"])]]))
+        size = len(
+            cbor2.dumps(
+                [MessageKind.ITEMS, 2, [list(world.controller(world.controllers[0]).items["service/berths"])]]
+            )
+        )
         assert told and all(size <= number < size + 20 for number in told.values())
 
     played(story)
 
 
 async def frozen(world: World) -> bool:
-    """A barn freezes, another takes a change; whether all stiles have it within 1.5 s."""
+    """A controller freezes, another takes a change; whether all sidecars have it within 1.5 s."""
     await _ready(world)
-    name = world.machines[world.stiles[0]].process.role.following.barn.partition(":")[0]
+    name = world.machines[world.sidecars[0]].process.role.following.controller.partition(":")[0]
     world.freeze(name, 3.0)
-    other = next(barn for barn in world.barns if barn != name)
+    other = next(controller for controller in world.controllers if controller != name)
     status, _ = await world.ask(other, b"PATCH", change([service("berths", 2)]))
     return status == 200 and await until(lambda: _caught_up(world, 2), 1.5)
 
 
-def test_a_followed_barn_that_is_frozen_costs_a_moment():
+def test_a_followed_controller_that_is_frozen_costs_a_moment():
     async def story(world: World) -> None:
         assert await frozen(world)
 
@@ -147,15 +154,18 @@
     played(story)
 
 
-def test_a_stile_that_starts_beside_a_barn_that_knows_nothing_yet_hears_from_another():
-    """The barn that it follows has just lost its disk: it tells nothing, and others that there is more."""
+def test_a_sidecar_that_starts_beside_a_controller_that_knows_nothing_yet_hears_from_another():
+    """The controller that it follows has just lost its disk: it tells nothing, and others that there is
+    more."""
+
     async def story(world: World) -> None:
         await _ready(world)
-        for name in world.barns:
+        for name in world.controllers:
             world.wipe(name, 0.01)
-            world.kill(world.stiles[0])
-            world.start_stile(world.stiles[0])
-            assert await until(lambda: _caught_up(world, 1), 1.0)  # a wiped barn itself is whole after 1.1 s
-            assert await until(lambda: len(world.counting()) == len(world.barns))
+            world.kill(world.sidecars[0])
+            world.start_sidecar(world.sidecars[0])
+            # a wiped controller itself is whole after 1.1 s
+            assert await until(lambda: _caught_up(world, 1), 1.0)
+            assert await until(lambda: len(world.counting()) == len(world.controllers))
 
     played(story)
--- a/tests/orchard/test_orchard_faults.py
+++ b/tests/mesh/test_mesh_faults.py
@@ -1,4 +1,5 @@
-"""Faults at numbered points: real barns and claimants in a world of fake time, struck at each in turn."""
+"""Faults at numbered points: real controllers and claimants in a world of fake time, struck at each in
+turn."""
 
 from __future__ import annotations
 
@@ -12,15 +13,15 @@
 from typing import Any
 
 import pytest
-from orchard_world import Broken, World, change, read_back, route, service, standing
+from mesh_world import Broken, World, change, read_back, route, service, standing
 
-from orchard import barn as barns
-from orchard.ballot import Ballot
-from orchard.barn import Barn
-from orchard.catalog import Item
-from orchard.consensus import Draft, Replica
-from orchard.quorum import Voters
-from orchard.words import Word
+from mesh.control import controller as controllers
+from mesh.control.ballot import Ballot
+from mesh.control.consensus import Draft, Replica
+from mesh.control.controller import Controller
+from mesh.state.configuration import Item
+from mesh.state.quorum import Voters
+from mesh.transport.messages import MessageKind
 
 BACK_S = 0.3  # a machine is back after so long
 NEWEST = 10_000  # a version that nothing in a play has
@@ -48,10 +49,10 @@
 
 async def story(world: World) -> None:
     """What the operator and the claimants do, while anything may be struck."""
-    one, two = world.stiles
-    if not await until(lambda: len(world.counting()) >= len(world.barns) // 2 + 1, 4.0):
+    one, two = world.sidecars
+    if not await until(lambda: len(world.counting()) >= len(world.controllers) // 2 + 1, 4.0):
         return
-    await until(lambda: all(world.machines[name].process.role.voters for name in world.stiles))
+    await until(lambda: all(world.machines[name].process.role.voters for name in world.sidecars))
     await world.patch(0, change([service("berths", 1), service("crew", 1)], [route("a", 1, "/a/")]))
     if await claimed(world, one, "k1") == "RUN":
         world.record(one, "k1")
@@ -64,7 +65,7 @@
 
 async def aftermath(world: World) -> None:
     """All are back: whatever was promised holds, and new things can be done."""
-    names = world.barns
+    names = world.controllers
     if not await until(lambda: world.counting() == names, 8.0 if world.acked else 3.0):
         if world.acked or any(key.ran for key in world.keys.values()):
             raise Broken(f"only {world.counting()} came to count")
@@ -79,11 +80,11 @@
             raise Broken(f"{name} can't be read")
         read_back(world, body)
     for at, key in enumerate(sorted(world.keys)):
-        await claimed(world, world.stiles[at % 2], key)  # that none runs twice is looked at in the world
+        await claimed(world, world.sidecars[at % 2], key)  # that none runs twice is looked at in the world
     if await world.patch(len(names) - 1, change([service("crew", NEWEST)])) != 200:
         raise Broken("no change is taken any more")
     for at in range(10):
-        if await claimed(world, world.stiles[0], f"new {at}") == "RUN":
+        if await claimed(world, world.sidecars[0], f"new {at}") == "RUN":
             return
         await asyncio.sleep(0.2)
     raise Broken("no key is granted any more")
@@ -110,12 +111,12 @@
 
 
 def power_of_all(world: World, name: str) -> None:
-    for at, one in enumerate(world.barns):
+    for at, one in enumerate(world.controllers):
         world.power_off(one, BACK_S + 0.05 * at)
 
 
 def kill_of_all(world: World, name: str) -> None:
-    for at, one in enumerate(world.barns):
+    for at, one in enumerate(world.controllers):
         world.kill(one, BACK_S + 0.05 * at)
 
 
@@ -124,7 +125,7 @@
 
 
 def wipe_while_all_others_lose_power(world: World, name: str) -> None:
-    for one in world.barns:
+    for one in world.controllers:
         if one != name:
             world.power_off(one, BACK_S)
     world.wipe(name, 0.01)
@@ -135,24 +136,36 @@
 
 
 STRIKES: tuple[Strike, ...] = (
-    power_of_one, power_of_all, kill_of_all, wipe_of_one, wipe_while_all_others_lose_power, cut_of_one,
+    power_of_one,
+    power_of_all,
+    kill_of_all,
+    wipe_of_one,
+    wipe_while_all_others_lose_power,
+    cut_of_one,
 )
 
 
 def both(one: Strike, two: Strike) -> Strike:
-    """Two losses at a time: the second of them at another barn."""
+    """Two losses at a time: the second of them at another controller."""
+
     def strike(world: World, name: str) -> None:
-        other = world.random.choice([barn for barn in world.barns if barn != name])
+        other = world.random.choice([controller for controller in world.controllers if controller != name])
         one(world, name)
         two(world, other)
 
     return strike
 
 
-PAIRS = tuple(both(one, two) for one, two in (
-    (wipe_of_one, wipe_of_one), (wipe_of_one, power_of_one), (power_of_one, power_of_one),
-    (cut_of_one, wipe_of_one), (cut_of_one, power_of_one),
-))  # fmt: skip
+PAIRS = tuple(
+    both(one, two)
+    for one, two in (
+        (wipe_of_one, wipe_of_one),
+        (wipe_of_one, power_of_one),
+        (power_of_one, power_of_one),
+        (cut_of_one, wipe_of_one),
+        (cut_of_one, power_of_one),
+    )
+)
 
 
 def struck(strike: Strike, at: int, **how: Any) -> World:
@@ -186,8 +199,12 @@
     worlds = [play(World(seed=3)) for _ in range(2)]
     assert len({(world.points, world.now) for world in worlds}) == 1
     assert worlds[0].story > 150 and set(worlds[0].acked) == {
-        "service/berths", "service/crew", "route/a", "route/b", "route/x",
-    }  # fmt: skip
+        "service/berths",
+        "service/crew",
+        "route/a",
+        "route/b",
+        "route/x",
+    }
     assert [len(worlds[0].keys[key].ran) for key in ("k1", "k2", "k3")] == [1, 1, 1]
 
 
@@ -198,7 +215,7 @@
 
 
 @pytest.mark.parametrize(("size", "losses"), [(4, 1), (4, 2), (7, 1), (7, 2)])
-def test_more_barns_bear_one_loss_and_two_at_any_point(size: int, losses: int) -> None:
+def test_more_controllers_bear_one_loss_and_two_at_any_point(size: int, losses: int) -> None:
     draw = random.Random(size * losses)
     strikes = range(len(STRIKES)) if losses == 1 else range(len(STRIKES), len(STRIKES + PAIRS))
     jobs = []
@@ -209,32 +226,44 @@
 
 
 def test_messages_that_come_twice_or_late_break_nothing() -> None:
-    """Those of which no answer is counted: within one furrow TCP rules it out, but not over two in a row."""
+    """Those of which no answer is counted: within one connection TCP rules it out, but not over two in a
+    row."""
     for seed in range(30):
         world = World(seed=seed)
-        world.messed = frozenset({
-            Word.BARN, Word.COMMIT, Word.ABANDON,
-            Word.ITEMS, Word.ACK, Word.STILE, Word.BEDS, Word.CLAIM, Word.CLAIMED,
-            Word.DONE, Word.FREE,
-        })  # fmt: skip
+        world.messed = frozenset(
+            {
+                MessageKind.CONTROLLER,
+                MessageKind.COMMIT,
+                MessageKind.ABANDON,
+                MessageKind.ITEMS,
+                MessageKind.ACK,
+                MessageKind.SIDECAR,
+                MessageKind.ENDPOINTS,
+                MessageKind.CLAIM,
+                MessageKind.CLAIMED,
+                MessageKind.DONE,
+                MessageKind.FREE,
+            }
+        )
         play(world)
 
 
 def test_a_disk_that_hangs_or_refuses_for_a_while_is_waited_for_or_passed_over() -> None:
     for seed in range(12):
         world = World(seed=seed)
-        disk = world.machines[world.barns[seed % 3]].disk
+        disk = world.machines[world.controllers[seed % 3]].disk
         if seed % 2:
             world.strikes[90 + seed] = lambda name, disk=disk, world=world: setattr(
                 disk, "stalled_until", world.now + 1.0
             )
         else:
             world.strikes[90 + seed] = lambda name, disk=disk, world=world: (
-                setattr(disk, "well", False), world.after(1.0, lambda: setattr(disk, "well", True))
+                setattr(disk, "well", False),
+                world.after(1.0, lambda: setattr(disk, "well", True)),
             )
         play(world)
         disks = []
-        for name in world.barns:
+        for name in world.controllers:
             held: dict[str, int] = {}  # what was told to lie there does
             disk = world.machines[name].disk
             disk.written = []
@@ -251,14 +280,15 @@
 
 
 async def ready(world: World) -> None:
-    """All barns count, and hear each other; services are there."""
-    assert await until(lambda: world.counting() == world.barns)
+    """All controllers count, and hear each other; services are there."""
+    assert await until(lambda: world.counting() == world.controllers)
     await asyncio.sleep(0.5)
     assert await world.patch(0, change([service("berths", 1), service("crew", 1)])) == 200
 
 
 def race(seed: int, one: bytes, two: bytes, slow_s: float) -> tuple[World, list[int], list[dict[str, int]]]:
-    """Two changes through two barns, about at once. Their answers, and what each barn holds in the end."""
+    """Two changes through two controllers, about at once. Their answers, and what each controller holds in
+    the end."""
     world = World(seed=seed, claimants=0)
     draw = random.Random(seed)
     answers = [0, 0]
@@ -271,11 +301,11 @@
     async def writers() -> None:
         await ready(world)
         world.delay_s = (0.001, slow_s)
-        names = draw.sample(world.barns, 2)
+        names = draw.sample(world.controllers, 2)
         await asyncio.gather(write(0, names[0], one), write(1, names[1], two))
         world.delay_s = (0.001, 0.004)
         await asyncio.sleep(4.0)
-        for name in world.barns:
+        for name in world.controllers:
             status, body = await world.ask(name, b"GET")
             assert status == 200
             read_back(world, body)
@@ -286,7 +316,7 @@
         task = world.operator.run(writers())
         assert world.run(60.0, task.done)
         task.result()
-        assert len({frozenset(world.barn(name).items.items()) for name in world.barns}) == 1
+        assert len({frozenset(world.controller(name).items.items()) for name in world.controllers}) == 1
     return world, answers, there
 
 
@@ -317,9 +347,9 @@
 async def frozen_writer(world: World, answers: list[int]) -> None:
     """A proposer stands still between the promises and its change; meanwhile another's change is chosen."""
     await ready(world)
-    slow, _, quick = world.barns
-    barn: Any = world.barn(slow)
-    agreement = barn.agreement
+    slow, _, quick = world.controllers
+    controller: Any = world.controller(slow)
+    agreement = controller.agreement
     prepare = agreement._prepare
 
     async def then_freeze(voters: Voters) -> Any:
@@ -366,11 +396,12 @@
 
 
 async def late_claim(world: World) -> None:
-    """One barn has granted a key and is wiped; the claimant's word reaches the others only after that."""
-    one, two = world.stiles
+    """One controller has granted a key and is wiped; the claimant's word reaches the others only after
+    that."""
+    one, two = world.sidecars
     await ready(world)
-    await until(lambda: all(len(world.machines[name].process.role.voters) == 3 for name in world.stiles))
-    first, wiped, last = world.barns
+    await until(lambda: all(len(world.machines[name].process.role.voters) == 3 for name in world.sidecars))
+    first, wiped, last = world.controllers
     world.cut(one, 0.6, [first, last])
     outcome = world.claim(one, "k")
     await asyncio.sleep(0.05)
@@ -391,12 +422,12 @@
     return world.keys["k"].ran
 
 
-def test_a_wiped_barn_waits_until_claims_that_it_had_granted_are_void() -> None:
+def test_a_wiped_controller_waits_until_claims_that_it_had_granted_are_void() -> None:
     assert len(claimed_late()) == 1
 
 
-def test_found_if_a_wiped_barn_does_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(barns, "CLAIM_S", 0.0)
+def test_found_if_a_wiped_controller_does_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(controllers, "CLAIM_S", 0.0)
     with pytest.raises(Broken, match="twice|by enough"):
         claimed_late()
 
@@ -412,14 +443,14 @@
     return broken
 
 
-def test_found_if_a_wiped_barn_counts_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    load = Barn._load
+def test_found_if_a_wiped_controller_counts_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    load = Controller._load
 
-    def whole(barn: Barn) -> None:
-        load(barn)
-        barn.counts = True
+    def whole(controller: Controller) -> None:
+        load(controller)
+        controller.counts = True
 
-    monkeypatch.setattr(Barn, "_load", whole)
+    monkeypatch.setattr(Controller, "_load", whole)
     assert any("before it has recovered" in broken for broken in found(wipe_of_one))
 
 
--- a/tests/orchard/test_orchard_keys.py
+++ b/tests/mesh/test_mesh_idempotency.py
@@ -1,8 +1,8 @@
-"""Keys: what a barn grants, and what a claimant makes of the answers."""
+"""Keys: what a controller grants, and what a claimant makes of the answers."""
 
 import pytest
 
-from orchard.keys import NOBODY, Claim, Grant, Mark, Registry, Verdict, row_of
+from mesh.state.idempotency import NOBODY, Claim, Grant, Mark, Registry, Verdict, row_of
 
 LIMIT = 1.0
 
@@ -11,7 +11,7 @@
     return Registry(60.0)
 
 
-# --- one barn
+# --- one controller
 
 
 def test_a_key_goes_to_the_first_token_and_again_only_to_it():
@@ -87,12 +87,20 @@
     assert other.look(64.9, "k") is not None and other.look(65.0, "k") is None
 
 
-@pytest.mark.parametrize(("mine", "theirs", "wins"), [
-    (None, Mark.CLAIMED, "theirs"), (None, Mark.BROKEN, "theirs"), (None, Mark.DONE, "theirs"),
-    (Mark.CLAIMED, Mark.DONE, "theirs"), (Mark.BROKEN, Mark.DONE, "theirs"),
-    (Mark.CLAIMED, Mark.CLAIMED, NOBODY), (Mark.DONE, Mark.CLAIMED, "mine"),
-    (Mark.DONE, Mark.BROKEN, "mine"), (Mark.DONE, Mark.DONE, "mine"),
-])
+@pytest.mark.parametrize(
+    ("mine", "theirs", "wins"),
+    [
+        (None, Mark.CLAIMED, "theirs"),
+        (None, Mark.BROKEN, "theirs"),
+        (None, Mark.DONE, "theirs"),
+        (Mark.CLAIMED, Mark.DONE, "theirs"),
+        (Mark.BROKEN, Mark.DONE, "theirs"),
+        (Mark.CLAIMED, Mark.CLAIMED, NOBODY),
+        (Mark.DONE, Mark.CLAIMED, "mine"),
+        (Mark.DONE, Mark.BROKEN, "mine"),
+        (Mark.DONE, Mark.DONE, "mine"),
+    ],
+)
 def test_of_two_that_know_a_key_an_answer_wins_over_a_claim_and_a_claim_over_nothing(mine, theirs, wins):
     made = registry()
     if mine is not None:
@@ -108,8 +116,8 @@
 # --- one claimant
 
 
-def claim(barns=3, enough=2):
-    return Claim(barns, enough, 0.0, LIMIT)
+def claim(controllers=3, enough=2):
+    return Claim(controllers, enough, 0.0, LIMIT)
 
 
 def test_it_runs_with_enough_grants_and_no_sooner():
@@ -124,8 +132,8 @@
 
 def test_a_slow_round_never_runs():
     made = claim()
-    for barn in "xyz":
-        made.granted(barn)
+    for controller in "xyz":
+        made.granted(controller)
     assert made.verdict(LIMIT) == Verdict.RUN
     assert made.verdict(LIMIT + 0.001) == Verdict.AGAIN
 
@@ -158,7 +166,7 @@
     assert made.verdict(0.1) == Verdict.AGAIN
 
 
-def test_too_few_barns_that_can_grant_mean_again():
+def test_too_few_controllers_that_can_grant_mean_again():
     made = claim()
     made.failed("x")
     assert made.verdict(0.1) == Verdict.WAIT
@@ -166,11 +174,11 @@
     assert made.verdict(0.1) == Verdict.AGAIN
 
 
-def test_a_barn_that_fails_after_it_has_answered_still_counts():
+def test_a_controller_that_fails_after_it_has_answered_still_counts():
     made = claim()
-    for barn in "xy":
-        made.granted(barn)
-        made.failed(barn)
+    for controller in "xy":
+        made.granted(controller)
+        made.failed(controller)
     assert made.verdict(0.1) == Verdict.RUN
 
 
@@ -179,7 +187,7 @@
 
 @pytest.mark.parametrize("waits", [False, True])
 def test_a_lost_disk_counts_only_when_all_rounds_from_before_are_void(waits):
-    """One barn grants `a`, loses its disk, and reads the others, which know nothing of `a` as yet."""
+    """One controller grants `a`, loses its disk, and reads the others, which know nothing of `a` as yet."""
     first = claim()
     assert registry().claim(0.0, "k", "a", 5.0)[1]
     first.granted("x")
@@ -187,8 +195,8 @@
     x, y, z = registry(), registry(), registry()
     x.take(now, [*y.rows(now), *z.rows(now)])
     second = Claim(3, 2, now, LIMIT)
-    for name, barn in (("x", x), ("z", z)):
-        assert barn.claim(now, "k", "b", 5.0)[1]
+    for name, controller in (("x", x), ("z", z)):
+        assert controller.claim(now, "k", "b", 5.0)[1]
         second.granted(name)
     assert y.claim(now, "k", "a", 5.0)[1]
     first.granted("y")
--- a/tests/orchard/test_orchard_judge.py
+++ b/tests/mesh/test_mesh_judge.py
@@ -14,13 +14,24 @@
 
 
 def one(attempt: str = "a1", kind: str = "effectful", **told: Any) -> Try:
-    made = Try(attempt, kind, "stile0", "ferry", "POST /x 1 00", sent=1.0, ended=1.1, status=200,
-               echo=attempt, seal="s1", body=b"done")  # fmt: skip
+    made = Try(
+        attempt,
+        kind,
+        "sidecar0",
+        "ferry",
+        "POST /x 1 00",
+        sent=1.0,
+        ended=1.1,
+        status=200,
+        echo=attempt,
+        seal="s1",
+        body=b"done",
+    )
     return replace(made, **told)
 
 
 def run(attempt: str = "a1", **told: Any) -> Arrival:
-    made = Arrival(attempt, "stile1/i-1", "POST /x 1 00", "ferry", at=1.05, seal="s1", body=b"done")
+    made = Arrival(attempt, "sidecar1/i-1", "POST /x 1 00", "ferry", at=1.05, seal="s1", body=b"done")
     return replace(made, **told)
 
 
@@ -53,22 +64,27 @@
     "failed, and run": History([refused(status=502)], [run()]),
     "a pure try was refused, and ran": History([refused(kind="pure")], [run()]),
     "cut at once, unread": History([cut(took=0.01)]),
-    "cut by a kill": History([cut(took=1.0)], [run()], kills=[("stile0", 1.9)]),
+    "cut by a kill": History([cut(took=1.0)], [run()], kills=[("sidecar0", 1.9)]),
     "never connected": History([cut("unconnected", 1.0)]),
     "read back": History(changes=[changed(4)], readings=[stands(4), stands(4)]),
     "newer, not acknowledged": History(changes=[changed(4), changed(5, status=0)], readings=[stands(5)]),
     "older, after a newer": History(changes=[changed(5), changed(4)], readings=[stands(5)]),
     "dropped": History(changes=[changed(4), changed(5, None)], readings=[{}]),
     "perhaps dropped": History(changes=[changed(4), changed(5, None, 0)], readings=[{}]),
-    "recovered": History([one(), one("a2", sent=9.0, ended=9.1, seal="s2")], [run(), run("a2", seal="s2")],
-                         kills=[("barn0", 3.0)], backs=[4.0]),
-    "nothing was served before either": History([refused(), refused("a2", sent=9.0)],
-                                                kills=[("barn0", 3.0)], backs=[4.0]),
+    "recovered": History(
+        [one(), one("a2", sent=9.0, ended=9.1, seal="s2")],
+        [run(), run("a2", seal="s2")],
+        kills=[("controller0", 3.0)],
+        backs=[4.0],
+    ),
+    "nothing was served before either": History(
+        [refused(), refused("a2", sent=9.0)], kills=[("controller0", 3.0)], backs=[4.0]
+    ),
     "invalid, and refused": History(changes=[changed(4, status=400, valid=False)], readings=[{}]),
 }
 TWO_RUNS = [run("a1", key="k1"), run("a2", key="k1", seal="s2")]
 BROKEN = {
-    "an effectful try ran twice": (j.once, History([one()], [run(), run(server="stile3/i-2")])),
+    "an effectful try ran twice": (j.once, History([one()], [run(), run(server="sidecar3/i-2")])),
     "a keyed try ran twice": (j.once, History([one(**KEYED)], [run(key="k1"), run(key="k1", seal="s2")])),
     "a key ran twice": (j.keys, History([one(**KEYED), one("a2", **KEYED, seal="s2")], TWO_RUNS)),
     "a repeat got another seal": (j.keys, History([one("a2", **KEYED, seal="s9")], [run(key="k1")])),
@@ -94,8 +110,8 @@
     "cut after it was turned away": (j.whole, History([cut(took=0.01)], [run(ran=False)])),
     "cut late": (j.whole, History([cut(took=1.0)])),
     "never answered": (j.whole, History([cut("silent", 3.0)])),
-    "cut by another's kill": (j.whole, History([cut(took=1.0)], kills=[("stile1", 1.5)])),
-    "cut before a kill": (j.whole, History([cut(took=1.0)], kills=[("stile0", 9.0)])),
+    "cut by another's kill": (j.whole, History([cut(took=1.0)], kills=[("sidecar1", 1.5)])),
+    "cut before a kill": (j.whole, History([cut(took=1.0)], kills=[("sidecar0", 9.0)])),
     "gone": (j.configuration, History(changes=[changed(4)], readings=[stands(4), {}])),
     "older": (j.configuration, History(changes=[changed(3), changed(4)], readings=[stands(3)])),
     "not dropped": (j.configuration, History(changes=[changed(4), changed(5, None)], readings=[stands(4)])),
@@ -103,18 +119,21 @@
     "other content": (j.configuration, History(changes=[changed(4)], readings=[stands(4, {"rule": {}})])),
     "never sent": (j.configuration, History(readings=[stands(4)])),
     "invalid, and stands": (
-        j.configuration, History(changes=[changed(4, status=0, valid=False)], readings=[stands(4)])
+        j.configuration,
+        History(changes=[changed(4, status=0, valid=False)], readings=[stands(4)]),
     ),
     "invalid, and acknowledged": (j.configuration, History(changes=[changed(4, valid=False)], readings=[{}])),
     "valid, and refused": (j.configuration, History(changes=[changed(4, status=400)], readings=[{}])),
     "nothing read": (j.configuration, History(changes=[changed(4)])),
     "not served again": (
-        j.recovery, History([one(), refused("a2", sent=9.0, ended=9.1)], [run()],
-                            kills=[("barn0", 3.0)], backs=[4.0])
+        j.recovery,
+        History(
+            [one(), refused("a2", sent=9.0, ended=9.1)], [run()], kills=[("controller0", 3.0)], backs=[4.0]
+        ),
     ),
-    "nobody came again": (j.recovery, History([one()], [run()], kills=[("barn0", 3.0)], backs=[4.0])),
-    "a process ended": (j.processes, History(troubles=["stile0 ended by itself with 1"])),
-}  # fmt: skip
+    "nobody came again": (j.recovery, History([one()], [run()], kills=[("controller0", 3.0)], backs=[4.0])),
+    "a process ended": (j.processes, History(troubles=["sidecar0 ended by itself with 1"])),
+}
 
 
 @pytest.mark.parametrize("name", KEPT)
--- a/tests/orchard/test_orchard_contact.py
+++ b/tests/mesh/test_mesh_lease.py
@@ -12,32 +12,32 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from orchard_world import Broken, World, change, read_back, route, service
-from test_orchard_faults import WORKERS
-from test_orchard_faults import until as until_
+from mesh_world import Broken, World, change, read_back, route, service
+from test_mesh_faults import WORKERS
+from test_mesh_faults import until as until_
 
-from orchard import barn as barns
-from orchard.contact import Contact, Safety, safety
-from orchard.quorum import Voters
-from orchard.stile import Stile
+from mesh.control import controller as controllers
+from mesh.control.lease import ReadLease, Safety, safety
+from mesh.proxy.sidecar import Sidecar
+from mesh.state.quorum import Voters
 
 CUT_S = 20.0
 LEASE_S = 1.5  # half of `contact`
-LOST_S = LEASE_S + barns.GAP_S + 0.5  # contact is lost, and that is known, so long after a cut
+LOST_S = LEASE_S + controllers.GAP_S + 0.5  # contact is lost, and that is known, so long after a cut
 AT_ONCE_S = 0.05
 Story = Callable[[World], Coroutine[Any, Any, None]]
 UNKNOWN = change((), [route("z", 9, "/z/", "nowhere")])
 
 
 async def begun(world: World) -> None:
-    if not await until_(lambda: world.counting() == world.barns):
+    if not await until_(lambda: world.counting() == world.controllers):
         raise Broken("no start")
     assert await world.patch(0, change([service("berths", 1)], [route("a", 1, "/a/")])) == 200
-    if not await until_(lambda: all(held(world, name) for name in world.stiles)):
+    if not await until_(lambda: all(held(world, name) for name in world.sidecars)):
         raise Broken("a sidecar hears of nothing")
 
 
-def sidecar(world: World, name: str) -> Stile:
+def sidecar(world: World, name: str) -> Sidecar:
     process = world.machines[name].process
     assert process is not None and process.role is not None
     return process.role  # type: ignore[no-any-return]
@@ -50,7 +50,7 @@
 
 def peers(world: World) -> list[str]:
     """All control machines but the first, which is the one that is cut off."""
-    return [name for name in world.barns + world.spares if name != world.barns[0]]
+    return [name for name in world.controllers + world.spares if name != world.controllers[0]]
 
 
 def cut_from_peers(world: World, alone: str) -> None:
@@ -72,7 +72,7 @@
     """A sidecar that reaches nothing but the machine that is cut off starts again."""
     world.cut(name, for_s, [other for other in world.machines if other not in (name, alone)])
     world.kill(name)
-    world.start_stile(name)
+    world.start_sidecar(name)
 
 
 async def asked_at_once(world: World, name: str, method: bytes, body: bytes = b"") -> int:
@@ -86,8 +86,8 @@
 def cut_off(strike: Callable[[World, str], None]) -> Story:
     async def story(world: World) -> None:
         await begun(world)
-        alone, other = world.barns[:2]
-        inside, outside = world.stiles
+        alone, other = world.controllers[:2]
+        inside, outside = world.sidecars
         strike(world, alone)
         await asyncio.sleep(LOST_S)
         assert await world.patch(1, change([service("berths", 2)])) == 200
@@ -112,16 +112,21 @@
 
 async def healed(world: World) -> None:
     """The cuts end: all is in force everywhere, and reads back."""
+
     def all_current() -> bool:
-        return all(held(world, name).get("service/berths", 0) >= 2 for name in world.stiles)
+        return all(held(world, name).get("service/berths", 0) >= 2 for name in world.sidecars)
 
     if not await until_(all_current, CUT_S):
         raise Broken("a sidecar does not find its way after the cut")
-    if not await until_(lambda: all(
-        (barn := world.barn(name)) is not None and barn.in_contact for name in world.barns
-    ), CUT_S):
+    if not await until_(
+        lambda: all(
+            (controller := world.controller(name)) is not None and controller.in_contact
+            for name in world.controllers
+        ),
+        CUT_S,
+    ):
         raise Broken("contact is not found again")
-    for name in world.barns:
+    for name in world.controllers:
         status, body = await world.ask(name, b"GET")
         assert status == 200
         read_back(world, body)
@@ -146,11 +151,11 @@
 async def frozen(world: World) -> None:
     """A freeze in place of a cut: what waited in its sockets is answered as by one out of contact."""
     await begun(world)
-    alone = world.barns[0]
-    inside = world.stiles[0]
-    barn = world.barn(alone)
-    assert barn is not None
-    while max(barn._pulses.values()) < world.now - 0.0005:
+    alone = world.controllers[0]
+    inside = world.sidecars[0]
+    controller = world.controller(alone)
+    assert controller is not None
+    while max(controller._pulses.values()) < world.now - 0.0005:
         await asyncio.sleep(0.0002)  # answers to a heartbeat are on their way
     world.freeze(alone, 6.0)
     waiting = asyncio.ensure_future(world.ask(alone, b"PATCH", change([service("berths", 3)]), 10.0))
@@ -177,17 +182,17 @@
 async def keys_inside(world: World) -> None:
     """No key is granted by a machine out of contact; a sidecar that reaches all others loses nothing."""
     await begun(world)
-    alone = world.barns[0]
+    alone = world.controllers[0]
     cut_from_peers(world, alone)
     await asyncio.sleep(LOST_S)
     before = sum(len(key.grants) for key in world.keys.values())
     for at in range(6):
-        outcome = world.claim(world.stiles[at % 2], f"k{at}")
+        outcome = world.claim(world.sidecars[at % 2], f"k{at}")
         assert await until_(lambda outcome=outcome: bool(outcome), 2.0)  # type: ignore[misc]
         if outcome != ["RUN"]:
             raise Broken(f"a key is not granted by the majority: {outcome}")
-    barn = world.barn(alone)
-    assert before == 0 and barn is not None and len(barn.keys) == 0
+    controller = world.controller(alone)
+    assert before == 0 and controller is not None and len(controller.keys) == 0
 
 
 def test_the_majority_grants_keys_and_the_one_that_is_cut_off_grants_none() -> None:
@@ -197,16 +202,16 @@
 async def nobody(world: World) -> None:
     """All control machines are apart: who has a configuration goes on with it, who starts has none."""
     await begun(world)
-    for name in world.barns:
-        world.cut(name, CUT_S, world.barns)
+    for name in world.controllers:
+        world.cut(name, CUT_S, world.controllers)
     await asyncio.sleep(LOST_S)
-    one, other = world.stiles
+    one, other = world.sidecars
     world.kill(one)
-    world.start_stile(one)
+    world.start_sidecar(one)
     await asyncio.sleep(4.0)
     assert not held(world, one) and not sidecar(world, one).table.hosts
     assert held(world, other) == {"service/berths": 1, "route/a": 1}
-    for name in world.barns:
+    for name in world.controllers:
         assert await asked_at_once(world, name, b"PATCH", change([service("berths", 2)])) == 503
     await asyncio.sleep(CUT_S)
     assert held(world, one) == held(world, other) == {"service/berths": 1, "route/a": 1}
@@ -218,14 +223,14 @@
 
 async def lost_for_good(world: World) -> None:
     await begun(world)
-    for name in world.barns[1:]:
+    for name in world.controllers[1:]:
         world.power_off(name)
     await asyncio.sleep(16.5)
-    told = [text for _, host, text in world.said if host == world.barns[0]]
+    told = [text for _, host, text in world.said if host == world.controllers[0]]
     assert any(text.startswith("no majority for long") for text in told)
-    barn = world.barn(world.barns[0])
-    assert barn is not None and barn.safety == Safety(0, 0)
-    assert barn._away() == [f"{name}:7000" for name in world.barns[1:]]
+    controller = world.controller(world.controllers[0])
+    assert controller is not None and controller.safety == Safety(0, 0)
+    assert controller._away() == [f"{name}:7000" for name in world.controllers[1:]]
 
 
 def test_one_that_has_lost_its_majority_for_long_says_so_and_names_who_is_away() -> None:
@@ -237,7 +242,7 @@
 
 async def changes_and_a_cut(world: World) -> None:
     await begun(world)
-    alone, inside = world.barns[0], world.stiles[0]
+    alone, inside = world.controllers[0], world.sidecars[0]
     world.marks = world.points  # type: ignore[attr-defined]
     for version in (2, 3):
         assert await world.patch(version, change([service("berths", version)])) == 200
@@ -256,7 +261,7 @@
 def struck(job: tuple[int, int]) -> str:
     strike, point = job
     world = World(seed=1)
-    world.strikes[point] = lambda name: CUTS[strike](world, world.barns[0])
+    world.strikes[point] = lambda name: CUTS[strike](world, world.controllers[0])
     try:
         play(world, changes_and_a_cut)
     except Broken as broken:
@@ -280,19 +285,20 @@
 
 
 def test_found_if_the_lease_is_not_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Contact, "holds", lambda contact, now, voters, votes: voters.epoch > 0)
+    monkeypatch.setattr(ReadLease, "holds", lambda contact, now, voters, votes: voters.epoch > 0)
     with pytest.raises(Broken, match="inside the cut takes|judged out of contact|was answered after"):
         play(World(), cut_off(cut_from_peers))
 
 
 def test_found_if_an_answer_renews_the_lease_from_when_it_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
     """What waited in a socket of a frozen process then counts as news."""
-    def late(made: barns.Barn, link: Any, number: int, *told: Any) -> None:
+
+    def late(made: controllers.Controller, link: Any, number: int, *told: Any) -> None:
         made._pulses[number] = made.loop.time()
         pulsed(made, link, number, *told)
 
-    pulsed = barns.Barn._pulsed
-    monkeypatch.setattr(barns.Barn, "_pulsed", late)
+    pulsed = controllers.Controller._pulsed
+    monkeypatch.setattr(controllers.Controller, "_pulsed", late)
     with pytest.raises(Broken, match="frozen"):
         for seed in range(5):
             play(World(seed=seed), frozen)
@@ -305,7 +311,7 @@
 
 
 def test_a_lease_counts_from_the_question_and_ends_by_itself() -> None:
-    made = Contact(A, 1.5)
+    made = ReadLease(A, 1.5)
     assert not made.holds(10.0, THREE, True)
     made.answered(B, 10.0)
     assert made.holds(11.5, THREE, True) and not made.holds(11.6, THREE, True)
@@ -316,7 +322,7 @@
     assert made.holds(11.0, THREE, False) and made.heard(11.0, THREE, False) == [B, C]
     made.clear()
     assert not made.holds(11.0, THREE, True)
-    assert Contact(A, 1.5).holds(0.0, Voters(1, (A,)), True) and not made.holds(11.0, Voters(0, ()), True)
+    assert ReadLease(A, 1.5).holds(0.0, Voters(1, (A,)), True) and not made.holds(11.0, Voters(0, ()), True)
 
 
 @given(st.integers(1, 7), st.data())
@@ -327,17 +333,28 @@
     found = []
     for half in (here, set(names) - here):
         for me in half:
-            made = Contact(me, 1.0)
+            made = ReadLease(me, 1.0)
             for other in half - {me}:
                 made.answered(other, 5.0)
             found.append((made.holds(5.0, voters, True), me in here))
     assert len({side for holds, side in found if holds}) <= 1
 
 
-@pytest.mark.parametrize(("size", "whole", "found"), [
-    (3, 3, (2, 1)), (3, 2, (1, 0)), (3, 1, (0, 0)), (4, 4, (3, 1)), (4, 3, (2, 0)), (5, 5, (3, 2)),
-    (5, 4, (2, 1)), (5, 3, (1, 0)), (7, 7, (4, 3)), (1, 1, (1, 0)),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("size", "whole", "found"),
+    [
+        (3, 3, (2, 1)),
+        (3, 2, (1, 0)),
+        (3, 1, (0, 0)),
+        (4, 4, (3, 1)),
+        (4, 3, (2, 0)),
+        (5, 5, (3, 2)),
+        (5, 4, (2, 1)),
+        (5, 3, (1, 0)),
+        (7, 7, (4, 3)),
+        (1, 1, (1, 0)),
+    ],
+)
 def test_copies_and_losses_that_can_be_borne(size: int, whole: int, found: tuple[int, int]) -> None:
     voters = Voters(1, tuple(f"n{at}" for at in range(size)))
     assert safety(voters, whole) == found
--- /dev/null
+++ b/tests/mesh/test_mesh_offers.py
@@ -0,0 +1,317 @@
+"""Asking two sidecars before a request goes, and bodies that follow it in pieces. No sockets, no waits."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+import pytest
+from test_mesh_sidecar import Link, played
+
+from mesh.errors import ErrorKind
+from mesh.proxy.chunked_transfer import PIECE
+from mesh.transport.messages import MessageKind
+
+NARROW = "[limit_set]\nlink_mbps = 1.0\n"  # 125 kB/s: 2.5 kB go with their request
+asking = partial(played, version=2, more=NARROW)
+
+
+def known(scene, paces=(0.1, 0.1, 0.1)):
+    """A sidecar that has heard from the three servers, some time ago."""
+    for endpoint, pace in zip(scene.sidecar.endpoints.values(), paces, strict=True):
+        endpoint.told(-9.0, "pure", 0.0, pace)
+        endpoint.told(-9.0, "effectful", 0.0, pace)
+
+
+def said(scene, word):
+    links = scene.links.items()
+    return [(node, message) for node, link in links for message in link.said if message[0] == word]
+
+
+def glance(scene, node, number, wait, pace=0.1, open_=True, carry=0.0, ill=0.0):
+    scene.sidecar._hear(scene.links[node], [MessageKind.GLANCE, number, open_, wait, pace, carry, ill])
+
+
+def _load_queries(scene):
+    known(scene)
+    scene.sidecar._random = random.Random(3).random  # two that differ: else six draws may all be the same one
+    ear = scene.ask("pure")
+    looks = said(scene, MessageKind.LOOK)
+    assert len(looks) == 2 and not said(scene, MessageKind.ASK)
+    return ear, looks[0][1][1], [node for node, _ in looks]
+
+
+@asking
+def _freer(scene):
+    ear, number, (one, other) = _load_queries(scene)
+    glance(scene, one, number, 0.3)
+    glance(scene, other, number, 0.0, pace=0.2)
+    ((node, ask),) = said(scene, MessageKind.ASK)
+    assert node == other and scene.links[other].waits == 1
+    scene.end((node, ask[1]))
+    assert ear.status == 200 and scene.links[other].waits == 0
+
+
+def test_two_are_asked_and_the_one_that_can_serve_it_sooner_gets_it():
+    _freer()
+
+
+@asking
+def _silent(scene):
+    _, number, (one, other) = _load_queries(scene)
+    glance(scene, one, number, 5.0)
+    scene.sidecar._looked(number)  # as much time again has passed
+    assert [node for node, _ in said(scene, MessageKind.ASK)] == [one], "who says nothing may be dead"
+    glance(scene, other, number, 0.0)  # too late
+    assert len(said(scene, MessageKind.ASK)) == 1
+
+
+def test_who_does_not_answer_in_time_is_passed_over():
+    _silent()
+
+
+@asking
+def _nobody(scene):
+    _, number, _ = _load_queries(scene)
+    scene.sidecar._looked(number)
+    assert len(said(scene, MessageKind.ASK)) == 1, "asking costs a moment, never the request"
+
+
+def test_a_request_goes_where_nobody_answers_as_well():
+    _nobody()
+
+
+@asking
+def _closed(scene):
+    _, number, (one, other) = _load_queries(scene)
+    glance(scene, one, number, 0.0, open_=False)
+    glance(scene, other, number, 0.5)
+    assert [node for node, _ in said(scene, MessageKind.ASK)] == [other]
+
+
+def test_one_that_takes_nothing_is_not_offered_it():
+    _closed()
+
+
+@asking
+def _ill(scene):
+    _, number, (one, other) = _load_queries(scene)
+    glance(scene, one, number, 0.0, ill=0.5)
+    glance(scene, other, number, 0.2)
+    assert [node for node, _ in said(scene, MessageKind.ASK)] == [other]
+
+
+def test_one_that_fails_half_of_its_calls_counts_as_slower():
+    _ill()
+
+
+@asking
+def _gone(scene):
+    ear, number, (one, other) = _load_queries(scene)
+    scene.sidecar._hung_up(ear.message)
+    glance(scene, one, number, 0.0)
+    glance(scene, other, number, 0.0)
+    assert not said(scene, MessageKind.ASK) and scene.sidecar._open_requests == 0
+
+
+def test_a_client_that_leaves_while_others_are_asked_is_offered_nowhere():
+    _gone()
+
+
+@asking
+def _connection_ends(scene):
+    _, number, (one, other) = _load_queries(scene)
+    scene.sidecar._endpoint_down(one, scene.links[one])
+    glance(scene, other, number, 0.1)
+    assert [node for node, _ in said(scene, MessageKind.ASK)] == [other]
+
+
+def test_a_connection_that_ends_while_it_is_asked_is_an_answer():
+    _connection_ends()
+
+
+BODY = bytes(range(256)) * 200  # 51,200 bytes
+
+
+def _sent_in_pieces(scene):
+    """An offer whose body is told by its size."""
+    ear = scene.ask("effectful", body=BODY)
+    scene.sidecar._looked(said(scene, MessageKind.LOOK)[0][1][1])
+    ((node, ask),) = said(scene, MessageKind.ASK)
+    assert ask[2][5] == b"" and ask[2][14] == len(BODY)
+    return ear, node, ask[1]
+
+
+@asking
+def _pieces(scene):
+    _, node, number = _sent_in_pieces(scene)
+    for upto in (10_000, 40_000, len(BODY)):
+        scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+        pieces = [message[2] for _, message in said(scene, MessageKind.PIECE)]
+        assert b"".join(pieces) == BODY[:upto] and all(len(piece) <= PIECE for piece in pieces)
+
+
+def test_a_body_is_sent_as_far_as_it_is_wanted():
+    _pieces()
+
+
+@asking
+def _breaks(scene, upto, status):
+    ear, node, number = _sent_in_pieces(scene)
+    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+    for other in scene.sidecar.endpoints:
+        if other != node:
+            scene.sidecar._endpoint_down(other, scene.links[other])
+    scene.sidecar._endpoint_down(node, scene.links[node])
+    assert ear.status == status and scene.sidecar._open_requests == 0
+
+
+@pytest.mark.parametrize(("upto", "status"), [(20_000, 503), (len(BODY), 502)])
+def test_what_was_not_sent_whole_has_not_run_and_the_client_is_told_so(upto, status):
+    _breaks(upto, status)
+
+
+@asking
+def _given_up(scene):
+    ear, node, number = _sent_in_pieces(scene)
+    scene.sidecar._hung_up(ear.message)
+    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, 9_000])
+    assert [message[1] for _, message in said(scene, MessageKind.DROP)] == [number] and not said(
+        scene, MessageKind.PIECE
+    )
+
+
+def test_a_body_that_nobody_waits_for_any_more_is_not_sent():
+    _given_up()
+
+
+def _fetched(scene, left=5.0, aim=1.0):
+    """A request for the server here, whose body is elsewhere."""
+    scene.sidecar.server_queue.life("i-1", 5, 0.0, True)
+    jobs = []
+    scene.sidecar.server_queue.submit = jobs.append
+    link = Link("n2")
+    ask = ["berths", "c", b"POST", b"/x", [], b"", left, aim, b"t", "", "k", False, False, False, len(BODY)]
+    scene.sidecar._hear(link, [MessageKind.ASK, 7, ask])
+    return link, jobs
+
+
+@asking
+def _fetch(scene):
+    link, jobs = _fetched(scene)
+    at = 0
+    while not jobs:
+        word, number, upto = link.said[-1]
+        assert (word, number) == (MessageKind.WANT, 7) and at < upto
+        for start in range(at, upto, PIECE):
+            scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[start : min(start + PIECE, upto)]])
+        at = upto
+    assert at == len(BODY) and jobs[0].make(1.0, "i-1").endswith(b"\r\n\r\n" + BODY)
+    assert scene.sidecar._open_jobs == 1 and not scene.sidecar._loads and not len(scene.sidecar._intake)
+
+
+def test_a_body_is_fetched_whole_before_its_request_goes_to_the_server():
+    _fetch()
+
+
+@asking
+def _dropped(scene):
+    link, jobs = _fetched(scene)
+    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[:1000]])
+    scene.sidecar._hear(link, [MessageKind.DROP, 7])
+    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[1000:]])
+    assert not jobs and scene.sidecar._open_jobs == 0 and not scene.sidecar._loads
+
+
+def test_a_body_whose_sender_gives_up_is_forgotten():
+    _dropped()
+
+
+@asking
+def _sender_ends(scene):
+    _, jobs = _fetched(scene)
+    (link,) = {key[0] for key in scene.sidecar._loads}
+    scene.sidecar._left(link)
+    assert not jobs and scene.sidecar._open_jobs == 0 and not scene.sidecar._loads
+
+
+def test_a_sender_that_ends_leaves_nothing_behind():
+    _sender_ends()
+
+
+@asking
+def _too_long(scene):
+    link, jobs = _fetched(scene, left=1.0)  # its body alone takes 0.4 s, of which a third may be waited
+    ((word, number, fault, arrived, *_),) = link.said
+    assert (word, number, ErrorKind(fault), arrived) == (MessageKind.TOLD, 7, ErrorKind.FULL, False)
+    assert not jobs and scene.sidecar._open_jobs == 0
+
+
+def test_a_body_that_can_t_be_here_in_time_is_refused_before_it_comes():
+    _too_long()
+
+
+@asking
+def _ends_before(scene, upto, status):
+    ear, node, number = _sent_in_pieces(scene)
+    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+    scene.sidecar._end_all()
+    assert ear.status == status and scene.sidecar._open_requests == 0
+
+
+@pytest.mark.parametrize(("upto", "status"), [(20_000, 503), (len(BODY), 504)])
+def test_a_sidecar_that_ends_answers_what_is_still_open(upto, status):
+    _ends_before(upto, status)
+
+
+@asking
+def _ends_while_asking(scene):
+    ear, *_ = _load_queries(scene)
+    scene.sidecar._end_all()
+    assert ear.status == 503 and scene.sidecar._open_requests == 0
+
+
+def test_a_sidecar_that_ends_while_it_asks_refuses():
+    _ends_while_asking()
+
+
+@asking
+def _overtaken(scene, got, given_back):
+    link, jobs = _fetched(scene)
+    ((key, load),) = scene.sidecar._loads.items()
+    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[:got]])
+    scene.sidecar._overtaken(key)
+    told = [ErrorKind(message[2]) for message in link.said if message[0] == MessageKind.TOLD]
+    assert told == [ErrorKind.FULL] * given_back and (not scene.sidecar._loads) == given_back and not jobs
+
+
+@pytest.mark.parametrize(("got", "given_back"), [(1_000, True), (40_000, False)])
+def test_a_body_that_others_overtake_is_given_back_unless_most_of_it_is_here(got, given_back):
+    _overtaken(got, given_back)
+
+
+@asking
+def _time_is_up(scene, upto, status):
+    ear, node, number = _sent_in_pieces(scene)
+    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+    scene.sidecar._late(scene.sidecar._asks[number][0])
+    assert ear.status == status and (b"Retry-After" in ear.headers) == (status == 503)
+
+
+@pytest.mark.parametrize(("upto", "status"), [(20_000, 503), (len(BODY), 504)])
+def test_what_could_not_run_is_promised_not_to_have_run_when_its_time_is_up(upto, status):
+    _time_is_up(upto, status)
+
+
+@asking
+def _at_last(scene):
+    link, jobs = _fetched(scene)
+    ((key, _),) = scene.sidecar._loads.items()
+    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[:40_000]])
+    scene.sidecar._overtaken(key, True)
+    assert link.said[-1][:4] == [MessageKind.TOLD, 7, int(ErrorKind.FULL), False]
+    assert not scene.sidecar._loads and scene.sidecar._open_jobs == 0 and not jobs
+
+
+def test_a_body_that_stops_half_way_is_given_back_at_its_deadline_as_its_sender_keeps_it():
+    _at_last()
--- a/tests/orchard/test_orchard_granary.py
+++ b/tests/mesh/test_mesh_record_store.py
@@ -8,11 +8,13 @@
 from hypothesis import settings as examples
 from hypothesis import strategies as st
 
-from orchard import granary
-from orchard.granary import BLOCK, Granary, frame, unframe
+from mesh.storage import record_store
+from mesh.storage.record_store import BLOCK, RecordStore, frame, unframe
 
-BATCHES = st.lists(st.lists(st.tuples(st.integers(0, 9), st.binary(max_size=700)).map(list), min_size=1,
-                            max_size=3), max_size=5)
+BATCHES = st.lists(
+    st.lists(st.tuples(st.integers(0, 9), st.binary(max_size=700)).map(list), min_size=1, max_size=3),
+    max_size=5,
+)
 
 
 def laid(batches):
@@ -53,7 +55,7 @@
     at = places[struck] + data.draw(st.integers(0, len(frame(batches[struck])) - 1))
     spoilt = bytearray(whole)
     spoilt[at] ^= 1 << data.draw(st.integers(0, 7))
-    assert list(unframe(bytes(spoilt))) == flat(batches[:struck] + batches[struck + 1:])
+    assert list(unframe(bytes(spoilt))) == flat(batches[:struck] + batches[struck + 1 :])
 
 
 @given(BATCHES.filter(bool), st.data())
@@ -61,26 +63,26 @@
     whole, places = laid(batches)
     at = data.draw(st.integers(0, (len(whole) - 1) // BLOCK)) * BLOCK
     struck = max(i for i, place in enumerate(places) if place <= at)
-    left = flat(batches[:struck] + batches[struck + 1:])
+    left = flat(batches[:struck] + batches[struck + 1 :])
     filler = data.draw(st.sampled_from((b"", b"\0" * BLOCK, b"\xff" * BLOCK)))
-    assert list(unframe(whole[:at] + filler + whole[at + BLOCK:])) == left
+    assert list(unframe(whole[:at] + filler + whole[at + BLOCK :])) == left
 
 
 @given(st.binary(max_size=2000))
 def test_no_bytes_at_all_raise(data):
-    assert list(unframe(data)) == [] or data[:4] == granary.MAGIC
+    assert list(unframe(data)) == [] or data[:4] == record_store.MAGIC
 
 
 # --- with a disk
 
 
 class Box:
-    """A granary whose state is all that was ever put or found, as a barn's is."""
+    """A record_store whose state is all that was ever put or found, as a controller's is."""
 
     def __init__(self, folder):
         self.held = []
-        self.granary = Granary(str(folder), lambda: self.held)
-        self.held += self.granary.load()
+        self.record_store = RecordStore(str(folder), lambda: self.held)
+        self.held += self.record_store.load()
 
     async def put(self, *records):
         """Put records in one batch; what each was told."""
@@ -88,13 +90,13 @@
         told = [loop.create_future() for _ in records]
         for record, done in zip(records, told, strict=True):
             self.held.append(record)
-            self.granary.put(record, done.set_result)
+            self.record_store.put(record, done.set_result)
         return await asyncio.gather(*told)
 
 
 def found(folder):
     """What another process finds."""
-    return Granary(str(folder), list).load()
+    return RecordStore(str(folder), list).load()
 
 
 def names(folder):
@@ -110,7 +112,7 @@
 def fails(monkeypatch):
     """Let chosen calls of the sync fail, counted from 1; how many there were is told by the list."""
     calls, chosen = [], set()
-    real = Granary._sync
+    real = RecordStore._sync
 
     def sync(path):
         calls.append(path)
@@ -118,7 +120,7 @@
             raise OSError(28, "no space left")
         real(path)
 
-    monkeypatch.setattr(Granary, "_sync", staticmethod(sync))
+    monkeypatch.setattr(RecordStore, "_sync", staticmethod(sync))
     return calls, chosen
 
 
@@ -128,7 +130,7 @@
         assert await box.put([0, "a"], [1, b"\xff" * 2000], [2, None]) == [True] * 3
         assert await box.put([3, [1.5, {"x": "é"}]]) == [True]
         box.held.append([4, "nobody waits"])
-        box.granary.put([4, "nobody waits"])
+        box.record_store.put([4, "nobody waits"])
         assert await box.put([5, "z"]) == [True]
         return box.held
 
@@ -162,13 +164,13 @@
 
 
 def test_a_grown_generation_is_followed_by_one_without_what_was_dropped(tmp_path, monkeypatch):
-    monkeypatch.setattr(granary, "GROWN", 6000)
+    monkeypatch.setattr(record_store, "GROWN", 6000)
 
     async def play():
         box = Box(tmp_path)
         for number in range(40):
             assert await box.put([number, b"x" * 300]) == [True]
-            assert unique(found(tmp_path))[-len(box.held):] == [tuple(record) for record in box.held]
+            assert unique(found(tmp_path))[-len(box.held) :] == [tuple(record) for record in box.held]
             box.held = box.held[-3:]
         return box.held
 
@@ -185,7 +187,7 @@
 def test_a_failed_sync_is_told_to_its_batch_alone_and_what_was_told_to_be_there_is(
     tmp_path, monkeypatch, fails, chosen, grown
 ):
-    monkeypatch.setattr(granary, "GROWN", grown)
+    monkeypatch.setattr(record_store, "GROWN", grown)
     calls = fails[0]
     fails[1].update(chosen)
 
@@ -196,7 +198,7 @@
             before = len(calls)
             told = await box.put([number, 0], [number, 1])
             failed = any(call in chosen for call in range(before + 1, len(calls) + 1))
-            assert told == [not failed] * 2 and box.granary.well is not failed
+            assert told == [not failed] * 2 and box.record_store.well is not failed
             kept += [] if failed else [[number, 0], [number, 1]]
             there = found(tmp_path)
             assert all(record in there for record in kept)
@@ -210,7 +212,7 @@
         box = Box(tmp_path)
         assert await box.put([0]) == [True]
         with monkeypatch.context() as patch:
-            patch.setattr(granary, "frame", lambda records: 1 / 0)
+            patch.setattr(record_store, "frame", lambda records: 1 / 0)
             assert await box.put([1]) == [False] and await box.put([2]) == [False]
             assert found(tmp_path) == [[0], [0]]
         assert await box.put([3]) == [True]
@@ -262,7 +264,7 @@
 @examples(max_examples=25)
 @given(st.lists(st.tuples(st.integers(0, 1200), st.booleans()), min_size=1, max_size=12), st.integers(1, 9))
 def test_any_mix_of_sizes_and_failures_keeps_what_was_told(tmp_path_factory, batches, grown):
-    folder, real = tmp_path_factory.mktemp("mix"), Granary._sync
+    folder, real = tmp_path_factory.mktemp("mix"), RecordStore._sync
     wrong = False
 
     def sync(path):
@@ -281,8 +283,8 @@
         assert len(kept) == sum(not wrong for _, wrong in batches) and all(r in there for r in kept)
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(granary, "GROWN", grown * 512)
-        patch.setattr(Granary, "_sync", staticmethod(sync))
+        patch.setattr(record_store, "GROWN", grown * 512)
+        patch.setattr(RecordStore, "_sync", staticmethod(sync))
         asyncio.run(play())
 
 
@@ -291,7 +293,7 @@
         raise OSError(28, "no space left")
 
     async def play():
-        told, made = [], Granary(str(tmp_path), lambda: [["old", 1]])
+        told, made = [], RecordStore(str(tmp_path), lambda: [["old", 1]])
         made.load()
         for _ in range(3):
             end = asyncio.get_running_loop().create_future()
@@ -302,6 +304,6 @@
                 monkeypatch.undo()
         return told
 
-    monkeypatch.setattr(Granary, "_sync", staticmethod(full))
+    monkeypatch.setattr(RecordStore, "_sync", staticmethod(full))
     assert asyncio.run(play()) == [False, False, True]
-    assert Granary(str(tmp_path), list).load() == [["old", 1], ["new", 1]]
+    assert RecordStore(str(tmp_path), list).load() == [["old", 1], ["new", 1]]
--- a/tests/orchard/test_orchard_repair.py
+++ b/tests/mesh/test_mesh_repair.py
@@ -9,11 +9,11 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import pytest
-from orchard_world import Broken, World, change, route, service
-from test_orchard_faults import WORKERS, cut_of_one, power_of_one, wipe_of_one
-from test_orchard_faults import claimed as one_claim
-from test_orchard_faults import until as until_
-from test_orchard_voters import (
+from mesh_world import Broken, World, change, route, service
+from test_mesh_faults import WORKERS, cut_of_one, power_of_one, wipe_of_one
+from test_mesh_faults import claimed as one_claim
+from test_mesh_faults import until as until_
+from test_mesh_voters import (
     Strike,
     afterwards,
     busy,
@@ -26,8 +26,8 @@
     settled,
 )
 
-from orchard.ballot import Member, Patience
-from orchard.barn import Barn
+from mesh.control.ballot import Member, Patience
+from mesh.control.controller import Controller
 
 CATCH_UP_S = 4.0  # a machine stops counting as lost so long after its start: the bound that is given
 GRACE_S = 6.0
@@ -36,11 +36,11 @@
 
 async def begun(world: World) -> None:
     """The first voters act; something is stored and some keys are granted."""
-    if not await until_(lambda: world.counting() == world.barns):
+    if not await until_(lambda: world.counting() == world.controllers):
         raise Broken("no start")
     assert await world.patch(0, change([service("berths", 1)], [route("a", 1, "/a/")])) == 200
     for at in range(6):
-        assert await one_claim(world, world.stiles[at % 2], f"old {at}") == "RUN"
+        assert await one_claim(world, world.sidecars[at % 2], f"old {at}") == "RUN"
     await asyncio.sleep(0.5)
 
 
@@ -50,13 +50,13 @@
 
 async def replaced_as_planned(world: World, old: str, new: str) -> None:
     """The successor first, then SIGTERM to the one before, which never returns."""
-    world.start_barn(new)
+    world.start_controller(new)
     if not await until_(lambda: new in world.counting()):
         raise Broken(f"{new} does not come to count")
     world.marks["term"] = world.points
     world.term(old, GRACE_S)
     ends = world.now + GRACE_S  # one that was struck and started again is ended by the platform then
-    await busy(world, lambda: world.barn(old) is None or world.now > ends, GRACE_S + 1.0)
+    await busy(world, lambda: world.controller(old) is None or world.now > ends, GRACE_S + 1.0)
     world.removed.add(old)
     world.power_off(old)
 
@@ -68,9 +68,11 @@
     world.power_off(lost)
     began = world.now
     await asyncio.sleep(SUCCESSOR_S)
-    world.start_barn(new)
-    if not await until_(lambda: votes(world, new) and not votes(world, lost) and (
-        len(world.counting()) == len(live(world))), CATCH_UP_S):
+    world.start_controller(new)
+    if not await until_(
+        lambda: votes(world, new) and not votes(world, lost) and (len(world.counting()) == len(live(world))),
+        CATCH_UP_S,
+    ):
         raise Broken(f"{lost} is not repaired {CATCH_UP_S} s after the start of {new}: {newest(world)}")
     world.repairs.append(world.now - began)
 
@@ -78,7 +80,7 @@
 async def planned_then_lost(world: World) -> None:
     """One replaced as planned, and another lost as soon as the first stops counting as lost."""
     await begun(world)
-    old, lost = world.barns[:2]
+    old, lost = world.controllers[:2]
     new, later = world.spares[:2]
     await replaced_as_planned(world, old, new)
     await asyncio.sleep(CATCH_UP_S)
@@ -94,7 +96,7 @@
     """As many losses as there are spares, each as soon as the one before is repaired."""
     await begun(world)
     world.marks["term"] = world.points
-    for lost, new in zip(list(world.barns), world.spares, strict=False):
+    for lost, new in zip(list(world.controllers), world.spares, strict=False):
         await lost_for_good(world, lost, new)
     world.marks["end"] = world.points
     await afterwards(world, 1 + len(world.spares))
@@ -103,13 +105,13 @@
 def make(seed: int = 1, size: int = 3, losses: int = 1) -> World:
     world = World(seed=seed, size=size, spares=2, losses=losses)
     world.marks, world.repairs, world.removed = {}, [], set()  # type: ignore[attr-defined]
-    start = world.start_barn
+    start = world.start_controller
 
     def start_if_there(name: str, first: bool = False) -> None:
         if name not in world.removed:  # type: ignore[attr-defined]
             start(name, first)
 
-    world.start_barn = start_if_there  # type: ignore[method-assign]
+    world.start_controller = start_if_there  # type: ignore[method-assign]
     return world
 
 
@@ -129,14 +131,14 @@
 def test_one_that_leaves_is_replaced_before_it_ends() -> None:
     async def story(world: World) -> None:
         await begun(world)
-        old, new = world.barns[0], world.spares[0]
-        world.start_barn(new)
+        old, new = world.controllers[0], world.spares[0]
+        world.start_controller(new)
         assert await until_(lambda: new in world.counting())
         began = world.now
         world.term(old)
         assert await until_(lambda: votes(world, new) and not votes(world, old), 1.0)
-        assert world.barn(old) is not None, "it is still there when its vote is another's"
-        assert await until_(lambda: world.barn(old) is None, 1.5)
+        assert world.controller(old) is not None, "it is still there when its vote is another's"
+        assert await until_(lambda: world.controller(old) is None, 1.5)
         assert world.now - began < 2.0 and settled(world, 2)
 
     for seed in range(5):
@@ -147,12 +149,12 @@
     async def story(world: World) -> None:
         await begun(world)
         for name in world.spares:
-            world.start_barn(name)
-        assert await until_(lambda: world.counting() == world.barns + world.spares)
-        one, two, stays = world.barns
+            world.start_controller(name)
+        assert await until_(lambda: world.counting() == world.controllers + world.spares)
+        one, two, stays = world.controllers
         world.term(one)
         world.term(two)
-        assert await until_(lambda: world.barn(one) is None and world.barn(two) is None, GRACE_S)
+        assert await until_(lambda: world.controller(one) is None and world.controller(two) is None, GRACE_S)
         assert newest(world).names == tuple(sorted(f"{name}:7000" for name in [stays, *world.spares]))
         world.removed |= {one, two}
         await afterwards(world, 2)
@@ -165,16 +167,16 @@
     async def story(world: World) -> None:
         await begun(world)
         began = world.now
-        old = world.barns[0]
+        old = world.controllers[0]
         world.term(old)
         await asyncio.sleep(4.5)
-        assert world.barn(old) is not None and votes(world, old)
+        assert world.controller(old) is not None and votes(world, old)
         status, _ = await world.ask(old, b"PATCH", change([service("berths", 2)]))
         assert status == 200, "it answers as long as it is there"
-        assert await until_(lambda: world.barn(old) is None, GRACE_S)
+        assert await until_(lambda: world.controller(old) is None, GRACE_S)
         assert world.now - began < GRACE_S - 0.3, "it was not killed"
         assert any("ends and no other has taken its place" in text for _, _, text in world.said)
-        world.start_barn(old)
+        world.start_controller(old)
         await afterwards(world, 1)
         assert newest(world).epoch == 1
 
@@ -184,11 +186,11 @@
 def test_a_successor_that_comes_while_it_stays_still_gets_the_vote() -> None:
     async def story(world: World) -> None:
         await begun(world)
-        old, new = world.barns[0], world.spares[0]
+        old, new = world.controllers[0], world.spares[0]
         world.term(old)
         await asyncio.sleep(2.0)
-        world.start_barn(new)
-        assert await until_(lambda: world.barn(old) is None, GRACE_S)
+        world.start_controller(new)
+        assert await until_(lambda: world.controller(old) is None, GRACE_S)
         assert votes(world, new) and not votes(world, old)
         world.removed.add(old)
         await afterwards(world, 2)
@@ -199,7 +201,7 @@
 def test_an_emptied_machine_at_an_old_address_comes_back_as_a_spare_and_grants_nothing_of_old() -> None:
     async def story(world: World) -> None:
         await begun(world)
-        old, new = world.barns[0], world.spares[0]
+        old, new = world.controllers[0], world.spares[0]
         await replaced_as_planned(world, old, new)
         world.removed.clear()
         world.wipe(old, 0.01)
@@ -214,8 +216,13 @@
 
 Case = tuple[int, int, Strike, int]
 CASES: tuple[Case, ...] = (  # machines, losses to be borne, what strikes, every how many-th point
-    (3, 1, power_of_all_there, 4), (3, 1, kill_of_all_there, 6), (3, 1, freeze_of_one, 10),
-    (4, 1, power_of_all_there, 9), (5, 2, wipe_of_one, 8), (5, 2, power_of_one, 12), (5, 2, cut_of_one, 12),
+    (3, 1, power_of_all_there, 4),
+    (3, 1, kill_of_all_there, 6),
+    (3, 1, freeze_of_one, 10),
+    (4, 1, power_of_all_there, 9),
+    (5, 2, wipe_of_one, 8),
+    (5, 2, power_of_one, 12),
+    (5, 2, cut_of_one, 12),
 )
 
 
@@ -232,9 +239,9 @@
     return ""
 
 
-@pytest.mark.parametrize("case", range(len(CASES)), ids=[
-    f"{size}-{losses}-{strike.__name__}" for size, losses, strike, _ in CASES
-])
+@pytest.mark.parametrize(
+    "case", range(len(CASES)), ids=[f"{size}-{losses}-{strike.__name__}" for size, losses, strike, _ in CASES]
+)
 def test_whatever_strikes_during_a_replacement_the_next_loss_is_borne(case: int) -> None:
     size, losses, _, every = CASES[case]
     world = play(make(1, size, losses), planned_then_lost)
@@ -262,22 +269,23 @@
 
 def slow_repair(patch: pytest.MonkeyPatch) -> None:
     """A voter is replaced as late as it used to be."""
-    patch.setattr(Barn, "_patience", property(lambda barn: Patience(14.0, 14.0, 7.0)))
+    patch.setattr(Controller, "_patience", property(lambda controller: Patience(14.0, 14.0, 7.0)))
 
 
 def no_hand_over(patch: pytest.MonkeyPatch) -> None:
     """One that leaves ends with its vote, and is found to be gone as late as it used to be."""
-    async def ends(barn: Barn) -> None:
+
+    async def ends(controller: Controller) -> None:
         return
 
-    patch.setattr(Barn, "_hand_over", ends)
+    patch.setattr(Controller, "_hand_over", ends)
     slow_repair(patch)
 
 
 def all_wait(patch: pytest.MonkeyPatch) -> None:
     """A new machine waits as one whose disk was emptied, and for twice as long as a loss is to last."""
     patch.setattr(Member, "may_have_promised", property(lambda member: not member.lasted))
-    patch.setattr("orchard.barn.CLAIM_S", CATCH_UP_S)
+    patch.setattr("mesh.control.controller.CLAIM_S", CATCH_UP_S)
 
 
 @pytest.mark.parametrize("defence", [slow_repair, no_hand_over, all_wait])
--- a/tests/orchard/test_orchard_age.py
+++ b/tests/mesh/test_mesh_request_age.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchard.age import SPAN, SURE, Ages
+from mesh.proxy.request_age import SPAN, SURE, RequestAges
 
 
 def heard(*lefts, timeout=3.0):
-    ages = Ages()
+    ages = RequestAges()
     found = [ages.age(left, timeout) for left in lefts]
     return ages, found
 
@@ -41,7 +41,7 @@
 
 @given(st.lists(st.floats(0.001, 10.0), max_size=300), st.floats(0.001, 10.0))
 def test_no_age_is_below_nothing_nor_beyond_the_longest_that_was_told(lefts, timeout):
-    ages = Ages()
+    ages = RequestAges()
     for at, left in enumerate(lefts):
         age = ages.age(left, timeout)
-        assert 0.0 <= age <= max([timeout, *lefts[:at + 1]]) - left + 1e-9
+        assert 0.0 <= age <= max([timeout, *lefts[: at + 1]]) - left + 1e-9
