--- a/tests/orchard/test_orchard_rounds.py
+++ b/tests/mesh/test_mesh_rounds.py
@@ -1,11 +1,11 @@
-"""Rounds with random faults at numbered points: barns, claimants and two operators on fake time.
+"""Rounds with random faults at numbered points: controllers, claimants and two operators on fake time.
 
     python -m rehearsal.mesh rounds --count 500
 
 Each seed is one round: a small schedule of changes and claims that collide, and of kills, losses of power and
 of disks (within the budget), freezes, cuts and refusing disks, each struck at a numbered point. Looked at:
-nothing acknowledged is lost, no key runs twice and its repeats get the first answer, no stile goes back to an
-older item, nothing invalid is in force, and all copies agree in the end.
+nothing acknowledged is lost, no key runs twice and its repeats get the first answer, no sidecar goes back to
+an older item, nothing invalid is in force, and all copies agree in the end.
 """
 
 from __future__ import annotations
@@ -31,36 +31,44 @@
     sys.path[:0] = [str(Path(__file__).resolve().parents[2]), str(Path(__file__).resolve().parent)]
 
 import pytest
-from orchard_world import Broken, World, change, route, service
-from test_orchard_faults import WORKERS, aftermath, ready, until
-
-from orchard import barn as barns
-from orchard import catalog
-from orchard.ballot import FIRST, Ballot
-from orchard.barn import Barn
-from orchard.catalog import Item
-from orchard.consensus import Draft, Replica
-from orchard.faults import Fault
-from orchard.furrow import pack
-from orchard.granary import unframe
-from orchard.keys import Grant, Mark, Registry
-from orchard.quorum import Turn, Voters
-from orchard.stile import Stile
-from orchard.words import Word
+from mesh_world import Broken, World, change, route, service
+from test_mesh_faults import WORKERS, aftermath, ready, until
+
+from mesh.control import controller as controllers
+from mesh.control.ballot import FIRST, Ballot
+from mesh.control.consensus import Draft, Replica
+from mesh.control.controller import Controller
+from mesh.errors import ErrorKind
+from mesh.proxy.sidecar import Sidecar
+from mesh.state import configuration
+from mesh.state.configuration import Item
+from mesh.state.idempotency import Grant, Mark, Registry
+from mesh.state.quorum import Turn, Voters
+from mesh.storage.record_store import unframe
+from mesh.transport.connection import pack
+from mesh.transport.messages import MessageKind
 
 SPAN = 320  # numbered points after the first start, in which faults strike
 AGREE_S = 20.0  # all copies agree by then, when nothing fails any more
 MESSED = (
-    Word.BARN, Word.COMMIT, Word.ABANDON,
-    Word.ITEMS, Word.ACK, Word.STILE, Word.BEDS, Word.CLAIM, Word.CLAIMED, Word.DONE,
-    Word.FREE,
-)  # fmt: skip
+    MessageKind.CONTROLLER,
+    MessageKind.COMMIT,
+    MessageKind.ABANDON,
+    MessageKind.ITEMS,
+    MessageKind.ACK,
+    MessageKind.SIDECAR,
+    MessageKind.ENDPOINTS,
+    MessageKind.CLAIM,
+    MessageKind.CLAIMED,
+    MessageKind.DONE,
+    MessageKind.FREE,
+)
 KEYS = ("k1", "k2", "k3", "k4")
 PREFIXES = ("/p/", "/q/")  # few, so that routes clash
 
 
 class Round(World):
-    """A world that also looks at what stiles hold, and at what repeats are told."""
+    """A world that also looks at what sidecars hold, and at what repeats are told."""
 
     def __init__(self, seed: int, trace: bool = False) -> None:
         self.draw = random.Random(f"round {seed}")
@@ -70,18 +78,18 @@
         self.counts: Counter[str] = Counter()
         self.answers: dict[str, bytes] = {}  # by key: what its run answered
         self.versions = 1
-        self.wiped: set[str] = set()  # barns whose disk went, and is not whole again yet
+        self.wiped: set[str] = set()  # controllers whose disk went, and is not whole again yet
         self.delay_s = (0.001, self.draw.choice((0.004, 0.004, 0.02, 0.05)))
         if self.draw.random() < 0.3:
             self.messed = frozenset(self.draw.sample(MESSED, 4))
 
     def __enter__(self) -> Round:
         super().__enter__()
-        claim, take = Stile._claim, Stile._take_items
+        claim, take = Sidecar._claim, Sidecar._take_items
 
         @wraps(claim)
         def claimed(
-            stile: Stile, key: str, token: str, left: float, patience: float, job: Any, tell: Any
+            sidecar: Sidecar, key: str, token: str, left: float, patience: float, job: Any, tell: Any
         ) -> None:
             def heard(fault: int, *told: Any) -> None:
                 if not fault:
@@ -91,39 +99,39 @@
                         self.errors.append(f"a repeat of {key} got {body!r}, not {self.answers.get(key)!r}")
                 tell(fault, *told)
 
-            claim(stile, key, token, left, patience, job, heard)
+            claim(sidecar, key, token, left, patience, job, heard)
 
         @wraps(take)
-        def taken(stile: Stile, rows: list[list[Any]]) -> None:
-            before = stile.items
-            take(stile, rows)
-            self._look(stile, before)
+        def taken(sidecar: Sidecar, rows: list[list[Any]]) -> None:
+            before = sidecar.items
+            take(sidecar, rows)
+            self._look(sidecar, before)
 
-        self._patch.setattr(Stile, "_claim", claimed)
-        self._patch.setattr(Stile, "_take_items", taken)
+        self._patch.setattr(Sidecar, "_claim", claimed)
+        self._patch.setattr(Sidecar, "_take_items", taken)
         return self
 
-    def _look(self, stile: Stile, before: catalog.Items) -> None:
+    def _look(self, sidecar: Sidecar, before: configuration.Items) -> None:
         for name, item in before.items():
-            if stile.items[name].version < item.version:
-                self.errors.append(f"{stile.me} went back from {name} r{item.version}")
-        for item in stile.items.values():
+            if sidecar.items[name].version < item.version:
+                self.errors.append(f"{sidecar.me} went back from {name} r{item.version}")
+        for item in sidecar.items.values():
             if item not in self.sent.get(item.name, ()):
-                self.errors.append(f"{item} is in force at {stile.me}, and nobody sent it")
+                self.errors.append(f"{item} is in force at {sidecar.me}, and nobody sent it")
             if '"nowhere"' in item.content:
-                self.errors.append(f"{item.name} r{item.version} is in force at {stile.me}, and is invalid")
+                self.errors.append(f"{item.name} r{item.version} is in force at {sidecar.me}, and is invalid")
 
     # --- faults
 
     def strike(self, name: str) -> None:
-        """One fault, of a kind that is drawn, at the barn where a point was reached or anywhere."""
+        """One fault, of a kind that is drawn, at the controller where a point was reached or anywhere."""
         draw = self.draw
         kind = draw.choice(FAULTS)
         self.counts[f"fault {kind.__name__}"] += 1
         kind(self, name)
 
     def lose(self, name: str, back_s: float) -> bool:
-        """Wipe a barn, if the budget has room for one more."""
+        """Wipe a controller, if the budget has room for one more."""
         self.wiped -= {one for one in self.counting() if self._whole_disk(one)}
         if len(self.wiped | {name}) > self.losses:
             return False
@@ -136,7 +144,7 @@
 
     # --- what a run leaves
 
-    def answer(self, name: str, key: str, fault: Fault | None) -> None:
+    def answer(self, name: str, key: str, fault: ErrorKind | None) -> None:
         """The claimant that ran a key tells what became of it."""
         process = self.machines[name].process
         token = self.keys[key].ran[0]
@@ -155,7 +163,7 @@
 
 
 def power_of_all(world: Round, name: str) -> None:
-    for one in world.barns:
+    for one in world.controllers:
         world.power_off(one, world.draw.uniform(0.1, 1.0))
 
 
@@ -164,10 +172,10 @@
 
 
 def kill_of_all(world: Round, name: str) -> None:
-    for one in world.barns:
+    for one in world.controllers:
         world.kill(one, world.draw.uniform(0.1, 1.0))
-    for one in world.stiles:
-        _stile(world, one)
+    for one in world.sidecars:
+        _sidecar(world, one)
 
 
 def loss_of_one(world: Round, name: str) -> None:
@@ -176,41 +184,42 @@
 
 def loss_while_all_others_lose_power(world: Round, name: str) -> None:
     if world.lose(name, world.draw.uniform(0.01, 1.0)):
-        for one in world.barns:
+        for one in world.controllers:
             if one != name:
                 world.power_off(one, world.draw.uniform(0.1, 1.0))
 
 
-def end_of_a_stile(world: Round, name: str) -> None:
-    _stile(world, world.draw.choice(world.stiles))
+def end_of_a_sidecar(world: Round, name: str) -> None:
+    _sidecar(world, world.draw.choice(world.sidecars))
 
 
-def _stile(world: Round, name: str) -> None:
+def _sidecar(world: Round, name: str) -> None:
     process = world.machines[name].process
     if process is not None and process.alive:
         world.kill(name)
-        world.after(world.draw.uniform(0.1, 0.8), lambda: world.start_stile(name))
+        world.after(world.draw.uniform(0.1, 0.8), lambda: world.start_sidecar(name))
 
 
 def freeze(world: Round, name: str) -> None:
-    one = world.draw.choice([name, world.draw.choice([*world.barns, *world.stiles])])
+    one = world.draw.choice([name, world.draw.choice([*world.controllers, *world.sidecars])])
     process = world.machines[one].process
     if process is not None and process.alive and not process.frozen:
         world.freeze(one, world.draw.choice((0.2, 0.6, 1.2, 3.0)))
 
 
 def cut_of_one(world: Round, name: str) -> None:
-    one = world.draw.choice([name, world.draw.choice([*world.barns, *world.stiles])])
+    one = world.draw.choice([name, world.draw.choice([*world.controllers, *world.sidecars])])
     others = [other for other in world.machines if other != one]
     far = world.draw.sample(others, world.draw.randint(1, 4))
     world.cut(one, world.draw.choice((0.3, 0.7, 1.5, 3.0)), far)
 
 
 def loss_behind_a_cut(world: Round, name: str) -> None:
-    """A claimant reaches one barn alone, which then loses its disk; then others claim what it has claimed."""
+    """A claimant reaches one controller alone, which then loses its disk; then others claim what it has
+    claimed."""
     draw = world.draw
-    others = [barn for barn in world.barns if barn != name]
-    one, *rest = draw.sample(world.stiles, len(world.stiles))
+    others = [controller for controller in world.controllers if controller != name]
+    one, *rest = draw.sample(world.sidecars, len(world.sidecars))
     key = draw.choice(KEYS)
     world.cut(one, draw.uniform(0.3, 1.0), others)
     _claims(world, one, key)
@@ -226,8 +235,8 @@
 
 
 def split(world: Round, name: str) -> None:
-    """Some barns and stiles on one side, the rest on the other."""
-    everyone = [*world.barns, *world.stiles]
+    """Some controllers and sidecars on one side, the rest on the other."""
+    everyone = [*world.controllers, *world.sidecars]
     here = {name, *world.draw.sample(everyone, len(everyone) // 2)}
     for_s = world.draw.choice((0.5, 1.5, 3.5))
     for one in here:
@@ -245,21 +254,35 @@
 
 
 def answer_of_long_ago(world: Round, name: str) -> None:
-    """An answer from a window long gone comes to a barn that has this window's."""
-    role = world.barn(name)
+    """An answer from a window long gone comes to a controller that has this window's."""
+    role = world.controller(name)
     process = world.machines[name].process
     for key in KEYS if role is not None and process is not None else ():
         grant = role.keys._grants.get(key)
         if grant is not None and grant.mark == Mark.DONE:
             for end in list(process.ends)[:1]:
-                end.take(pack([Word.DONE, key, "long ago", [200, [], b"of long ago"]]))
+                end.take(pack([MessageKind.DONE, key, "long ago", [200, [], b"of long ago"]]))
 
 
 FAULTS: tuple[Callable[[Round, str], None], ...] = (
-    power_of_one, power_of_all, kill_of_one, kill_of_all, loss_of_one, loss_of_one,
-    loss_behind_a_cut, loss_while_all_others_lose_power, end_of_a_stile, freeze, freeze, cut_of_one,
-    cut_of_one, split, refusing_disk, hanging_disk, answer_of_long_ago,
-)  # fmt: skip
+    power_of_one,
+    power_of_all,
+    kill_of_one,
+    kill_of_all,
+    loss_of_one,
+    loss_of_one,
+    loss_behind_a_cut,
+    loss_while_all_others_lose_power,
+    end_of_a_sidecar,
+    freeze,
+    freeze,
+    cut_of_one,
+    cut_of_one,
+    split,
+    refusing_disk,
+    hanging_disk,
+    answer_of_long_ago,
+)
 
 
 # --- who does what
@@ -290,10 +313,12 @@
 
 def overtaken(world: Round, body: bytes) -> bool:
     """Whether what stands somewhere is as new as all of a change: it has no effect then, and gets 200."""
-    held = [barn.items for name in world.barns if (barn := world.barn(name)) is not None]
+    held = [
+        controller.items for name in world.controllers if (controller := world.controller(name)) is not None
+    ]
     return all(
         any(item.name in items and items[item.name].version >= item.version for items in held)
-        for item in catalog.read(body).ok
+        for item in configuration.read(body).ok
     )
 
 
@@ -302,7 +327,7 @@
     draw = world.draw
     for _ in range(draw.randint(3, 6)):
         body, proper = _made(world)
-        status = await world.patch(draw.randrange(len(world.barns)), body, tries=draw.randint(1, 5))
+        status = await world.patch(draw.randrange(len(world.controllers)), body, tries=draw.randint(1, 5))
         world.counts[f"changes {status}"] += 1
         if status == 200 and not proper and not overtaken(world, body):
             raise Broken(f"invalid, and acknowledged: {body.decode()}")
@@ -323,39 +348,52 @@
             if outcome == ["RUN"]:
                 await asyncio.sleep(draw.choice((0.0, 0.01, 0.3)))
                 if draw.random() < 0.8 and world.machines[name].process is process and process.alive:
-                    world.answer(name, key, Fault.BROKEN if draw.random() < 0.2 else None)
+                    world.answer(name, key, ErrorKind.BROKEN if draw.random() < 0.2 else None)
         await asyncio.sleep(draw.uniform(0.0, 0.3))
 
 
 async def story(world: Round) -> None:
     """All of a round but its end."""
     await ready(world)  # type: ignore[arg-type]
-    if not await until(lambda: all(world.machines[name].process.role.voters for name in world.stiles)):
-        raise Broken("stiles have heard of no voters")
+    if not await until(lambda: all(world.machines[name].process.role.voters for name in world.sidecars)):
+        raise Broken("sidecars have heard of no voters")
     draw, base = world.draw, world.points
     for _ in range(draw.randint(1, 5)):
         world.strikes[base + draw.randint(1, SPAN)] = world.strike
-    await asyncio.gather(operate(world), operate(world), *(use(world, name) for name in world.stiles))
+    await asyncio.gather(operate(world), operate(world), *(use(world, name) for name in world.sidecars))
     world.strikes.clear()
     await asyncio.sleep(4.0)  # the last fault is over, and whoever was ended is there again
 
 
 def differ(world: Round) -> list[str]:
-    """What barns hold differently; where they agree, what stiles hold that they don't."""
-    held = {name: barn.items for name in world.barns if (barn := world.barn(name)) is not None}
-    first = held.get(world.barns[0], catalog.EMPTY)
+    """What controllers hold differently; where they agree, what sidecars hold that they don't."""
+    held = {
+        name: controller.items
+        for name in world.controllers
+        if (controller := world.controller(name)) is not None
+    }
+    first = held.get(world.controllers[0], configuration.EMPTY)
     found = [
-        f"copies differ: {item} at {world.barns[0]}, {items.get(item.name)} at {name}"
-        for name, items in held.items() for item in first.values() if items.get(item.name) != item
-    ]  # fmt: skip
-    if len(held) < len(world.barns) or any(len(items) != len(first) for items in held.values()) or found:
+        f"copies differ: {item} at {world.controllers[0]}, {items.get(item.name)} at {name}"
+        for name, items in held.items()
+        for item in first.values()
+        if items.get(item.name) != item
+    ]
+    if (
+        len(held) < len(world.controllers)
+        or any(len(items) != len(first) for items in held.values())
+        or found
+    ):
         return found or ["copies differ in what they have"]
-    for name in world.stiles:
+    for name in world.sidecars:
         process = world.machines[name].process
         assert process is not None
         items = process.role.items
-        found += [f"{item} is in force at {name}, and no barn has it" for item in items.values()
-                  if first.get(item.name) != item]  # fmt: skip
+        found += [
+            f"{item} is in force at {name}, and no controller has it"
+            for item in items.values()
+            if first.get(item.name) != item
+        ]
         found += [f"{item} is not in force at {name}" for item in first.values() if item.name not in items]
     return found
 
@@ -365,10 +403,10 @@
     await aftermath(world)  # type: ignore[arg-type]
     if not await until(lambda: not differ(world), AGREE_S):
         raise Broken(differ(world)[0])
-    stile = world.machines[world.stiles[0]].process
-    assert stile is not None
-    held = stile.role.items
-    for clash in catalog.table(held)[1]:
+    sidecar = world.machines[world.sidecars[0]].process
+    assert sidecar is not None
+    held = sidecar.role.items
+    for clash in configuration.table(held)[1]:
         for name in clash.names:
             newest = max((item.version for item in world.acked.get(name, ())), default=-1)
             if name.startswith("route/") and newest == held[name].version and held[name].content:
@@ -429,33 +467,39 @@
 
 
 @pytest.mark.parametrize("seed", KEPT)
-def test_no_stile_goes_on_with_what_no_barn_has(seed: int) -> None:
+def test_no_sidecar_goes_on_with_what_no_controller_has(seed: int) -> None:
     play(seed)
 
 
 async def written_late(world: World) -> None:
-    """A change that only a barn's memory has; then all barns lose power, and are back."""
+    """A change that only a controller's memory has; then all controllers lose power, and are back."""
     await ready(world)
-    status = asyncio.ensure_future(world.ask(world.barns[0], b"PATCH", change((), [route("x", 1, "/p/")])))
-    process = world.machines[world.stiles[0]].process
+    status = asyncio.ensure_future(
+        world.ask(world.controllers[0], b"PATCH", change((), [route("x", 1, "/p/")]))
+    )
+    process = world.machines[world.sidecars[0]].process
     assert process is not None
 
-    def found(holds: Callable[[Barn], bool]) -> bool:
-        return any(holds(barn) for name in world.barns if (barn := world.barn(name)) is not None)
+    def found(holds: Callable[[Controller], bool]) -> bool:
+        return any(
+            holds(controller)
+            for name in world.controllers
+            if (controller := world.controller(name)) is not None
+        )
 
-    while not found(lambda barn: barn.agreement.replica.open is not None):
+    while not found(lambda controller: controller.agreement.replica.open is not None):
         await asyncio.sleep(0.0005)
-        if found(lambda barn: barn.agreement.replica.granted != FIRST):
+        if found(lambda controller: controller.agreement.replica.granted != FIRST):
             world.sync_s = (0.5, 0.6)  # promises lie on the disk, the change does not
-    for name in world.barns:
+    for name in world.controllers:
         world.power_off(name, 0.3)
     world.sync_s = (0.002, 0.006)
     assert (await status)[0] == 0
-    assert await until(lambda: world.counting() == world.barns)
+    assert await until(lambda: world.counting() == world.controllers)
     await asyncio.sleep(AGREE_S)
-    if "route/x" in process.role.items and not found(lambda barn: "route/x" in barn.items):
-        raise Broken("route/x is in force at a stile, and no barn has it")
-    assert not found(lambda barn: "route/x" in barn.items), "it was to be lost"
+    if "route/x" in process.role.items and not found(lambda controller: "route/x" in controller.items):
+        raise Broken("route/x is in force at a sidecar, and no controller has it")
+    assert not found(lambda controller: "route/x" in controller.items), "it was to be lost"
 
 
 def test_a_change_that_no_disk_took_is_in_force_nowhere() -> None:
@@ -463,21 +507,21 @@
 
 
 async def lost_as_it_counts(world: World) -> None:
-    """A wiped barn counts again; in that moment it loses power, and another barn its disk."""
+    """A wiped controller counts again; in that moment it loses power, and another controller its disk."""
     await ready(world)
-    first, other, last = world.barns
+    first, other, last = world.controllers
     world.wipe(first, 0.01)
-    barn = None
-    while barn is None or not barn.counts:
+    controller = None
+    while controller is None or not controller.counts:
         await asyncio.sleep(0.001)
-        barn = world.barn(first)
+        controller = world.controller(first)
     world.power_off(first, 0.3)
     world.wipe(other, 0.3)
-    if not await until(lambda: world.counting() == world.barns):
+    if not await until(lambda: world.counting() == world.controllers):
         raise Broken(f"only {world.counting()} came to count")
 
 
-def test_a_barn_that_counts_bears_the_loss_of_another() -> None:
+def test_a_controller_that_counts_bears_the_loss_of_another() -> None:
     _directed(World(), lost_as_it_counts)
 
 
@@ -495,12 +539,13 @@
 
 
 def no_wait(patch: pytest.MonkeyPatch) -> None:
-    """A wiped barn does not wait until claims that it may have granted are void."""
-    patch.setattr(barns, "CLAIM_S", 0.0)
+    """A wiped controller does not wait until claims that it may have granted are void."""
+    patch.setattr(controllers, "CLAIM_S", 0.0)
 
 
 def second_answer(patch: pytest.MonkeyPatch) -> None:
     """A second answer takes the first one's place."""
+
     def done(keys: Registry, now: float, key: str, token: str, answer: Any) -> bool:
         grant = keys.look(now, key)
         expires = grant.expires if grant is not None else now + keys._window
@@ -512,6 +557,7 @@
 
 def no_promises(patch: pytest.MonkeyPatch) -> None:
     """Whoever proposes a change has it accepted, whatever was promised and whatever came before."""
+
     def accept(replica: Replica, ballot: Ballot, sequence: int, items: tuple[Item, ...]) -> Replica:
         return replica._replace(draft=Draft(replica.sequence + 1, ballot, items))
 
@@ -521,10 +567,11 @@
 
 def by_arrival(patch: pytest.MonkeyPatch) -> None:
     """What comes last stands."""
-    def merge(items: catalog.Items, news: Iterable[Item]) -> catalog.Items:
+
+    def merge(items: configuration.Items, news: Iterable[Item]) -> configuration.Items:
         return items.update({item.name: item for item in news})
 
-    patch.setattr(catalog, "merge", merge)
+    patch.setattr(configuration, "merge", merge)
 
 
 DEFENCES: dict[Callable[[pytest.MonkeyPatch], None], tuple[tuple[int, ...], str]] = {
--- a/tests/orchard/test_orchard_stile.py
+++ b/tests/mesh/test_mesh_sidecar.py
@@ -7,11 +7,12 @@
 
 from hollyport.http.back import Reply
 from hollyport.http.message import Message
-from orchard import catalog, settings
-from orchard.age import SURE
-from orchard.faults import ANSWERS, PROMISES, Fault
-from orchard.stile import Stile
-from orchard.words import Record, Word
+from mesh import settings
+from mesh.errors import ANSWERS, PROMISES, ErrorKind
+from mesh.proxy.request_age import SURE
+from mesh.proxy.sidecar import Sidecar
+from mesh.state import configuration
+from mesh.transport.messages import MessageKind, Record
 
 SETTINGS = """
 node_name = "n1"
@@ -25,15 +26,27 @@
 
 
 def rule(name, variant):
-    return {"name": name, "variant": variant, "target": "200ms", "revision": "r1",
-            "matcher": {"path_prefix": f"/{name}/"},
-            "effect": {"service": "meals", "timeout": "900ms", "max_attempts": 2}}
-
-
-ITEMS = {"upserts": {
-    "listener_list": [{"hostname": "a.example", "rule_set": [
-        rule(name, name) for name in ("pure", "effectful", "idempotent", "upload")]}],
-    "cluster_list": [{"name": name, "revision": "r1"} for name in ("berths", "meals")]}}
+    return {
+        "name": name,
+        "variant": variant,
+        "target": "200ms",
+        "revision": "r1",
+        "matcher": {"path_prefix": f"/{name}/"},
+        "effect": {"service": "meals", "timeout": "900ms", "max_attempts": 2},
+    }
+
+
+ITEMS = {
+    "upserts": {
+        "listener_list": [
+            {
+                "hostname": "a.example",
+                "rule_set": [rule(name, name) for name in ("pure", "effectful", "idempotent", "upload")],
+            }
+        ],
+        "cluster_list": [{"name": name, "revision": "r1"} for name in ("berths", "meals")],
+    }
+}
 
 
 class Ear:
@@ -46,7 +59,7 @@
 
 
 class Link:
-    """A furrow to another stile or barn: what was said there."""
+    """A connection to another sidecar or controller: what was said there."""
 
     def __init__(self, peer=""):
         self.said, self.peer, self.waits = [], peer, 0
@@ -62,27 +75,31 @@
 
 
 class Scene:
-    """One stile that knows three others of the service `meals`."""
+    """One sidecar that knows three others of the service `meals`."""
 
     def __init__(self, version=0, more=""):
-        self.stile = Stile(settings.read(SETTINGS + more).ok)
-        self.stile._take_items([list(item) for item in catalog.read(json.dumps(ITEMS).encode()).ok])
+        self.sidecar = Sidecar(settings.read(SETTINGS + more).ok)
+        self.sidecar._take_items([list(item) for item in configuration.read(json.dumps(ITEMS).encode()).ok])
         self.links = {}
         for number, zone in enumerate(("east", "west", "south"), 2):
             node = f"n{number}"
             record = [node, f"192.0.2.{number}:7000", zone, "meals", f"i-{number}", 5, True, 0.0, 1, 1]
-            self.stile._take_record([*record, version])
+            self.sidecar._take_record([*record, version])
             self.links[node] = Link(node)
-            self.stile._bed_up(node, self.links[node])
+            self.sidecar._endpoint_up(node, self.links[node])
 
     def ask(self, variant="pure", headers=(), deadline=b"800", path=None, body=b""):
         ear = Ear()
         message = Message(ear)
         message.method, message.target = b"POST", (path or f"/{variant}/x?q=1").encode()
-        message.headers = [(b"host", b"a.example:80"), (b"x-attempt-id", b"t1"),
-                           (b"x-deadline-ms", deadline), *headers]
+        message.headers = [
+            (b"host", b"a.example:80"),
+            (b"x-attempt-id", b"t1"),
+            (b"x-deadline-ms", deadline),
+            *headers,
+        ]
         message.body = body
-        self.stile.serve(message)
+        self.sidecar.serve(message)
         ear.message = message
         return ear
 
@@ -91,15 +108,16 @@
 
     def end(self, offer, fault=0, arrived=True, status=200, body=b"whole"):
         headers = [(b"x-server-seal", b"s")]
-        self.stile._told(offer[1], int(fault), arrived, status, headers, body)
+        self.sidecar._told(offer[1], int(fault), arrived, status, headers, body)
 
 
 def played(test, version=0, more=""):
     """Run a test in a loop: timers are made, none comes due."""
+
     async def play(*args):
         scene = Scene(version, more)
         test(scene, *args)
-        for dial in [*scene.stile._bed_dials.values(), *scene.stile._barn_dials.values()]:
+        for dial in [*scene.sidecar._endpoint_dials.values(), *scene.sidecar._controller_dials.values()]:
             dial.stop()
 
     def run(*args):
@@ -123,7 +141,9 @@
     assert not {b"x-caller-service", b"x-own", b"connection", b"x-deadline-ms"} & set(names)
     scene.end(offer)
     assert (ear.status, ear.body) == (200, b"whole")
-    assert scene.stile._open_trips == 0 and all(bed.inflight == 0 for bed in scene.stile.beds.values())
+    assert scene.sidecar._open_requests == 0 and all(
+        endpoint.inflight == 0 for endpoint in scene.sidecar.endpoints.values()
+    )
 
 
 def test_a_request_is_offered_once_with_the_caller_of_this_machine_and_answered_once():
@@ -145,15 +165,25 @@
         assert (b"Retry-After" in ear.headers) == (fault in PROMISES)
 
 
-@pytest.mark.parametrize(("variant", "fault", "arrived", "again", "status"), [
-    ("pure", Fault.FULL, False, True, 0), ("pure", Fault.LEAVING, False, True, 0),
-    ("pure", Fault.BROKEN, True, True, 0), ("pure", Fault.LATE, True, False, 504),
-    ("effectful", Fault.FULL, False, True, 0), ("effectful", Fault.FULL, True, True, 0),
-    ("effectful", Fault.BROKEN, True, False, 502), ("effectful", Fault.LATE, True, False, 504),
-    ("upload", Fault.BROKEN, True, False, 502), ("upload", Fault.LEAVING, False, True, 0),
-    ("idempotent", Fault.BROKEN, True, False, 502), ("idempotent", Fault.AT_WORK, False, False, 409),
-    ("idempotent", Fault.LOST_KEY, False, False, 502), ("idempotent", Fault.REFUSED, False, True, 0),
-])
+@pytest.mark.parametrize(
+    ("variant", "fault", "arrived", "again", "status"),
+    [
+        ("pure", ErrorKind.FULL, False, True, 0),
+        ("pure", ErrorKind.LEAVING, False, True, 0),
+        ("pure", ErrorKind.BROKEN, True, True, 0),
+        ("pure", ErrorKind.LATE, True, False, 504),
+        ("effectful", ErrorKind.FULL, False, True, 0),
+        ("effectful", ErrorKind.FULL, True, True, 0),
+        ("effectful", ErrorKind.BROKEN, True, False, 502),
+        ("effectful", ErrorKind.LATE, True, False, 504),
+        ("upload", ErrorKind.BROKEN, True, False, 502),
+        ("upload", ErrorKind.LEAVING, False, True, 0),
+        ("idempotent", ErrorKind.BROKEN, True, False, 502),
+        ("idempotent", ErrorKind.AT_WORK, False, False, 409),
+        ("idempotent", ErrorKind.LOST_KEY, False, False, 502),
+        ("idempotent", ErrorKind.REFUSED, False, True, 0),
+    ],
+)
 def test_a_second_server_only_where_that_can_do_no_harm(variant, fault, arrived, again, status):
     _after(variant, fault, arrived, again, status)
 
@@ -162,10 +192,10 @@
 def _broken_hop(scene, variant, again):
     ear = scene.ask(variant)
     ((node, _, _),) = scene.offers()
-    scene.stile._bed_down(node, scene.links[node])
+    scene.sidecar._endpoint_down(node, scene.links[node])
     assert len(scene.offers()) == 1 + again
     assert ear.status == (0 if again else 502)
-    assert not scene.stile._usable(scene.stile.beds[node])
+    assert not scene.sidecar._usable(scene.sidecar.endpoints[node])
 
 
 @pytest.mark.parametrize(("variant", "again"), [("pure", True), ("effectful", False), ("idempotent", False)])
@@ -177,9 +207,9 @@
 def _never_a_promise_after_doubt(scene):
     ear = scene.ask("pure")
     (first,) = scene.offers()
-    scene.end(first, Fault.BROKEN)
+    scene.end(first, ErrorKind.BROKEN)
     second = next(offer for offer in scene.offers() if offer[1] != first[1])
-    scene.end(second, Fault.FULL, False)
+    scene.end(second, ErrorKind.FULL, False)
     assert ear.status not in (503, 429, 421, 408)
 
 
@@ -194,7 +224,7 @@
     for _ in range(3):
         offer = next(offer for offer in scene.offers() if offer[1] not in seen)
         seen.add(offer[1])
-        scene.end(offer, Fault.FULL, False)
+        scene.end(offer, ErrorKind.FULL, False)
     assert ear.status == 503 and b"Retry-After" in ear.headers and len(scene.offers()) == 3
 
 
@@ -206,19 +236,19 @@
 def _overdue(scene, variant, offered):
     ear = scene.ask(variant)
     (first,) = scene.offers()
-    scene.stile._overdue(first[1])
+    scene.sidecar._overdue(first[1])
     assert len(scene.offers()) == offered
-    scene.stile._overdue(first[1])
+    scene.sidecar._overdue(first[1])
     assert len(scene.offers()) == offered, "offered a third time"
     if offered == 2:
         second = next(offer for offer in scene.offers() if offer[1] != first[1])
-        scene.end(second, Fault.BROKEN)
+        scene.end(second, ErrorKind.BROKEN)
         assert ear.status == 0, "the first may still answer"
         scene.end(first)
         assert ear.status == 200
     else:
         scene.end(first)
-    assert scene.stile._open_trips == 0
+    assert scene.sidecar._open_requests == 0
 
 
 @pytest.mark.parametrize(("variant", "offered"), [("pure", 2), ("effectful", 1), ("idempotent", 1)])
@@ -230,10 +260,10 @@
 def _two_answers(scene):
     ear = scene.ask("pure")
     (first,) = scene.offers()
-    scene.stile._overdue(first[1])
+    scene.sidecar._overdue(first[1])
     for offer in scene.offers():
         scene.end(offer)
-    assert ear.status == 200 and scene.stile._open_trips == 0
+    assert ear.status == 200 and scene.sidecar._open_requests == 0
 
 
 def test_of_two_answers_the_first_counts_and_the_other_goes_nowhere():
@@ -258,8 +288,8 @@
 def _half(scene):
     ear = scene.ask("pure", deadline=b"800")
     (first,) = scene.offers()
-    scene.stile._asks[first[1]][0].offered_until = 0.0  # a fifth of its time is gone
-    scene.end(first, Fault.FULL, False)
+    scene.sidecar._asks[first[1]][0].offered_until = 0.0  # a fifth of its time is gone
+    scene.end(first, ErrorKind.FULL, False)
     assert ear.status == 503 and len(scene.offers()) == 1
 
 
@@ -270,29 +300,31 @@
 @played
 def _keyless(scene):
     sent = []
-    stile = scene.stile
-    stile.plot.life("i-1", 5, 0.0, True)
-    stile.voters, stile._enough = ("b1", "b2", "b3"), 2
+    sidecar = scene.sidecar
+    sidecar.server_queue.life("i-1", 5, 0.0, True)
+    sidecar.voters, sidecar._enough = ("b1", "b2", "b3"), 2
     ask = ["berths", "c", b"POST", b"/x", [], b"", 1.0, 0.2, b"t", "key", "k", False, False]
     link = Link()
     link.send = sent.append
-    stile._asked(link, 7, ask)
-    assert [(said[0], said[1], Fault(said[2])) for said in sent] == [(Word.TOLD, 7, Fault.REFUSED)]
-    assert stile._open_jobs == 0 and not stile._claims
+    sidecar._asked(link, 7, ask)
+    assert [(said[0], said[1], ErrorKind(said[2])) for said in sent] == [
+        (MessageKind.TOLD, 7, ErrorKind.REFUSED)
+    ]
+    assert sidecar._open_jobs == 0 and not sidecar._claims
 
 
-def test_without_barns_a_keyed_request_is_given_back_at_once_and_unrun():
+def test_without_controllers_a_keyed_request_is_given_back_at_once_and_unrun():
     _keyless()
 
 
 @played
 def _leaving(scene):
-    scene.stile.leaving = scene.stile.closed = True
+    scene.sidecar.leaving = scene.sidecar.closed = True
     ear = scene.ask("pure")
     assert ear.status == 503 and b"Retry-After" in ear.headers and not scene.offers()
 
 
-def test_a_stile_that_closes_refuses_at_once_what_still_comes():
+def test_a_sidecar_that_closes_refuses_at_once_what_still_comes():
     _leaving()
 
 
@@ -300,15 +332,15 @@
 def _strange(scene):
     assert scene.ask(path="/other/x").status == 404
     assert scene.ask(deadline=b"soon").status == 400
-    record = [*scene.stile._records["n2"]]
+    record = [*scene.sidecar._records["n2"]]
     record[Record.OPEN], record[Record.NUMBER] = False, 2
     for node in ("n3", "n4"):
-        scene.stile._bed_down(node, scene.links[node])
-    scene.stile._hear(scene.links["n2"], [Word.LEAVING, record])
+        scene.sidecar._endpoint_down(node, scene.links[node])
+    scene.sidecar._hear(scene.links["n2"], [MessageKind.LEAVING, record])
     assert scene.ask().status == 503
     old = [*record]
     old[Record.OPEN], old[Record.NUMBER] = True, 1
-    scene.stile._hear(scene.links["n2"], [Word.BEDS, [old]])
+    scene.sidecar._hear(scene.links["n2"], [MessageKind.ENDPOINTS, [old]])
     assert scene.ask().status == 503, "an older record came back"
 
 
@@ -318,11 +350,11 @@
 
 @played
 def _versions(scene, ask, left_out):
-    stile = scene.stile
-    stile.plot.life("i-1", 5, 0.0, True)
+    sidecar = scene.sidecar
+    sidecar.server_queue.life("i-1", 5, 0.0, True)
     sent = []
-    stile.plot.submit = sent.append
-    stile._asked(Link(), 1, [*ask[:left_out], *(["more"] if left_out is None else [])])
+    sidecar.server_queue.submit = sent.append
+    sidecar._asked(Link(), 1, [*ask[:left_out], *(["more"] if left_out is None else [])])
     assert len(sent) == 1 and sent[0].overdue is None
 
 
@@ -331,16 +363,26 @@
     _versions(["berths", "c", b"GET", b"/x", [], b"", 1.0, 0.2, b"t", "", "k", False, False], left_out)
 
 
-@pytest.mark.parametrize(("status", "headers", "whole"), [
-    (200, [(b"x-server-seal", b"s")], True), (200, [], False), (404, [], True), (500, [], True),
-    (503, [], False), (429, [], False), (421, [], False), (408, [], False), (302, [], False),
-    (200, [(b"x-server-seal", b"s"), (b"content-encoding", b"gzip")], False),
-])
+@pytest.mark.parametrize(
+    ("status", "headers", "whole"),
+    [
+        (200, [(b"x-server-seal", b"s")], True),
+        (200, [], False),
+        (404, [], True),
+        (500, [], True),
+        (503, [], False),
+        (429, [], False),
+        (421, [], False),
+        (408, [], False),
+        (302, [], False),
+        (200, [(b"x-server-seal", b"s"), (b"content-encoding", b"gzip")], False),
+    ],
+)
 def test_only_the_server_s_own_whole_answer_passes(status, headers, whole):
-    assert (Stile._judge(None, Reply(status, headers, b"")) is None) == whole
+    assert (Sidecar._judge(None, Reply(status, headers, b"")) is None) == whole
 
 
 def test_each_kind_of_fault_has_an_answer_and_promises_are_statuses_that_promise():
-    assert set(ANSWERS) == set(Fault)
+    assert set(ANSWERS) == set(ErrorKind)
     for kind, answer in ANSWERS.items():
         assert answer.promise == (answer.status in (503, 429, 421, 408)), kind
--- a/tests/orchard/test_orchard_voters.py
+++ b/tests/mesh/test_mesh_voters.py
@@ -1,4 +1,5 @@
-"""Voters that follow voters: real barns and claimants on fake time, struck at each point of a change."""
+"""Voters that follow voters: real controllers and claimants on fake time, struck at each point of a
+change."""
 
 from __future__ import annotations
 
@@ -12,9 +13,9 @@
 
 import cbor2
 import pytest
-from orchard_world import Broken, World, change, read_back, route, service
-from test_orchard_api import ME, Disk, make_barn
-from test_orchard_faults import (
+from mesh_world import Broken, World, change, read_back, route, service
+from test_mesh_api import ME, Disk, make_controller
+from test_mesh_faults import (
     NEWEST,
     WORKERS,
     cut_of_one,
@@ -22,15 +23,15 @@
     wipe_of_one,
     wipe_while_all_others_lose_power,
 )
-from test_orchard_faults import claimed as one_claim
-from test_orchard_faults import until as until_
+from test_mesh_faults import claimed as one_claim
+from test_mesh_faults import until as until_
 
-from orchard.ballot import Accepted, Ballot, Member, Patience, Proposal, Sight, Watch, plan
-from orchard.barn import Barn
-from orchard.keys import Registry
-from orchard.quorum import Voters
-from orchard.stile import Stile
-from orchard.words import Word
+from mesh.control.ballot import Accepted, Ballot, Member, Patience, PeerView, Proposal, Watch, plan
+from mesh.control.controller import Controller
+from mesh.proxy.sidecar import Sidecar
+from mesh.state.idempotency import Registry
+from mesh.state.quorum import Voters
+from mesh.transport.messages import MessageKind
 
 QUICK = '"catch_up=1s", "contact=1s"'  # replaced after 0.5 s, removed after 4 s, forgotten after 16 s
 SLOW = '"catch_up=8s", "contact=1s"'  # replaced after 4 s
@@ -38,29 +39,29 @@
 
 
 def voters(world: World, name: str) -> Voters:
-    barn = world.barn(name)
-    return barn.voters if barn is not None else Voters(0, ())
+    controller = world.controller(name)
+    return controller.voters if controller is not None else Voters(0, ())
 
 
 def newest(world: World) -> Voters:
-    return max(voters(world, name) for name in world.barns + world.spares)
+    return max(voters(world, name) for name in world.controllers + world.spares)
 
 
 def live(world: World) -> list[str]:
-    return [name for name in world.barns + world.spares if world.barn(name) is not None]
+    return [name for name in world.controllers + world.spares if world.controller(name) is not None]
 
 
 async def ready(world: World) -> None:
     """The first voters act, and the spares have caught up."""
-    if not await until_(lambda: world.counting() == world.barns):
+    if not await until_(lambda: world.counting() == world.controllers):
         raise Broken("no start")
     for name in world.spares:
-        world.start_barn(name)
-    if not await until_(lambda: world.counting() == world.barns + world.spares):
+        world.start_controller(name)
+    if not await until_(lambda: world.counting() == world.controllers + world.spares):
         raise Broken("the spares don't count")
     assert await world.patch(0, change([service("berths", 1)], [route("a", 1, "/a/")])) == 200
     for at in range(6):
-        assert await one_claim(world, world.stiles[at % 2], f"old {at}") == "RUN"
+        assert await one_claim(world, world.sidecars[at % 2], f"old {at}") == "RUN"
 
 
 async def busy(world: World, done: Callable[[], bool], limit_s: float = 30.0) -> None:
@@ -73,8 +74,8 @@
         if began > end and any(text == "others should vote" for _, _, text in world.said):
             began = world.now
         at += 1
-        outcomes.append(world.claim(world.stiles[at % 2], f"old {at % 6}"))
-        outcomes.append(world.claim(world.stiles[at % 2], f"both {at // 4}"))
+        outcomes.append(world.claim(world.sidecars[at % 2], f"old {at % 6}"))
+        outcomes.append(world.claim(world.sidecars[at % 2], f"both {at // 4}"))
         if at % 8 == 0:
             body = change([service("berths", 2 + at)])
             patches.add(asyncio.ensure_future(world.patch(at, body, 3)))
@@ -87,6 +88,7 @@
 
 async def afterwards(world: World, epoch: int) -> None:
     """All that live count in an epoch from that one on, and what was promised holds."""
+
     def whole() -> bool:
         now = newest(world)
         counting = [name for name in world.counting() if voters(world, name) == now]
@@ -105,12 +107,12 @@
             raise Broken(f"{name} can't be read")
         read_back(world, body)
     for at, key in enumerate(sorted(world.keys)[:40]):
-        await one_claim(world, world.stiles[at % 2], key)
-    names = world.barns = live(world)
+        await one_claim(world, world.sidecars[at % 2], key)
+    names = world.controllers = live(world)
     if await world.patch(len(names) - 1, change([service("crew", NEWEST)])) != 200:
         raise Broken("no change is taken any more")
     for at in range(10):
-        if await one_claim(world, world.stiles[0], f"new {at}") == "RUN":
+        if await one_claim(world, world.sidecars[0], f"new {at}") == "RUN":
             return
         await asyncio.sleep(0.2)
     raise Broken("no key is granted any more")
@@ -136,7 +138,7 @@
 async def one_goes(world: World) -> None:
     """A voter that has the duty is gone for good, and the spare takes its place."""
     await ready(world)
-    gone = world.barns[0]
+    gone = world.controllers[0]
     world.power_off(gone)
     await busy(world, lambda: settled(world, 1 if gone in live(world) else 2))
     await afterwards(world, 1 if gone in live(world) else 2)
@@ -184,7 +186,7 @@
 
 
 def removed_comes_back(world: World, name: str) -> None:
-    world.start_barn(world.barns[0])
+    world.start_controller(world.controllers[0])
 
 
 def window(world: World) -> tuple[int, int]:
@@ -195,12 +197,18 @@
 
 Case = tuple[Callable[[int], World], Callable[[World], Coroutine[Any, Any, None]], Strike, int]
 CASES: tuple[Case, ...] = (  # with every how many-th point
-    (goes, one_goes, power_of_one, 3), (goes, one_goes, power_of_all_there, 1),
-    (goes, one_goes, kill_of_all_there, 3), (goes, one_goes, cut_of_one, 3),
-    (goes, one_goes, proposer_dies, 1), (goes, one_goes, proposer_stays_away, 3),
-    (goes, one_goes, freeze_of_one, 3), (goes, one_goes, removed_comes_back, 2),
-    (come, two_come, wipe_of_one, 1), (come, two_come, power_of_all_there, 3),
-    (come, two_come, proposer_stays_away, 3), (come, two_come, wipe_while_all_others_lose_power, 2),
+    (goes, one_goes, power_of_one, 3),
+    (goes, one_goes, power_of_all_there, 1),
+    (goes, one_goes, kill_of_all_there, 3),
+    (goes, one_goes, cut_of_one, 3),
+    (goes, one_goes, proposer_dies, 1),
+    (goes, one_goes, proposer_stays_away, 3),
+    (goes, one_goes, freeze_of_one, 3),
+    (goes, one_goes, removed_comes_back, 2),
+    (come, two_come, wipe_of_one, 1),
+    (come, two_come, power_of_all_there, 3),
+    (come, two_come, proposer_stays_away, 3),
+    (come, two_come, wipe_while_all_others_lose_power, 2),
 )
 
 
@@ -229,9 +237,9 @@
         return {job: broken for job, broken in found if broken}
 
 
-@pytest.mark.parametrize("case", range(len(CASES)), ids=[
-    f"{story.__name__}-{strike.__name__}" for _, story, strike, _ in CASES
-])
+@pytest.mark.parametrize(
+    "case", range(len(CASES)), ids=[f"{story.__name__}-{strike.__name__}" for _, story, strike, _ in CASES]
+)
 def test_whatever_strikes_while_voters_change_nothing_promised_is_lost(case: int) -> None:
     make, story, _, every = CASES[case]
     world = play(make(1), story)
@@ -246,10 +254,10 @@
 
     async def story(world: World) -> None:
         await ready(world)
-        world.power_off(world.barns[0])
+        world.power_off(world.controllers[0])
         await until_(lambda: any(text == "others should vote" for _, _, text in world.said), 20.0)
         at["began"] = world.now
-        outcomes = [world.claim(name, f"under way {at_}") for at_ in range(4) for name in world.stiles[:1]]
+        outcomes = [world.claim(name, f"under way {at_}") for at_ in range(4) for name in world.sidecars[:1]]
         await until_(lambda: all(outcomes))
         assert [outcome for [outcome] in outcomes] == ["RUN"] * 4
         await until_(lambda: settled(world, 2))
@@ -260,22 +268,22 @@
 
 
 def rivals(seed: int) -> World:
-    """Two barns or three propose at about the same time, each its own wish."""
+    """Two controllers or three propose at about the same time, each its own wish."""
     world = World(seed=seed, spares=2, bounds=QUICK)
 
     async def story(world: World) -> None:
         await ready(world)
-        a, b, c = (f"{name}:7000" for name in world.barns)
+        a, b, c = (f"{name}:7000" for name in world.controllers)
         d, e = (f"{name}:7000" for name in world.spares)
         wishes = [(a, b, d), (b, c, e), (a, d, e)]
 
         async def wish(at: int) -> None:
             await asyncio.sleep(world.random.uniform(0, 0.012))
-            barn = world.barn(world.barns[at])
-            assert barn is not None
+            controller = world.controller(world.controllers[at])
+            assert controller is not None
             for _ in range(4):
-                world.machines[barn.me[:-5]].process.soon(  # type: ignore[union-attr]
-                    lambda: barn.voters.epoch == 1 and barn._task(barn._propose(wishes[at]))
+                world.machines[controller.me[:-5]].process.soon(  # type: ignore[union-attr]
+                    lambda: controller.voters.epoch == 1 and controller._task(controller._propose(wishes[at]))
                 )
                 await asyncio.sleep(world.random.uniform(0, 0.3))
 
@@ -308,14 +316,14 @@
 
 
 def test_found_if_new_voters_count_without_hearing_those_before(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def at_once(barn: Barn, told: Voters, sealed: bool) -> bool:
+    async def at_once(controller: Controller, told: Voters, sealed: bool) -> bool:
         if not sealed:
-            return bool(await hear_all(barn, told, sealed))
-        barn.member.settle(barn.voters.epoch)
+            return bool(await hear_all(controller, told, sealed))
+        controller.member.settle(controller.voters.epoch)
         return True
 
-    hear_all = Barn._hear_all
-    monkeypatch.setattr(Barn, "_hear_all", at_once)
+    hear_all = Controller._hear_all
+    monkeypatch.setattr(Controller, "_hear_all", at_once)
     with pytest.raises(Broken, match="twice|by enough"):
         for seed in range(6):
             play(goes(seed), one_goes)
@@ -328,43 +336,55 @@
             play(goes(seed), one_goes)
 
 
-take_voters = Stile._take_voters
+take_voters = Sidecar._take_voters
 
 
 async def late_grant(world: World) -> None:
     """Two of three voters leave. One of these has granted a key and freezes; the claim reaches the other
     late, when the new voters have given the key to another token."""
-    one, two = world.stiles
+    one, two = world.sidecars
     await ready(world)
-    a, b, c = world.barns
+    a, b, c = world.controllers
     d, e = world.spares
     world.cut(one, 0.6, [b, c])
     outcome = world.claim(one, "k")
     await asyncio.sleep(0.06)
     assert [by for token, by in world.keys["k"].grants.items() if token.startswith(one)] == [{a}]
     world.freeze(a, 2.0)
-    barn = world.barn(b)
-    assert barn is not None
+    controller = world.controller(b)
+    assert controller is not None
     names = tuple(f"{name}:7000" for name in (b, d, e))
-    world.machines[b].process.soon(lambda: barn._task(barn._propose(names)))  # type: ignore[union-attr]
+    world.machines[b].process.soon(lambda: controller._task(controller._propose(names)))  # type: ignore[union-attr]
     assert await until_(lambda: all(voters(world, name).epoch == 2 for name in (b, c, d, e)))
     await one_claim(world, two, "k")
     await until_(lambda: bool(outcome))
 
 
-@pytest.mark.parametrize(("barn_knows", "stile_asks_anew", "runs"), [
-    (True, True, 1), (True, False, 1), (False, True, 1), (False, False, 2),
-])
+@pytest.mark.parametrize(
+    ("controller_knows", "sidecar_asks_anew", "runs"),
+    [
+        (True, True, 1),
+        (True, False, 1),
+        (False, True, 1),
+        (False, False, 2),
+    ],
+)
 def test_grants_of_two_epochs_are_never_enough_together(
-    monkeypatch: pytest.MonkeyPatch, barn_knows: bool, stile_asks_anew: bool, runs: int
+    monkeypatch: pytest.MonkeyPatch, controller_knows: bool, sidecar_asks_anew: bool, runs: int
 ) -> None:
     """Either of the two defences is enough here; without both a key runs twice."""
-    if not barn_knows:
+    if not controller_knows:
         monkeypatch.setattr(Member, "votes", lambda member, epoch: member.whole > 0)
-    if not stile_asks_anew:
-        monkeypatch.setattr(Stile, "_take_voters", lambda stile, told: (
-            None if stile._epoch else take_voters(stile, told)
-        ) if stile.me == "10.0.1.1" else take_voters(stile, told))
+    if not sidecar_asks_anew:
+        monkeypatch.setattr(
+            Sidecar,
+            "_take_voters",
+            lambda sidecar, told: (
+                (None if sidecar._epoch else take_voters(sidecar, told))
+                if sidecar.me == "10.0.1.1"
+                else take_voters(sidecar, told)
+            ),
+        )
     world = World(spares=2, bounds=QUICK)
     if runs > 1:
         with pytest.raises(Broken, match="twice|by enough"):
@@ -373,24 +393,28 @@
         play(world, late_grant)
         assert len(world.keys["k"].ran) == runs
 
+
 # --- cuts, freezes, restarts, machines that leave and return
 
 
 def test_of_two_halves_only_the_one_with_a_majority_goes_on_and_the_other_finds_its_way() -> None:
     async def story(world: World) -> None:
         await ready(world)
-        one, two = world.stiles
-        alone, *rest = world.barns
+        one, two = world.sidecars
+        alone, *rest = world.controllers
         for name in (alone, one):
             world.cut(name, 9.0, [*rest, *world.spares, two, "10.0.2.1"])
         world.cut(two, 9.0, [alone])
         outcomes = []
         for at in range(60):
-            outcomes.append(world.claim(world.stiles[at % 2], f"half {at // 2}"))
+            outcomes.append(world.claim(world.sidecars[at % 2], f"half {at // 2}"))
             await asyncio.sleep(0.13)
         assert voters(world, alone).epoch == 1 and voters(world, rest[0]).epoch == 2
-        assert not any(key.ran[0].startswith(one) for name, key in world.keys.items()
-                       if name.startswith("half") and key.ran)
+        assert not any(
+            key.ran[0].startswith(one)
+            for name, key in world.keys.items()
+            if name.startswith("half") and key.ran
+        )
         await asyncio.sleep(3.0)
         await afterwards(world, 2)
         assert all(outcomes) and newest(world).epoch == 2, "one that returns is no reason to change"
@@ -402,7 +426,7 @@
 def test_a_short_absence_changes_nothing(away_s: float) -> None:
     async def story(world: World) -> None:
         await ready(world)
-        for name in world.barns:
+        for name in world.controllers:
             world.kill(name, away_s)
             await asyncio.sleep(away_s + 3.0)
         await asyncio.sleep(5.0)
@@ -414,8 +438,8 @@
 def test_a_frozen_voter_is_replaced_and_when_it_wakes_its_grants_are_of_no_use() -> None:
     async def story(world: World) -> None:
         await ready(world)
-        world.freeze(world.barns[0], 15.0)
-        await busy(world, lambda: voters(world, world.barns[1]).epoch == 2, 14.0)
+        world.freeze(world.controllers[0], 15.0)
+        await busy(world, lambda: voters(world, world.controllers[1]).epoch == 2, 14.0)
         await busy(world, lambda: settled(world, 2))
         await afterwards(world, 2)
 
@@ -426,31 +450,31 @@
 def test_whoever_leaves_names_its_successor_and_stays_a_voter() -> None:
     async def story(world: World) -> None:
         await ready(world)
-        first, second, third = world.barns
+        first, second, third = world.controllers
         await asyncio.sleep(2.5)  # all have heard of each other
         process = world.machines[first].process
         assert process is not None
         process.run(process.role.stop())
         await asyncio.sleep(0.35)
-        assert {world.barn(name)._heir for name in (second, third)} == {f"{second}:7000"}  # type: ignore[union-attr]
+        assert {world.controller(name)._heir for name in (second, third)} == {f"{second}:7000"}  # type: ignore[union-attr]
         world.kill(first, 0.3)
         await asyncio.sleep(8.0)
         assert newest(world).epoch == 1 and settled(world, 1)
 
-    play(World(bounds=QUICK), story)  # with no spare, which would take its place: test_orchard_repair
+    play(World(bounds=QUICK), story)  # with no spare, which would take its place: test_mesh_repair
 
 
 def test_all_seeds_are_replaced_one_after_the_other_and_those_gone_are_forgotten() -> None:
     async def story(world: World) -> None:
-        await until_(lambda: world.counting() == world.barns)
+        await until_(lambda: world.counting() == world.controllers)
         assert await world.patch(0, change([service("berths", 1)], [route("a", 1, "/a/")])) == 200
         for at in range(6):
-            assert await one_claim(world, world.stiles[at % 2], f"old {at}") == "RUN"
-        olds, names = list(world.barns), list(world.barns)
+            assert await one_claim(world, world.sidecars[at % 2], f"old {at}") == "RUN"
+        olds, names = list(world.controllers), list(world.controllers)
         for at, (old, new) in enumerate(zip(olds, world.spares, strict=True)):
             names = [*names[1:], new]
             world.reseed(names)
-            world.start_barn(new)
+            world.start_controller(new)
             world.power_off(old)
             await busy(world, lambda epoch=at + 2: settled(world, epoch))
         assert newest(world).names == tuple(f"{name}:7000" for name in world.spares)
@@ -458,36 +482,60 @@
         gone = {f"{name}:7000" for name in olds}
         await asyncio.sleep(20.0)
         for name in world.spares:
-            barn = world.barn(name)
-            assert barn is not None and not gone & set(barn._dials)
-        for name in world.stiles:
-            assert not gone & set(world.machines[name].process.role._barn_dials)  # type: ignore[union-attr]
+            controller = world.controller(name)
+            assert controller is not None and not gone & set(controller._dials)
+        for name in world.sidecars:
+            assert not gone & set(world.machines[name].process.role._controller_dials)  # type: ignore[union-attr]
         # An old word brings none of them back; they themselves do.
-        barn = world.barn(world.spares[0])
-        assert barn is not None
+        controller = world.controller(world.spares[0])
+        assert controller is not None
         process = world.machines[world.spares[0]].process
         assert process is not None
-        old = [Word.BARN, barn.me, [1, []], sorted(gone), "", [], 1, dict.fromkeys(gone, 1), {}]
-        process.soon(lambda: barn._hear(next(iter(barn._linked.values())), old))
-        stile = world.machines[world.stiles[0]].process
-        assert stile is not None
-        lines = stile.role._barns.values()
-        stile.soon(lambda: stile.role._hear(next(iter(lines)), [Word.VOTERS, 1, sorted(gone)]))
-        stile.soon(lambda: stile.role._hear(next(iter(lines)), [
-            Word.BARNS, sorted(gone), "", dict.fromkeys(gone, 1), {},
-        ]))  # fmt: skip
+        old = [
+            MessageKind.CONTROLLER,
+            controller.me,
+            [1, []],
+            sorted(gone),
+            "",
+            [],
+            1,
+            dict.fromkeys(gone, 1),
+            {},
+        ]
+        process.soon(lambda: controller._hear(next(iter(controller._linked.values())), old))
+        sidecar = world.machines[world.sidecars[0]].process
+        assert sidecar is not None
+        lines = sidecar.role._controllers.values()
+        sidecar.soon(lambda: sidecar.role._hear(next(iter(lines)), [MessageKind.VOTERS, 1, sorted(gone)]))
+        sidecar.soon(
+            lambda: sidecar.role._hear(
+                next(iter(lines)),
+                [
+                    MessageKind.CONTROLLERS,
+                    sorted(gone),
+                    "",
+                    dict.fromkeys(gone, 1),
+                    {},
+                ],
+            )
+        )
         await asyncio.sleep(2.0)
-        assert not gone & set(barn._dials) and newest(world).epoch == 4
-        assert not gone & set(stile.role._barn_dials) and stile.role._epoch == 4
-        world.start_barn(olds[0])
+        assert not gone & set(controller._dials) and newest(world).epoch == 4
+        assert not gone & set(sidecar.role._controller_dials) and sidecar.role._epoch == 4
+        world.start_controller(olds[0])
         back = f"{olds[0]}:7000"
-        assert await until_(lambda: all(
-            back in world.barn(name)._dials for name in world.spares  # type: ignore[union-attr]
-        ))
-        assert await until_(lambda: all(
-            back in world.machines[name].process.role._barn_dials  # type: ignore[union-attr]
-            for name in world.stiles
-        ))
+        assert await until_(
+            lambda: all(
+                back in world.controller(name)._dials
+                for name in world.spares  # type: ignore[union-attr]
+            )
+        )
+        assert await until_(
+            lambda: all(
+                back in world.machines[name].process.role._controller_dials  # type: ignore[union-attr]
+                for name in world.sidecars
+            )
+        )
         assert await until_(lambda: settled(world, 4)) and newest(world).epoch == 4
 
     play(World(spares=3, bounds=QUICK), story)
@@ -495,14 +543,14 @@
 
 def test_seeds_that_are_all_new_machines_name_no_voters() -> None:
     async def story(world: World) -> None:
-        assert await until_(lambda: world.counting() == world.barns)
+        assert await until_(lambda: world.counting() == world.controllers)
         world.seeds = tuple(world.spares)
         for name in world.spares:
-            world.start_barn(name)
+            world.start_controller(name)
         await asyncio.sleep(6.0)
         assert not any(voters(world, name).epoch for name in world.spares)
-        world.reseed(world.barns)
-        assert await until_(lambda: world.counting() == world.barns + world.spares)
+        world.reseed(world.controllers)
+        assert await until_(lambda: world.counting() == world.controllers + world.spares)
 
     play(World(spares=3, bounds=QUICK), story)
 
@@ -510,18 +558,24 @@
 def test_one_that_was_cut_off_for_so_long_that_it_is_forgotten_is_known_again() -> None:
     async def story(world: World) -> None:
         await ready(world)
-        world.reseed(world.barns[:1])
+        world.reseed(world.controllers[:1])
         far = f"{world.spares[0]}:7000"
         world.cut(world.spares[0], 24.0)
         await asyncio.sleep(23.0)
-        found = [barn for barn in map(world.barn, world.barns) if barn is not None]
-        assert not any(far in barn._dials for barn in found)
-        assert not any(far in world.machines[name].process.role._barn_dials  # type: ignore[union-attr]
-                       for name in world.stiles)
+        found = [
+            controller for controller in map(world.controller, world.controllers) if controller is not None
+        ]
+        assert not any(far in controller._dials for controller in found)
+        assert not any(
+            far in world.machines[name].process.role._controller_dials  # type: ignore[union-attr]
+            for name in world.sidecars
+        )
         await asyncio.sleep(6.0)
-        assert all(far in barn._linked for barn in found)
-        assert all(far in world.machines[name].process.role._barns  # type: ignore[union-attr]
-                   for name in world.stiles)
+        assert all(far in controller._linked for controller in found)
+        assert all(
+            far in world.machines[name].process.role._controllers  # type: ignore[union-attr]
+            for name in world.sidecars
+        )
 
     play(goes(), story)
 
@@ -611,44 +665,54 @@
 PATIENCE = Patience(2.0, 14.0, 0.4)
 
 
-def sights(there: str, gone: dict[str, float], steady: float = 9.0, **more: Any) -> dict[str, Sight]:
+def sights(there: str, gone: dict[str, float], steady: float = 9.0, **more: Any) -> dict[str, PeerView]:
     names = {name: value for name, value in zip("ABCDE", (A, B, C, D, E), strict=True)}
     up = {names[one]: steady for one in there}
     away = {names[one]: seconds for one, seconds in gone.items()}
     return {
-        names[one]: Sight(away, up, True, True, more.get(one, ""), more.get("old", False),
-                          one in more.get("leaves", ""))
+        names[one]: PeerView(
+            away, up, True, True, more.get(one, ""), more.get("old", False), one in more.get("leaves", "")
+        )
         for one in there
     }
 
 
-@pytest.mark.parametrize(("names", "losses", "seen", "wish"), [
-    ("ABC", 1, sights("ABC", {}), None),
-    ("ABC", 1, sights("ABCD", {}), None),
-    ("ABC", 1, sights("BCD", {"A": 2.0}), "BCD"),
-    ("ABC", 1, sights("BCD", {"A": 1.9}), None),  # not for long enough
-    ("ABC", 1, sights("BCD", {"A": 15.0}, steady=0.3), None),
-    ("ABC", 1, sights("BCD", {"A": 15.0}, old=True), None),
-    ("ABC", 1, sights("BC", {"A": 15.0}), None),  # two are no better than three
-    ("ABC", 1, sights("CD", {"A": 15.0, "B": 15.0}), None),  # no majority
-    ("ABC", 2, sights("ABCDE", {}), "ABCDE"),
-    ("ABC", 2, sights("ABCD", {}), "ABCD"),
-    ("ABCDE", 1, sights("ABCD", {"E": 15.0}), None),
-    ("ABCDE", 1, sights("ABC", {"D": 15.0, "E": 15.0}), "ABC"),
-    ("ABCDE", 1, sights("ABC", {"D": 13.0, "E": 13.0}), None),  # they may be back
-    ("ABCDE", 2, sights("ABC", {"D": 15.0, "E": 15.0}), None),  # two lost disks would lose all copies
-    ("ABC", 1, sights("BCDE", {"A": 15.0}, B="x", C="y", D="x", E="z"), "BCE"),  # zones apart
-    ("ABC", 1, sights("ABCD", {}, leaves="A"), "BCD"),
-    ("ABC", 1, sights("ABCD", {}, leaves="AB"), "BCD"),  # one spare for two that leave: the other stays
-    ("ABC", 1, sights("ABCDE", {}, leaves="AB"), "CDE"),
-    ("ABC", 1, sights("ABC", {}, leaves="A"), None),
-    ("ABCD", 1, sights("ABCD", {}, leaves="A"), None),  # it may be back in a moment
-    ("ABC", 1, sights("ABCD", {}, leaves="AD"), None),  # a spare that leaves as well is none
-    ("ABC", 1, sights("ACD", {"B": 3.0}, leaves="A"), "ACD"),  # who is away goes before who is still there
-])
-def test_who_should_vote(names: str, losses: int, seen: dict[str, Sight], wish: str | None) -> None:
-    found = plan(Voters(1, tuple(f"10.0.0.{'ABCDE'.index(one) + 1}:7000" for one in names)), losses, seen,
-                 PATIENCE)
+@pytest.mark.parametrize(
+    ("names", "losses", "seen", "wish"),
+    [
+        ("ABC", 1, sights("ABC", {}), None),
+        ("ABC", 1, sights("ABCD", {}), None),
+        ("ABC", 1, sights("BCD", {"A": 2.0}), "BCD"),
+        ("ABC", 1, sights("BCD", {"A": 1.9}), None),  # not for long enough
+        ("ABC", 1, sights("BCD", {"A": 15.0}, steady=0.3), None),
+        ("ABC", 1, sights("BCD", {"A": 15.0}, old=True), None),
+        ("ABC", 1, sights("BC", {"A": 15.0}), None),  # two are no better than three
+        ("ABC", 1, sights("CD", {"A": 15.0, "B": 15.0}), None),  # no majority
+        ("ABC", 2, sights("ABCDE", {}), "ABCDE"),
+        ("ABC", 2, sights("ABCD", {}), "ABCD"),
+        ("ABCDE", 1, sights("ABCD", {"E": 15.0}), None),
+        ("ABCDE", 1, sights("ABC", {"D": 15.0, "E": 15.0}), "ABC"),
+        ("ABCDE", 1, sights("ABC", {"D": 13.0, "E": 13.0}), None),  # they may be back
+        ("ABCDE", 2, sights("ABC", {"D": 15.0, "E": 15.0}), None),  # two lost disks would lose all copies
+        ("ABC", 1, sights("BCDE", {"A": 15.0}, B="x", C="y", D="x", E="z"), "BCE"),  # zones apart
+        ("ABC", 1, sights("ABCD", {}, leaves="A"), "BCD"),
+        ("ABC", 1, sights("ABCD", {}, leaves="AB"), "BCD"),  # one spare for two that leave: the other stays
+        ("ABC", 1, sights("ABCDE", {}, leaves="AB"), "CDE"),
+        ("ABC", 1, sights("ABC", {}, leaves="A"), None),
+        ("ABCD", 1, sights("ABCD", {}, leaves="A"), None),  # it may be back in a moment
+        ("ABC", 1, sights("ABCD", {}, leaves="AD"), None),  # a spare that leaves as well is none
+        (
+            "ABC",
+            1,
+            sights("ACD", {"B": 3.0}, leaves="A"),
+            "ACD",
+        ),  # who is away goes before who is still there
+    ],
+)
+def test_who_should_vote(names: str, losses: int, seen: dict[str, PeerView], wish: str | None) -> None:
+    found = plan(
+        Voters(1, tuple(f"10.0.0.{'ABCDE'.index(one) + 1}:7000" for one in names)), losses, seen, PATIENCE
+    )
     expected = wish and tuple(f"10.0.0.{'ABCDE'.index(one) + 1}:7000" for one in wish)
     assert found == expected
 
@@ -683,7 +747,7 @@
 
 
 class Line:
-    """A furrow that keeps what is sent."""
+    """A connection that keeps what is sent."""
 
     peer, open = "x", True
 
@@ -693,17 +757,17 @@
         self.put = lambda packed: self.sent.append(cbor2.loads(packed[4:]))
 
 
-def in_contact(barn: Barn) -> None:
+def in_contact(controller: Controller) -> None:
     """Have all its voters answer it now."""
-    for name in barn.voters.names:
-        barn._contact.answered(name, time.monotonic())
+    for name in controller.voters.names:
+        controller._contact.answered(name, time.monotonic())
 
 
-def with_barn(then: Callable[[Barn, Disk], None]) -> None:
+def with_controller(then: Callable[[Controller, Disk], None]) -> None:
     async def main() -> None:
-        made = make_barn((ME, B, C))
+        made = make_controller((ME, B, C))
         in_contact(made)
-        then(made, made._granary)  # type: ignore[arg-type]
+        then(made, made._store)  # type: ignore[arg-type]
         for dial in made._dials.values():
             dial.stop()
 
@@ -711,32 +775,36 @@
 
 
 def test_what_an_older_process_says_is_of_the_first_epoch() -> None:
-    def then(barn: Barn, disk: Disk) -> None:
+    def then(controller: Controller, disk: Disk) -> None:
         line: Any = Line()
-        barn._hear(line, [Word.CLAIM, 1, "k", "t", 5.0])
-        barn._hear(line, [Word.FETCH, 2, 1, False, b""])
-        barn._hear(line, [Word.KEYS, 3])
+        controller._hear(line, [MessageKind.CLAIM, 1, "k", "t", 5.0])
+        controller._hear(line, [MessageKind.FETCH, 2, 1, False, b""])
+        controller._hear(line, [MessageKind.KEYS, 3])
         assert [told[:3] for told in line.sent] == [
-            [Word.CLAIMED, 1, 1], [Word.FETCHED, 2, True], [Word.KEYED, 3, True],
-        ]  # fmt: skip
-        assert len(line.sent[0]) == 6, "an older stile reads no more"
-        barn._elect(Voters(2, (ME, B, D)))
-        barn.member.settle(2)
-        in_contact(barn)
+            [MessageKind.CLAIMED, 1, 1],
+            [MessageKind.FETCHED, 2, True],
+            [MessageKind.KEYED, 3, True],
+        ]
+        assert len(line.sent[0]) == 6, "an older sidecar reads no more"
+        controller._elect(Voters(2, (ME, B, D)))
+        controller.member.settle(2)
+        in_contact(controller)
         line.sent.clear()
-        barn._hear(line, [Word.CLAIM, 4, "l", "t", 5.0])
-        barn._hear(line, [Word.FETCH, 5, 1, False, b""])
-        barn._hear(line, [Word.KEYS, 6])
+        controller._hear(line, [MessageKind.CLAIM, 4, "l", "t", 5.0])
+        controller._hear(line, [MessageKind.FETCH, 5, 1, False, b""])
+        controller._hear(line, [MessageKind.KEYS, 6])
         assert [told[:3] for told in line.sent] == [
-            [Word.VOTERS, 2, [ME, B, D]], [Word.CLAIMED, 4, -1], [Word.FETCHED, 5, False],
-            [Word.KEYED, 6, False],
-        ]  # fmt: skip
-        barn._hear(line, [Word.BARN, B, [1, [A, B, C]], [B]])
-        assert barn.voters.epoch == 2 and B in barn._old_barns
-        barn._hear(line, [Word.STILE, ["n", "", "", "", "", 1, True, 0.0, 1, 1]])
-        assert barn._sight(2).old
+            [MessageKind.VOTERS, 2, [ME, B, D]],
+            [MessageKind.CLAIMED, 4, -1],
+            [MessageKind.FETCHED, 5, False],
+            [MessageKind.KEYED, 6, False],
+        ]
+        controller._hear(line, [MessageKind.CONTROLLER, B, [1, [A, B, C]], [B]])
+        assert controller.voters.epoch == 2 and B in controller._old_controllers
+        controller._hear(line, [MessageKind.SIDECAR, ["n", "", "", "", "", 1, True, 0.0, 1, 1]])
+        assert controller._sight(2).old
 
-    with_barn(then)
+    with_controller(then)
 
 
 def test_an_older_disk_is_whole_in_the_first_epoch() -> None:
@@ -747,42 +815,46 @@
 
 
 def test_a_sealed_voter_is_heard_only_once_that_lies_on_its_disk() -> None:
-    def then(barn: Barn, disk: Disk) -> None:
+    def then(controller: Controller, disk: Disk) -> None:
         waiting: list[Any] = []
         disk.put = lambda record, done=None: waiting.append(done)  # type: ignore[method-assign]
         line: Any = Line()
-        barn._hear(line, [Word.KEYS, 1, 1, True])
+        controller._hear(line, [MessageKind.KEYS, 1, 1, True])
         assert line.sent.pop()[2] is False, "not sealed"
-        barn._hear(line, [Word.SEAL, 2, 1, [1, "p"], [ME, B, D]])
-        barn._hear(line, [Word.KEYS, 3, 1, True])
+        controller._hear(line, [MessageKind.SEAL, 2, 1, [1, "p"], [ME, B, D]])
+        controller._hear(line, [MessageKind.KEYS, 3, 1, True])
         assert line.sent == []
         for done in waiting:
             if done is not None:
                 done(True)
-        assert [told[:3] for told in line.sent] == [[Word.SEALED, 2, True], [Word.KEYED, 3, True]]
+        assert [told[:3] for told in line.sent] == [
+            [MessageKind.SEALED, 2, True],
+            [MessageKind.KEYED, 3, True],
+        ]
 
-    with_barn(then)
+    with_controller(then)
 
 
 def test_claims_that_come_while_voters_change_are_held_and_a_freed_one_is_not() -> None:
-    def then(barn: Barn, disk: Disk) -> None:
+    def then(controller: Controller, disk: Disk) -> None:
         line: Any = Line()
-        barn._hear(line, [Word.SEAL, 1, 1, [1, "p"], [ME, B, D]])
+        controller._hear(line, [MessageKind.SEAL, 1, 1, [1, "p"], [ME, B, D]])
         line.sent.clear()
         for number, token in ((2, "s"), (3, "t")):
-            barn._hear(line, [Word.CLAIM, number, token, token, 5.0])
-        barn._hear(line, [Word.CLAIM, 4, "k", "u", 5.0, 2])
-        barn._hear(line, [Word.FREE, "s", "s"])
+            controller._hear(line, [MessageKind.CLAIM, number, token, token, 5.0])
+        controller._hear(line, [MessageKind.CLAIM, 4, "k", "u", 5.0, 2])
+        controller._hear(line, [MessageKind.FREE, "s", "s"])
         assert line.sent == []
-        barn._elect(Voters(2, (ME, B, D)))
-        barn.member.settle(2)
-        in_contact(barn)
-        barn._claim_again()
-        assert [told[:3] for told in line.sent if told[0] == Word.CLAIMED] == [
-            [Word.CLAIMED, 3, -1], [Word.CLAIMED, 4, 1],
-        ]  # fmt: skip
+        controller._elect(Voters(2, (ME, B, D)))
+        controller.member.settle(2)
+        in_contact(controller)
+        controller._claim_again()
+        assert [told[:3] for told in line.sent if told[0] == MessageKind.CLAIMED] == [
+            [MessageKind.CLAIMED, 3, -1],
+            [MessageKind.CLAIMED, 4, 1],
+        ]
 
-    with_barn(then)
+    with_controller(then)
 
 
 def test_a_token_given_back_does_not_return_with_what_others_tell() -> None:
@@ -797,7 +869,7 @@
 
 def test_an_emptied_disk_learns_what_others_have_promised() -> None:
     async def main() -> None:
-        made = make_barn((ME, B, C))
+        made = make_controller((ME, B, C))
         made.counts = False
         line: Any = Line()
         line.peer, made._linked = B, {B: line}
@@ -805,7 +877,7 @@
         await asyncio.sleep(0)
         [[_, number, epoch, sealed]] = line.sent
         assert (epoch, sealed) == (1, False)
-        made._hear(line, [Word.KEYED, number, True, [], 1, [7, "p"]])
+        made._hear(line, [MessageKind.KEYED, number, True, [], 1, [7, "p"]])
         assert await hearing and made.member.promised == Ballot(7, "p")
 
     asyncio.run(main())
--- a/tests/rehearsal/broken.py
+++ b/tests/rehearsal/broken.py
@@ -138,8 +138,9 @@
 
 
 def says_yes_while_away() -> None:
-    machine.Machine.effects = lambda self, now, plain=machine.Machine.effects: (
-        plain(self, now)._replace(ready=True))
+    machine.Machine.effects = lambda self, now, plain=machine.Machine.effects: plain(self, now)._replace(
+        ready=True
+    )
 
 
 def forgets_to_come_back() -> None:
--- a/tests/rehearsal/test_kit_bulk.py
+++ b/tests/rehearsal/test_kit_bulk.py
@@ -17,10 +17,21 @@
     assert check.whole
 
 
-@pytest.mark.parametrize("wrong", [
-    b"", GOOD[:-1], GOOD + b"x", GOOD[:-1] + b"x", b"x" + GOOD[1:], GOOD[1:] + GOOD[:1], body(b"two", 70),
-    body(b"one", 69), GOOD[:65536] + b"x" + GOOD[65537:],
-], ids=["none", "short", "long", "last", "first", "shifted", "of another", "smaller", "past the block"])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        b"",
+        GOOD[:-1],
+        GOOD + b"x",
+        GOOD[:-1] + b"x",
+        b"x" + GOOD[1:],
+        GOOD[1:] + GOOD[:1],
+        body(b"two", 70),
+        body(b"one", 69),
+        GOOD[:65536] + b"x" + GOOD[65537:],
+    ],
+    ids=["none", "short", "long", "last", "first", "shifted", "of another", "smaller", "past the block"],
+)
 def test_all_else_is_found(wrong):
     check = Check(b"one", 70)
     check.feed(wrong)
--- a/tests/rules/test_rules.py
+++ b/tests/rules/test_rules.py
@@ -20,6 +20,7 @@
     def made(function):
         SCENES[function.__name__] = (function, expected)
         return function
+
     return made
 
 
@@ -78,6 +79,7 @@
                     got = await (await world.client()).ask(cls)
                     told.append((cls, got.what, len(node.calls)))
         return tuple(told)
+
     return played
 
 
@@ -110,9 +112,7 @@
         await talk.serve(b"")
         talk.close()
 
-    async with Node(tongue, once) as node, sidecar(
-        tongue, tongue.line("s1", node.port), raw=PROBED
-    ) as world:
+    async with Node(tongue, once) as node, sidecar(tongue, tongue.line("s1", node.port), raw=PROBED) as world:
         client = await world.client()
         return [(await client.ask("single_shot")).what for _ in range(10)], len(node.calls)
 
@@ -160,7 +160,7 @@
         client = await world.client()
         for rid in ("a", "b", "c"):
             await client.send("free", rid)
-        return [(await client.answer()).body for _ in range(3)],
+        return ([(await client.answer()).body for _ in range(3)],)
 
 
 @scene("served", "refused")
@@ -194,7 +194,8 @@
         module.handle = lambda now, event: []
         never_sent = (await client.ask("single_shot", timeout_s=0.2)).what
         module.handle = lambda now, event: (
-            [Submit(event.tid, "s1", now + 10**9)] if isinstance(event, Accept) else [])
+            [Submit(event.tid, "s1", now + 10**9)] if isinstance(event, Accept) else []
+        )
         may_have_run = (await client.ask("single_shot", timeout_s=0.2)).what
         return never_sent, may_have_run, (await client.ask("free", timeout_s=0.2)).what
 
@@ -251,6 +252,7 @@
 @scene([("served", b"1"), ("served", b"2"), ("served", b"3")], 3)
 async def an_answer_that_comes_late_on_a_kept_connection_is_nobodys(tongue):
     """The call before was given up; what it is answered with must not be the next call's."""
+
     async def late(talk: Talk, asked: Asked) -> None:
         if asked.rid == "0":
             await asyncio.sleep(1.5)
@@ -299,7 +301,8 @@
         client = await world.client()
         module = world.core._module
         module.handle = lambda now, event: (
-            [Refuse(event.tid, 250_000_000)] if isinstance(event, Accept) else [])
+            [Refuse(event.tid, 250_000_000)] if isinstance(event, Accept) else []
+        )
         refused = await client.ask("free")
         module.handle = lambda now, event: [Fail(event.tid)] if isinstance(event, Accept) else []
         return Refuse, refused.again_s, Fail, (await client.ask("free")).what
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,8 @@
 
 ENV = {
     "classes": [{"name": "read", "onTimeNs": 400_000_000, "hardLimitNs": 1_000_000_000, "repeat": "free"}],
-    "limits": {"maxAttempts": 2}, "madeUpKey": {"x": 1},
+    "limits": {"maxAttempts": 2},
+    "madeUpKey": {"x": 1},
 }
 OPEN = f"open_instance who=0 prng=7 env={json.dumps(ENV)}"
 LIST = [
@@ -44,37 +45,43 @@
     assert [line.split()[1] for line in out if line.startswith("submit_to")] == ["who=1"]
 
 
-@pytest.mark.parametrize("line", [
-    "novelty who=0 anything=1",
-    "response who=0 tid=00000000000000ff how=100 server=10.0.0.1:80 go=0",
-    "response who=0 tid=00000000000000ff how=999 server=10.0.0.1:80 go=0",
-    "hangup who=0 tid=00000000000000ff",
-    "accept who=9 tid=00000000000000ab ttlNs=900000000 type=0",
-    "echo who=0 lagNs=1 how=100 server=10.8.8.8:80 usage=queue:x,novel:2",
-    "heard who=0 from=2 blob=68692037",
-    "alarm who=0 tag=77",
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "novelty who=0 anything=1",
+        "response who=0 tid=00000000000000ff how=100 server=10.0.0.1:80 go=0",
+        "response who=0 tid=00000000000000ff how=999 server=10.0.0.1:80 go=0",
+        "hangup who=0 tid=00000000000000ff",
+        "accept who=9 tid=00000000000000ab ttlNs=900000000 type=0",
+        "echo who=0 lagNs=1 how=100 server=10.8.8.8:80 usage=queue:x,novel:2",
+        "heard who=0 from=2 blob=68692037",
+        "alarm who=0 tag=77",
+    ],
+)
 def test_unknown_things_are_passed_over(line):
     assert run(*batch(OPEN, *LIST, line)) == (0, ["next"])
 
 
-@pytest.mark.parametrize(("lines", "number", "words"), [
-    (["eob"], 1, "clock"),
-    (batch(OPEN, "accept who=0 tid=1 type=0"), 3, "'ttlNs' is missing"),
-    (batch(OPEN, "accept who=0 tid=1 ttlNs=1.5 type=0"), 3, "not a whole number"),
-    (batch(OPEN, "accept who=0 nonsense"), 3, "name=value"),
-    (batch(OPEN, "roster slot=0 nodesList=1", "server server=a:1 heft=nan"), 4, "not a finite number"),
-    (batch(OPEN, "roster slot=0 nodesList=2", LIST[1]), 5, "2 server lines"),
-    (batch(OPEN, "roster slot=0 nodesList=-1"), 3, "nodesList"),
-    (batch(OPEN, "directory_update who=0 scope=FULL gen=1 slot=3"), 3, "slot 3"),
-    (batch(OPEN, "directory_update who=0 scope=ODD gen=1 slot=3"), 3, "scope"),
-    (batch(OPEN, OPEN), 3, "already open"),
-    (batch("open_instance who=0 prng=7 env={"), 2, "not valid JSON"),
-    (batch('open_instance who=0 prng=7 env={"classes":[]}'), 2, "classes"),
-    (batch('open_instance who=0 prng=7 env={"classes":[{"hardLimitNs":NaN}]}'), 2, "finite"),
-    (batch(OPEN, "heard who=0 from=2 blob=xyz"), 3, "hex"),
-    (["clock wallNs=1", OPEN], 2, "inside a batch"),
-])
+@pytest.mark.parametrize(
+    ("lines", "number", "words"),
+    [
+        (["eob"], 1, "clock"),
+        (batch(OPEN, "accept who=0 tid=1 type=0"), 3, "'ttlNs' is missing"),
+        (batch(OPEN, "accept who=0 tid=1 ttlNs=1.5 type=0"), 3, "not a whole number"),
+        (batch(OPEN, "accept who=0 nonsense"), 3, "name=value"),
+        (batch(OPEN, "roster slot=0 nodesList=1", "server server=a:1 heft=nan"), 4, "not a finite number"),
+        (batch(OPEN, "roster slot=0 nodesList=2", LIST[1]), 5, "2 server lines"),
+        (batch(OPEN, "roster slot=0 nodesList=-1"), 3, "nodesList"),
+        (batch(OPEN, "directory_update who=0 scope=FULL gen=1 slot=3"), 3, "slot 3"),
+        (batch(OPEN, "directory_update who=0 scope=ODD gen=1 slot=3"), 3, "scope"),
+        (batch(OPEN, OPEN), 3, "already open"),
+        (batch("open_instance who=0 prng=7 env={"), 2, "not valid JSON"),
+        (batch('open_instance who=0 prng=7 env={"classes":[]}'), 2, "classes"),
+        (batch('open_instance who=0 prng=7 env={"classes":[{"hardLimitNs":NaN}]}'), 2, "finite"),
+        (batch(OPEN, "heard who=0 from=2 blob=xyz"), 3, "hex"),
+        (["clock wallNs=1", OPEN], 2, "inside a batch"),
+    ],
+)
 def test_bad_input_is_named_with_its_line(capsys, lines, number, words):
     status, out = run(*lines)
     error = capsys.readouterr().err
@@ -90,15 +97,19 @@
 
 def test_as_a_program():
     made = subprocess.run(
-        [sys.executable, "-m", "dunefield.adapter"], input="clock wallNs=1\neob\nclock wallNs=2\neob\n",
-        capture_output=True, text=True, check=True,
+        [sys.executable, "-m", "dunefield.adapter"],
+        input="clock wallNs=1\neob\nclock wallNs=2\neob\n",
+        capture_output=True,
+        text=True,
+        check=True,
     )
     assert (made.stdout, made.stderr) == ("next\nnext\n", "")
 
 
 def test_bytes_that_are_not_text():
     made = subprocess.run(
-        [sys.executable, "-m", "dunefield.adapter"], input=b"clock wallNs=1\n\xff\neob\n",
+        [sys.executable, "-m", "dunefield.adapter"],
+        input=b"clock wallNs=1\n\xff\neob\n",
         capture_output=True,
     )
     assert made.returncode != 0 and b"not valid UTF-8" in made.stderr
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -20,15 +20,16 @@
     ("emulator/worth.py", "import hollyport.core.tally", "The emulator plays the decisions"),
     ("hollyport/fleet/membership.py", "import time", "What the fleet decides"),
     ("emulator/members.py", "import hollyport.fleet.part", "The emulator plays the decisions"),
-    ("orchard/keys.py", "import time", "What the mesh decides"),
-    ("orchard/plot.py", "import orchard.stile", "The mesh stands above"),
-    ("hollyport/core/ids.py", "import orchard.pick", "Nothing beneath"),
+    ("mesh/state/idempotency.py", "import time", "What the mesh decides"),
+    ("mesh/proxy/server_queue.py", "import mesh.proxy.sidecar", "The sidecar's arrows"),
+    ("mesh/state/quorum.py", "import mesh.control.ballot", "The mesh stands above"),
+    ("hollyport/core/ids.py", "import mesh.proxy.endpoints", "Nothing beneath"),
     ("rehearsal/judge.py", "import hollyport.core.tally", "The kit shares wire codecs"),
     ("verify/search.py", "import verify.claims", "The explorer's own arrows"),
-    ("verify/claims.py", "import orchard.furrow", "The explorer plays"),
-    ("orchard/plot.py", "import verify.search", "Nothing but the command"),
-    ("orchard/ballot.py", "import time", "What the mesh decides"),
-    ("orchard/age.py", "import time", "What the mesh decides"),
+    ("verify/claims.py", "import mesh.transport.connection", "The explorer plays"),
+    ("mesh/proxy/server_queue.py", "import verify.search", "Nothing but the command"),
+    ("mesh/control/ballot.py", "import time", "What the mesh decides"),
+    ("mesh/proxy/request_age.py", "import time", "What the mesh decides"),
 ]
 
 
@@ -40,7 +41,7 @@
 
 
 def copied(folder: Path) -> Path:
-    for name in ("command", "dunefield", "hollyport", "orchard", "emulator", "rehearsal", "verify"):
+    for name in ("command", "dunefield", "hollyport", "mesh", "emulator", "rehearsal", "verify"):
         shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
     shutil.copy(ROOT / ".importlinter", folder)
     return folder
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -10,11 +10,13 @@
 
 def reporting(queue: float, serve: Script = ok) -> Script:
     """A server that serves as told and reports so many waiting requests, true or not."""
+
     async def script(talk: Conversation, call: Call) -> None:
         if call.target == "/-/load":
             await talk.answer(200, dump({"inflight": queue, "queue": queue}))
         else:
             await serve(talk, call)
+
     return script
 
 
@@ -23,12 +25,16 @@
     world.sidecar._clock._anchor += int(seconds * 1e9)
 
 
-PROBED = settings(discovery="subscribe", reporting={"how": "probe", "columns": ["inflight", "queue"]},
-                  limits={"mayProbe": True, "cancel": True})
+PROBED = settings(
+    discovery="subscribe",
+    reporting={"how": "probe", "columns": ["inflight", "queue"]},
+    limits={"mayProbe": True, "cancel": True},
+)
 
 
 def test_queues_at_some_servers_refuse_nobody_while_others_stand_idle():
     """Found: the mean over all servers asked took one slow server, or a wrong report, for a crowded fleet."""
+
     async def scene():
         async with contextlib.AsyncExitStack() as stack:
             servers = [await stack.enter_async_context(Server(reporting(9 * (i % 2)))) for i in range(6)]
@@ -38,12 +44,14 @@
                 for _ in range(200):
                     pass_time(world, 0.05)
                     assert (await client.ask())[0] == 200
+
     play(scene)
 
 
 def test_shedding_ends_soon_after_the_crowd_though_clients_storm():
     """Found: crowding was averaged over calls offered. Where nearly all are shed and come again, the few that
     still ask weighed nothing, and idle servers were spared for seconds."""
+
     async def scene():
         queue = [1]
 
@@ -71,12 +79,14 @@
                 queue[0] = 0
                 await refused(1000, 0.02)  # three deadlines long
                 assert await refused(100, 0.02) < 20
+
     play(scene)
 
 
 def test_an_idle_server_is_asked_again_after_slow_answers():
     """Found: one slow answer and some crowding elsewhere, and a server stood idle for seconds. As nothing was
     sent to it, nothing better was learned, and the calls that had found it idle were held and refused."""
+
     async def scene():
         async with Server(reporting(0)) as server, sidecar(line("s1", server.port), raw=PROBED) as world:
             module = world.sidecar.core._module
@@ -85,11 +95,13 @@
             client = await world.client()
             assert (await client.ask("guarded", Idempotency_Key="k"))[0] == 200
             assert known.stretch < 9.0
+
     play(scene)
 
 
 def test_one_error_costs_no_server():
     """Found: a single 500 put one of six servers out of service for half a second and longer."""
+
     async def scene():
         fails = [True]
 
@@ -107,11 +119,13 @@
                 while fails:
                     assert (await client.ask())[0] == 200
                 assert world.sidecar.core._module.book.servers["s1"].k > 0
+
     play(scene)
 
 
 def test_a_request_on_a_silent_connection_goes_elsewhere_once_others_overtake_it():
     """Found: it waited for its client's time to run out, while its server answered all that came later."""
+
     async def scene():
         hung = asyncio.Event()
 
@@ -130,11 +144,13 @@
                 while not first.done():
                     assert (await client.ask())[0] == 200
                 assert first.result()[0] == 200
+
     play(scene)
 
 
 def test_a_class_that_a_server_leaves_unanswered_goes_elsewhere():
     """Found: half the servers never answered one class and looked well; probes went on choosing them."""
+
     async def scene():
         hung = []
 
@@ -155,4 +171,5 @@
                     assert asking.result()[0] == 200
                 assert [(await client.ask())[0] for _ in range(20)] == [200] * 20
                 assert len(hung) == 2
+
     play(scene)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -48,8 +48,7 @@
 def test_module_size_and_pointer():
     told = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))["policy"]
     files = {path.name for path in (ROOT / "dunefield").glob("*.py")}
-    assert files - {pathlib.Path(name).name for name in told} == {
-        "__init__.py", "adapter.py", "interface.py"}
+    assert files - {pathlib.Path(name).name for name in told} == {"__init__.py", "adapter.py", "interface.py"}
     sizes = []
     for name in told:
         lines = [line for line in (ROOT / name).read_text(encoding="utf-8").splitlines() if line.strip()]
@@ -320,8 +319,12 @@
     """Found on reading: every name that deploys ever brought was kept, and each list walked through them."""
     b = balancer(servers=2)
     for number in range(100):
-        b.handle(number, Directory("INCREMENTAL", (
-            Entry(f"new-{number}"), Entry(f"new-{number - 1}", lifecycle="removed"))))
+        b.handle(
+            number,
+            Directory(
+                "INCREMENTAL", (Entry(f"new-{number}"), Entry(f"new-{number - 1}", lifecycle="removed"))
+            ),
+        )
     assert len(b.book.servers) < 6
     send = only(b.handle(200, accept("x")), Submit)[0]
     b.handle(201, Directory("FULL", (Entry("other"),)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -96,7 +96,7 @@
     """So own calls in flight tell of most of what a server holds, and the sums over the fleet stay even."""
     home = Counter()
     for balancer in fleet(listed(13)):
-        (name, calls), = Counter(used(balancer, SECOND)).most_common(1)
+        ((name, calls),) = Counter(used(balancer, SECOND)).most_common(1)
         home[name] += 1
         assert calls >= 36
     assert len(home) == 13 and max(home.values()) - min(home.values()) <= 1
@@ -371,8 +371,12 @@
     """Answers come at once, so no budget or queue holds anybody back; demand is three times the usual."""
     draw = random.Random(5)
     entries = listed(60)
-    sidecars = fleet(entries, limits={"mayProbe": True}, prices={"probe": 0.08},
-                     invariants={"coldFrom": 0.4, "coldNs": 8 * SECOND})
+    sidecars = fleet(
+        entries,
+        limits={"mayProbe": True},
+        prices={"probe": 0.08},
+        invariants={"coldFrom": 0.4, "coldNs": 8 * SECOND},
+    )
     cold = entries[7]._replace(started_ns=4 * SECOND)
     there, calls = [], 0
     for ms in range(1000, 7000, 4):
--- a/tests/test_harm.py
+++ b/tests/test_harm.py
@@ -9,12 +9,15 @@
 from emulator.fleet import play
 
 
-@pytest.mark.parametrize(("late_every", "worth", "least", "most"), [
-    (1000, 0.3, 0.0, 0.0),  # nobody is late: a call more harms nobody
-    (50, 0.3, 0.0, 0.1),  # one in fifty is late by its own work
-    (8, 0.3, 0.5, 1.2),  # more than half of what it brings is taken from others
-    (8, 1.0, 0.15, 0.4),  # it brings as much as the mean: so much less is its part
-])
+@pytest.mark.parametrize(
+    ("late_every", "worth", "least", "most"),
+    [
+        (1000, 0.3, 0.0, 0.0),  # nobody is late: a call more harms nobody
+        (50, 0.3, 0.0, 0.1),  # one in fifty is late by its own work
+        (8, 0.3, 0.5, 1.2),  # more than half of what it brings is taken from others
+        (8, 1.0, 0.15, 0.4),  # it brings as much as the mean: so much less is its part
+    ],
+)
 def test_harm_goes_by_late_answers_and_by_worth(late_every, worth, least, most):
     crowd = Crowding(settings().classes, 10**9, 0)
     for i in range(400):
--- a/tests/test_odd.py
+++ b/tests/test_odd.py
@@ -44,10 +44,17 @@
     return ends
 
 
-@pytest.mark.parametrize("call", [
-    Accept("x", -1, SECOND), Accept("x", 99, SECOND), Accept("x", 0, SECOND, tenant=-5),
-    Accept("x", 0, SECOND, tenant=99), Accept("x", 0, SECOND, cost_ns=0), Accept("x", 0, SECOND, key="k"),
-])
+@pytest.mark.parametrize(
+    "call",
+    [
+        Accept("x", -1, SECOND),
+        Accept("x", 99, SECOND),
+        Accept("x", 0, SECOND, tenant=-5),
+        Accept("x", 0, SECOND, tenant=99),
+        Accept("x", 0, SECOND, cost_ns=0),
+        Accept("x", 0, SECOND, key="k"),
+    ],
+)
 def test_odd_numbers_in_a_request(call):
     assert only(balancer().handle(0, call), Submit)
 
@@ -114,9 +121,18 @@
     env = {"classes": [{"hardLimitNs": SECOND, "repeat": "free"}], "limits": {"maxAttempts": 2}}
     opened = f"open_instance who=0 prng=7 env={json.dumps(env)}"
     listed = ["roster slot=0 nodesList=1", "server server=a:1", "directory_update who=0 scope=SAVED slot=0"]
-    lines = ["clock wallNs=1", opened, *listed, "accept who=0 tid=aa ttlNs=900000000", "crash_now who=0",
-             opened, *listed, "accept who=0 tid=bb ttlNs=900000000",
-             "response who=0 tid=aa how=100 server=a:1 go=0 closed=1", "eob"]
+    lines = [
+        "clock wallNs=1",
+        opened,
+        *listed,
+        "accept who=0 tid=aa ttlNs=900000000",
+        "crash_now who=0",
+        opened,
+        *listed,
+        "accept who=0 tid=bb ttlNs=900000000",
+        "response who=0 tid=aa how=100 server=a:1 go=0 closed=1",
+        "eob",
+    ]
     out = io.StringIO()
     assert Host(io.StringIO("\n".join(lines) + "\n"), out).run() == 0
     sent = [line for line in out.getvalue().splitlines() if line.startswith("submit_to")]
@@ -124,8 +140,11 @@
 
 
 def test_the_number_of_a_line_that_is_not_text():
-    made = subprocess.run([sys.executable, "-m", "dunefield.adapter"], capture_output=True,
-                          input=b"clock wallNs=1\neob\nclock wallNs=2\neob\nclock wallNs=3\n\xff\neob\n")
+    made = subprocess.run(
+        [sys.executable, "-m", "dunefield.adapter"],
+        capture_output=True,
+        input=b"clock wallNs=1\neob\nclock wallNs=2\neob\nclock wallNs=3\n\xff\neob\n",
+    )
     assert made.returncode == 2 and made.stdout == b"next\nnext\n"
     assert made.stderr.startswith(b"line 6: ") and made.stderr.count(b"\n") == 1
 
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -40,16 +40,19 @@
     assert load(written(tmp_path, "[echo]\nsize = 3\n"), ECHO).sections == {"echo": 3}
 
 
-@pytest.mark.parametrize(("text", "line", "names"), [
-    ("format = 1\n\n[eco]\nsize = 1\n", 3, "eco"),
-    ("[echo]\n\nsise = 1\n", 3, "echo.sise"),
-    ("[echo]\n# size\nsize = 'x'\n", 3, "echo.size"),
-    ("echo = 5\n", 1, "echo"),
-    ("\nformat = 2\n", 2, "format"),
-    ("format = true\n", 1, "format"),
-    ("echo.size = 1.5\n", 1, "echo.size"),
-    ("[echo]\nsize = \n", 2, "line 2"),
-])
+@pytest.mark.parametrize(
+    ("text", "line", "names"),
+    [
+        ("format = 1\n\n[eco]\nsize = 1\n", 3, "eco"),
+        ("[echo]\n\nsise = 1\n", 3, "echo.sise"),
+        ("[echo]\n# size\nsize = 'x'\n", 3, "echo.size"),
+        ("echo = 5\n", 1, "echo"),
+        ("\nformat = 2\n", 2, "format"),
+        ("format = true\n", 1, "format"),
+        ("echo.size = 1.5\n", 1, "echo.size"),
+        ("[echo]\nsize = \n", 2, "line 2"),
+    ],
+)
 def test_what_is_wrong_is_named_with_its_line(tmp_path, text, line, names):
     with pytest.raises(OptionsError) as caught:
         load(written(tmp_path, text), ECHO)
@@ -66,8 +69,9 @@
 
 def test_the_program_refuses_a_bad_file_and_checks_a_good_one(tmp_path):
     def run(*words):
-        return subprocess.run([sys.executable, "-m", "hollyport", *words], cwd=ROOT, capture_output=True,
-                              text=True)
+        return subprocess.run(
+            [sys.executable, "-m", "hollyport", *words], cwd=ROOT, capture_output=True, text=True
+        )
 
     bad = run("--options", written(tmp_path, "[nothing]\n"))
     assert bad.returncode == 2 and re.search(r"hollyport\.toml:1: nothing: no such key", bad.stderr)
@@ -85,8 +89,13 @@
     assert line_of(text, ("fault", 1, "absent")) == 4
 
 
-@given(st.lists(st.tuples(st.sampled_from("abc"), st.lists(st.sampled_from("klm"), unique=True, max_size=3)),
-                unique_by=lambda pair: pair[0], max_size=3))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), st.lists(st.sampled_from("klm"), unique=True, max_size=3)),
+        unique_by=lambda pair: pair[0],
+        max_size=3,
+    )
+)
 def test_every_key_of_a_plain_file_is_found_on_its_own_line(tables):
     lines = []
     for name, keys in tables:
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -32,11 +32,22 @@
     assert told([USUAL] * SURE + [LEFT] * 40)[-1] == 0
 
 
-@pytest.mark.parametrize(("slow", "late_worth", "refused"), [(True, 0.0, True), (False, 0.0, False),
-                                                             (True, 0.5, False)])
+@pytest.mark.parametrize(
+    ("slow", "late_worth", "refused"), [(True, 0.0, True), (False, 0.0, False), (True, 0.5, False)]
+)
 def test_it_is_refused_only_where_others_wait_and_late_answers_are_worth_nothing(slow, late_worth, refused):
-    made = settings(classes=[{"name": "read", "onTimeNs": 160 * MS, "hardLimitNs": TOTAL, "repeat": "free",
-                              "credit": 1.0, "lateWorth": late_worth}])
+    made = settings(
+        classes=[
+            {
+                "name": "read",
+                "onTimeNs": 160 * MS,
+                "hardLimitNs": TOTAL,
+                "repeat": "free",
+                "credit": 1.0,
+                "lateWorth": late_worth,
+            }
+        ]
+    )
     b = Balancer(made, 1, 0)
     b.handle(0, Directory("FULL", tuple(Entry(f"s{i}") for i in range(4))))
     now = SECOND
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -19,8 +19,16 @@
 
 
 def config(**changes):
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
-            "limits": {"sockets": 1024}, "known": listing(), "settings": settings(), **changes}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "ff",
+        "limits": {"sockets": 1024},
+        "known": listing(),
+        "settings": settings(),
+        **changes,
+    }
 
 
 def written(tmp_path, raw):
@@ -41,12 +49,22 @@
     assert made.listen == ("127.0.0.2", 80) and made.name == "n9" and made.seed == 255
 
 
-@pytest.mark.parametrize(("raw", "key"), [
-    ("{", "NODE_CONFIG"), ("[]", "NODE_CONFIG"), (config(listen="here"), "listen"), (config(seed=7), "seed"),
-    (config(discovery=None), "discovery"), (config(known=[]), "known"), (config(name=1), "name"),
-    (config(limits={"sockets": "many"}), "limits.sockets"), (config(settings={}), "settings.classes"),
-    (config(settings=None), "settings"), (config(listen="127.0.0.1:99999"), "listen"),
-])
+@pytest.mark.parametrize(
+    ("raw", "key"),
+    [
+        ("{", "NODE_CONFIG"),
+        ("[]", "NODE_CONFIG"),
+        (config(listen="here"), "listen"),
+        (config(seed=7), "seed"),
+        (config(discovery=None), "discovery"),
+        (config(known=[]), "known"),
+        (config(name=1), "name"),
+        (config(limits={"sockets": "many"}), "limits.sockets"),
+        (config(settings={}), "settings.classes"),
+        (config(settings=None), "settings"),
+        (config(listen="127.0.0.1:99999"), "listen"),
+    ],
+)
 def test_bad_configuration_names_its_key(tmp_path, raw, key):
     with pytest.raises(ConfigError, match=key) as caught:
         load(written(tmp_path, raw))
@@ -55,8 +73,8 @@
 
 async def start(env):
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "hollyport", cwd=ROOT, env={**os.environ, **env},
-        stderr=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "hollyport", cwd=ROOT, env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE
+    )
 
 
 def test_bad_configuration_exits_with_2_and_one_line(tmp_path):
@@ -64,6 +82,7 @@
         process = await start(written(tmp_path, config(seed="xyz")))
         _, errors = await process.communicate()
         assert process.returncode == 2 and errors.count(b"\n") == 1 and b"seed" in errors
+
     play(scene)
 
 
@@ -99,6 +118,7 @@
             go.set()
             assert (await taken)[2] == b"done"
             assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
+
     play(scene)
 
 
@@ -111,6 +131,7 @@
 
 def test_sighup_moves_to_the_new_discovery_and_a_bad_file_changes_nothing(tmp_path):
     """Found: SIGHUP killed the process. The new discovery may count its versions from lower."""
+
     async def scene():
         port, asked = free_port(), {"old": asyncio.Queue(), "new": asyncio.Queue()}
 
@@ -121,16 +142,23 @@
                     await talk.answer(200, json.dumps(answer).encode())
                 else:
                     await asyncio.sleep(60)
+
             return script
 
         async def serve(talk: Conversation, call: Call) -> None:
             await talk.answer(200, b"done")
 
-        async with (Server(serve) as one, Server(serve) as two,
-                    Server(place("old", listing(line("s1", one.port), index=900))) as old,
-                    Server(place("new", listing(line("s2", two.port), index=3))) as new):
-            raw = config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{old.port}",
-                         settings=settings(discovery="subscribe", invariants={"mustAskInNs": 10**9}))
+        async with (
+            Server(serve) as one,
+            Server(serve) as two,
+            Server(place("old", listing(line("s1", one.port), index=900))) as old,
+            Server(place("new", listing(line("s2", two.port), index=3))) as new,
+        ):
+            raw = config(
+                listen=f"127.0.0.1:{port}",
+                discovery=f"127.0.0.1:{old.port}",
+                settings=settings(discovery="subscribe", invariants={"mustAskInNs": 10**9}),
+            )
             env = {**written(tmp_path, raw), "NODE_DISCOVERY": f"127.0.0.1:{old.port}"}
             process = await start(env)
             assert b"listening" in await process.stderr.readline()
@@ -152,6 +180,7 @@
             assert (await client.ask())[0] == 200 and len(two.calls) == 1
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
+
     play(scene)
 
 
@@ -168,11 +197,13 @@
         assert b"listening" in await process.stderr.readline()
         process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
+
     play(scene)
 
 
 def test_sigterm_ends_a_sidecar_whose_log_nobody_reads_any_more(tmp_path):
     """Found: the line on the change of state could not be written, and the end was never begun."""
+
     async def scene():
         raw = config(listen=f"127.0.0.1:{free_port()}", known=listing(line("s1", 9)))
         process = await start(written(tmp_path, raw))
@@ -180,4 +211,5 @@
         process._transport.get_pipe_transport(2).close()
         process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
+
     play(scene)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -23,8 +23,16 @@
 
 def site(mode: str, group: str) -> Settings:
     classes = [
-        {"name": n, "onTimeNs": 400 * MS, "hardLimitNs": SECOND, "repeat": n, "credit": 1.0 + i,
-         "lateWorth": 0.3 * (i % 2), "group": group, "windowNs": 500 * MS}
+        {
+            "name": n,
+            "onTimeNs": 400 * MS,
+            "hardLimitNs": SECOND,
+            "repeat": n,
+            "credit": 1.0 + i,
+            "lateWorth": 0.3 * (i % 2),
+            "group": group,
+            "windowNs": 500 * MS,
+        }
         for i, n in enumerate(["free", "single_shot", "guarded"])
     ]
     return settings(classes=classes, **MODES[mode])
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -28,35 +28,45 @@
 
 def test_a_request_goes_through_unchanged_and_connections_are_kept():
     """Found: every connection to a server was closed after one answer, as the parser was asked too late."""
+
     async def scene():
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             client = await world.client()
             for number in range(3):
-                status, _, body = await client.ask("guarded", f"id-{number}", body=b"x" * 60_000,
-                                                   Idempotency_Key="k1", Connection="keep-alive")
+                status, _, body = await client.ask(
+                    "guarded",
+                    f"id-{number}",
+                    body=b"x" * 60_000,
+                    Idempotency_Key="k1",
+                    Connection="keep-alive",
+                )
                 assert (status, body) == (200, f"id-{number}".encode())
             call = server.calls[0]
             assert (call.method, call.target, call.body) == ("POST", "/guarded?q=1", b"x" * 60_000)
             assert call.headers["x-request-id"] == "id-0" and call.headers["idempotency-key"] == "k1"
             assert 4.0 < float(call.headers["X-Timeout"]) < 5.0
             assert "connection" not in call.headers and server.connections == 1
+
     play(scene)
 
 
 def test_a_connection_that_ended_before_the_first_send_has_not_run():
     """A server at its limit accepts and closes; a write then raised, and the attempt had no outcome."""
+
     async def scene():
         async with Server(ok) as server:
             loop = asyncio.get_running_loop()
             lost, ended = asyncio.Event(), []
             _, connection = await loop.create_connection(
-                lambda: Connection(lambda _: lost.set()), "127.0.0.1", server.port)
+                lambda: Connection(lambda _: lost.set()), "127.0.0.1", server.port
+            )
             sock = connection._transport.get_extra_info("socket")
             assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)  # the loop's doing
             connection.close()
             await lost.wait()
             connection.send(b"GET / HTTP/1.1\r\n\r\n", ended.append)
             assert ended == [None] and not connection.written
+
     play(scene)
 
 
@@ -84,6 +94,7 @@
         await ended.wait()
         assert outcomes == [How.CONNECT_FAILED]
         server.close()
+
     play(scene)
 
 
@@ -97,9 +108,11 @@
                 upstream.update(name, Address("127.0.0.1", server.port), 0, True)
                 done: asyncio.Future[How] = asyncio.get_running_loop().create_future()
                 request = b"GET / HTTP/1.1\r\nHost: s\r\n\r\n"
-                upstream.exchange(name, lambda r=request: r, 10.0, lambda how, _, d=done: d.set_result(how)
-                                  ).start()
+                upstream.exchange(
+                    name, lambda r=request: r, 10.0, lambda how, _, d=done: d.set_result(how)
+                ).start()
                 assert await done is How.OK  # four servers by turns over two descriptors
+
     play(scene)
 
 
@@ -117,11 +130,13 @@
                 await client.send(head.encode())
             assert [(await client.answer())[2] for _ in range(3)] == [b"a", b"b", b"c"]
             assert float(server.calls[1].headers["X-Timeout"]) < 4.8
+
     play(scene)
 
 
 def test_time_that_the_process_stood_still_counts_for_the_client(capfd):
     """Found with a third of a core: a request read late was answered after its client's time."""
+
     async def scene():
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             client = await world.client()
@@ -132,6 +147,7 @@
             assert (await asking)[0] == 200
             assert float(server.calls[0].headers["X-Timeout"]) > 4.8
             assert float(server.calls[1].headers["X-Timeout"]) < 4.6
+
     play(scene)
     assert "stood still" in capfd.readouterr().err
 
@@ -144,6 +160,7 @@
                 patch.setattr(world.sidecar.core, "_new_id", lambda rid, now: 1 // 0)
                 assert (await client.ask())[0] == 500
             assert (await client.ask())[0] == 200
+
     play(scene)
     assert "ZeroDivisionError" in capfd.readouterr().err
 
@@ -190,12 +207,14 @@
                 assert idle and not world.sidecar._upstream._targets["s1"].idle
                 status, headers, _ = await asking  # one answer: the first
                 assert status == 503 and headers["retry-after"] == "0.250"
+
     play(scene)
     assert "a word" in capfd.readouterr().err
 
 
 def test_alarms_never_come_early():
     """The loop counts whole milliseconds; the module lets an alarm that is early by its clock pass."""
+
     async def scene():
         async with sidecar() as world:
             told = asyncio.Queue()
@@ -208,6 +227,7 @@
             while due:
                 at, alarm = await told.get()
                 assert at >= due.pop(alarm.tag)
+
     play(scene)
 
 
@@ -220,6 +240,7 @@
             assert (await client.ask("single_shot", "1"))[0] == 503  # never sent, so a retry is harmless
             monkeypatch.setattr(world.sidecar.core._module, "handle", real)
             assert (await client.ask("single_shot", "2"))[0] == 200
+
     play(scene)
     assert "ZeroDivisionError" in capfd.readouterr().err
 
@@ -230,6 +251,5 @@
             client = await world.client()
             await client.send(b"GET /-/ready HTTP/1.1\r\nHost: app\r\n\r\n")
             assert (await client.answer())[0] == 503
-    play(scene)
-
 
+    play(scene)
--- a/tests/test_stale.py
+++ b/tests/test_stale.py
@@ -15,13 +15,16 @@
     return bool(only(acts, CloseIdle))
 
 
-@pytest.mark.parametrize(("worked_ms", "reset_ms", "then_ms", "closed"), [
-    (0, 300, 200, True),  # nothing is known yet: half of what was reset may be too long as well
-    (500, 300, 200, False),  # longer ones were answered: it was not for being idle
-    (500, 300, 450, False),
-    (800, 1200, 1000, True),  # a limit lies between
-    (800, 1200, 750, False),  # and what has been answered is below it
-])
+@pytest.mark.parametrize(
+    ("worked_ms", "reset_ms", "then_ms", "closed"),
+    [
+        (0, 300, 200, True),  # nothing is known yet: half of what was reset may be too long as well
+        (500, 300, 200, False),  # longer ones were answered: it was not for being idle
+        (500, 300, 450, False),
+        (800, 1200, 1000, True),  # a limit lies between
+        (800, 1200, 750, False),  # and what has been answered is below it
+    ],
+)
 def test_a_reset_is_held_against_idle_times_that_worked(worked_ms, reset_ms, then_ms, closed):
     b, now = balancer(servers=1), SECOND
     call(b, now)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,8 +4,11 @@
 
 from dunefield import Echo, How, Probe, Submit
 
-TOLD = {"prices": {"probe": 0.08, "handshake": 0.08}, "reporting": {"how": "probe"},
-        "limits": {"mayProbe": True}}
+TOLD = {
+    "prices": {"probe": 0.08, "handshake": 0.08},
+    "reporting": {"how": "probe"},
+    "limits": {"mayProbe": True},
+}
 DEADLINE = SECOND
 
 
--- a/tests/test_wire_rows.py
+++ b/tests/test_wire_rows.py
@@ -64,22 +64,29 @@
     return run
 
 
-@pytest.mark.parametrize(("line", "event"), [
-    ("accept who=0 tid=aa costNs=12 owner=1 ttlNs=240 type=2 object=k:1 bitmap=7 odd=1",
-     Accept("aa", 2, 240, 12, 1, "k:1", True, True)),
-    ("accept who=0 tid=aa costNs=12 ttlNs=240 bitmap=0", Accept("aa", 0, 240)),
-    ("begun who=0 tid=aa server=a:1 go=1 lagNs=9", Begun("aa", "a:1", 1, 9)),
-    ("begun who=0 tid=aa", Begun("aa")),
-    ("response who=0 tid=aa how=100 lagNs=18 server=a:1 go=1 closed=1 usage=queue:3,util:0.62,x:y",
-     Response("aa", 100, 18, "a:1", 1, True, {"queue": 3.0, "util": 0.62})),
-    ("response who=0 tid=aa how=303 server=a:1", Response("aa", 303, 0, "a:1", 0, False, {})),
-    ("hangup who=0 tid=aa", Hangup("aa")),
-    ("alarm who=0 tag=77", Alarm(77)),
-    ("echo who=0 lagNs=4 how=100 server=a:1 usage=inflight:2", Echo("a:1", 100, 4, {"inflight": 2.0})),
-    ("heard who=0 from=2 blob=6869", Heard(2, b"hi")),
-    ("heard who=0 from=2 blob=-", Heard(2, b"")),
-    ("directory_update who=0 scope=FAILED gen=3", Directory("FAILED", (), 3)),
-])
+@pytest.mark.parametrize(
+    ("line", "event"),
+    [
+        (
+            "accept who=0 tid=aa costNs=12 owner=1 ttlNs=240 type=2 object=k:1 bitmap=7 odd=1",
+            Accept("aa", 2, 240, 12, 1, "k:1", True, True),
+        ),
+        ("accept who=0 tid=aa costNs=12 ttlNs=240 bitmap=0", Accept("aa", 0, 240)),
+        ("begun who=0 tid=aa server=a:1 go=1 lagNs=9", Begun("aa", "a:1", 1, 9)),
+        ("begun who=0 tid=aa", Begun("aa")),
+        (
+            "response who=0 tid=aa how=100 lagNs=18 server=a:1 go=1 closed=1 usage=queue:3,util:0.62,x:y",
+            Response("aa", 100, 18, "a:1", 1, True, {"queue": 3.0, "util": 0.62}),
+        ),
+        ("response who=0 tid=aa how=303 server=a:1", Response("aa", 303, 0, "a:1", 0, False, {})),
+        ("hangup who=0 tid=aa", Hangup("aa")),
+        ("alarm who=0 tag=77", Alarm(77)),
+        ("echo who=0 lagNs=4 how=100 server=a:1 usage=inflight:2", Echo("a:1", 100, 4, {"inflight": 2.0})),
+        ("heard who=0 from=2 blob=6869", Heard(2, b"hi")),
+        ("heard who=0 from=2 blob=-", Heard(2, b"")),
+        ("directory_update who=0 scope=FAILED gen=3", Directory("FAILED", (), 3)),
+    ],
+)
 def test_events_come_in(talk, line, event):
     assert talk(line) == ["next"]
     assert Recorder.seen == [(5, event)]
@@ -87,15 +94,25 @@
 
 @pytest.mark.parametrize("scope", ["INCREMENTAL", "FULL", "SAVED"])
 def test_lists_come_in(talk, scope):
-    talk("roster slot=3 nodesList=2", SERVER, "server server=b:1",
-         f"directory_update who=0 scope={scope} gen=41 slot=3")
+    talk(
+        "roster slot=3 nodesList=2",
+        SERVER,
+        "server server=b:1",
+        f"directory_update who=0 scope={scope} gen=41 slot=3",
+    )
     entries = (Entry("a:1", 2, 3, 4, "draining", 1.5, 600), Entry("b:1"))
     assert Recorder.seen == [(5, Directory(scope, entries, 41))]
 
 
 def test_a_new_roster_takes_the_number_of_an_old_one(talk):
-    talk("roster slot=0 nodesList=1", "server server=a:1", "directory_update who=0 scope=FULL slot=0",
-         "roster slot=0 nodesList=1", "server server=b:1", "directory_update who=0 scope=FULL slot=0")
+    talk(
+        "roster slot=0 nodesList=1",
+        "server server=a:1",
+        "directory_update who=0 scope=FULL slot=0",
+        "roster slot=0 nodesList=1",
+        "server server=b:1",
+        "directory_update who=0 scope=FULL slot=0",
+    )
     assert [event.entries[0].server for _, event in Recorder.seen] == ["a:1", "b:1"]
 
 
@@ -104,21 +121,24 @@
     assert Recorder.made[1:] == (7, 9)
 
 
-@pytest.mark.parametrize(("action", "line"), [
-    (Submit("aa", "a:1", 9), "submit_to who=0 tid=aa server=a:1 abandonAtNs=9"),
-    (Refuse("aa", 5), "push_back who=0 tid=aa holdOffNs=5"),
-    (Fail("aa"), "finish_error who=0 tid=aa"),
-    (Retract("aa", 1), "retract who=0 tid=aa go=1"),
-    (Subscribe(), "subscribe who=0 want=1"),
-    (Subscribe(False), "subscribe who=0 want=0"),
-    (Fetch(), "fetch who=0"),
-    (Probe("a:1"), "touch who=0 server=a:1"),
-    (CloseIdle("a:1"), "hang_up who=0 server=a:1"),
-    (Tell(-1, b"hi"), "signal who=0 to=-1 blob=6869"),
-    (Tell(2, b""), "signal who=0 to=2 blob=-"),
-    (Note("two\nservers"), "note_down who=0 line=two servers"),
-    (Defer(5, 7), "defer who=0 inNs=5 tag=7"),
-])
+@pytest.mark.parametrize(
+    ("action", "line"),
+    [
+        (Submit("aa", "a:1", 9), "submit_to who=0 tid=aa server=a:1 abandonAtNs=9"),
+        (Refuse("aa", 5), "push_back who=0 tid=aa holdOffNs=5"),
+        (Fail("aa"), "finish_error who=0 tid=aa"),
+        (Retract("aa", 1), "retract who=0 tid=aa go=1"),
+        (Subscribe(), "subscribe who=0 want=1"),
+        (Subscribe(False), "subscribe who=0 want=0"),
+        (Fetch(), "fetch who=0"),
+        (Probe("a:1"), "touch who=0 server=a:1"),
+        (CloseIdle("a:1"), "hang_up who=0 server=a:1"),
+        (Tell(-1, b"hi"), "signal who=0 to=-1 blob=6869"),
+        (Tell(2, b""), "signal who=0 to=2 blob=-"),
+        (Note("two\nservers"), "note_down who=0 line=two servers"),
+        (Defer(5, 7), "defer who=0 inNs=5 tag=7"),
+    ],
+)
 def test_actions_go_out(talk, action, line):
     Recorder.answer = [action]
     assert talk("alarm who=0 tag=1") == [line, "next"]
@@ -132,41 +152,125 @@
 
 
 SET = {
-    "classes": [{"name": "c", "onTimeNs": 4, "hardLimitNs": 9, "credit": 3.0, "lateWorth": 0.1,
-                 "repeat": "guarded", "group": "zone", "windowNs": 6, "stream": True, "aimStretch": 2.0}],
-    "clients": {"marksRetry": True}, "discovery": "subscribe", "failureDomains": ["z"], "zone": 0,
-    "familyInfo": {"warmKeys": True, "passesDeadline": True}, "workload": "mesh", "tier": 1,
-    "layers": ["a", "b"], "valueBy": "work", "weights": "rough", "index": 3, "replicasOfMe": 9,
-    "goal": {"whole": 0.7, "ninesPart": 0.1}, "kinds": ["k"], "overShareWorth": 0.2, "periodNs": 5,
-    "reporting": {"how": "probe", "columns": ["queue"]}, "prices": {"waste": 0.1},
+    "classes": [
+        {
+            "name": "c",
+            "onTimeNs": 4,
+            "hardLimitNs": 9,
+            "credit": 3.0,
+            "lateWorth": 0.1,
+            "repeat": "guarded",
+            "group": "zone",
+            "windowNs": 6,
+            "stream": True,
+            "aimStretch": 2.0,
+        }
+    ],
+    "clients": {"marksRetry": True},
+    "discovery": "subscribe",
+    "failureDomains": ["z"],
+    "zone": 0,
+    "familyInfo": {"warmKeys": True, "passesDeadline": True},
+    "workload": "mesh",
+    "tier": 1,
+    "layers": ["a", "b"],
+    "valueBy": "work",
+    "weights": "rough",
+    "index": 3,
+    "replicasOfMe": 9,
+    "goal": {"whole": 0.7, "ninesPart": 0.1},
+    "kinds": ["k"],
+    "overShareWorth": 0.2,
+    "periodNs": 5,
+    "reporting": {"how": "probe", "columns": ["queue"]},
+    "prices": {"waste": 0.1},
     "projects": [{"name": "p", "share": 0.5, "allowancePerS": 7.0}],
-    "invariants": {"coldFrom": 0.2, "coldNs": 3, "drainGraceNs": 4, "fallMultiple": 2.5, "fallNs": 6,
-                   "graceToAnswerNs": 7, "mustAskInNs": 2_000_000_000},
-    "limits": {"cancel": True, "connIdleNs": 1, "connectTimeoutNs": 2, "cpuUsPerRequest": 10.0,
-               "cpuUsPerS": 8000, "maxAttempts": 5, "maxRetryAfterNs": 6, "mayProbe": True, "openCap": 7,
-               "peers": True, "retryAfter": True, "secondCopies": True, "streamsPerConn": 8},
+    "invariants": {
+        "coldFrom": 0.2,
+        "coldNs": 3,
+        "drainGraceNs": 4,
+        "fallMultiple": 2.5,
+        "fallNs": 6,
+        "graceToAnswerNs": 7,
+        "mustAskInNs": 2_000_000_000,
+    },
+    "limits": {
+        "cancel": True,
+        "connIdleNs": 1,
+        "connectTimeoutNs": 2,
+        "cpuUsPerRequest": 10.0,
+        "cpuUsPerS": 8000,
+        "maxAttempts": 5,
+        "maxRetryAfterNs": 6,
+        "mayProbe": True,
+        "openCap": 7,
+        "peers": True,
+        "retryAfter": True,
+        "secondCopies": True,
+        "streamsPerConn": 8,
+    },
     "later": {"key": 1},
 }
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    ("classes.0.name", "c"), ("classes.0.aim_ns", 4), ("classes.0.deadline_ns", 9), ("classes.0.worth", 3.0),
-    ("classes.0.late_worth", 0.1), ("classes.0.repeat", "guarded"), ("classes.0.group", "zone"),
-    ("classes.0.window_ns", 6), ("classes.0.stream", True), ("classes.0.aim_stretch", 2.0),
-    ("marks_retry", True), ("must_ask", True), ("zones", ("z",)), ("zone", 0), ("warm_keys", True),
-    ("passes_deadline", True), ("workload", "mesh"), ("tier", 1), ("layers", ("a", "b")),
-    ("value_by", "work"), ("weights", "rough"), ("index", 3), ("replicas", 9), ("kinds", ("k",)),
-    ("goal", {"whole": 0.7, "ninesPart": 0.1}), ("over_share_worth", 0.2), ("period_ns", 5),
-    ("reports", "probe"), ("columns", ("queue",)), ("prices", {"waste": 0.1}),
-    ("tenants.0.name", "p"), ("tenants.0.share", 0.5), ("tenants.0.allowance_per_s", 7.0),
-    ("invariants.cold_from", 0.2), ("invariants.cold_ns", 3), ("invariants.drain_grace_ns", 4),
-    ("invariants.fall_multiple", 2.5), ("invariants.fall_ns", 6), ("invariants.answer_grace_ns", 7),
-    ("invariants.must_ask_in_ns", 2_000_000_000), ("limits.cancel", True), ("limits.conn_idle_ns", 1),
-    ("limits.connect_timeout_ns", 2), ("limits.cpu_us_per_request", 10.0), ("limits.cpu_us_per_s", 8000.0),
-    ("limits.max_attempts", 5), ("limits.max_retry_after_ns", 6), ("limits.may_probe", True),
-    ("limits.open_cap", 7), ("limits.peers", True), ("limits.retry_after", True),
-    ("limits.second_copies", True), ("limits.streams_per_conn", 8),
-])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("classes.0.name", "c"),
+        ("classes.0.aim_ns", 4),
+        ("classes.0.deadline_ns", 9),
+        ("classes.0.worth", 3.0),
+        ("classes.0.late_worth", 0.1),
+        ("classes.0.repeat", "guarded"),
+        ("classes.0.group", "zone"),
+        ("classes.0.window_ns", 6),
+        ("classes.0.stream", True),
+        ("classes.0.aim_stretch", 2.0),
+        ("marks_retry", True),
+        ("must_ask", True),
+        ("zones", ("z",)),
+        ("zone", 0),
+        ("warm_keys", True),
+        ("passes_deadline", True),
+        ("workload", "mesh"),
+        ("tier", 1),
+        ("layers", ("a", "b")),
+        ("value_by", "work"),
+        ("weights", "rough"),
+        ("index", 3),
+        ("replicas", 9),
+        ("kinds", ("k",)),
+        ("goal", {"whole": 0.7, "ninesPart": 0.1}),
+        ("over_share_worth", 0.2),
+        ("period_ns", 5),
+        ("reports", "probe"),
+        ("columns", ("queue",)),
+        ("prices", {"waste": 0.1}),
+        ("tenants.0.name", "p"),
+        ("tenants.0.share", 0.5),
+        ("tenants.0.allowance_per_s", 7.0),
+        ("invariants.cold_from", 0.2),
+        ("invariants.cold_ns", 3),
+        ("invariants.drain_grace_ns", 4),
+        ("invariants.fall_multiple", 2.5),
+        ("invariants.fall_ns", 6),
+        ("invariants.answer_grace_ns", 7),
+        ("invariants.must_ask_in_ns", 2_000_000_000),
+        ("limits.cancel", True),
+        ("limits.conn_idle_ns", 1),
+        ("limits.connect_timeout_ns", 2),
+        ("limits.cpu_us_per_request", 10.0),
+        ("limits.cpu_us_per_s", 8000.0),
+        ("limits.max_attempts", 5),
+        ("limits.max_retry_after_ns", 6),
+        ("limits.may_probe", True),
+        ("limits.open_cap", 7),
+        ("limits.peers", True),
+        ("limits.retry_after", True),
+        ("limits.second_copies", True),
+        ("limits.streams_per_conn", 8),
+    ],
+)
 def test_settings_come_in(path, value):
     found = Settings.parse(SET)
     for step in path.split("."):
@@ -181,13 +285,22 @@
     assert made.classes[0].repeat == "single_shot"
 
 
-@pytest.mark.parametrize(("change", "key"), [
-    ({"classes": []}, "classes"), ({"classes": None}, "classes"), ({"classes": {}}, "classes"),
-    ({"classes": [{"hardLimitNs": 0}]}, "hardLimitNs"), ({"classes": [{"hardLimitNs": "9"}]}, "hardLimitNs"),
-    ({"classes": [{"hardLimitNs": float("inf")}]}, "hardLimitNs"), ({"classes": [3]}, "classes[0]"),
-    ({"limits": {"maxAttempts": "five"}}, "limits.maxAttempts"), ({"goal": {"whole": True}}, "goal.whole"),
-    ({"prices": {"waste": float("nan")}}, "prices.waste"), ({"discovery": 4}, "discovery"),
-])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"classes": []}, "classes"),
+        ({"classes": None}, "classes"),
+        ({"classes": {}}, "classes"),
+        ({"classes": [{"hardLimitNs": 0}]}, "hardLimitNs"),
+        ({"classes": [{"hardLimitNs": "9"}]}, "hardLimitNs"),
+        ({"classes": [{"hardLimitNs": float("inf")}]}, "hardLimitNs"),
+        ({"classes": [3]}, "classes[0]"),
+        ({"limits": {"maxAttempts": "five"}}, "limits.maxAttempts"),
+        ({"goal": {"whole": True}}, "goal.whole"),
+        ({"prices": {"waste": float("nan")}}, "prices.waste"),
+        ({"discovery": 4}, "discovery"),
+    ],
+)
 def test_unusable_settings_name_the_key(change, key):
     with pytest.raises(SettingsError) as caught:
         Settings.parse({**ENV, **change})
--- a/tests/thrift/test_back.py
+++ b/tests/thrift/test_back.py
@@ -34,9 +34,11 @@
     "another sequence id": lambda talk: talk.tongue.message("single_shot", talk.head.seqid + 1, 2, DONE),
     "another method": lambda talk: talk.tongue.message("free", talk.head.seqid, 2, DONE),
     "a call in place of an answer": lambda talk: talk.tongue.message(
-        "single_shot", talk.head.seqid, TMessageType.CALL, DONE),
+        "single_shot", talk.head.seqid, TMessageType.CALL, DONE
+    ),
     "a oneway in place of an answer": lambda talk: talk.tongue.message(
-        "single_shot", talk.head.seqid, TMessageType.ONEWAY, DONE),
+        "single_shot", talk.head.seqid, TMessageType.ONEWAY, DONE
+    ),
     "bytes behind the struct": lambda talk: _longer(talk.good(b"x")),
     "a frame longer than allowed": lambda talk: b"\x40\x00\x00\x00" + talk.good(b"x"),
     "a negative length": lambda talk: b"\xff\xff\xff\x00" + talk.good(b"x"),
@@ -65,12 +67,21 @@
             assert event.how == How.CANCELLED and len(node.calls) == 1
             node.script = ok
             assert (await client.ask("single_shot")).what == "served" and node.connections == 2
+
     play(scene)
 
 
-@pytest.mark.parametrize(("kind", "what", "how"), [
-    (11, "refused", How.FULL), (0, "failed", How.ERROR), (1, "failed", How.ERROR), (6, "failed", How.ERROR),
-    (12, "failed", How.ERROR), (99, "failed", How.ERROR)])
+@pytest.mark.parametrize(
+    ("kind", "what", "how"),
+    [
+        (11, "refused", How.FULL),
+        (0, "failed", How.ERROR),
+        (1, "failed", How.ERROR),
+        (6, "failed", How.ERROR),
+        (12, "failed", How.ERROR),
+        (99, "failed", How.ERROR),
+    ],
+)
 def test_only_load_shedding_says_that_it_has_not_run(kind, what, how):
     async def scene():
         async def shed(talk: Talk, asked: Asked) -> None:
@@ -82,11 +93,13 @@
             while not isinstance(event := await told.get(), Response):
                 pass
             assert event.how == how and node.connections == 1
+
     play(scene)
 
 
 def test_the_answer_to_the_call_before_that_comes_on_a_kept_connection_is_not_the_next_ones():
     """Written in the same instant as the next call: the connection was quiet when it was taken."""
+
     async def scene():
         async def twice(talk: Talk, asked: Asked) -> None:
             if asked.rid == "1":
@@ -100,6 +113,7 @@
             assert (await client.ask("single_shot", "1")).body == b"1"
             assert (await client.ask("single_shot", "2")).what == "failed"
             assert node.connections == 1
+
     play(scene)
 
 
@@ -117,6 +131,7 @@
             answer = await client.raw()
             assert tongue.message("single_shot", 77, TMessageType.REPLY, sold).endswith(answer.data)
             assert (answer.head.seqid, answer.head.kind) == (77, TMessageType.REPLY)
+
     play(scene)
 
 
@@ -129,9 +144,10 @@
             await ok(talk, asked)
 
         options = TONGUE.options(message_kb=64)
-        async with Node(TONGUE, slow) as node, sidecar(
-            TONGUE, TONGUE.line("s1", node.port), raw=PROBED, options=options
-        ) as world:
+        async with (
+            Node(TONGUE, slow) as node,
+            sidecar(TONGUE, TONGUE.line("s1", node.port), raw=PROBED, options=options) as world,
+        ):
             client = await world.client()
             bodies = b"".join(client.call("free", f"r{n}", 10, b"x" * 60_000) for n in range(12))
             sending = asyncio.ensure_future(asyncio.to_thread(lambda: None))
@@ -144,6 +160,7 @@
             assert sum(len(call.message.data) for call in guest._waiting) <= 3 * 65536
             go.set()
             assert [(await client.answer()).body for _ in range(12)] == [b"r%d" % n for n in range(12)]
+
     play(scene)
 
 
@@ -166,6 +183,7 @@
                 assert beside.probes and not node.probes and not beside.calls
                 world.sidecar._told(read_listing(listing(index=3, snapshot=True), world.sidecar._settings))
                 assert not world.sidecar._upstream._sides and not world.sidecar._upstream._targets
+
     play(scene)
 
 
@@ -178,10 +196,12 @@
         from hollyport.thrift.options import read
 
         options = Options("test", {"thrift": read(table)})
-        async with Node(TONGUE, ok) as node, sidecar(
-            TONGUE, TONGUE.line("s1", node.port), raw=raw, options=options
-        ) as world:
+        async with (
+            Node(TONGUE, ok) as node,
+            sidecar(TONGUE, TONGUE.line("s1", node.port), raw=raw, options=options) as world,
+        ):
             assert (await (await world.client()).ask("free")).what == "served" and not node.probes
+
     play(scene)
 
 
@@ -209,14 +229,30 @@
                 ports.append(server.sockets[0].getsockname()[1])
                 server.close()
                 await server.wait_closed()
-            config.write_text(json.dumps({
-                "name": "n0", "listen": f"127.0.0.1:{ports[0]}", "discovery": "127.0.0.1:1", "seed": "ff",
-                "known": listing(TONGUE.line("s1", node.port)), "settings": settings(discovery="subscribe")}))
+            config.write_text(
+                json.dumps(
+                    {
+                        "name": "n0",
+                        "listen": f"127.0.0.1:{ports[0]}",
+                        "discovery": "127.0.0.1:1",
+                        "seed": "ff",
+                        "known": listing(TONGUE.line("s1", node.port)),
+                        "settings": settings(discovery="subscribe"),
+                    }
+                )
+            )
             options.write_text(table.format(port=ports[1], cls="free"))
             environ = {**os.environ, "NODE_CONFIG": str(config)}
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hollyport", "--options", str(options), cwd=ROOT, env=environ,
-                stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "hollyport",
+                "--options",
+                str(options),
+                cwd=ROOT,
+                env=environ,
+                stderr=asyncio.subprocess.PIPE,
+            )
             while b"listening on" not in await process.stderr.readline():
                 pass
             client = await TONGUE.client(World(None, ports[1], TONGUE))
@@ -228,15 +264,34 @@
             assert (await client.ask("free", "r2"))[:2] == ("served", b"r2")
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
+
     play(scene)
 
 
 def test_a_class_that_the_platform_does_not_have_ends_the_start_and_is_named(tmp_path):
     config, options = tmp_path / "config.json", tmp_path / "hollyport.toml"
-    config.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-                                  "seed": "ff", "known": listing(), "settings": settings()}))
-    options.write_text('[thrift]\n[[thrift.listeners]]\naddress = "127.0.0.1:0"\n[[thrift.methods]]\n'
-                       'name = "*"\nclass = "nosuch"\n')
-    done = subprocess.run([sys.executable, "-m", "hollyport", "--options", str(options)], cwd=ROOT, text=True,
-                          env={**os.environ, "NODE_CONFIG": str(config)}, capture_output=True, timeout=30)
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "ff",
+                "known": listing(),
+                "settings": settings(),
+            }
+        )
+    )
+    options.write_text(
+        '[thrift]\n[[thrift.listeners]]\naddress = "127.0.0.1:0"\n[[thrift.methods]]\n'
+        'name = "*"\nclass = "nosuch"\n'
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "hollyport", "--options", str(options)],
+        cwd=ROOT,
+        text=True,
+        env={**os.environ, "NODE_CONFIG": str(config)},
+        capture_output=True,
+        timeout=30,
+    )
     assert done.returncode == 2 and "thrift.methods.0.class: no such class: 'nosuch'" in done.stderr
--- a/tests/thrift/test_front.py
+++ b/tests/thrift/test_front.py
@@ -85,6 +85,7 @@
                 assert got == b""
             assert len(node.calls) == before
             assert (await other.ask("free")).what == "served"
+
     play(scene)
 
 
@@ -96,6 +97,7 @@
             writer.write(framed(GOOD))
             assert (await reader.read()).startswith(b"HTTP/1.1 400")
             assert not node.calls
+
     play(scene)
 
 
@@ -117,12 +119,14 @@
             if b"free" in behind[4:] and behind[:4] != b"\xff\xff\xff\xff":
                 assert (await client.answer()).what == "unusable"
             assert await all_of(client) == b"" and len(node.calls) == 3
+
     play(scene)
 
 
 @FORMS
 def test_a_call_split_at_every_point_is_one_call_beside_a_malformed_one(tongue):
     """And the malformed length on another connection, and on the same one behind it."""
+
     async def scene():
         async with Node(tongue, ok) as node, sidecar(tongue, tongue.line("s1", node.port)) as world:
             client = await world.client()
@@ -144,6 +148,7 @@
             client.seqid -= 1
             client.writer.write(client.call("free", "last", 5, b"")[9:] + b"\xff\xff\xff\xf0" + whole)
             assert (await client.answer()).body == b"last" and await all_of(client) == b""
+
     play(scene)
 
 
@@ -160,6 +165,7 @@
                 value = find(answer.form.protocol, answer.data, answer.head.body_at, (0,))
                 heads.append((answer.head.seqid, answer.head.name, value))
             assert heads == [(-7, b"free", b"a"), (-7, b"free", b"b"), (-7, b"free", b"c")]
+
     play(scene)
 
 
@@ -176,6 +182,7 @@
             assert await all_of(client) == b""
             while any(door.connections for door in world.sidecar._gateway.listeners):
                 await asyncio.sleep(0.01)
+
     play(scene)
 
 
@@ -188,6 +195,7 @@
             assert await all_of(client) == b"" and not node.calls
             while any(door.connections for door in world.sidecar._gateway.listeners):
                 await asyncio.sleep(0.01)
+
     play(scene)
 
 
@@ -203,6 +211,7 @@
             if told:
                 assert (await client.answer()).what == "unusable"
             assert await all_of(client) == b""
+
     play(scene)
 
 
@@ -222,6 +231,7 @@
             go.set()
             assert [(await client.answer()).body for _ in range(200)] == [b"r%d" % n for n in range(200)]
             assert max(most) == AHEAD
+
     play(scene)
 
 
@@ -239,6 +249,7 @@
                 await asyncio.sleep(0.01)
             assert len(node.calls) < 200
             client.leave()
+
     play(scene)
 
 
@@ -249,6 +260,7 @@
             got = await client.ask("x", method="fre")
             assert got.what == "unknown" and "'fre'" in got.text
             assert (await client.ask("free")).what == "served" and len(node.calls) == 1
+
     play(scene)
 
 
@@ -261,6 +273,7 @@
             told = await client.raw()
             assert find(told.form.protocol, told.data, told.head.body_at, (2,)) == 2
             assert await all_of(client) == b"" and not node.calls
+
     play(scene)
 
 
@@ -273,6 +286,7 @@
             assert (await client.ask("guarded", once=True)).what == "served"
             assert (await client.ask("free", timeout_s=None)).what == "served"  # the class's own
             assert len(node.calls) == 2
+
     play(scene)
 
 
@@ -286,4 +300,5 @@
             assert node.calls[0].body == b"p" * 300
             node.script = lambda talk, asked: talk.turn_away()
             assert (await client.ask("single_shot")).what == "refused"
+
     play(scene)
--- a/tests/thrift/test_methods.py
+++ b/tests/thrift/test_methods.py
@@ -27,10 +27,19 @@
     return Message(form, protocol.head(data), data)
 
 
-@pytest.mark.parametrize(("name", "cls"), [
-    (b"push", 0), (b"pusher", 1), (b"pu", 2), (b"Rate:push", 1), (b"Rate:get", 2), (b"Rates:x", 2),
-    (b"other", 2), (b"", 2),
-])
+@pytest.mark.parametrize(
+    ("name", "cls"),
+    [
+        (b"push", 0),
+        (b"pusher", 1),
+        (b"pu", 2),
+        (b"Rate:push", 1),
+        (b"Rate:get", 2),
+        (b"Rates:x", 2),
+        (b"other", 2),
+        (b"", 2),
+    ],
+)
 def test_exact_names_come_first_then_the_longest_prefix_then_the_default(name, cls):
     methods = Methods({"push": Method(0), "push*": Method(1), "*": Method(2), "Rate:push": Method(1),
                        "Rate:*": Method(2)}, SETTINGS)  # fmt: skip
@@ -73,10 +82,16 @@
     assert Methods({"*": method}, SETTINGS).terms(method, call(told), ORIGIN, 1).wait_ns == 10**9
 
 
-@pytest.mark.parametrize("told", [
-    {1: (TType.I32, 0)}, {1: (TType.I32, -5)}, {1: (TType.STRING, b"soon")}, {2: (TType.STRING, b"")},
-    {2: (TType.STRING, b"r" * 257)},
-])
+@pytest.mark.parametrize(
+    "told",
+    [
+        {1: (TType.I32, 0)},
+        {1: (TType.I32, -5)},
+        {1: (TType.STRING, b"soon")},
+        {2: (TType.STRING, b"")},
+        {2: (TType.STRING, b"r" * 257)},
+    ],
+)
 def test_what_makes_no_sense_is_unusable(told):
     method = Method(0, deadline=(1,), rid=(2,))
     with pytest.raises(Unusable):
@@ -92,8 +107,10 @@
         methods.terms(method, call({}), ORIGIN, 1)
 
 
-@pytest.mark.parametrize(("kind", "set_", "oneway"), [
-    (TMessageType.CALL, False, False), (TMessageType.ONEWAY, False, True), (TMessageType.CALL, True, True)])
+@pytest.mark.parametrize(
+    ("kind", "set_", "oneway"),
+    [(TMessageType.CALL, False, False), (TMessageType.ONEWAY, False, True), (TMessageType.CALL, True, True)],
+)
 def test_oneway_by_its_own_word_or_the_operators(kind, set_, oneway):
     method = Method(0, oneway=set_)
     assert Methods({"*": method}, SETTINGS).terms(method, call({}, kind=kind), ORIGIN, 1).oneway is oneway
@@ -110,41 +127,47 @@
 GOOD = {"listeners": [{"address": "127.0.0.1:0"}], "methods": [{"name": "*", "class": "free"}]}
 
 
-@pytest.mark.parametrize(("changes", "path"), [
-    ({"listeners": []}, "listeners"),
-    ({"listeners": [{"address": "nowhere"}]}, "listeners.0.address"),
-    ({"listeners": [{"address": "127.0.0.1:1", "form": "json"}]}, "listeners.0.form"),
-    ({"listeners": [{"address": "127.0.0.1:1", "colour": 1}]}, "listeners.0.colour"),
-    ({"methods": []}, "methods"),
-    ({"methods": [{"name": "a*b", "class": "free"}]}, "methods.0.name"),
-    ({"methods": [{"name": "a"}]}, "methods.0.class"),
-    ({"methods": [{"name": "a", "class": "free"}, {"name": "a", "class": "free"}]}, "methods.1.name"),
-    ({"methods": [{"name": "a", "class": "free", "deadline": [1.5]}]}, "methods.0.deadline"),
-    ({"methods": [{"name": "a", "class": "free", "deadline": [1] * 17}]}, "methods.0.deadline"),
-    ({"methods": [{"name": "a", "class": "free", "deadline_unit": "h"}]}, "methods.0.deadline_unit"),
-    ({"nodes": [{"form": "thrift"}]}, "nodes.0.form"),
-    ({"nodes": [{"form": "framed-binary", "networks": ["10.0.0.1/8"]}]}, "nodes.0.networks"),
-    ({"nodes": [{"form": "framed-binary", "ports": [0]}]}, "nodes.0.ports"),
-    ({"probe": {}}, "probe.method"),
-    ({"probe": {"method": "m", "http_port": 1}}, "probe.method"),
-    ({"probe": {"method": "m", "inflight": [0, 1]}}, "probe.inflight"),
-    ({"sources": {"10.0.0.300": "x"}}, "sources.10.0.0.300"),
-    ({"message_kb": 0}, "message_kb"),
-    ({"typo": 1}, "typo"),
-])
+@pytest.mark.parametrize(
+    ("changes", "path"),
+    [
+        ({"listeners": []}, "listeners"),
+        ({"listeners": [{"address": "nowhere"}]}, "listeners.0.address"),
+        ({"listeners": [{"address": "127.0.0.1:1", "form": "json"}]}, "listeners.0.form"),
+        ({"listeners": [{"address": "127.0.0.1:1", "colour": 1}]}, "listeners.0.colour"),
+        ({"methods": []}, "methods"),
+        ({"methods": [{"name": "a*b", "class": "free"}]}, "methods.0.name"),
+        ({"methods": [{"name": "a"}]}, "methods.0.class"),
+        ({"methods": [{"name": "a", "class": "free"}, {"name": "a", "class": "free"}]}, "methods.1.name"),
+        ({"methods": [{"name": "a", "class": "free", "deadline": [1.5]}]}, "methods.0.deadline"),
+        ({"methods": [{"name": "a", "class": "free", "deadline": [1] * 17}]}, "methods.0.deadline"),
+        ({"methods": [{"name": "a", "class": "free", "deadline_unit": "h"}]}, "methods.0.deadline_unit"),
+        ({"nodes": [{"form": "thrift"}]}, "nodes.0.form"),
+        ({"nodes": [{"form": "framed-binary", "networks": ["10.0.0.1/8"]}]}, "nodes.0.networks"),
+        ({"nodes": [{"form": "framed-binary", "ports": [0]}]}, "nodes.0.ports"),
+        ({"probe": {}}, "probe.method"),
+        ({"probe": {"method": "m", "http_port": 1}}, "probe.method"),
+        ({"probe": {"method": "m", "inflight": [0, 1]}}, "probe.inflight"),
+        ({"sources": {"10.0.0.300": "x"}}, "sources.10.0.0.300"),
+        ({"message_kb": 0}, "message_kb"),
+        ({"typo": 1}, "typo"),
+    ],
+)
 def test_a_wrong_key_is_named(changes, path):
     with pytest.raises(BadValue) as error:
         read({**GOOD, **changes})
     assert ".".join(map(str, error.value.path)) == path
 
 
-@pytest.mark.parametrize(("changes", "path"), [
-    ({"methods": [{"name": "a", "class": "nosuch"}]}, "methods.0.class"),
-    ({"methods": [{"name": "a", "class": "guarded"}]}, "methods.0.idempotency_key"),
-    ({"listeners": [{"address": "127.0.0.1:1", "member": "x"}]}, "listeners.0.member"),
-    ({"sources": {"10.0.0.0/8": "x"}}, "sources.10.0.0.0/8"),
-    ({"nodes": [{"form": "framed-binary", "halls": ["zz"]}]}, "nodes.0.halls"),
-])
+@pytest.mark.parametrize(
+    ("changes", "path"),
+    [
+        ({"methods": [{"name": "a", "class": "nosuch"}]}, "methods.0.class"),
+        ({"methods": [{"name": "a", "class": "guarded"}]}, "methods.0.idempotency_key"),
+        ({"listeners": [{"address": "127.0.0.1:1", "member": "x"}]}, "listeners.0.member"),
+        ({"sources": {"10.0.0.0/8": "x"}}, "sources.10.0.0.0/8"),
+        ({"nodes": [{"form": "framed-binary", "halls": ["zz"]}]}, "nodes.0.halls"),
+    ],
+)
 def test_names_are_checked_against_the_platforms_settings(changes, path):
     with pytest.raises(BadValue) as error:
         check(read({**GOOD, **changes}), SETTINGS)
--- a/tests/thrift/test_oneway.py
+++ b/tests/thrift/test_oneway.py
@@ -52,11 +52,13 @@
             # The connection it went by serves the next call.
             node.script = lambda talk, asked: talk.serve(b"next")
             assert (await client.ask("free")).body == b"next" and node.connections == 1
+
     play(scene)
 
 
 def test_the_order_in_the_modules_books():
     """From the last byte on the client is gone; the server stays as busy as it is until the call is over."""
+
     async def scene():
         go = asyncio.Event()
 
@@ -76,18 +78,25 @@
             go.set()
             await response(told)
             assert module.book.servers["s1"].inflight == 0
+
     play(scene)
 
 
 def test_without_a_probe_it_counts_as_over_after_its_aim_and_blames_nobody():
     async def scene():
-        raw = {"classes": [{"name": k, "onTimeNs": 3 * 10**8, "hardLimitNs": 6 * 10**9, "repeat": k}
-                           for k in ("free", "single_shot", "guarded")],
-               "discovery": "subscribe", "limits": {"maxAttempts": 3}}
+        raw = {
+            "classes": [
+                {"name": k, "onTimeNs": 3 * 10**8, "hardLimitNs": 6 * 10**9, "repeat": k}
+                for k in ("free", "single_shot", "guarded")
+            ],
+            "discovery": "subscribe",
+            "limits": {"maxAttempts": 3},
+        }
         options = TONGUE.options(probe={"http_port": 9})
-        async with Node(TONGUE, quiet) as node, sidecar(
-            TONGUE, TONGUE.line("s1", node.port), raw=raw, options=options
-        ) as world:
+        async with (
+            Node(TONGUE, quiet) as node,
+            sidecar(TONGUE, TONGUE.line("s1", node.port), raw=raw, options=options) as world,
+        ):
             told = world.watch()
             client = await world.client()
             await client.send("single_shot", oneway=True)
@@ -95,23 +104,31 @@
             assert (event.how, event.closed) == (How.CANCELLED, True) and event.lag_ns >= 2 * 10**8
             node.script = lambda talk, asked: talk.serve(b"next")
             assert (await client.ask("free")).body == b"next" and node.connections == 1
+
     play(scene)
 
 
 def test_a_method_may_be_oneway_though_its_calls_do_not_say_so():
     """Some libraries write oneway calls as ordinary ones; no answer comes all the same."""
+
     async def scene():
-        options = TONGUE.options(methods=[
-            {"name": "single_shot", "class": "single_shot", "oneway": True}, {"name": "*", "class": "free"}])
-        async with Node(TONGUE, quiet) as node, sidecar(
-            TONGUE, TONGUE.line("s1", node.port), options=options
-        ) as world:
+        options = TONGUE.options(
+            methods=[
+                {"name": "single_shot", "class": "single_shot", "oneway": True},
+                {"name": "*", "class": "free"},
+            ]
+        )
+        async with (
+            Node(TONGUE, quiet) as node,
+            sidecar(TONGUE, TONGUE.line("s1", node.port), options=options) as world,
+        ):
             told = world.watch()
             client = await world.client()
             await client.send("single_shot")
             assert (await response(told)).how == How.OK
             node.script = lambda talk, asked: talk.serve(b"next")
             assert (await client.ask("free")).body == b"next"
+
     play(scene)
 
 
@@ -130,11 +147,13 @@
                     event = await response(told)
                     assert (event.how, event.closed) == (How.RESET, True)
                 assert len(node.calls) == 2 and not world.core._requests
+
     play(scene)
 
 
 def test_a_node_that_dies_before_the_last_byte_has_not_run_it_and_another_gets_it():
     """Seven megabytes do not fit the kernel's buffers: the first node reads a part and dies."""
+
     async def scene():
         begun = asyncio.Event()
 
@@ -164,6 +183,7 @@
                 assert [event.how for event in hows if event.server == "s0"] == [How.CONNECT_FAILED]
                 assert [call.body for call in node.calls] == bodies
         dying.close()
+
     play(scene)
 
 
@@ -178,9 +198,12 @@
             while len(world.sidecar._counters._counts) < 2:
                 await asyncio.sleep(0.01)
             assert (await counted(world))["oneway"] == {
-                "single_shot": {"refused": 3}, "-": {"unknown method": 1}}
+                "single_shot": {"refused": 3},
+                "-": {"unknown method": 1},
+            }
             world.sidecar._counters.tell(10**9)
             assert not module.book.calls and not world.core._requests
+
     play(scene)
     told = "nobody else tells: oneway - unknown method 1, oneway single_shot refused 3"
     assert told in capfd.readouterr().err
@@ -194,8 +217,10 @@
         counters.add("oneway", "c", "written")
         counters.add("call", "c", "refused")
         counters.tell(now)
-    assert said == ["not served, and nobody else tells: oneway c refused 1",
-                    "not served, and nobody else tells: oneway c refused 3"]
+    assert said == [
+        "not served, and nobody else tells: oneway c refused 1",
+        "not served, and nobody else tells: oneway c refused 3",
+    ]
 
 
 def test_a_oneway_that_nothing_takes_is_given_up_in_time_and_leaves_nothing():
@@ -209,11 +234,13 @@
                 await asyncio.sleep(0.01)
             assert dict(counts) == {("oneway", "single_shot", "refused"): 1} and not node.calls
             assert not world.core._requests
+
     play(scene)
 
 
 def test_the_check_can_fail(monkeypatch):
     """Seeded: the module is not told that the client is gone, so a reset sends a safe one again."""
+
     async def dies(talk: Talk, asked: Asked) -> None:
         talk.reset()
 
@@ -228,6 +255,7 @@
                 await response(told)
                 await response(told)
                 assert len(node.calls) == 2
+
     play(scene)
 
 
@@ -257,6 +285,7 @@
             ends = world.sidecar._counters._counts
             assert ends["oneway", "free", "written"] == len(node.calls)
             assert sum(ends.values()) == 12
+
     play(scene)
 
 
@@ -267,4 +296,5 @@
             await (await world.client()).send("free", oneway=True)
             kinds = [type(await told.get()) for _ in range(3)]
             assert kinds == [Accept, Hangup, Response] and Submit not in kinds
+
     play(scene)
--- a/tests/thrift/test_peers.py
+++ b/tests/thrift/test_peers.py
@@ -251,6 +251,7 @@
                 proto.readMessageEnd()
         trans.close()
         return answers
+
     return calls
 
 
--- a/tests/thrift/test_recode.py
+++ b/tests/thrift/test_recode.py
@@ -91,9 +91,15 @@
     assert not same
 
 
-@pytest.mark.parametrize(("body", "number"), [
-    (b"\x14\xff\xff\x07\x00", -1 - 0xFFFF),  # an i16 written as 17 bits: cut, as on reading in C++ and Java
-])
+@pytest.mark.parametrize(
+    ("body", "number"),
+    [
+        (
+            b"\x14\xff\xff\x07\x00",
+            -1 - 0xFFFF,
+        ),  # an i16 written as 17 bits: cut, as on reading in C++ and Java
+    ],
+)
 def test_numbers_wider_than_their_type_are_cut(body, number):
     head = Compact.put_head(b"m", 1, 1)
     there = recode(made("compact", head + body), FRAMED_BINARY)
--- a/tests/thrift/test_walk.py
+++ b/tests/thrift/test_walk.py
@@ -74,13 +74,16 @@
     alike(name, data)
 
 
-@pytest.mark.parametrize(("name", "data"), [
-    ("binary", b"\x0f\x00\x01\x0b\x7f\xff\xff\xff" + b"\x00" * 64),
-    ("binary", b"\x0d\x00\x01\x0b\x08\x7f\xff\xff\xff" + b"\x00" * 64),
-    ("compact", b"\x19\xf8\xff\xff\xff\xff\x07" + b"\x00" * 64),
-    ("compact", b"\x1b\xff\xff\xff\xff\x07\x88" + b"\x00" * 64),
-    ("compact", b"\x1b\xff\xff\xff\xff\x07\x18" + b"\x00" * 64),
-])
+@pytest.mark.parametrize(
+    ("name", "data"),
+    [
+        ("binary", b"\x0f\x00\x01\x0b\x7f\xff\xff\xff" + b"\x00" * 64),
+        ("binary", b"\x0d\x00\x01\x0b\x08\x7f\xff\xff\xff" + b"\x00" * 64),
+        ("compact", b"\x19\xf8\xff\xff\xff\xff\x07" + b"\x00" * 64),
+        ("compact", b"\x1b\xff\xff\xff\xff\x07\x88" + b"\x00" * 64),
+        ("compact", b"\x1b\xff\xff\xff\xff\x07\x18" + b"\x00" * 64),
+    ],
+)
 def test_a_claim_of_billions_ends_with_the_message(name, data):
     """A loop over the claim would not come back within the test's life."""
     alike(name, data)
--- a/tests/tongues.py
+++ b/tests/tongues.py
@@ -214,8 +214,12 @@
 
 @contextlib.asynccontextmanager
 async def sidecar(
-    tongue: Tongue, *lines: dict[str, Any], discovery: int = 1, raw: dict[str, Any] | None = None,
-    sockets: int = 1024, options: Options | None = None,
+    tongue: Tongue,
+    *lines: dict[str, Any],
+    discovery: int = 1,
+    raw: dict[str, Any] | None = None,
+    sockets: int = 1024,
+    options: Options | None = None,
 ) -> AsyncIterator[World]:
     settings = Settings.parse(raw or backend.settings(discovery="subscribe"))
     config = Config("n0", Address("127.0.0.1", 0), Address("127.0.0.1", discovery), 7, sockets,
--- a/tests/verify/test_explorer.py
+++ b/tests/verify/test_explorer.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-import orchard.barn
-import orchard.stile
+import mesh.control.controller
+import mesh.proxy.sidecar
 from verify import mutations
 from verify.parts import CLAIM_S, TICK_S
 from verify.plays import PLAYS
@@ -29,7 +29,7 @@
 
 
 def test_times_are_the_mesh_s():
-    assert orchard.barn.CLAIM_S == orchard.stile.CLAIM_S == CLAIM_S
+    assert mesh.control.controller.CLAIM_S == mesh.proxy.sidecar.CLAIM_S == CLAIM_S
     assert TICK_S <= CLAIM_S < 2 * TICK_S <= CLAIM_S + 0.1 + 1e-9
 
 
@@ -45,7 +45,7 @@
     def steps(self, state):
         for at in range(2):
             if state[at] < 3:
-                yield f"{at} to {state[at] + 1}", (*state[:at], state[at] + 1, *state[at + 1:])
+                yield f"{at} to {state[at] + 1}", (*state[:at], state[at] + 1, *state[at + 1 :])
 
 
 def test_a_search_sees_each_state_once_up_to_names():
--- a/verify/__main__.py
+++ b/verify/__main__.py
@@ -18,18 +18,26 @@
     """A search as a line of JSON has it."""
     broken = result.broken
     return {
-        "model": name, "bounds": model.bounds(), "states": result.states, "moves": result.moves,
-        "depth": result.depth, "whole": result.whole, "seconds": round(result.seconds, 2),
-        "property": broken.property if broken else "", "why": broken.why if broken else "",
+        "model": name,
+        "bounds": model.bounds(),
+        "states": result.states,
+        "moves": result.moves,
+        "depth": result.depth,
+        "whole": result.whole,
+        "seconds": round(result.seconds, 2),
+        "property": broken.property if broken else "",
+        "why": broken.why if broken else "",
         "trace": list(broken.trace) if broken else [],
-    }  # fmt: skip
+    }
 
 
 def _print(row: dict[str, Any]) -> None:
     bounds = ", ".join(f"{word} {count}" for word, count in row["bounds"].items())
     seen = "all states" if row["whole"] else "not all states"
-    print(f"{row['model']} ({bounds}): {row['states']} states, {row['moves']} moves, depth {row['depth']}, "
-          f"{row['seconds']} s, {'stopped at a violation' if row['property'] else seen}")  # fmt: skip
+    print(
+        f"{row['model']} ({bounds}): {row['states']} states, {row['moves']} moves, depth {row['depth']}, "
+        f"{row['seconds']} s, {'stopped at a violation' if row['property'] else seen}"
+    )
     if row["property"]:
         print(f"  FELL: {row['property']}: {row['why']}")
         for number, step in enumerate(row["trace"], 1):
@@ -73,9 +81,12 @@
             if jsonl:
                 print(json.dumps({"found": found, "about": mutation.about, **row}), flush=True)
             else:
-                print(f"{'found    ' if found else 'NOT FOUND'} {mutation.name}: {mutation.about}; "
-                      f"{row['property'] or 'nothing fell'} ({row['states']} states, depth {row['depth']}, "
-                      f"{row['seconds']} s)", flush=True)  # fmt: skip
+                print(
+                    f"{'found    ' if found else 'NOT FOUND'} {mutation.name}: {mutation.about}; "
+                    f"{row['property'] or 'nothing fell'} ({row['states']} states, depth {row['depth']}, "
+                    f"{row['seconds']} s)",
+                    flush=True,
+                )
         sys.exit(1 if missed else 0)
 
 
--- a/verify/items.py
+++ b/verify/items.py
@@ -6,12 +6,12 @@
 asks the others (wipe), or loses what is on its way (cut). Requests come at any time, also long after whoever
 sent them has given up; an answer is heard at once or never, as hearing it later only delays what its proposer
 does next, and what it sends may be late by any time. Nobody waits for a turn: the courtesy by which machines
-keep proposers apart (`orchard.quorum.Turn`) makes orders of steps rarer, never impossible.
+keep proposers apart (`mesh.state.quorum.Turn`) makes orders of steps rarer, never impossible.
 
 A state is (proposers, machines, sidecar, faults left). Machines are sorted: they are alike.
     proposer: phase, tries, number of its ballot, number of the change, items proposed
     machine: counts, replica, its disk, whole on disk, heard by the one that recovers, a link to each proposer
-    replica: items, sequence, promised, draft, granted; as of `orchard.consensus.Replica`
+    replica: items, sequence, promised, draft, granted; as of `mesh.control.consensus.Replica`
     link: whether the proposer is at this machine, requests on their way there, what was heard from it
 Sets of items are numbers of items, sorted; for each name one.
 """
@@ -24,9 +24,9 @@
 from functools import cache
 from typing import Any
 
-from orchard.ballot import FIRST, Ballot
-from orchard.catalog import EMPTY, Item, Items
-from orchard.consensus import Draft, Promise, Replica
+from mesh.control.ballot import FIRST, Ballot
+from mesh.control.consensus import Draft, Promise, Replica
+from mesh.state.configuration import EMPTY, Item, Items
 from verify.parts import Parts
 from verify.search import Model, Property, State, StepProperty, put
 
@@ -38,10 +38,16 @@
 
 def rule(name: str, version: int, service: str = "s") -> Item:
     """A route at one place; all of these clash."""
-    content = {"hostname": "shop.test", "rule": {
-        "name": name, "revision": f"r{version}", "variant": "pure", "matcher": {"path_prefix": "/"},
-        "effect": {"service": service, "timeout": "1s"},
-    }}  # fmt: skip
+    content = {
+        "hostname": "shop.test",
+        "rule": {
+            "name": name,
+            "revision": f"r{version}",
+            "variant": "pure",
+            "matcher": {"path_prefix": "/"},
+            "effect": {"service": service, "timeout": "1s"},
+        },
+    }
     return Item(f"route/{name}", version, json.dumps(content, sort_keys=True))
 
 
@@ -65,20 +71,24 @@
     call is sent once the one before has its answer."""
 
     def __init__(
-        self, calls: str = "place", barns: int = 3, faults: dict[str, int] | None = None,
-        parts: Parts | None = None, in_turn: bool = False,
+        self,
+        calls: str = "place",
+        controllers: int = 3,
+        faults: dict[str, int] | None = None,
+        parts: Parts | None = None,
+        in_turn: bool = False,
     ) -> None:
         self.name = f"items-{calls}"
-        self.about = f"proposers of {calls}, {barns} control machines"
+        self.about = f"proposers of {calls}, {controllers} control machines"
         self.parts = parts or Parts()
-        self.barns, self.in_turn = barns, in_turn
+        self.controllers, self.in_turn = controllers, in_turn
         self.faults = tuple((faults or {}).get(kind, 0) for kind in KINDS)
         base, sent = CALLS[calls]
         self.known = tuple(dict.fromkeys((*base, *itertools.chain(*sent))))
         self.number = {item: at for at, item in enumerate(self.known)}
         self.base = tuple(self.number[item] for item in base)
         self.calls = tuple(tuple(self.number[item] for item in call) for call in sent)
-        self.voters = self.parts.voters(1, tuple(str(at) for at in range(barns)))
+        self.voters = self.parts.voters(1, tuple(str(at) for at in range(controllers)))
         self.replica = cache(self._replica)
         self.prepared = cache(self._prepared)
         self.accepted = cache(self._accepted)
@@ -98,7 +108,7 @@
     def bounds(self) -> dict[str, Any]:
         faults = {k: n for k, n in zip(KINDS, self.faults, strict=True) if n}
         order = {"calls": "one after the other"} if self.in_turn else {}
-        return {"barns": self.barns, **order, **faults}
+        return {"controllers": self.controllers, **order, **faults}
 
     # --- the mesh's own code, remembered by what goes in
 
@@ -125,10 +135,12 @@
         """A replica as it lies in a state."""
         draft = made.open
         return (
-            tuple(sorted(self.number[item] for item in made.items.values())), made.sequence,
+            tuple(sorted(self.number[item] for item in made.items.values())),
+            made.sequence,
             tuple(made.promised),
             (draft.sequence, tuple(draft.ballot), tuple(self.number[row] for row in draft.items))
-            if draft else NONE,
+            if draft
+            else NONE,
             tuple(made.granted),
         )
 
@@ -208,7 +220,7 @@
         replica = (self.base, 1, tuple(FIRST), NONE, tuple(FIRST))
         machine = (1, replica, replica, 1, 0, ((0, NONE, NONE),) * len(self.calls))
         idle = ("idle", 0, 0, 0, NONE)
-        return (idle,) * len(self.calls), (machine,) * self.barns, self.base, self.faults
+        return (idle,) * len(self.calls), (machine,) * self.controllers, self.base, self.faults
 
     def plain(self, state: State) -> State:
         proposers, machines, sidecar, left = state
@@ -246,7 +258,7 @@
         if phase == "idle":
             if self.in_turn and who and proposers[who - 1][0] not in ("ok", "bad", "no"):
                 return
-            for home in range(self.barns):
+            for home in range(self.controllers):
                 at_home = any(machine[LINKS][who][0] for machine in machines)
                 if not machines[home][COUNTS] or (at_home and not machines[home][LINKS][who][0]):
                     continue
@@ -432,17 +444,23 @@
             for who, link in enumerate(machine[LINKS]):
                 if cut and link[1]:
                     made = put(machine, LINKS, put(machine[LINKS], who, (link[0], NONE, link[2])))
-                    yield f"what is on its way from {'AB'[who]} to machine {at} is lost", (
-                        proposers, put(machines, at, made), sidecar, spend(left, "cut"))
+                    yield (
+                        f"what is on its way from {'AB'[who]} to machine {at} is lost",
+                        (proposers, put(machines, at, made), sidecar, spend(left, "cut")),
+                    )
             items = machine[REPLICA][0]
             if hear and items != sidecar:
-                yield f"a sidecar hears the items of machine {at}", (
-                    proposers, machines, self.merged(sidecar, items), spend(left, "hear"))
+                yield (
+                    f"a sidecar hears the items of machine {at}",
+                    (proposers, machines, self.merged(sidecar, items), spend(left, "hear")),
+                )
             for other, row in enumerate(machines):
                 if agree and other != at and row[REPLICA][:2] != machine[REPLICA][:2]:
                     made = self.kept(machine, self.learnt(machine[REPLICA], *row[REPLICA][:2]))
-                    yield f"machine {at} takes over what machine {other} has", (
-                        proposers, put(machines, at, made), sidecar, spend(left, "agree"))
+                    yield (
+                        f"machine {at} takes over what machine {other} has",
+                        (proposers, put(machines, at, made), sidecar, spend(left, "agree")),
+                    )
 
     def _restarted(self, state: State, at: int, wiped: bool) -> State:
         for who, link in enumerate(state[1][at][LINKS]):
@@ -548,9 +566,7 @@
     content under the same."""
     pairs = [(state[2], follower[2])]
     if state[3][:2] == follower[3][:2]:  # no process ended
-        pairs += [
-            (old[REPLICA][0], new[REPLICA][0]) for old, new in zip(state[1], follower[1], strict=True)
-        ]
+        pairs += [(old[REPLICA][0], new[REPLICA][0]) for old, new in zip(state[1], follower[1], strict=True)]
     for old, new in pairs:
         for row in old if new != old else ():
             if not model.covers(new, row):
@@ -559,7 +575,11 @@
 
 
 PROPERTIES: tuple[Property, ...] = (
-    acknowledged_items_are_kept, acknowledged_items_are_read, acknowledged_items_stay_in_force,
-    no_two_acknowledged_items_clash, nothing_invalid_is_in_force, copies_agree_at_the_end,
-)  # fmt: skip
+    acknowledged_items_are_kept,
+    acknowledged_items_are_read,
+    acknowledged_items_stay_in_force,
+    no_two_acknowledged_items_clash,
+    nothing_invalid_is_in_force,
+    copies_agree_at_the_end,
+)
 STEP_PROPERTIES: tuple[StepProperty, ...] = (nobody_goes_back,)
--- a/verify/mutations.py
+++ b/verify/mutations.py
@@ -12,12 +12,13 @@
 from expression import Ok, Result
 from pyrsistent import pmap
 
-from orchard import catalog, consensus
-from orchard.ballot import FIRST, Ballot, Member
-from orchard.catalog import Clash, Item, Items, Table
-from orchard.consensus import Draft, Plan, Promise, Replica
-from orchard.keys import Claim, Grant, Mark, Registry, Verdict
-from orchard.quorum import Voters
+from mesh.control import consensus
+from mesh.control.ballot import FIRST, Ballot, Member
+from mesh.control.consensus import Draft, Plan, Promise, Replica
+from mesh.state import configuration
+from mesh.state.configuration import Clash, Item, Items, Table
+from mesh.state.idempotency import Claim, Grant, Mark, Registry, Verdict
+from mesh.state.quorum import Voters
 from verify import claims, items, sets
 from verify.claims import ClaimsModel
 from verify.items import ItemsModel
@@ -38,7 +39,7 @@
 
 
 class Hasty(Voters):
-    """A wiped barn that hears one less."""
+    """A wiped controller that hears one less."""
 
     __slots__ = ()
 
@@ -77,7 +78,7 @@
 
     def accept(self, ballot: Ballot, sequence: int, items: tuple[Item, ...]) -> Replica | None:
         made = super().accept(ballot, sequence, items)
-        return made and made._replace(items=catalog.merge(made.items, items))
+        return made and made._replace(items=configuration.merge(made.items, items))
 
 
 class LastComes(Replica):
@@ -106,7 +107,7 @@
 def no_effect(items: Items, call: Iterable[Item]) -> Result[tuple[Item, ...], str]:
     """Another content under the version held counts as no effect."""
     held = [item for item in call if item.name not in items or item.version != items[item.name].version]
-    return catalog.change(items, held)
+    return configuration.change(items, held)
 
 
 class FirstStays(Registry):
@@ -165,8 +166,8 @@
 class Guessing(Claim):
     """Who holds a key for another is taken to have answered."""
 
-    def held(self, barn: str, token: str, mark: Mark, answer: Any) -> None:
-        super().held(barn, token, Mark.DONE, int(token or 0))
+    def held(self, controller: str, token: str, mark: Mark, answer: Any) -> None:
+        super().held(controller, token, Mark.DONE, int(token or 0))
 
 
 def unchecked(old: Items, call: Iterable[Item]) -> Result[tuple[Item, ...], str]:
@@ -176,12 +177,12 @@
 
 def nothing_held_out(rows: Items) -> tuple[Table, list[Clash]]:
     """Routes of no service are in force as well."""
-    made, wrong = catalog.table(rows)
+    made, wrong = configuration.table(rows)
     hosts = dict(made.hosts)
     for item in rows.values():
         if item.content and item.name.startswith("route/"):
-            route = catalog.build(item)
-            assert isinstance(route, catalog.Route)
+            route = configuration.build(item)
+            assert isinstance(route, configuration.Route)
             if all(route is not other for _, other in hosts.get(route.host, ())):
                 hosts[route.host] = (*hosts.get(route.host, ()), (route.prefix, route))
     return made._replace(hosts=pmap(hosts)), wrong
@@ -218,8 +219,8 @@
     falls: Falls
 
 
-def _items(calls: str, parts: Parts, barns: int = 3, **faults: int) -> Callable[[], Model]:
-    return lambda: ItemsModel(calls, barns, faults, parts)
+def _items(calls: str, parts: Parts, controllers: int = 3, **faults: int) -> Callable[[], Model]:
+    return lambda: ItemsModel(calls, controllers, faults, parts)
 
 
 def _in_turn(calls: str, parts: Parts, **faults: int) -> Callable[[], Model]:
@@ -234,75 +235,156 @@
     return lambda: SetsModel(proposers, claimants, faults, parts)
 
 
-RUNS: Falls = (claims.never_two_runs, claims.what_may_have_run_is_never_followed_by_a_run,
-        claims.a_grant_that_ran_is_known_to_enough)  # fmt: skip
+RUNS: Falls = (
+    claims.never_two_runs,
+    claims.what_may_have_run_is_never_followed_by_a_run,
+    claims.a_grant_that_ran_is_known_to_enough,
+)
 OVER: Falls = (*sets.PROPERTIES, *sets.STEP_PROPERTIES)
 CLASH: Falls = (items.no_two_acknowledged_items_clash, items.acknowledged_items_stay_in_force)
 KEPT: Falls = (items.acknowledged_items_are_kept, items.acknowledged_items_are_read)
 
 MUTATIONS: tuple[Mutation, ...] = (
-    Mutation("items-fewer", "a write on half of the disks", _items(
-        "place", Parts(voters=Fewer)), (*CLASH, *KEPT)),
-    Mutation("items-unsynced", "HAVE before the disk has it", _items(
-        "one", Parts(synced=False), crash=2), KEPT),
-    Mutation("items-counts", "a wiped barn counts at once", _items(
-        "one", Parts(recovers=False), wipe=1), KEPT),
-    Mutation("items-hasty", "a wiped barn hears one less", _items("one", Parts(voters=Hasty), wipe=1), KEPT),
-    Mutation("items-waits", "a wiped barn does not wait for rounds to be void", _items(
-        "one", Parts(waits=False), 5, wipe=1), KEPT),
-    Mutation("items-arrival", "merge by arrival", _items("same", Parts(replica=LastComes), hear=1),
-             (items.nobody_goes_back, items.copies_agree_at_the_end, *KEPT)),
-    Mutation("items-hurried", "a change is in force before it is chosen", _items(
-        "place", Parts(replica=Hurried)), (items.acknowledged_items_stay_in_force,)),
-    Mutation("items-hurried-twin", "the same, with two contents of one version", _items(
-        "twin", Parts(replica=Hurried), hear=1), (*KEPT, items.nobody_goes_back)),
-    Mutation("items-promise", "a change is accepted from anybody", _items(
-        "place", Parts(replica=Unpromised)), (items.no_two_acknowledged_items_clash, *KEPT)),
-    Mutation("items-gap", "a change is accepted by a copy that lacks what came before", _items(
-        "same", Parts(replica=Gapped)), (items.acknowledged_items_stay_in_force, *KEPT)),
-    Mutation("items-obeys", "what others have accepted is passed over", _items(
-        "place", Parts(plan=heedless)), (items.no_two_acknowledged_items_clash, *KEPT)),
-    Mutation("items-lowest", "the draft with the lowest ballot is finished", _items(
-        "twin", Parts(plan=lowest), again=1), (items.no_two_acknowledged_items_clash, *KEPT)),
-    Mutation("items-equal", "another content under the version held has no effect", _in_turn(
-        "twin", Parts(change=no_effect)), (items.no_two_acknowledged_items_clash, *KEPT)),
-    Mutation("items-adopts", "a wiped machine does not take over what others have accepted", _items(
-        "one", Parts(adopts=False), wipe=2), KEPT),
-    Mutation("items-unchecked", "a change is not checked", _in_turn(
-        "place", Parts(change=unchecked)), CLASH),
-    Mutation("items-table", "nothing is held out of force", _items(
-        "service", Parts(table=nothing_held_out), agree=1),
-        (items.nothing_invalid_is_in_force,)),
+    Mutation(
+        "items-fewer", "a write on half of the disks", _items("place", Parts(voters=Fewer)), (*CLASH, *KEPT)
+    ),
+    Mutation(
+        "items-unsynced", "HAVE before the disk has it", _items("one", Parts(synced=False), crash=2), KEPT
+    ),
+    Mutation(
+        "items-counts",
+        "a wiped controller counts at once",
+        _items("one", Parts(recovers=False), wipe=1),
+        KEPT,
+    ),
+    Mutation(
+        "items-hasty", "a wiped controller hears one less", _items("one", Parts(voters=Hasty), wipe=1), KEPT
+    ),
+    Mutation(
+        "items-waits",
+        "a wiped controller does not wait for rounds to be void",
+        _items("one", Parts(waits=False), 5, wipe=1),
+        KEPT,
+    ),
+    Mutation(
+        "items-arrival",
+        "merge by arrival",
+        _items("same", Parts(replica=LastComes), hear=1),
+        (items.nobody_goes_back, items.copies_agree_at_the_end, *KEPT),
+    ),
+    Mutation(
+        "items-hurried",
+        "a change is in force before it is chosen",
+        _items("place", Parts(replica=Hurried)),
+        (items.acknowledged_items_stay_in_force,),
+    ),
+    Mutation(
+        "items-hurried-twin",
+        "the same, with two contents of one version",
+        _items("twin", Parts(replica=Hurried), hear=1),
+        (*KEPT, items.nobody_goes_back),
+    ),
+    Mutation(
+        "items-promise",
+        "a change is accepted from anybody",
+        _items("place", Parts(replica=Unpromised)),
+        (items.no_two_acknowledged_items_clash, *KEPT),
+    ),
+    Mutation(
+        "items-gap",
+        "a change is accepted by a copy that lacks what came before",
+        _items("same", Parts(replica=Gapped)),
+        (items.acknowledged_items_stay_in_force, *KEPT),
+    ),
+    Mutation(
+        "items-obeys",
+        "what others have accepted is passed over",
+        _items("place", Parts(plan=heedless)),
+        (items.no_two_acknowledged_items_clash, *KEPT),
+    ),
+    Mutation(
+        "items-lowest",
+        "the draft with the lowest ballot is finished",
+        _items("twin", Parts(plan=lowest), again=1),
+        (items.no_two_acknowledged_items_clash, *KEPT),
+    ),
+    Mutation(
+        "items-equal",
+        "another content under the version held has no effect",
+        _in_turn("twin", Parts(change=no_effect)),
+        (items.no_two_acknowledged_items_clash, *KEPT),
+    ),
+    Mutation(
+        "items-adopts",
+        "a wiped machine does not take over what others have accepted",
+        _items("one", Parts(adopts=False), wipe=2),
+        KEPT,
+    ),
+    Mutation("items-unchecked", "a change is not checked", _in_turn("place", Parts(change=unchecked)), CLASH),
+    Mutation(
+        "items-table",
+        "nothing is held out of force",
+        _items("service", Parts(table=nothing_held_out), agree=1),
+        (items.nothing_invalid_is_in_force,),
+    ),
     Mutation("keys-fewer", "a run with half of the grants", _claims(Parts(voters=Fewer)), RUNS),
     Mutation("keys-unsynced", "CLAIMED before the disk has it", _claims(Parts(synced=False), crash=1), RUNS),
-    Mutation("keys-counts", "a wiped barn grants at once", _claims(Parts(recovers=False), wipe=1), RUNS),
-    Mutation("keys-hasty", "a wiped barn hears one less", _claims(
-        Parts(voters=Hasty), "run", True, tick=2), RUNS),
-    Mutation("keys-waits", "a wiped barn asks before rounds are void", _claims(
-        Parts(waits=False), "granted", wipe=1), RUNS),
-    Mutation("keys-slow", "a round that took too long runs", _claims(
-        Parts(claim=Patient), "granted", True, tick=2), RUNS),
-    Mutation("keys-first", "of claims that disagree the first stays", _claims(
-        Parts(registry=FirstStays), "run", True, tick=2), RUNS),
+    Mutation(
+        "keys-counts", "a wiped controller grants at once", _claims(Parts(recovers=False), wipe=1), RUNS
+    ),
+    Mutation(
+        "keys-hasty",
+        "a wiped controller hears one less",
+        _claims(Parts(voters=Hasty), "run", True, tick=2),
+        RUNS,
+    ),
+    Mutation(
+        "keys-waits",
+        "a wiped controller asks before rounds are void",
+        _claims(Parts(waits=False), "granted", wipe=1),
+        RUNS,
+    ),
+    Mutation(
+        "keys-slow",
+        "a round that took too long runs",
+        _claims(Parts(claim=Patient), "granted", True, tick=2),
+        RUNS,
+    ),
+    Mutation(
+        "keys-first",
+        "of claims that disagree the first stays",
+        _claims(Parts(registry=FirstStays), "run", True, tick=2),
+        RUNS,
+    ),
     Mutation("keys-last", "whoever claims last has it", _claims(Parts(registry=LastStays)), RUNS),
     Mutation("keys-free", "freed by another's token", _claims(Parts(registry=FreeForAll)), RUNS),
-    Mutation("keys-broken", "a claim that ran out is free", _claims(
-        Parts(registry=Forgiving), expire=3), RUNS),
+    Mutation(
+        "keys-broken", "a claim that ran out is free", _claims(Parts(registry=Forgiving), expire=3), RUNS
+    ),
     Mutation("keys-answers", "an answer is not kept", _claims(Parts(registry=NoAnswers)), RUNS),
-    Mutation("keys-guess", "a holder is taken to have answered", _claims(Parts(claim=Guessing)),
-             (claims.a_repeat_gets_the_answer_of_the_run,)),
-    Mutation("items-flush", "a wiped barn counts before its disk has it all", _items(
-        "one", Parts(counts_late=False), wipe=2, crash=1), KEPT),
+    Mutation(
+        "keys-guess",
+        "a holder is taken to have answered",
+        _claims(Parts(claim=Guessing)),
+        (claims.a_repeat_gets_the_answer_of_the_run,),
+    ),
+    Mutation(
+        "items-flush",
+        "a wiped controller counts before its disk has it all",
+        _items("one", Parts(counts_late=False), wipe=2, crash=1),
+        KEPT,
+    ),
     Mutation("sets-sealed", "who has sealed still votes", _sets(Parts(member=Unsealed), 1, 0), OVER),
     Mutation("sets-obeys", "what was accepted is not taken over", _sets(Parts(obeys=False), 2, 0), OVER),
     Mutation("sets-promise", "promises are not kept", _sets(Parts(member=Fickle), 2, 0), OVER),
     Mutation("sets-settle", "who comes in counts at once", _sets(Parts(recovers=False), 1), OVER),
     Mutation("sets-hasty", "who comes in hears one less", _sets(Parts(voters=Hasty), 1), OVER),
     Mutation("sets-fewer", "half of the voters seal", _sets(Parts(voters=Fewer), 2, 0), OVER),
-    Mutation("sets-unsynced", "answers before the disk has them", _sets(
-        Parts(synced=False), 1, crash=1), OVER),
+    Mutation(
+        "sets-unsynced", "answers before the disk has them", _sets(Parts(synced=False), 1, crash=1), OVER
+    ),
     Mutation("sets-waits", "an emptied disk does not wait", _sets(Parts(waits=False), 1, 2, wipe=1), OVER),
-)  # fmt: skip
+)
 
 
 def play(mutation: Mutation, limit: int = LIMIT) -> tuple[bool, Found]:
--- a/verify/search.py
+++ b/verify/search.py
@@ -165,7 +165,7 @@
 
 def put(row: tuple[Any, ...], at: int, value: Any) -> tuple[Any, ...]:
     """A row with another value at one place."""
-    return (*row[:at], value, *row[at + 1:])
+    return (*row[:at], value, *row[at + 1 :])
 
 
 def first_words(text: str | None) -> str:
