--- a/verify/sets.py
+++ b/verify/sets.py
@@ -1,14 +1,15 @@
 """Voters that follow voters: who proposes them, who seals, who becomes whole, and claims all the while.
 
-Barns w, x and y vote in epoch 1, z counts as well. Two of them propose different voters for epoch 2;
-claimants with one key ask the voters of some epoch that some barn knows of. A barn takes a question, has its
-answer on its disk, and is heard, in one step: what is lost or late is a step that is not taken, or taken
-late. So it is where a barn hears as many as it needs to be whole. Disks are lost, barns hear BARN of each
-other, and time goes on by steps of `parts.TICK_S`, all whenever they like.
-
-A state is (time, proposals, barns, claims, faults left).
+Controllers w, x and y vote in epoch 1, z counts as well. Two of them propose different voters for epoch 2;
+claimants with one key ask the voters of some epoch that some controller knows of. A controller takes a
+question, has its answer on its disk, and is heard, in one step: what is lost or late is a step that is not
+taken, or taken late. So it is where a controller hears as many as it needs to be whole. Disks are lost,
+controllers hear CONTROLLER of each other, and time goes on by steps of `parts.TICK_S`, all whenever they
+like.
+
+A state is (time, proposals, controllers, claims, faults left).
     proposal: home, number, when it began, what it was told
-    barn: its member's records, the same on disk, grant, grant on disk, when its disk was lost
+    controller: its member's records, the same on disk, grant, grant on disk, when its disk was lost
     claim: phase, when it began, epoch, who granted it
 """
 
@@ -19,9 +20,9 @@
 from functools import cache
 from typing import Any
 
-from orchard.ballot import Accepted, Ballot, Proposal
-from orchard.keys import Mark, Verdict
-from orchard.quorum import Voters
+from mesh.control.ballot import Accepted, Ballot, Proposal
+from mesh.state.idempotency import Mark, Verdict
+from mesh.state.quorum import Voters
 from verify.claims import MAY_HAVE_RUN, WAIT_TICKS, ClaimsModel, name
 from verify.parts import CLAIM_S, TICK_S, Parts
 from verify.search import Model, Property, State, StepProperty, put
@@ -37,11 +38,16 @@
     """`faults` says how many of each kind of KINDS may happen."""
 
     def __init__(
-        self, proposers: int = 2, claimants: int = 2, faults: dict[str, int] | None = None,
+        self,
+        proposers: int = 2,
+        claimants: int = 2,
+        faults: dict[str, int] | None = None,
         parts: Parts | None = None,
     ) -> None:
         self.name = "sets"
-        self.about = f"{proposers} proposals of other voters, {claimants} claimants with one key, 4 barns"
+        self.about = (
+            f"{proposers} proposals of other voters, {claimants} claimants with one key, 4 controllers"
+        )
         self.parts = parts or Parts()
         self.proposers, self.claimants = proposers, claimants
         self.faults = tuple((faults or {}).get(kind, 0) for kind in KINDS)
@@ -53,8 +59,11 @@
         self.can = cache(self._can)
 
     def bounds(self) -> dict[str, Any]:
-        return {"proposals": self.proposers, "claimants": self.claimants,
-                **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n}}
+        return {
+            "proposals": self.proposers,
+            "claimants": self.claimants,
+            **{k: n for k, n in zip(KINDS, self.faults, strict=True) if n},
+        }
 
     # --- the mesh's own code
 
@@ -70,13 +79,14 @@
     @staticmethod
     def records(member: Any) -> State:
         """The records of a member, as they lie in a state."""
+
         def plain(value: Any) -> Any:
             return tuple(map(plain, value)) if isinstance(value, list | tuple) else value
 
         return plain(list(member.records()))
 
     def _can(self, at: int, records: State) -> tuple[int, tuple[str, ...], int, int, bool]:
-        """Of a barn: its epoch, who votes there, where it votes and where it is sealed (0 for nowhere),
+        """Of a controller: its epoch, who votes there, where it votes and where it is sealed (0 for nowhere),
         whether it counts."""
         member = self.member(at, records)
         epoch = member.voters.epoch
@@ -121,66 +131,83 @@
 
     def start(self) -> State:
         first = ("voters", 1, self.first.names, ()), ("whole", 1)
-        barn = (first, first, NONE, NONE, NOBODY)
-        proposals = ((0, 0, 0, NONE), (2, 0, 0, NONE))[:self.proposers]
-        return 0, proposals, (barn,) * 4, (("idle", 0, 0, NONE),) * self.claimants, self.faults
+        controller = (first, first, NONE, NONE, NOBODY)
+        proposals = ((0, 0, 0, NONE), (2, 0, 0, NONE))[: self.proposers]
+        return 0, proposals, (controller,) * 4, (("idle", 0, 0, NONE),) * self.claimants, self.faults
 
     def steps(self, state: State) -> Iterator[tuple[str, State]]:
-        now, proposals, barns, claims, left = state
+        now, proposals, controllers, claims, left = state
         for which in range(len(proposals)):
             yield from self._proposal(state, which)
-        for at, barn in enumerate(barns):
-            if barn[0] != barn[1] or barn[2] != barn[3]:
-                rows = put(barns, at, (barn[0], barn[0], barn[2], barn[2], *barn[4:]))
-                yield f"barn {NAMES[at]} syncs", (now, proposals, rows, claims, left)
+        for at, controller in enumerate(controllers):
+            if controller[0] != controller[1] or controller[2] != controller[3]:
+                rows = put(
+                    controllers,
+                    at,
+                    (controller[0], controller[0], controller[2], controller[2], *controller[4:]),
+                )
+                yield f"controller {NAMES[at]} syncs", (now, proposals, rows, claims, left)
             yield from self._learns(state, at)
             yield from self._settles(state, at)
         for who in range(len(claims)):
             yield from self._claim(state, who)
         tick, wipe, crash = left
         if tick:
-            yield f"{TICK_S} s go by", (now + 1, proposals, barns, claims, (tick - 1, wipe, crash))
-        for at, barn in enumerate(barns):
-            if wipe and all(any(row[0] == "whole" for row in other[0]) for other in barns):
-                rows = put(barns, at, (NONE, NONE, NONE, NONE, now))
-                yield f"barn {NAMES[at]} loses its disk and starts again", (
-                    now, proposals, rows, claims, (tick, wipe - 1, crash))
-            if crash and (barn[0] != barn[1] or barn[2] != barn[3]):
-                rows = put(barns, at, (barn[1], barn[1], barn[3], barn[3], barn[4]))
-                yield f"barn {NAMES[at]} crashes and starts again", (
-                    now, proposals, rows, claims, (tick, wipe, crash - 1))
-
-    def _kept(self, barn: State, **values: Any) -> State:
-        """A barn that has changed, with its disk."""
-        records, disk, grant, grant_disk, since = barn
+            yield f"{TICK_S} s go by", (now + 1, proposals, controllers, claims, (tick - 1, wipe, crash))
+        for at, controller in enumerate(controllers):
+            if wipe and all(any(row[0] == "whole" for row in other[0]) for other in controllers):
+                rows = put(controllers, at, (NONE, NONE, NONE, NONE, now))
+                yield (
+                    f"controller {NAMES[at]} loses its disk and starts again",
+                    (now, proposals, rows, claims, (tick, wipe - 1, crash)),
+                )
+            if crash and (controller[0] != controller[1] or controller[2] != controller[3]):
+                rows = put(
+                    controllers,
+                    at,
+                    (controller[1], controller[1], controller[3], controller[3], controller[4]),
+                )
+                yield (
+                    f"controller {NAMES[at]} crashes and starts again",
+                    (now, proposals, rows, claims, (tick, wipe, crash - 1)),
+                )
+
+    def _kept(self, controller: State, **values: Any) -> State:
+        """A controller that has changed, with its disk."""
+        records, disk, grant, grant_disk, since = controller
         records, grant = values.get("records", records), values.get("grant", grant)
         if self.parts.synced:
             disk, grant_disk = records, grant
         return records, disk, grant, grant_disk, since
 
     def _proposal(self, state: State, which: int) -> Iterator[tuple[str, State]]:
-        now, proposals, barns, claims, left = state
+        now, proposals, controllers, claims, left = state
         home, number, began, told = proposals[which]
-        me = self.member(home, barns[home][0])
+        me = self.member(home, controllers[home][0])
         say = f"the proposal of {NAMES[home]}"
         if not number:
             if me.votes(1) or (me.accepted and me.counts):
                 made = put(proposals, which, (home, me.promised.number + 1, now, NONE))
-                yield f"{NAMES[home]} proposes {''.join(self._wish(home))}", (now, made, barns, claims, left)
+                yield (
+                    f"{NAMES[home]} proposes {''.join(self._wish(home))}",
+                    (now, made, controllers, claims, left),
+                )
             return
         phase, names = self.told(number, home, began, told)
         if phase == "decided":
             if me.voters.epoch == 1:
                 me.learn(Voters(2, names), self.first.names)
-                row = self._kept(barns[home], records=self.records(me))
-                yield f"{say} is decided, it learns that {''.join(names)} vote", (
-                    now, proposals, put(barns, home, row), claims, left)
+                row = self._kept(controllers[home], records=self.records(me))
+                yield (
+                    f"{say} is decided, it learns that {''.join(names)} vote",
+                    (now, proposals, put(controllers, home, row), claims, left),
+                )
             return
         word = "bound" if phase == "bid" else "sealed"
         for at in range(3):
             if any(row[0] == word and row[1] == at for row in told):
                 continue
-            member = self.member(at, barns[at][0])
+            member = self.member(at, controllers[at][0])
             ballot = self._ballot(number, home)
             yes = member.bid(1, ballot) if phase == "bid" else member.seal(1, ballot, names)
             if not yes:
@@ -188,84 +215,105 @@
             accepted = NONE
             if phase == "bid" and member.accepted:
                 accepted = (tuple(member.accepted.ballot), tuple(member.accepted.names))
-            row = self._kept(barns[at], records=self.records(member))
+            row = self._kept(controllers[at], records=self.records(member))
             heard = tuple(sorted((*told, (word, at, now, accepted))))
             made = put(proposals, which, (home, number, began, heard))
-            yield f"barn {NAMES[at]} says yes to {'BID' if phase == 'bid' else 'SEAL'} of {say}", (
-                now, made, put(barns, at, row), claims, left)
+            yield (
+                f"controller {NAMES[at]} says yes to {'BID' if phase == 'bid' else 'SEAL'} of {say}",
+                (now, made, put(controllers, at, row), claims, left),
+            )
 
     def _learns(self, state: State, at: int) -> Iterator[tuple[str, State]]:
-        """A barn hears BARN of another."""
-        now, proposals, barns, claims, left = state
+        """A controller hears CONTROLLER of another."""
+        now, proposals, controllers, claims, left = state
         seen = set()
-        for other, row in enumerate(barns):
+        for other, row in enumerate(controllers):
             theirs = self.can(other, row[0])[:2]
-            if theirs[0] <= self.can(at, barns[at][0])[0] or theirs in seen:
+            if theirs[0] <= self.can(at, controllers[at][0])[0] or theirs in seen:
                 continue
             seen.add(theirs)
-            member = self.member(at, barns[at][0])
+            member = self.member(at, controllers[at][0])
             member.learn(Voters(*theirs), self.member(other, row[0]).before)
-            made = self._kept(barns[at], records=self.records(member))
-            yield f"barn {NAMES[at]} hears that {''.join(theirs[1])} vote in epoch {theirs[0]}", (
-                now, proposals, put(barns, at, made), claims, left)
+            made = self._kept(controllers[at], records=self.records(member))
+            yield (
+                f"controller {NAMES[at]} hears that {''.join(theirs[1])} vote in epoch {theirs[0]}",
+                (now, proposals, put(controllers, at, made), claims, left),
+            )
 
     def _settles(self, state: State, at: int) -> Iterator[tuple[str, State]]:
-        """A barn that is not whole hears another that its sources name."""
-        now, proposals, barns, claims, left = state
-        barn = barns[at]
-        me = self.member(at, barn[0])
+        """A controller that is not whole hears another that its sources name."""
+        now, proposals, controllers, claims, left = state
+        controller = controllers[at]
+        me = self.member(at, controller[0])
         if me.counts or not me.voters.epoch:
             return
         if not self.parts.recovers:
             me.settle(me.voters.epoch)
-            yield f"barn {NAMES[at]} counts", (
-                now, proposals, put(barns, at, self._kept(barn, records=self.records(me))), claims, left)
+            yield (
+                f"controller {NAMES[at]} counts",
+                (
+                    now,
+                    proposals,
+                    put(controllers, at, self._kept(controller, records=self.records(me))),
+                    claims,
+                    left,
+                ),
+            )
             return
-        if self.parts.waits and me.may_have_promised and now < barn[4] + WAIT_TICKS:
+        if self.parts.waits and me.may_have_promised and now < controller[4] + WAIT_TICKS:
             return
         for told, sealed in me.sources():
             voters = self.parts.voters(*told)
             own = int(sealed and me.me in voters.names and me.holds(voters.epoch))
             there = []
             for other in range(4):
-                member = self.member(other, barns[other][0])
+                member = self.member(other, controllers[other][0])
                 answers = member.holds(voters.epoch) if sealed else member.votes(voters.epoch)
                 if other != at and member.me in voters.names and answers:
                     there.append(other)
             for heard in itertools.combinations(there, max(0, voters.read - own)):
-                grant = barn[2]
-                mine = self.member(at, barn[0])
+                grant = controller[2]
+                mine = self.member(at, controller[0])
                 for other in heard:
-                    grant = self.keys.apply(grant, "take", 0, barns[other][2])[0]
-                    mine.heard(voters.epoch, self.member(other, barns[other][0]).promised)
+                    grant = self.keys.apply(grant, "take", 0, controllers[other][2])[0]
+                    mine.heard(voters.epoch, self.member(other, controllers[other][0]).promised)
                 mine.settle(mine.voters.epoch)
-                row = self._kept(barn, records=self.records(mine), grant=grant)
+                row = self._kept(controller, records=self.records(mine), grant=grant)
                 whom = ", ".join(NAMES[other] for other in heard) + (", sealed," if sealed else "")
-                yield f"barn {NAMES[at]} hears what {whom} have, and is whole", (
-                    now, proposals, put(barns, at, row), claims, left)
+                yield (
+                    f"controller {NAMES[at]} hears what {whom} have, and is whole",
+                    (now, proposals, put(controllers, at, row), claims, left),
+                )
 
     def _claim(self, state: State, who: int) -> Iterator[tuple[str, State]]:
-        now, proposals, barns, claims, left = state
+        now, proposals, controllers, claims, left = state
         phase, began, epoch, heard = claims[who]
         if phase == "idle":
-            for known in sorted({self.can(at, barn[0])[0] for at, barn in enumerate(barns)} - {0}):
+            for known in sorted(
+                {self.can(at, controller[0])[0] for at, controller in enumerate(controllers)} - {0}
+            ):
                 made = put(claims, who, ("out", now, known, NONE))
-                yield f"{name(who)} asks the voters of epoch {known}", (now, proposals, barns, made, left)
+                yield (
+                    f"{name(who)} asks the voters of epoch {known}",
+                    (now, proposals, controllers, made, left),
+                )
         if phase != "out":
             return
-        known_sets = dict(self.can(at, barn[0])[:2] for at, barn in enumerate(barns))
+        known_sets = dict(self.can(at, controller[0])[:2] for at, controller in enumerate(controllers))
         names = known_sets.get(epoch, self.first.names if epoch == 1 else ())
-        for at, barn in enumerate(barns):
-            if NAMES[at] not in names or at in heard or self.can(at, barn[0])[2] != epoch:
+        for at, controller in enumerate(controllers):
+            if NAMES[at] not in names or at in heard or self.can(at, controller[0])[2] != epoch:
                 continue
-            grant = self.keys.apply(barn[2], "claim", who)[0]
+            grant = self.keys.apply(controller[2], "claim", who)[0]
             if grant[0] != who or grant[1] != Mark.CLAIMED:
                 continue  # who does not grant adds nothing: nobody repeats an answer here
             granted = tuple(sorted((*heard, at)))
             runs = self.count(names, len(granted), now - began) == Verdict.RUN
             made = put(claims, who, ("run", 0, 0, NONE) if runs else ("out", began, epoch, granted))
-            yield f"barn {NAMES[at]} grants the key to {name(who)}" + (", who runs" if runs else ""), (
-                now, proposals, put(barns, at, self._kept(barn, grant=grant)), made, left)
+            yield (
+                f"controller {NAMES[at]} grants the key to {name(who)}" + (", who runs" if runs else ""),
+                (now, proposals, put(controllers, at, self._kept(controller, grant=grant)), made, left),
+            )
 
 
 # --- properties
@@ -273,7 +321,7 @@
 
 def one_set_for_each_epoch(model: SetsModel, state: State) -> str:
     """Of all that was decided or learned there is one set of voters for epoch 2."""
-    found = {model.can(at, barn[0])[:2] for at, barn in enumerate(state[2])}
+    found = {model.can(at, controller[0])[:2] for at, controller in enumerate(state[2])}
     for home, number, began, told in state[1]:
         if number:
             phase, names = model.told(number, home, began, told)
@@ -285,7 +333,7 @@
 
 def never_two_sets_that_both_count(model: SetsModel, state: State) -> str:
     """Where so many vote in epoch 2 that they could grant, too few are left in epoch 1."""
-    rows = [model.can(at, barn[0]) for at, barn in enumerate(state[2])]
+    rows = [model.can(at, controller[0]) for at, controller in enumerate(state[2])]
     later = next((names for epoch, names, *_ in rows if epoch == 2), ())
     old = sum(votes == 1 for _, _, votes, _, _ in rows)
     new = sum(votes == 2 for _, _, votes, _, _ in rows)
@@ -301,7 +349,7 @@
 
 def no_grant_is_lost_over_a_change(model: SetsModel, state: State) -> str:
     """Once a claimant runs, those who vote and know nothing of it are too few to grant it to another."""
-    rows = [model.can(at, barn[0]) for at, barn in enumerate(state[2])]
+    rows = [model.can(at, controller[0]) for at, controller in enumerate(state[2])]
     if not any(row[0] in MAY_HAVE_RUN for row in state[3]):
         return ""
     for epoch in (1, 2):
@@ -312,15 +360,17 @@
 
 
 def sealed_stays_sealed(model: SetsModel, state: State, follower: State) -> str:
-    """No barn votes again in an epoch where it was sealed, unless its disk is lost."""
+    """No controller votes again in an epoch where it was sealed, unless its disk is lost."""
     for at, (old, new) in enumerate(zip(state[2], follower[2], strict=True)):
         if new[0] and model.can(at, old[0])[3] and model.can(at, new[0])[3] < model.can(at, old[0])[3]:
-            return f"barn {NAMES[at]} is no longer sealed"
+            return f"controller {NAMES[at]} is no longer sealed"
     return ""
 
 
 PROPERTIES: tuple[Property, ...] = (
-    one_set_for_each_epoch, never_two_sets_that_both_count, never_two_runs_over_epochs,
+    one_set_for_each_epoch,
+    never_two_sets_that_both_count,
+    never_two_runs_over_epochs,
     no_grant_is_lost_over_a_change,
 )
 STEP_PROPERTIES: tuple[StepProperty, ...] = (sealed_stays_sealed,)
