--- a/benchmarks/mesh_bytes.py
+++ b/benchmarks/mesh_bytes.py
@@ -22,10 +22,9 @@
 
 from mesh_world import End, World, change, route, service, word  # noqa: E402
 
-from mesh.transport import connection  # noqa: E402
-from mesh.transport.messages import MessageKind  # noqa: E402
+from mesh.transport.messages import KINDS  # noqa: E402
 
-NAMES = {connection.PING: "PING", connection.PONG: "PONG", **{int(kind): kind.name for kind in MessageKind}}
+NAMES = {number: kind.__name__ for number, kind in KINDS.items()}
 
 
 class Count:
--- a/mesh/control/ballot.py
+++ b/mesh/control/ballot.py
@@ -6,8 +6,8 @@
 controller may propose; that one usually does is a matter of calm, never of safety. The messages, by their
 words:
 
-    BID e, ballot          proposer to the voters of e   -> BOUND: promised, with what was accepted so far
-    SEAL e, ballot, names  the same, after a majority    -> SEALED: accepted
+    Bid e, ballot          proposer to the voters of e   -> promised, with what was accepted so far
+    Seal e, ballot, names  the same, after a majority    -> accepted
     CONTROLLER (e + 1, names)    anybody to anybody            that e is followed, once a majority has
     accepted KEYS, SYNC e, sealed   whoever is not whole in e + 1 -> KEYED, SYNCED: grants and items of a
     sealed voter
@@ -38,24 +38,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-from mesh.state.quorum import NOBODY, Voters
-
-
-class Ballot(NamedTuple):
-    """A proposal's rank. No two proposals share one: `who` names the proposer, its life and the try."""
-
-    number: int
-    who: str
-
-
-FIRST = Ballot(0, "")
-
-
-class Accepted(NamedTuple):
-    """What a voter has last said yes to."""
-
-    ballot: Ballot
-    names: tuple[str, ...]
+from mesh.state.ballots import FIRST, Accepted, Ballot, accepted_of, row_of
+from mesh.state.quorum import NOBODY, PeerView, Voters
 
 
 class Member:
@@ -173,16 +157,6 @@
         self.whole = max(self.whole, epoch)
 
 
-def row_of(accepted: Accepted | None) -> list[Any] | None:
-    """As it travels and lies on disks."""
-    return None if accepted is None else [*accepted.ballot, list(accepted.names)]
-
-
-def accepted_of(row: list[Any]) -> Accepted:
-    """The same, back."""
-    return Accepted(Ballot(row[0], row[1]), tuple(row[2]))
-
-
 class Proposal:
     """One try to have an epoch followed. It is void `limit_s` after it began: an emptied disk waits as long
     before it asks others, so what it promised to this one is known to them, or never counts."""
@@ -258,18 +232,6 @@
         return now - self._since[name] if name in self._since and not self.gone(now, name) else 0.0
 
 
-class PeerView(NamedTuple):
-    """What one controller sees of the others, and is itself."""
-
-    gone: Mapping[str, float]  # seconds since each was heard
-    steady: Mapping[str, float]  # seconds for which each has been heard, without a break
-    votes: bool  # in the asker's epoch
-    counts: bool
-    zone: str = ""
-    old: bool = True  # whether a process that knows nothing of epochs is linked to it, or it is one
-    leaves: bool = False  # whether it has been told to end
-
-
 class Patience(NamedTuple):
     """How long a voter has to be away, or a spare to be there, in seconds, before anything follows."""
 
--- a/mesh/control/consensus.py
+++ b/mesh/control/consensus.py
@@ -34,30 +34,11 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-from mesh.control.ballot import FIRST, Ballot
 from mesh.state import configuration
+from mesh.state.ballots import FIRST, Ballot, Draft, draft_of
 from mesh.state.configuration import EMPTY, Item, Items
 
 
-class Draft(NamedTuple):
-    """A change that was accepted and may have been chosen."""
-
-    sequence: int  # its number
-    ballot: Ballot
-    items: tuple[Item, ...]
-
-    def row(self) -> list[Any]:
-        """As it travels and lies on disks."""
-        return [self.sequence, *self.ballot, [list(item) for item in self.items]]
-
-
-def draft_of(row: list[Any] | None) -> Draft | None:
-    """The same, back."""
-    if row is None:
-        return None
-    return Draft(row[0], Ballot(row[1], row[2]), tuple(Item(*item) for item in row[3]))
-
-
 class Replica(NamedTuple):
     """One machine's copy. `granted` is not kept on the disk; all else is."""
 
--- a/mesh/control/lease.py
+++ b/mesh/control/lease.py
@@ -1,6 +1,6 @@
 """Whether a control machine is in contact with a majority of the voters: a read lease. No I/O, no clock.
 
-A machine asks every other one at short intervals (`PULSE`). An answer renews the lease from the moment at
+A machine asks every other one at short intervals (`Heartbeat`). An answer renews the lease from the moment at
 which its question was *sent*, so a reply that was delayed, or that waited in a socket while the process stood
 still, renews nothing that has passed since. The lease holds while a majority of the voters, the machine
 itself among them where it votes, has answered questions that are younger than `lease_s`. An answer counts
@@ -24,7 +24,7 @@
 from mesh.state.quorum import Voters
 
 LEASE_PART = 0.5  # of the bound `contact`
-PULSE_PART = 0.1  # of the bound `contact`: how often others are asked
+HEARTBEAT_PART = 0.1  # of the bound `contact`: how often others are asked
 
 
 class ReadLease:
--- a/mesh/control/rounds.py
+++ b/mesh/control/rounds.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
-Take = Callable[[str, list[Any]], bool]
+from mesh.transport.messages import Answer
+
+Take = Callable[[str, Any], bool]
 """What is made of an answer of a machine: whether it counts."""
 
 
@@ -75,9 +77,9 @@
         """Answers that come from now on are dropped."""
         self._open.pop(number, None)
 
-    def answer(self, name: str, message: list[Any]) -> None:
-        """A message whose second entry is a round's number."""
-        found = self._open.get(message[1])
+    def answer(self, name: str, message: Answer) -> None:
+        """An answer has come."""
+        found = self._open.get(message.round)
         if found is None:
             return
         made, take = found
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -7,20 +7,22 @@
 import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any
 
+import msgspec
 from loguru import logger
 
 from dunefield.budget import STEPS
 from hollyport.http import heads
 from hollyport.http.back import Reply
-from hollyport.http.message import Message
+from hollyport.http.message import Message as Request
 from mesh.errors import ANSWERS, PROMISES, ErrorKind
 from mesh.proxy.chunked_transfer import PIECE, Intake
 from mesh.proxy.endpoints import Endpoint, Near, best, draw, fresh
 from mesh.proxy.failure_detector import FailureDetector
+from mesh.proxy.key_claims import KeyClaims
 from mesh.proxy.request_age import RequestAges
 from mesh.proxy.retry_budget import RetryBudget
 from mesh.proxy.server_queue import HOP_S, Job, ServerQueue
@@ -28,17 +30,41 @@
 from mesh.state import configuration
 from mesh.state.configuration import Item, Route
 from mesh.state.distribution import LOOK_S, Copy, Following
-from mesh.state.idempotency import Claim, Mark, Verdict
+from mesh.state.idempotency import Verdict
 from mesh.state.quorum import Voters
 from mesh.transport import connection, http_server
 from mesh.transport.connection import Dial, PeerConnection, pack
-from mesh.transport.messages import VERSION, MessageKind, Record
+from mesh.transport.messages import (
+    VERSION,
+    BodyChunk,
+    BodyDropped,
+    Call,
+    ClaimAnswer,
+    Controllers,
+    CurrentVoters,
+    Digest,
+    EndpointGone,
+    Endpoints,
+    Follow,
+    Forward,
+    ForwardAnswer,
+    InContact,
+    Items,
+    ItemsReceived,
+    LoadQuery,
+    LoadReport,
+    Message,
+    NewerLifeKnown,
+    Overdue,
+    Pull,
+    RecordChanged,
+    Register,
+    SendBody,
+    SidecarRecord,
+)
 
 OURS = heads.NOT_FORWARDED | {b"x-deadline-ms", b"x-expect-instance", b"x-caller-service", b"x-timeout"}
 LEAST_CLAIM_S = 0.08  # how long a claim may take in any case before its call is given back
-KEYLESS_S = 0.25  # how long none is tried after one that took too long
-HEDGE_S = 0.02  # after so long without a verdict all controllers are asked for a key, not only the nearest
-CLAIM_S = 1.0  # a claim's round is void after so long
 PATIENCE = 0.25  # part of a request's aim that it may wait unsent at no price
 SCATTER = 2.0  # times the mean that a call may take and still be in time
 BEYOND = 1.5  # times its aim that a request may wait unsent
@@ -47,15 +73,13 @@
 LOOK_AIM = 0.05  # part of a request's aim that asking after two servers may take
 LOOK_WORK = 8.0  # times what the asking takes that a call has to take for it to be worth the asking
 MOST_SIZES = 1024  # routes whose answers' sizes are kept
-ASK: tuple[Any, ...] = (b"", "", b"", b"", [], b"", 0.0, 0.0, b"", "", "", False, False, False, 0)
-"""What an offer tells, in order, with what stands for what an older version did not tell."""
-SIZE = len(ASK) - 1  # place of the size of a body that does not come with its offer
 AGAIN_S = 0.002  # a request that has been under way for longer has been refused or lost before
 RETURNED = 0.5  # part of the usual patience that puts a returning request in front
 DRAWS = 3  # pools that a request is offered to before it is refused
 LAST = 0.3  # part of a request's time that it may wait unsent in one pool
 AGAIN_IN = 0.2  # and so much of its time may be gone when it is offered to another
 LEAST_CLOSED_S, MOST_CLOSED_S = 0.02, 0.2  # how long a pool that was told full is passed over
+OF_VERDICT = {Verdict.AT_WORK: ErrorKind.AT_WORK, Verdict.LOST: ErrorKind.LOST_KEY}
 NO_PROMISE = frozenset({408, 421, 429, 503})  # from a server that does not say X-Not-Run: it may have run
 JSON = [(b"Content-Type", b"application/json")]
 LAST_S = 0.4  # of the grace that is kept for writing the last answers
@@ -86,7 +110,7 @@
         "past",
     )
 
-    def __init__(self, message: Message, route: Route, service: str, deadline: float, aim_at: float) -> None:
+    def __init__(self, message: Request, route: Route, service: str, deadline: float, aim_at: float) -> None:
         self.message, self.route, self.service = message, route, service
         self.deadline, self.aim_at = deadline, aim_at
         self.tid = message.header(b"x-attempt-id") or b""
@@ -103,7 +127,7 @@
         self.body = message.body
 
 
-class LoadQuery:
+class LoadLookup:
     """A request that waits for what two sidecars tell of their servers."""
 
     __slots__ = ("request", "endpoints", "open", "began", "timer", "carries")
@@ -129,6 +153,21 @@
         return self.sent < len(self.body)
 
 
+class Arriving:
+    """A call whose body is being fetched."""
+
+    __slots__ = ("call", "parts", "began")
+
+    def __init__(self, call: Call, began: float) -> None:
+        self.call, self.began = call, began
+        self.parts: list[bytes] = []
+
+
+Place = tuple[PeerConnection | None, int]
+"""Who sent a call, and its number there; None: it began here."""
+Tell = Callable[[ForwardAnswer], None]
+
+
 class Sidecar:
     """One process of the role."""
 
@@ -140,37 +179,29 @@
         self.copy = Copy()
         self.following = Following(self.me, settings.zone)
         self.table = configuration.NOTHING
-        self.voters: tuple[str, ...] = ()
-        self._enough = 1
-        self._epoch = 0
         self.server_queue = ServerQueue(self.loop, settings.app, 64)
         self.endpoints: dict[str, Endpoint] = {}
         self.lists: dict[str, list[Endpoint]] = {}
-        self._records: dict[str, list[Any]] = {}
+        self._records: dict[str, SidecarRecord] = {}
         self._life, self._number = time.time_ns() // 1_000_000, 0
         self._controller_dials: dict[str, Dial] = {}
         self._controllers: dict[str, PeerConnection] = {}
         self._endpoint_dials: dict[str, Dial] = {}
         self._endpoint_links: dict[str, PeerConnection] = {}
         self._asks: dict[int, tuple[PendingRequest, Endpoint]] = {}
-        self._load_queries: dict[int, LoadQuery] = {}
+        self._load_queries: dict[int, LoadLookup] = {}
         self._look_s = 0.0  # how long a question takes, of late
         self._chunked_bodies: dict[int, ChunkedBody] = {}  # by offer
-        self._loads: dict[tuple[PeerConnection, int], tuple[list[Any], list[bytes], float]] = {}
-        self._intake: Intake[tuple[PeerConnection, int]] = Intake(settings.link_mbps * 125_000)
+        self._loads: dict[Place, Arriving] = {}
+        self._intake: Intake[Place] = Intake(settings.link_mbps * 125_000)
         self._next = 0
-        self._claims: dict[int, tuple[Claim, Callable[[Claim], None]]] = {}
-        self._anew: dict[int, Callable[[], None]] = {}  # by claim: ask those who vote now
-        self._granted: dict[str, list[str]] = {}  # by token at work: the controllers that were asked
         self._controller_zones: dict[str, str] = {}
         self._controller_lives: dict[str, int] = {}
         # by controller: the life with which others have forgotten it
         self._controllers_over: dict[str, int] = {}
         self._sizes: dict[str, float] = {}  # by route: bytes of an answer, about
-        self._keyless_until = 0.0  # controllers are out of reach, as it seems
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._ages: dict[str, RequestAges] = {}  # by route
-        self._jobs: dict[tuple[PeerConnection, int], Job] = {}
         self._callers: set[PeerConnection] = set()
         self._open_requests = self._open_jobs = 0
         self.leaving = self.closed = self._probed = False
@@ -178,6 +209,10 @@
         self._http_servers: list[http_server.HttpServer] = []
         self._most_sidecars = 0
         self.server_queue.replaced = self._adopt
+        self.key_claims = KeyClaims(
+            self.loop, self._controllers, self._controller_zones, settings.zone, self._fresh
+        )
+        self._handlers = self._by_kind()
         self._failure_detector = FailureDetector(
             self.loop, self.me, settings.peer_address.text, settings.zone, self._dead
         )
@@ -188,6 +223,11 @@
         """The configuration as it stands here."""
         return self.copy.items
 
+    @property
+    def voters(self) -> Voters:
+        """Whose disks count, as far as this sidecar has been told."""
+        return self.key_claims.voters
+
     async def start(self) -> None:
         """Listen, and find the controllers."""
         settings = self.settings
@@ -245,7 +285,7 @@
 
     # --- the platform and the server beside
 
-    def readiness(self, message: Message) -> None:
+    def readiness(self, message: Request) -> None:
         """Whether clients may be sent here."""
         if message.target.partition(b"?")[0] != b"/-/readiness":
             message.answer(404)
@@ -253,7 +293,7 @@
         ready = not self.leaving and bool(self.table.hosts) and any(self.lists.values())
         message.answer(200 if ready else 503)
 
-    def beat(self, message: Message) -> None:
+    def beat(self, message: Request) -> None:
         """What the server beside tells of itself."""
         path = message.target.partition(b"?")[0]
         named = path.startswith(b"/-/instances/") and len(path) > len(b"/-/instances/")
@@ -302,32 +342,32 @@
             server_queue.life(instance, STEPS, 0.0, True)
             self._tell_record()
 
-    def _record(self) -> list[Any]:
+    def _record(self) -> SidecarRecord:
+        """What can be had here, as it is told to others."""
         server_queue, settings = self.server_queue, self.settings
         self._number += 1
-        cold = max(0.0, server_queue.cold_until - self.loop.time())
-        return [
-            self.me,
-            settings.peer_address.text,
-            settings.zone,
-            settings.service,
-            server_queue.instance,
-            server_queue.slots,
-            server_queue.open and not self.leaving,
-            cold,
-            self._life,
-            self._number,
-            VERSION,
-        ]
+        return SidecarRecord(
+            node=self.me,
+            address=settings.peer_address.text,
+            zone=settings.zone,
+            service=settings.service,
+            instance=server_queue.instance,
+            slots=server_queue.slots,
+            is_open=server_queue.open and not self.leaving,
+            cold_s=max(0.0, server_queue.cold_until - self.loop.time()),
+            life=self._life,
+            number=self._number,
+            version=VERSION,
+        )
 
     def _tell_record(self) -> None:
         """Tell all that have to know what can be had here."""
         record = self._record()
         self._take_record(record)
-        packed = pack([MessageKind.SIDECAR, record])
+        packed = pack(Register(record))
         for link in self._controllers.values():
             link.put(packed)
-        packed = pack([MessageKind.LEAVING, record])
+        packed = pack(RecordChanged(record))
         for link in self._callers:
             link.put(packed)
 
@@ -347,7 +387,7 @@
     def _controller_up(self, address: str, link: PeerConnection) -> None:
         link.peer = address
         self._controllers[address] = link
-        link.send([MessageKind.SIDECAR, self._record(), VERSION])
+        link.send(Register(self._record(), VERSION))
 
     def _controller_down(self, address: str, link: PeerConnection) -> None:
         if self._controllers.get(address) is link:
@@ -355,32 +395,22 @@
             self.following.down(address)
             self._follow()
             self._forget_controller(address)
-        for claim, then in list(self._claims.values()):
-            claim.failed(address)
-            then(claim)
-
-    def _hear_controllers(
-        self,
-        link: PeerConnection,
-        addresses: list[str],
-        zone: str,
-        lives: dict[str, int] | None = None,
-        over: dict[str, int] | None = None,
-        *_: Any,
-    ) -> None:
+        self.key_claims.lost(address)
+
+    def _hear_controllers(self, link: PeerConnection, told: Controllers) -> None:
         """Which controllers there are, and which were forgotten: those come back by a later life alone."""
-        for address in addresses:
-            life = (lives or {}).get(address, 0)
+        for address in told.addresses:
+            life = told.lives.get(address, 0)
             if life > self._controllers_over.get(address, -1):
                 self._controllers_over.pop(address, None)
                 self._controller_lives[address] = max(life, self._controller_lives.get(address, 0))
                 self._know_controller(address)
-        for address, life in (over or {}).items():
+        for address, life in told.forgotten.items():
             if life >= self._controller_lives.get(address, 0):
                 self._controllers_over[address] = life
                 self._forget_controller(address)
         if link.peer:
-            self._controller_zones[link.peer] = zone
+            self._controller_zones[link.peer] = told.zone
             self._follow()
 
     def _follow(self) -> None:
@@ -389,9 +419,9 @@
         controller = self.following.choose(self._controllers, self._controller_zones)
         if controller is not None:
             if before is not None:
-                before.send([MessageKind.FOLLOW, None])
+                before.send(Follow(None))
             if controller:
-                self._controllers[controller].send([MessageKind.FOLLOW, self.copy.digest])
+                self._controllers[controller].send(Follow(self.copy.digest))
 
     def _sum(self, link: PeerConnection, digest: int) -> None:
         """What a controller may tell has this digest."""
@@ -413,31 +443,27 @@
         if asks is None:
             self.loop.call_later(LOOK_S, self._lacks, link)
         elif asks:
-            link.send([MessageKind.PULL, self.copy.marks()])
+            link.send(Pull(self.copy.packed_buckets()))
 
     def _forget_controller(self, address: str) -> None:
         """Dial a controller no more that others have forgotten, unless it is reached from here."""
-        kept = address in self.settings.seed_peers or address in self.voters
+        kept = address in self.settings.seed_peers or address in self.key_claims.voters.names
         if address in self._controllers_over and address not in self._controllers and not kept:
             dial = self._controller_dials.pop(address, None)
             if dial is not None:
                 dial.stop()
 
     def _take_voters(self, told: Voters) -> None:
-        """Who votes from now on. What was asked of those before is asked anew, as long as nothing ran."""
-        if not told.newer(Voters(self._epoch, self.voters)):
+        """Who votes from now on."""
+        if not told.newer(self.key_claims.voters):
             return
-        self._epoch, self.voters, self._enough = told.epoch, told.names, told.write
         for name in told.names:
             self._know_controller(name)
-        for asked in self._granted.values():  # they may have heard of it from those before
-            asked += [name for name in told.names if name not in asked]
-        for anew in list(self._anew.values()):
-            anew()
+        self.key_claims.take_voters(told)
 
-    def _take_items(self, rows: list[list[Any]]) -> None:
+    def _take_items(self, items: Iterable[Item]) -> None:
         self.following.answered()
-        if not self.copy.take(Item(*row) for row in rows):
+        if not self.copy.take(items):
             return
         self.table, wrong = configuration.table(self.copy.items)
         for clash in wrong:
@@ -454,42 +480,51 @@
 
     # --- other sidecars
 
-    def _take_record(self, record: list[Any]) -> None:
-        node = record[Record.NODE]
-        known = self._records.get(node)
-        if known is not None and record[Record.LIFE :] <= known[Record.LIFE :]:
+    def _take_record(self, record: SidecarRecord) -> None:
+        """What another sidecar, or this one, tells of itself."""
+        known = self._records.get(record.node)
+        if known is not None and record.order <= known.order:
             return
-        self._records[node] = record
+        self._records[record.node] = record
         self._most_sidecars = max(self._most_sidecars, len(self._records))
-        endpoint = self.endpoints.get(node)
-        service = record[Record.SERVICE]
-        if endpoint is not None and endpoint.service != service:
-            self._drop_endpoint(node)
+        endpoint = self._endpoint_of(record)
+        endpoint.zone = record.zone
+        self._failure_detector.knows(record.node, record.zone, record.address)
+        if endpoint.instance != record.instance:
+            endpoint.renew()
+        endpoint.instance, endpoint.slots = record.instance, record.slots
+        endpoint.draining = not record.is_open
+        endpoint.version = record.version
+        endpoint.cold_until = self.loop.time() + record.cold_s
+        if record.node != self.me and endpoint.link != record.address:
+            self._dial_endpoint(endpoint, record.address)
+
+    def _endpoint_of(self, record: SidecarRecord) -> Endpoint:
+        """The endpoint that a record is about; one of another service takes the place of the one before."""
+        endpoint = self.endpoints.get(record.node)
+        if endpoint is not None and endpoint.service != record.service:
+            self._drop_endpoint(record.node)
+            self._records[record.node] = record
             endpoint = None
         if endpoint is None:
-            endpoint = self.endpoints[node] = Endpoint(node, service)
-            self.lists.setdefault(service, []).append(endpoint)
-        endpoint.zone = record[Record.ZONE]
-        self._failure_detector.knows(node, endpoint.zone, record[Record.LINK])
-        if endpoint.instance != record[Record.INSTANCE]:
-            endpoint.renew()
-        endpoint.instance, endpoint.slots = record[Record.INSTANCE], record[Record.SLOTS]
-        endpoint.draining = not record[Record.OPEN]
-        endpoint.version = record[Record.VERSION] if len(record) > Record.VERSION else 0
-        endpoint.cold_until = self.loop.time() + record[Record.COLD]
-        if node != self.me and endpoint.link != record[Record.LINK]:
-            old = self._endpoint_dials.pop(node, None)
-            if old is not None:
-                old.stop()
-            endpoint.link = record[Record.LINK]
-            host, _, port = endpoint.link.rpartition(":")
-            self._endpoint_dials[node] = Dial(
-                Address(host, int(port)),
-                self._hear,
-                partial(self._endpoint_up, node),
-                partial(self._endpoint_down, node),
-                connection.QUIET_S,
-            )
+            endpoint = self.endpoints[record.node] = Endpoint(record.node, record.service)
+            self.lists.setdefault(record.service, []).append(endpoint)
+        return endpoint
+
+    def _dial_endpoint(self, endpoint: Endpoint, address: str) -> None:
+        """Keep a connection to the sidecar beside a server, at its new address."""
+        node = endpoint.node
+        old = self._endpoint_dials.pop(node, None)
+        if old is not None:
+            old.stop()
+        endpoint.link = address
+        self._endpoint_dials[node] = Dial(
+            Address.read(address),
+            self._hear,
+            partial(self._endpoint_up, node),
+            partial(self._endpoint_down, node),
+            connection.QUIET_S,
+        )
 
     def _drop_endpoint(self, node: str) -> None:
         endpoint = self.endpoints.pop(node, None)
@@ -512,7 +547,7 @@
         """A controller has not seen a sidecar for long; where there is no connection to it either, it is
         forgotten."""
         record = self._records.get(node)
-        same = record is not None and record[Record.LIFE] == life
+        same = record is not None and record.life == life
         if node != self.me and same and node not in self._endpoint_links:
             self._drop_endpoint(node)
 
@@ -527,13 +562,12 @@
             if endpoint.node == node:
                 chunked = self._chunked_bodies.get(number)
                 if chunked is not None and chunked.part:
-                    # without its body it can't have run
-                    self._told(number, ErrorKind.LEAVING, False, 0, [], b"")
+                    self._told(_unanswered(number, ErrorKind.LEAVING))  # without its body it can't have run
                 else:
-                    self._told(number, ErrorKind.BROKEN, True, 0, [], b"")
+                    self._told(_unanswered(number, ErrorKind.BROKEN, arrived=True))
         for number, look in list(self._load_queries.items()):
             if any(endpoint.node == node for endpoint in look.endpoints):
-                self._glance(number, False)
+                self._glance(LoadReport(number, False))
 
     def _left(self, link: PeerConnection) -> None:
         self._callers.discard(link)
@@ -546,55 +580,60 @@
 
     # --- messages
 
-    def _hear(self, link: PeerConnection, message: list[Any]) -> None:
-        word = message[0]
-        if word == MessageKind.ASK:
-            self._asked(link, message[1], message[2])
-        elif word == MessageKind.TOLD:
-            self._told(*message[1:])
-        elif word == MessageKind.LOOK:
-            link.send([MessageKind.GLANCE, message[1], *self._sight(message[2], message[3])])
-        elif word == MessageKind.GLANCE:
-            self._glance(*message[1:7], node=link.peer)
-        elif word == MessageKind.WANT:
-            self._wanted(link, message[1], message[2])
-        elif word == MessageKind.PIECE:
-            self._piece(link, message[1], message[2])
-        elif word == MessageKind.DROP:
-            self._unload((link, message[1]))
-        elif word == MessageKind.OVERDUE:
-            self._overdue(message[1])
-        elif word == MessageKind.CLAIMED:
-            self._claimed(link, *message[1:])
-        elif word == MessageKind.ITEMS:
-            self._take_items(message[2])
-            link.send([MessageKind.ACK, message[1]])
-        elif word == MessageKind.SUM:
-            self._sum(link, message[1])
-        elif word == MessageKind.CURRENT:
-            self.following.current(link.peer, message[1])
-            self._follow()
-        elif word == MessageKind.ENDPOINTS:
-            for record in message[1]:
-                if record[Record.NODE] != self.me:
-                    self._take_record(record)
-        elif word == MessageKind.LEAVING:
-            if message[1][Record.NODE] != self.me:
-                self._take_record(message[1])
-        elif word == MessageKind.CONTROLLERS:
-            self._hear_controllers(link, *message[1:])
-        elif word == MessageKind.VOTERS:
-            self._take_voters(Voters(message[1], tuple(message[2])))
-        elif word == MessageKind.LIFE:
-            if message[1] >= self._life:  # a clock has stepped back since the process before
-                self._life = message[1] + 1
-                self._tell_record()
-        elif word == MessageKind.GONE:
-            self._gone(message[1], message[2])
+    def _hear(self, link: PeerConnection, message: Message) -> None:
+        """One message of another process."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(link, message)
+
+    def _by_kind(self) -> dict[type[Message], Callable[[PeerConnection, Any], None]]:
+        """Whom each kind of message is for."""
+        return {
+            Forward: self._asked,
+            ForwardAnswer: lambda link, told: self._told(told),
+            LoadQuery: self._answer_load,
+            LoadReport: lambda link, told: self._glance(told, node=link.peer),
+            SendBody: self._wanted,
+            BodyChunk: self._piece,
+            BodyDropped: lambda link, told: self._unload((link, told.number)),
+            Overdue: lambda link, told: self._overdue(told.number),
+            ClaimAnswer: self.key_claims.hear,
+            Items: self._hear_items,
+            Digest: lambda link, told: self._sum(link, told.digest),
+            InContact: self._hear_contact,
+            Endpoints: lambda link, told: self._hear_records(told.records),
+            RecordChanged: lambda link, told: self._hear_records((told.record,)),
+            Controllers: self._hear_controllers,
+            CurrentVoters: lambda link, told: self._take_voters(Voters(told.epoch, told.names)),
+            NewerLifeKnown: lambda link, told: self._outlive(told.life),
+            EndpointGone: lambda link, told: self._gone(told.node, told.life),
+        }
+
+    def _hear_items(self, link: PeerConnection, told: Items) -> None:
+        self._take_items(told.items)
+        link.send(ItemsReceived(told.number))
+
+    def _hear_contact(self, link: PeerConnection, told: InContact) -> None:
+        self.following.current(link.peer, told.yes)
+        self._follow()
+
+    def _hear_records(self, records: Iterable[SidecarRecord]) -> None:
+        for record in records:
+            if record.node != self.me:
+                self._take_record(record)
+
+    def _outlive(self, life: int) -> None:
+        """A later life of this sidecar is known: a clock has stepped back since the process before."""
+        if life >= self._life:
+            self._life = life + 1
+            self._tell_record()
+
+    def _answer_load(self, link: PeerConnection, asked: LoadQuery) -> None:
+        link.send(self._sight(asked.number, asked.route, asked.size))
 
     # --- a request that begins here
 
-    def serve(self, message: Message) -> None:
+    def serve(self, message: Request) -> None:
         """Take a request of a client or of the server beside."""
         now = self.loop.time()
         if self.closed:
@@ -684,42 +723,32 @@
 
     def _look(self, now: float, request: PendingRequest, drawn: list[Endpoint]) -> None:
         """Ask the sidecars beside some servers how a call would fare there."""
-        look = LoadQuery(request, drawn, now)
+        look = LoadLookup(request, drawn, now)
         self._next += 1
         number = self._next
         kind, size = request.route.name, len(request.body)
         for endpoint in drawn:
             if endpoint.node == self.me:
-                open_, wait, pace, _, ill = self._sight(kind, size)  # its body is here
-                endpoint.told(now, kind, wait, pace, ill)
-                if not open_:
+                report = self._sight(number, kind, size)  # its body is here
+                endpoint.told(now, kind, report.wait_s, report.work_s, report.failing)
+                if not report.is_open:
                     endpoint.closed_until = now + LEAST_CLOSED_S
             else:
                 look.open += 1
-                self._endpoint_links[endpoint.node].send([MessageKind.LOOK, number, kind, size])
+                self._endpoint_links[endpoint.node].send(LoadQuery(number, kind, size))
         self._load_queries[number] = look
         most = max(0.001, (request.aim_at - now) * LOOK_AIM)
         look.timer = self.loop.call_later(most, self._looked, number)
 
-    def _sight(self, kind: str, size: int) -> tuple[bool, float, float, float, float]:
-        """How a call would fare here: whether it would be taken; seconds that it would wait, and take, and
-        that its body would be on its way; the part of calls that fail here of late."""
-        carry = self._intake.wait(size) if size > self._intake.inline else 0.0
-        return self.server_queue.takes_calls(), *self._hint(kind)[:2], carry, self._hint(kind)[2]
-
-    def _glance(
-        self,
-        number: int,
-        open_: bool,
-        wait: float = 0.0,
-        pace: float = 0.0,
-        carry: float = 0.0,
-        ill: float = 0.0,
-        *,
-        node: str = "",
-    ) -> None:
+    def _sight(self, number: int, kind: str, size: int) -> LoadReport:
+        """How a call would fare here."""
+        carry_s = self._intake.wait(size) if size > self._intake.inline else 0.0
+        queue = self.server_queue
+        return LoadReport(number, queue.takes_calls(), queue.wait(), queue.pace(kind), carry_s, queue.ill())
+
+    def _glance(self, told: LoadReport, *, node: str = "") -> None:
         """A sidecar has told how a call would fare, or can't any more."""
-        look = self._load_queries.get(number)
+        look = self._load_queries.get(told.number)
         if look is None:
             return
         now = self.loop.time()
@@ -728,17 +757,17 @@
         if endpoint is not None:
             took = now - look.began
             self._look_s += (took - self._look_s) * 0.1
-            endpoint.told(now, look.request.route.name, wait, pace, ill)
-            look.carries[node] = carry
-            if not open_:
+            endpoint.told(now, look.request.route.name, told.wait_s, told.work_s, told.failing)
+            look.carries[node] = told.carry_s
+            if not told.is_open:
                 endpoint.closed_until = now + LEAST_CLOSED_S
                 endpoint.told_at = -1.0
             elif look.open > 0 and look.timer is not None:
                 # The first has answered: the others may take as long again.
                 look.timer.cancel()
-                look.timer = self.loop.call_later(took + 0.001, self._looked, number)
+                look.timer = self.loop.call_later(took + 0.001, self._looked, told.number)
         if look.open <= 0:
-            self._looked(number)
+            self._looked(told.number)
 
     def _looked(self, number: int) -> None:
         """Enough has been heard: the request goes."""
@@ -780,150 +809,143 @@
         if endpoint.node != self.me and endpoint.version >= 2 and len(body) > self._intake.inline:
             self._chunked_bodies[number] = ChunkedBody(body)
             body, size = b"", len(body)
-        ask = [
-            request.service,
-            self.settings.service,
-            message.method,
-            message.target,
-            headers,
-            body,
-            request.deadline - now,
-            request.aim_at - now,
-            request.tid,
-            key,
-            request.route.name,
-            request.again,
-            request.route.variant == "pure",
-            request.past,
-            size,
-        ]
+        call = Call(
+            service=request.service,
+            caller=self.settings.service,
+            method=message.method,
+            target=message.target,
+            headers=headers,
+            body=body,
+            left_s=request.deadline - now,
+            aim_s=request.aim_at - now,
+            attempt=request.tid,
+            key=key,
+            route=request.route.name,
+            again=request.again,
+            repeatable=request.route.variant == "pure",
+            past_aim=request.past,
+            size=size,
+        )
         if endpoint.node == self.me:
-            self._run(
-                ask,
-                lambda *told: self._told(number, *told, *self._hint(request.route.name)),
-                partial(self._overdue, number),
-            )
+            self._run(call, (None, number), self._told, partial(self._overdue, number))
         else:
             link = self._endpoint_links[endpoint.node]
             link.attend(1)
-            link.send([MessageKind.ASK, number, ask])
+            link.send(Forward(number, call))
 
     # --- large bodies
 
-    def _wanted(self, link: PeerConnection, number: int, upto: int) -> None:
+    def _wanted(self, link: PeerConnection, asked: SendBody) -> None:
         """The sidecar beside a server takes more of a body."""
+        number, upto = asked.number, asked.upto
         chunked, found = self._chunked_bodies.get(number), self._asks.get(number)
         if chunked is None or found is None:
             return
         if found[0].over:  # its client has its answer or has left: what is not there whole can't run
-            self._told(number, ErrorKind.LEAVING, False, 0, [], b"")
-            link.send([MessageKind.DROP, number])
+            self._told(_unanswered(number, ErrorKind.LEAVING))
+            link.send(BodyDropped(number))
             return
         while chunked.sent < min(upto, len(chunked.body)):
             piece = chunked.body[chunked.sent : min(chunked.sent + PIECE, upto)]
             chunked.sent += len(piece)
-            link.send([MessageKind.PIECE, number, piece])
+            link.send(BodyChunk(number, piece))
 
-    def _load(self, link: PeerConnection, number: int, ask: list[Any]) -> None:
+    def _load(self, link: PeerConnection, asked: Forward) -> None:
         """A request whose body has to be fetched; one that can't be here in time is given back at once."""
-        now, key = self.loop.time(), (link, number)
-        size, left = ask[SIZE], ask[6]
-        if not self.server_queue.open or ask[0] != self.settings.service:
-            link.send([MessageKind.TOLD, number, int(ErrorKind.LEAVING), False, 0, [], b""])
+        now, place, call = self.loop.time(), (link, asked.number), asked.call
+        if not self.server_queue.open or call.service != self.settings.service:
+            link.send(_unanswered(asked.number, ErrorKind.LEAVING))
             return
         # No longer than a call may wait unsent: where more comes than the link carries, all would else be
         # late. What is given back has cost the link nothing yet.
-        most = min(left * LAST, ask[7] * BEYOND)
-        if self._intake.wait(size) > most:
-            self._give_back(key, ask)
+        most = min(call.left_s * LAST, call.aim_s * BEYOND)
+        if self._intake.wait(call.size) > most:
+            self._give_back(place, call)
             return
-        self._loads[key] = ask, [], now
+        self._loads[place] = Arriving(call, now)
         self._open_jobs += 1
-        self._intake.add(now, key, size)
-        self.loop.call_later(most, self._overtaken, key)
-        self.loop.call_later(left, self._overtaken, key, True)
+        self._intake.add(now, place, call.size)
+        self.loop.call_later(most, self._overtaken, place)
+        self.loop.call_later(call.left_s, self._overtaken, place, True)
         self._want()
 
-    def _give_back(self, key: tuple[PeerConnection, int], ask: list[Any]) -> None:
-        link, number = key
-        link.send([MessageKind.TOLD, number, int(ErrorKind.FULL), False, 0, [], b"", *self._hint(ask[10])])
+    def _give_back(self, place: Place, call: Call) -> None:
+        link, number = place
+        if link is not None:
+            link.send(self._with_hint(_unanswered(number, ErrorKind.FULL), call.route))
 
-    def _overtaken(self, key: tuple[PeerConnection, int], at_last: bool = False) -> None:
+    def _overtaken(self, place: Place, at_last: bool = False) -> None:
         """A body of which little is here though its time is up: smaller ones have gone before it. At last it
         is given back whatever is here: its sender keeps it until it is told."""
-        load = self._loads.get(key)
-        if load is not None and (at_last or sum(map(len, load[1])) < load[0][SIZE] / 2):
-            self._unload(key)
-            self._give_back(key, load[0])
+        load = self._loads.get(place)
+        if load is not None and (at_last or sum(map(len, load.parts)) < load.call.size / 2):
+            self._unload(place)
+            self._give_back(place, load.call)
 
     def _want(self) -> None:
         """Have senders send what the link can take."""
         for (link, number), upto in self._intake.grants(self.loop.time()).items():
-            link.send([MessageKind.WANT, number, upto])
+            if link is not None:
+                link.send(SendBody(number, upto))
 
-    def _piece(self, link: PeerConnection, number: int, data: bytes) -> None:
-        key, now = (link, number), self.loop.time()
-        load = self._loads.get(key)
+    def _piece(self, link: PeerConnection, told: BodyChunk) -> None:
+        place, now = (link, told.number), self.loop.time()
+        load = self._loads.get(place)
         if load is None:
             return
-        ask, parts, began = load
-        parts.append(data)
-        if self._intake.got(now, key, len(data)):
-            self._unload(key)
-            took = now - began
-            ask = [*ask[:5], b"".join(parts), ask[6] - took, ask[7] - took, *ask[8:SIZE], 0]
-            self._asked(link, number, ask)
-        else:
+        load.parts.append(told.data)
+        if not self._intake.got(now, place, len(told.data)):
             self._want()
+            return
+        self._unload(place)
+        took, call = now - load.began, load.call
+        left_s, aim_s = call.left_s - took, call.aim_s - took
+        whole = msgspec.structs.replace(call, body=b"".join(load.parts), left_s=left_s, aim_s=aim_s, size=0)
+        self._asked(link, Forward(told.number, whole))
 
-    def _unload(self, key: tuple[PeerConnection, int]) -> None:
+    def _unload(self, place: Place) -> None:
         """A body is whole, or will never be."""
-        if self._loads.pop(key, None) is not None:
+        if self._loads.pop(place, None) is not None:
             self._open_jobs -= 1
-            self._intake.drop(key)
+            self._intake.drop(place)
             self._want()
 
-    def _told(
-        self,
-        number: int,
-        fault: int,
-        arrived: bool,
-        status: int,
-        headers: list[Any],
-        body: bytes,
-        wait: float = 0.0,
-        pace: float = 0.0,
-        ill: float = 0.0,
-        *_: Any,
-    ) -> None:
+    def _told(self, told: ForwardAnswer) -> None:
         """What became of a request at the sidecar beside a server."""
-        found = self._asks.pop(number, None)
+        found = self._asks.pop(told.number, None)
         if found is None:
             return
         request, endpoint = found
         now = self.loop.time()
-        self._chunked_bodies.pop(number, None)
+        self._chunked_bodies.pop(told.number, None)
         link = self._endpoint_links.get(endpoint.node)
         if link is not None:
             link.attend(-1)
         endpoint.inflight -= 1
         request.out -= 1
-        endpoint.told(now, request.route.name, wait, pace, ill)
-        if wait:
-            endpoint.closed_until = now + min(wait, MOST_CLOSED_S)
-        if not fault:
-            endpoint.answered(now - request.began)
-            if request.over:
-                return
-            name = request.route.name
-            known = self._sizes.get(name)
-            if known is not None or len(self._sizes) < MOST_SIZES:
-                self._sizes[name] = len(body) if known is None else known + (len(body) - known) * 0.1
-            self._finish(request)
-            request.message.answer(status, body, [(bytes(k), bytes(v)) for k, v in headers])
+        endpoint.told(now, request.route.name, told.wait_s, told.work_s, told.failing)
+        if told.wait_s:
+            endpoint.closed_until = now + min(told.wait_s, MOST_CLOSED_S)
+        if told.error:
+            self._failed(now, request, endpoint, told)
+            return
+        endpoint.answered(now - request.began)
+        if request.over:
             return
-        kind = ErrorKind(fault)
-        request.arrivals += arrived
+        self._note_size(request.route.name, len(told.body))
+        self._finish(request)
+        request.message.answer(told.status, told.body, list(told.headers))
+
+    def _note_size(self, route: str, size: int) -> None:
+        """Remember how large a route's answers are."""
+        known = self._sizes.get(route)
+        if known is not None or len(self._sizes) < MOST_SIZES:
+            self._sizes[route] = size if known is None else known + (size - known) * 0.1
+
+    def _failed(self, now: float, request: PendingRequest, endpoint: Endpoint, told: ForwardAnswer) -> None:
+        """One server has not answered a request: another may, if it may run again and there is time."""
+        kind = ErrorKind(told.error)
+        request.arrivals += told.arrived
         if kind in PROMISES:
             endpoint.closed_until = max(endpoint.closed_until, now + LEAST_CLOSED_S)
         elif kind != ErrorKind.AT_WORK:
@@ -974,14 +996,14 @@
         if request.timer is not None:
             request.timer.cancel()
 
-    def _answer_fault(self, message: Message, fault: ErrorKind, deadline: float, aim: float = 0.2) -> None:
+    def _answer_fault(self, message: Request, fault: ErrorKind, deadline: float, aim: float = 0.2) -> None:
         answer = ANSWERS[fault]
         headers = []
         if answer.promise:
             headers = [(b"Retry-After", b"%.3f" % (aim * (0.2 + 0.4 * self._random())))]
         message.answer(answer.status, answer.text, headers)
 
-    def _hung_up(self, message: Message) -> None:
+    def _hung_up(self, message: Request) -> None:
         """The client has left. What runs is left to run; its answer goes nowhere."""
         asked = [request for request, _ in self._asks.values()]
         for request in (*asked, *(look.request for look in self._load_queries.values())):
@@ -991,74 +1013,80 @@
 
     # --- a request for the server beside
 
-    def _asked(self, link: PeerConnection, number: int, ask: list[Any]) -> None:
-        if len(ask) > SIZE and ask[SIZE]:
-            self._load(link, number, ask)
+    def _asked(self, link: PeerConnection, asked: Forward) -> None:
+        """Another sidecar sends a call for the server beside this one."""
+        number, call = asked.number, asked.call
+        if call.size:
+            self._load(link, asked)
             return
         self._run(
-            ask,
-            lambda *told: link.send([MessageKind.TOLD, number, *told, *self._hint(ask[10])]),
-            lambda: link.send([MessageKind.OVERDUE, number]),
+            call,
+            (link, number),
+            lambda answer: link.send(self._with_hint(answer, call.route)),
+            lambda: link.send(Overdue(number)),
         )
 
-    def _hint(self, kind: str) -> tuple[float, float, float]:
-        """What each answer tells of the server here: seconds that a call waits, and works; the part of calls
-        that fail here of late."""
-        return self.server_queue.wait(), self.server_queue.pace(kind), self.server_queue.ill()
-
-    def _run(self, ask: list[Any], tell: Callable[..., None], overdue: Callable[[], None]) -> None:
-        if len(ask) < len(ASK):
-            # Of an older version, which tells less: what is missing is the careful choice. A newer one's more
-            # is left out.
-            ask = [*ask, *ASK[len(ask) :]]
-        (service, caller, method, target, headers, body, left, aim, tid, key, kind, again, free, past, _) = (
-            ask[: len(ASK)]
+    def _with_hint(self, answer: ForwardAnswer, route: str) -> ForwardAnswer:
+        """What each answer tells of the server here besides: seconds that a call waits, and works; the part
+        of calls that fail here of late."""
+        queue = self.server_queue
+        return msgspec.structs.replace(
+            answer, wait_s=queue.wait(), work_s=queue.pace(route), failing=queue.ill()
         )
-        now = self.loop.time()
+
+    def _run(self, call: Call, place: Place, tell: Tell, overdue: Callable[[], None]) -> None:
+        """Have a call run by the server beside this sidecar; `tell` hears its end once."""
+        now, number = self.loop.time(), place[1]
         server_queue = self.server_queue
-        if service != self.settings.service or not server_queue.open:
-            tell(ErrorKind.LEAVING, False, 0, [], b"")
+        if call.service != self.settings.service or not server_queue.open:
+            tell(_unanswered(number, ErrorKind.LEAVING))
             return
         self._open_jobs += 1
+        left, aim, kind, key = call.left_s, call.aim_s, call.route, call.key
         deadline = now + left
-        head = heads.forwarded(method, target, [(bytes(k), bytes(v)) for k, v in headers], body)
+        head = heads.forwarded(call.method, call.target, list(call.headers), call.body)
 
         def make(left_s: float, instance: str) -> bytes:
-            return b"%sX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\nX-Caller-Service: %s\r\n\r\n%s" % (
-                head,
+            told = b"X-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\nX-Caller-Service: %s\r\n\r\n" % (
                 max(1, int(left_s * 1000)),
                 instance.encode(),
-                caller.encode(),
-                body,
+                call.caller.encode(),
             )
+            return head + told + call.body
 
         token = f"{self.me}/{self._life}/{self._fresh()}" if key else ""
 
-        def done(fault: ErrorKind | None, arrived: bool, reply: Reply | None) -> None:
+        def done(error: ErrorKind | None, arrived: bool, reply: Reply | None) -> None:
             self._open_jobs -= 1
-            found = self._judge(fault, reply)
+            found = self._judge(error, reply)
             if key:
                 self._close_key(key, token, found, reply)
             if found is not None or reply is None:
-                tell(int(found or ErrorKind.BROKEN), arrived, 0, [], b"")
+                tell(_unanswered(number, found or ErrorKind.BROKEN, arrived))
             else:
-                tell(0, arrived, reply.status, heads.returned(reply.headers), reply.body)
+                headers = heads.returned(reply.headers)
+                tell(ForwardAnswer(number, 0, arrived, reply.status, headers, reply.body))
 
         # The last start for an answer that is most likely in time, as times scatter, and the last for one at
         # all: a third of what is left, as a client that is refused may still be served elsewhere, and
         # little beyond the aim, as what waits for long makes all behind it late.
         # Whoever was refused before goes first: refused once more, its client has waited for nothing.
-        wait = max(aim - SCATTER * server_queue.takes(kind), aim * PATIENCE) * (RETURNED if again else 1.0)
+        wait = max(aim - SCATTER * server_queue.takes(kind), aim * PATIENCE) * (
+            RETURNED if call.again else 1.0
+        )
         # What was lost for longer than its aim, as while everybody was down, is worth less than any that can
         # be in time: it goes when none of those waits.
-        due = now if past else now + min(wait, left * LAST)
-        job = Job(make, tid, deadline, due, max(due, now + min(left * LAST, aim * BEYOND)), done, kind)
-        if free:
+        due = now if call.past_aim else now + min(wait, left * LAST)
+        job = Job(
+            make, call.attempt, deadline, due, max(due, now + min(left * LAST, aim * BEYOND)), done, kind
+        )
+        if call.repeatable:
             job.overdue = overdue
         if not key:
             server_queue.submit(job)
             return
-        self._claim(key, token, left, max(LEAST_CLAIM_S, aim * PATIENCE), job, tell)
+        patience = max(LEAST_CLAIM_S, aim * PATIENCE)
+        self._claim(number, key, token, left, patience, job, tell)
 
     def _fresh(self) -> int:
         self._next += 1
@@ -1080,137 +1108,47 @@
     # --- keys
 
     def _claim(
-        self, key: str, token: str, left: float, patience: float, job: Job, tell: Callable[..., None]
+        self, number: int, key: str, token: str, left: float, patience: float, job: Job, tell: Tell
     ) -> None:
         """Have a key granted by enough controllers; only then the call may go. Where that takes long, as
         behind a cut, the call is given back for another sidecar to try, and for a while all others at
         once."""
-        now = self.loop.time()
-        if now < self._keyless_until:
-            self._open_jobs -= 1
-            tell(int(ErrorKind.REFUSED), False, 0, [], b"")
-            return
-        number, claim, packed = 0, Claim(0, 0, now, CLAIM_S), b""
-        order: list[str] = []
-        asked: list[str] = []
-        all_asked: list[str] = []  # in all epochs
-
-        def begin() -> None:
-            """Ask the nearest that are enough first; what they don't settle soon, the others are asked as
-            well. Answers are counted by the claim's number, so within one epoch."""
-            nonlocal number, claim, packed, order, asked
-            self._claims.pop(number, None)
-            self._anew.pop(number, None)
-            at = self.loop.time()
-            number = self._fresh()
-            claim = Claim(len(self.voters), self._enough, at, CLAIM_S)
-            # what an older controller doesn't know, it can't read
-            epoch = [self._epoch] if self._epoch > 1 else []
-            packed = pack([MessageKind.CLAIM, number, key, token, left + 0.5 - (at - now), *epoch])
-            order = sorted(
-                self.voters, key=lambda name: self._controller_zones.get(name) != self.settings.zone
-            )
-            asked = []
-            self._claims[number], self._anew[number] = (claim, then), begin
-            for name in order:
-                if name not in self._controllers:
-                    claim.failed(name)
-            ask([name for name in order if name in self._controllers][: self._enough])
-            then(claim)
-
-        def ask(names: list[str]) -> None:
-            for name in names:
-                if name not in asked:
-                    asked.append(name)
-                    if name not in all_asked:
-                        all_asked.append(name)
-                    link = self._controllers.get(name)
-                    if link is None:
-                        claim.failed(name)
-                    else:
-                        link.put(packed)
-
-        def ask_all() -> None:
-            if number in self._claims:
-                ask(order)
-                then(claim)
-
-        def then(claim: Claim) -> None:
-            verdict = claim.verdict(self.loop.time())
-            if number not in self._claims:
-                return
-            if claim.troubled and len(asked) < len(order):
-                ask(order)
-                verdict = claim.verdict(self.loop.time())
-            if verdict == Verdict.WAIT:
-                return
-            del self._claims[number], self._anew[number]
-            timer.cancel()
-            more.cancel()
-            self._granted[token] = all_asked
+
+        def decided(verdict: Verdict, answer: Any) -> None:
             if verdict == Verdict.RUN:
                 self.server_queue.submit(job)
                 return
             self._open_jobs -= 1
-            self._to_controllers(token, [MessageKind.FREE, key, token])
             if verdict == Verdict.REPEAT:
-                status, headers, body = claim.answer
-                tell(0, False, status, headers, body)
-                return
-            fault = {Verdict.AT_WORK: ErrorKind.AT_WORK, Verdict.LOST: ErrorKind.LOST_KEY}.get(
-                verdict, ErrorKind.REFUSED
-            )
-            tell(int(fault), False, 0, [], b"")
+                status, headers, body = answer
+                pairs = [(bytes(name), bytes(value)) for name, value in headers]
+                tell(ForwardAnswer(number, 0, False, status, pairs, body))
+            else:
+                tell(_unanswered(number, OF_VERDICT.get(verdict, ErrorKind.REFUSED)))
 
-        timer = self.loop.call_later(
-            min(CLAIM_S, patience, max(0.01, left)), lambda: self._claim_late(number)
-        )
-        more = self.loop.call_later(HEDGE_S, ask_all)
-        begin()
-
-    def _claim_late(self, number: int) -> None:
-        found = self._claims.get(number)
-        if found is not None:
-            claim, then = found
-            for name in self.voters:
-                claim.silent(name)
-            self._keyless_until = self.loop.time() + KEYLESS_S
-            then(claim)
-
-    def _claimed(
-        self, link: PeerConnection, number: int, outcome: int, token: str, mark: int, answer: Any
-    ) -> None:
-        found = self._claims.get(number)
-        if found is None:
-            return
-        claim, then = found
-        if outcome == 1:
-            claim.granted(link.peer)
-        elif outcome == 0:
-            claim.held(link.peer, token, Mark(mark), answer)
+        if self.key_claims.paused:
+            self._open_jobs -= 1
+            tell(_unanswered(number, ErrorKind.REFUSED))
         else:
-            claim.failed(link.peer)
-        then(claim)
+            self.key_claims.claim(key, token, left, patience, decided)
 
     def _close_key(self, key: str, token: str, fault: ErrorKind | None, reply: Reply | None) -> None:
+        """An operation with a key is over."""
         if fault is None and reply is not None:
             answer = [reply.status, heads.returned(reply.headers), reply.body]
-            self._to_controllers(token, [MessageKind.DONE, key, token, answer])
+            self.key_claims.done(key, token, answer)
         elif fault in PROMISES:
-            self._to_controllers(token, [MessageKind.FREE, key, token])
+            self.key_claims.free(key, token)
         else:
-            self._to_controllers(token, [MessageKind.BROKE, key, token])
+            self.key_claims.broke(key, token)
 
-    def _to_controllers(self, token: str, message: list[Any]) -> None:
-        """Tell the controllers that were asked for a token: no other knows of it."""
-        packed = pack(message)
-        for name in self._granted.pop(token, ()):
-            link = self._controllers.get(name)
-            if link is not None:
-                link.put(packed)
+
+def _unanswered(number: int, error: ErrorKind, arrived: bool = False) -> ForwardAnswer:
+    """The end of a call that no server has answered. `arrived`: whether one has seen it."""
+    return ForwardAnswer(number, int(error), arrived, 0, [], b"")
 
 
-def _named(message: Message) -> frozenset[bytes]:
+def _named(message: Request) -> frozenset[bytes]:
     """Headers that a request's Connection header keeps to that connection."""
     told = message.header(b"connection")
     if told is None or told.lower() in (b"close", b"keep-alive"):
--- a/mesh/state/distribution.py
+++ b/mesh/state/distribution.py
@@ -2,10 +2,10 @@
 something.
 
 A whole table goes over a sidecar's link once, and a change once, however many controllers there are: each
-other controller tells eight bytes, the digest of all that it may tell (`SUM`). Who finds that a controller's
-digest is not its own, and does not hear the difference from the controller it follows, asks that one for what
-it lacks (`PULL`). So a controller that is frozen, cut off or behind costs its followers `LOOK_S`, not their
-configuration. No I/O; times are seconds of a steady clock.
+other controller tells eight bytes, the digest of all that it may tell (`Digest`). Who finds that a
+controller's digest is not its own, and does not hear the difference from the controller it follows, asks that
+one for what it lacks (`Pull`). So a controller that is frozen, cut off or behind costs its followers
+`LOOK_S`, not their configuration. No I/O; times are seconds of a steady clock.
 """
 
 from __future__ import annotations
@@ -62,14 +62,6 @@
             for name in self._names[at]
         ]
 
-    def marks(self) -> dict[str, int]:
-        """By name, what tells one version and content of it from others."""
-        return {name: configuration.mark(item) for name, item in self.items.items()}
-
-    def lacking(self, marks: Mapping[str, int]) -> list[Item]:
-        """What another with these marks may lack; it merges, so what is older here does nothing there."""
-        return [item for name, item in self.items.items() if marks.get(name) != configuration.mark(item)]
-
 
 class Following:
     """One sidecar's choice of whom to follow, and of when to ask another."""
--- a/mesh/state/idempotency.py
+++ b/mesh/state/idempotency.py
@@ -15,7 +15,9 @@
 from typing import Any, NamedTuple
 
 NOBODY = ""  # a token that no claimant has
-FREED_S = 5.0  # a token that was given back is known for so long: what others tell may be from before
+PART_BYTES = 128 * 1024  # grants are told in parts of about so much
+ROW_BYTES = 160  # of a grant without its answer, about
+FREED_S = 30.0  # a token that was given back is known for so long: what others tell may be from before
 
 
 class Mark(enum.IntEnum):
@@ -36,6 +38,45 @@
     answer: Any = None  # status, headers, body
 
 
+class GrantRow(NamedTuple):
+    """A grant as it travels, and as it lies on disks: ages in place of times."""
+
+    key: str
+    token: str
+    mark: int
+    until_s: float
+    expires_s: float
+    answer: Any = None
+
+
+class GrantSnapshot:
+    """All grants of one moment, to be told part by part."""
+
+    def __init__(self, grants: Iterable[tuple[str, Grant]]) -> None:
+        self._grants = list(grants)
+        self._starts = [0]  # of each part
+        size = 0
+        for at, (_, grant) in enumerate(self._grants):
+            size += ROW_BYTES + _answer_bytes(grant)
+            if size > PART_BYTES and at > self._starts[-1]:
+                self._starts.append(at)
+                size = ROW_BYTES + _answer_bytes(grant)
+
+    @property
+    def parts(self) -> int:
+        """How many parts there are; one, also where nothing was granted."""
+        return len(self._starts)
+
+    def part(self, now: float, number: int) -> tuple[tuple[GrantRow, ...], bool]:
+        """One part, counted from 0, with ages as of now, and whether there is a next one."""
+        if number >= len(self._starts):
+            return (), False
+        first = self._starts[number]
+        last = self._starts[number + 1] if number + 1 < len(self._starts) else len(self._grants)
+        rows = (row_of(now, key, grant) for key, grant in self._grants[first:last] if now < grant.expires)
+        return tuple(rows), number + 1 < len(self._starts)
+
+
 class Registry:
     """The grants of one controller."""
 
@@ -110,15 +151,19 @@
 
     # --- for disks and other controllers
 
-    def rows(self, now: float) -> list[list[Any]]:
+    def rows(self, now: float) -> list[GrantRow]:
         """All that stands, with ages in place of times."""
         return [row_of(now, key, grant) for key, grant in self._grants.items() if now < grant.expires]
 
-    def row(self, now: float, key: str) -> list[Any]:
+    def row(self, now: float, key: str) -> GrantRow:
         """One of them."""
         return row_of(now, key, self._grants[key])
 
-    def take(self, now: float, rows: Iterable[list[Any]]) -> None:
+    def snapshot(self, now: float) -> GrantSnapshot:
+        """All that stands, to be told part by part while it goes on changing here."""
+        return GrantSnapshot((key, grant) for key, grant in self._grants.items() if now < grant.expires)
+
+    def take(self, now: float, rows: Iterable[GrantRow]) -> None:
         """Merge what a disk or another controller knows: an answer wins over a claim, a claim over nothing.
 
         Where claims disagree it is not known which of them enough controllers granted, and any of them may
@@ -139,9 +184,14 @@
                 self._grants[key] = Grant(NOBODY, Mark.BROKEN, now, last)
 
 
-def row_of(now: float, key: str, grant: Grant) -> list[Any]:
+def row_of(now: float, key: str, grant: Grant) -> GrantRow:
     """A grant as it travels."""
-    return [key, grant.token, int(grant.mark), grant.until - now, grant.expires - now, grant.answer]
+    return GrantRow(key, grant.token, int(grant.mark), grant.until - now, grant.expires - now, grant.answer)
+
+
+def _answer_bytes(grant: Grant) -> int:
+    """Bytes of the answer's body, which may be most of a grant."""
+    return len(grant.answer[2]) if grant.answer else 0
 
 
 class Verdict(enum.Enum):
--- a/mesh/state/quorum.py
+++ b/mesh/state/quorum.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -30,6 +31,18 @@
 NOBODY = Voters(0, ())
 
 
+class PeerView(NamedTuple):
+    """What one controller sees of the others, and is itself."""
+
+    gone: Mapping[str, float]  # seconds since each was heard
+    steady: Mapping[str, float]  # seconds for which each has been heard, without a break
+    votes: bool  # in the asker's epoch
+    counts: bool
+    zone: str = ""
+    old: bool = True  # whether a process that knows nothing of epochs is linked to it, or it is one
+    leaves: bool = False  # whether it has been told to end
+
+
 class Turn:
     """One controller's word on whose turn it is to write: one writer at a time, for a while.
 
--- a/mesh/transport/connection.py
+++ b/mesh/transport/connection.py
@@ -18,8 +18,8 @@
 from loguru import logger
 
 from mesh.settings import Address
+from mesh.transport.messages import Message, Ping, Pong, decode, encode
 
-PING, PONG = 0, 1
 MOST = 80 << 20  # bytes of one message
 ASK_S = 1.0  # after so long a silence the other side is asked
 DEAD_S = 2.4  # and after so long it is given up
@@ -27,7 +27,7 @@
 DIAL_S = 0.8
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.05, 0.8
 
-Heard = Callable[["PeerConnection", list[Any]], None]
+Heard = Callable[["PeerConnection", Message], None]
 
 
 class PeerConnection(asyncio.Protocol):
@@ -108,7 +108,7 @@
             self.end()
             return
         if quiet >= ask_s * 0.95:
-            self.send([PING])
+            self.send(Ping())
         self._timer = self._loop.call_later(ask_s, self._watch)
 
     def data_received(self, data: bytes) -> None:
@@ -124,26 +124,29 @@
             if size - at - 4 < length:
                 break
             try:
-                message = cbor2.loads(bytes(rest[at + 4 : at + 4 + length]))
-                kind = message[0]
+                message = decode(cbor2.loads(bytes(rest[at + 4 : at + 4 + length])))
             except Exception:
                 logger.warning("a message that can't be read; the connection is closed")
                 self.end()
                 return
             at += 4 + length
-            if kind == PING:
-                self.send([PONG])
-            elif kind != PONG:
-                try:
-                    self._heard(self, message)
-                except Exception:
-                    logger.exception("a message could not be handled")
+            self._take(message)
             if not self.open:
                 return
         if at:
             del rest[:at]
 
-    def send(self, message: list[Any]) -> None:
+    def _take(self, message: Message | None) -> None:
+        """One message; None: of a kind that only newer versions know."""
+        if isinstance(message, Ping):
+            self.send(Pong())
+        elif message is not None and not isinstance(message, Pong):
+            try:
+                self._heard(self, message)
+            except Exception:
+                logger.exception("a message could not be handled")
+
+    def send(self, message: Message) -> None:
         """Write a message; what is sent to a closed connection is lost, which its owner has been told."""
         self.put(pack(message))
 
@@ -167,9 +170,9 @@
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
 
-def pack(message: list[Any]) -> bytes:
-    """A message as it goes over a connection."""
-    data = cbor2.dumps(message)
+def pack(message: Message) -> bytes:
+    """A message as it goes over a connection: four bytes of length, and its encoding."""
+    data = cbor2.dumps(encode(message))
     return len(data).to_bytes(4, "big") + data
 
 
--- a/tests/mesh/mesh_world.py
+++ b/tests/mesh/mesh_world.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import heapq
-import inspect
 import json
 import random
 import sys
@@ -25,7 +24,7 @@
 
 from hollyport.http.message import Message
 from mesh import settings
-from mesh.control import agreement
+from mesh.control import agreement, context, elections, heartbeats, peers, recovery
 from mesh.control import controller as controllers
 from mesh.control.controller import Controller
 from mesh.errors import ErrorKind
@@ -35,14 +34,22 @@
 from mesh.state.configuration import Item
 from mesh.state.quorum import Voters
 from mesh.storage.record_store import frame, unframe
-from mesh.transport import connection
-from mesh.transport.messages import MessageKind
+from mesh.transport import connection, messages
+from mesh.transport.messages import kind_of
 
 DAY = 1_900_000_000.0  # the time of day when a world begins
 TELLS = frozenset(
-    {MessageKind.FETCHED, MessageKind.PROMISE, MessageKind.ACCEPTED, MessageKind.KEYED, MessageKind.CLAIMED}
+    {
+        kind_of(messages.FetchAnswer),
+        kind_of(messages.PrepareAnswer),
+        kind_of(messages.AcceptAnswer),
+        kind_of(messages.GrantsAnswer),
+        kind_of(messages.ClaimAnswer),
+    }
 )
-BEATS = frozenset({MessageKind.PULSE, MessageKind.PULSED})  # heartbeats: no points of their own
+BEATS = frozenset({kind_of(messages.Heartbeat), kind_of(messages.HeartbeatAnswer)})
+# no points of their own
+SIGNS_OF_LIFE = BEATS | {kind_of(messages.Ping), kind_of(messages.Pong)}
 SETTINGS = """
 node_name = "{name}"
 ip = "{name}"
@@ -62,6 +69,13 @@
     """A rule that did not hold."""
 
 
+def message(*row: Any) -> messages.Message:
+    """A message as it comes from the wire."""
+    made = messages.decode(list(row))
+    assert made is not None
+    return made
+
+
 def word(packed: bytes) -> int:
     """The kind of a packed message: the first entry of its list."""
     return packed[6] if packed[5] == 24 else packed[5]
@@ -208,7 +222,7 @@
         if packed is None:
             other.ended()
             return
-        if word(packed) > connection.PONG and word(packed) not in BEATS:
+        if word(packed) not in SIGNS_OF_LIFE:
             self.world.point(other.process, self.process)
         if not other.process.machine.up:
             self.lost = True
@@ -260,7 +274,10 @@
         self.wiped = wiped  # not at the first start, and on a disk that does not say that it is whole
         self.began = world.now
         # whoever counted
-        self.heard: dict[int, set[str]] = {MessageKind.FETCHED: set(), MessageKind.KEYED: set()}
+        self.heard: dict[int, set[str]] = {
+            kind_of(messages.FetchAnswer): set(),
+            kind_of(messages.GrantsAnswer): set(),
+        }
         self.ends: dict[End, None] = {}  # in the order in which they began
         self.role: Any = None
         machine.lives += 1
@@ -296,6 +313,7 @@
         self.written: list[bytes] = []
         self.well = True
         self.stalled_until = 0.0
+        self.slow = 1.0  # times the usual time of a sync
 
     def records(self) -> list[Any]:
         return [record for batch in self.synced + self.written for record in unframe(batch)]
@@ -348,7 +366,8 @@
         if self._disk.well:
             self._disk.written = data
         wait = max(0.0, self._disk.stalled_until - self._world.now)
-        self._world.after(wait + self._world.sync_delay(), lambda: self._synced(batch, data, fresh))
+        sync_s = self._world.sync_delay() * self._disk.slow
+        self._world.after(wait + sync_s, lambda: self._synced(batch, data, fresh))
 
     def _synced(self, batch: list[Any], data: list[bytes], fresh: bool) -> None:
         if not self._process.alive:
@@ -475,16 +494,19 @@
             monotonic=lambda: self.now,
         )
         http_servers = SimpleNamespace(open_http_server=open_http_server, HttpServer=HttpServer)
-        for module in (controllers, sidecars):
+        for module in (context, heartbeats, sidecars):
             self._patch.setattr(module, "time", clock)
+        for module in (controllers, sidecars):
             self._patch.setattr(module, "http_server", http_servers)
-        for module in (controllers, sidecars, connection, agreement):
+        for module in (agreement, controllers, elections, heartbeats, connection, sidecars):
             self._patch.setattr(module, "random", self.random)
-            self._patch.setattr(module, "logger", Log(self))
+        log = Log(self)
+        for module in (agreement, controllers, elections, heartbeats, peers, recovery, connection, sidecars):
+            self._patch.setattr(module, "logger", log)
         count = iter(range(1 << 30))  # sets of connections in the same order in every play
         born = lambda made: made.__dict__.setdefault("_born", next(count))  # noqa: E731
         self._patch.setattr(connection.PeerConnection, "__hash__", born)
-        self._patch.setattr(controllers, "RecordStore", Store)
+        self._patch.setattr(context, "RecordStore", Store)
         self._patch.setattr(sidecars, "FailureDetector", Nothing)
         return self
 
@@ -539,11 +561,7 @@
 
     def say(self, who: str, what: Any) -> None:
         if isinstance(what, list):
-            what = (
-                [MessageKind(what[0]).name, *what[1:]]
-                if what[0] > connection.PONG
-                else ["PING", "PONG"][what[0]]
-            )
+            what = [messages.KINDS[what[0]].__name__, *what[1:]]
         print(f"{self.now - 100:8.4f} {self.points:4} {who}: {what}")
 
     # --- machines
@@ -701,14 +719,18 @@
 
     def heard(self, process: Process, by: Process, packed: bytes) -> None:
         kind = word(packed)
-        if kind in process.heard and process.wiped and cbor2.loads(packed[4:])[2]:
+        if kind not in process.heard or not process.wiped:
+            return
+        message = messages.decode(cbor2.loads(packed[4:]))
+        assert isinstance(message, messages.FetchAnswer | messages.GrantsAnswer)
+        if message.yes and not getattr(message, "more", False):  # grants come in parts
             process.heard[kind].add(by.host)
 
     def told(self, process: Process, message: list[Any]) -> None:
         """A controller tells something that only one that counts may tell."""
         kind = message[0]
         self.believed(process.role.voters)
-        if kind == MessageKind.CLAIMED and message[2] == 1:
+        if kind == kind_of(messages.ClaimAnswer) and message[2] == 1:
             key = self._key_of(process, message)
             if key is not None:
                 key.grants.setdefault(message[3], set()).add(process.host)
@@ -718,12 +740,12 @@
                 for ran in key.ran:
                     if ran != message[3] and len(counted) >= voters.write:
                         self.errors.append(f"a key that {ran} ran was granted to {message[3]} by enough")
-        yes = message[2] >= 0 if kind == MessageKind.CLAIMED else message[2]
+        yes = message[2] >= 0 if kind == kind_of(messages.ClaimAnswer) else message[2]
         if yes and process.wiped:
             # Whole in an epoch by as many as were to be heard in it, or in one before that it follows.
-            until = max(1, process.role.member.whole)
+            until = max(1, process.role.context.member.whole)
             need = min((Voters(*told).read for told in self.sets.items() if told[0] <= until), default=1)
-            few = [MessageKind(kind).name for kind, by in process.heard.items() if len(by) < need]
+            few = [messages.KINDS[kind].__name__ for kind, by in process.heard.items() if len(by) < need]
             if few or not process.role.voters.epoch:
                 self.errors.append(f"{process.name}, wiped, tells {message} before it has recovered: {few}")
             self._whole(process)
@@ -761,7 +783,7 @@
             def serve() -> None:
                 message = Message(Ear(then))  # type: ignore[arg-type]
                 message.method, message.target, message.body = method, b"/-/config", body
-                process.role.serve(message)
+                process.role.api.serve(message)
 
             process.soon(serve)
 
@@ -834,15 +856,13 @@
             found.grants.clear()  # what others were granted so far, they could not run with
             job.outcome.append("RUN")
 
-        def tell(fault: int, *_: Any) -> None:
-            outcome.append(ErrorKind(fault).name if fault else "REPEAT")
+        def tell(told: messages.ForwardAnswer) -> None:
+            outcome.append(ErrorKind(told.error).name if told.error else "REPEAT")
 
         def begin() -> None:
             sidecar.server_queue.submit = submit
             job = SimpleNamespace(token=token, outcome=outcome)
-            told = {"key": key, "token": token, "left": left_s, "patience": 1.0, "job": job, "tell": tell}
-            known = inspect.signature(sidecar._claim).parameters
-            sidecar._claim(**{name: value for name, value in told.items() if name in known})
+            sidecar._claim(0, key, token, left_s, 1.0, job, tell)
 
         if self.trace:
             self.say(token, f"claims {key}")
--- a/tests/mesh/test_mesh_api.py
+++ b/tests/mesh/test_mesh_api.py
@@ -14,7 +14,7 @@
 
 from hollyport.http.message import Message
 from mesh import settings
-from mesh.control import controller as controllers
+from mesh.control import admin_api
 from mesh.control.controller import Controller
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
@@ -69,10 +69,10 @@
 
 def make_controller(voters: tuple[str, ...] = (ME,), well: bool = True) -> Controller:
     made = Controller(settings.read(SETTINGS).ok)
-    made._store = Disk(well)  # type: ignore[assignment]
-    made.counts = True
+    made.context.store = Disk(well)  # type: ignore[assignment]
+    made.context.member.settle(1)
     if voters:
-        made.voters = Voters(1, voters)
+        made.context.member.voters = Voters(1, voters)
     return made
 
 
@@ -95,7 +95,7 @@
     """By role and address: what answers there."""
     sidecar = Sidecar(settings.read(SETTINGS).ok)
     return {
-        ("controller", "control"): make_controller().serve,
+        ("controller", "control"): make_controller().api.serve,
         ("sidecar", "control"): sidecar.beat,
         ("sidecar", "ready"): sidecar.readiness,
     }
@@ -142,8 +142,8 @@
 
 
 def test_every_answer_that_the_file_tells_is_given(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(controllers, "ROUND_S", 0.0)
-    monkeypatch.setattr(controllers, "ANSWER_S", 0.0)
+    monkeypatch.setattr(admin_api, "ROUND_S", 0.0)
+    monkeypatch.setattr(admin_api, "ANSWER_S", 0.0)
     seen: dict[tuple[str, str], set[int]] = {(path, method): set() for path, method, _ in OPERATIONS}
 
     async def ask(serve: Callable[[Message], None], method: str, path: str, body: Any = None) -> Ear:
@@ -154,31 +154,33 @@
     async def play() -> None:
         config, instance = "/-/config", "/-/instances/{id}"
         well = make_controller()
-        await ask(well.serve, "patch", config, CHANGE)
-        whole = json.loads((await ask(well.serve, "get", config)).body)
+        await ask(well.api.serve, "patch", config, CHANGE)
+        whole = json.loads((await ask(well.api.serve, "get", config)).body)
         by_host = sorted(CHANGE["upserts"]["listener_list"], key=lambda listener: listener["hostname"])
         by_name = sorted(CHANGE["upserts"]["cluster_list"], key=lambda cluster: cluster["name"])
         assert whole == {**CHANGE["upserts"], "listener_list": by_host, "cluster_list": by_name}
-        await ask(well.serve, "patch", config, b"{")
+        await ask(well.api.serve, "patch", config, b"{")
         unknown = {"upserts": {"listener_list": CHANGE["upserts"]["listener_list"]}}
-        assert (await ask(make_controller().serve, "patch", config, unknown)).status == 400
-        await ask(make_controller(()).serve, "patch", config, CHANGE)
-        assert (await ask(make_controller(well=False).serve, "patch", config, CHANGE)).status == 503
-        assert (await ask(make_controller((ME, "192.0.2.2:7000")).serve, "get", config)).status == 200
-        await ask(make_controller((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", config)
-        await ask(well.serve, "get", "/-/readiness")
-        status = json.loads((await ask(well.serve, "get", "/-/status")).body)
+        assert (await ask(make_controller().api.serve, "patch", config, unknown)).status == 400
+        await ask(make_controller(()).api.serve, "patch", config, CHANGE)
+        assert (await ask(make_controller(well=False).api.serve, "patch", config, CHANGE)).status == 503
+        assert (await ask(make_controller((ME, "192.0.2.2:7000")).api.serve, "get", config)).status == 200
+        await ask(make_controller((ME, "192.0.2.2:7000", "192.0.2.3:7000")).api.serve, "get", config)
+        await ask(well.api.serve, "get", "/-/readiness")
+        status = json.loads((await ask(well.api.serve, "get", "/-/status")).body)
         assert status["in_contact"] and (status["copies"], status["losses"], status["away"]) == (1, 0, [])
         alone = json.loads(
             (
-                await ask(make_controller((ME, "192.0.2.2:7000", "192.0.2.3:7000")).serve, "get", "/-/status")
+                await ask(
+                    make_controller((ME, "192.0.2.2:7000", "192.0.2.3:7000")).api.serve, "get", "/-/status"
+                )
             ).body
         )
         assert not alone["in_contact"] and (alone["copies"], alone["losses"]) == (0, 0)
-        assert (await ask(make_controller(()).serve, "get", "/-/readiness")).status == 503
+        assert (await ask(make_controller(()).api.serve, "get", "/-/readiness")).status == 503
         sidecar = Sidecar(settings.read(SETTINGS).ok)
         await ask(sidecar.readiness, "get", "/-/readiness")
-        sidecar._take_items([list(item) for item in configuration.read(json.dumps(CHANGE).encode()).ok])
+        sidecar._take_items(configuration.read(json.dumps(CHANGE).encode()).ok)
         await ask(sidecar.beat, "put", instance, BEAT)
         assert (await ask(sidecar.readiness, "get", "/-/readiness")).status == 200
         await ask(sidecar.beat, "put", instance, {**BEAT, "call_seq": 1})
--- a/tests/mesh/test_mesh_connection.py
+++ b/tests/mesh/test_mesh_connection.py
@@ -8,7 +8,8 @@
 from mesh_world import World
 
 from mesh.transport import connection
-from mesh.transport.connection import ASK_S, DEAD_S, PONG, QUIET_S, PeerConnection, pack
+from mesh.transport.connection import ASK_S, DEAD_S, QUIET_S, PeerConnection, pack
+from mesh.transport.messages import Pong
 
 
 class Wire:
@@ -70,7 +71,7 @@
     async def story(made):
         for _ in range(int(idle_s * 2)):
             await asyncio.sleep(0.5)
-            made.data_received(pack([PONG]))
+            made.data_received(pack(Pong()))
         began = asyncio.get_running_loop().time()
         made.attend(1)
         while made.open:
@@ -85,7 +86,7 @@
         for _ in range(20):
             made.attend(1)
             await asyncio.sleep(0.02)
-            made.data_received(pack([PONG]))
+            made.data_received(pack(Pong()))
             made.attend(-1)
         await asyncio.sleep(QUIET_S - 1.5)
 
--- a/tests/mesh/test_mesh_distribution.py
+++ b/tests/mesh/test_mesh_distribution.py
@@ -13,7 +13,8 @@
 
 from mesh.state.configuration import Item
 from mesh.state.distribution import LOOK_S, Copy, Following
-from mesh.transport.messages import MessageKind
+from mesh.transport import messages
+from mesh.transport.messages import kind_of
 
 ITEMS = st.builds(Item, st.sampled_from("abc"), st.integers(1, 3), st.sampled_from(["", "x", "y"]))
 
@@ -26,10 +27,12 @@
     for items in (other, one):
         there.take(items)
     assert here.items == there.items and here.digest == there.digest
-    assert not here.lacking(there.marks())
+    assert not here.differing(there.packed_buckets())
     empty = Copy()
     assert empty.digest == 0 and bool(here.digest) == bool(here.items)
-    assert not empty.take([]) and {item.name for item in here.lacking({})} == set(here.items)
+    assert not empty.take([]) and {item.name for item in here.differing(empty.packed_buckets())} == set(
+        here.items
+    )
 
 
 def test_the_own_zones_controller_is_followed_and_kept_while_it_is_there():
@@ -66,7 +69,7 @@
     found: dict[str, int] = {}
 
     def count(process, by, packed):
-        if cbor2.loads(packed[4:])[0] == MessageKind.ITEMS:
+        if cbor2.loads(packed[4:])[0] == kind_of(messages.Items):
             found[process.host] = found.get(process.host, 0) + len(packed)
         return plain(process, by, packed)
 
@@ -121,7 +124,11 @@
         await asyncio.sleep(1.0)
         size = len(
             cbor2.dumps(
-                [MessageKind.ITEMS, 2, [list(world.controller(world.controllers[0]).items["service/berths"])]]
+                [
+                    kind_of(messages.Items),
+                    2,
+                    [list(world.controller(world.controllers[0]).items["service/berths"])],
+                ]
             )
         )
         assert told and all(size <= number < size + 20 for number in told.values())
--- a/tests/mesh/test_mesh_faults.py
+++ b/tests/mesh/test_mesh_faults.py
@@ -15,13 +15,14 @@
 import pytest
 from mesh_world import Broken, World, change, read_back, route, service, standing
 
-from mesh.control import controller as controllers
-from mesh.control.ballot import Ballot
-from mesh.control.consensus import Draft, Replica
+from mesh.control import recovery
+from mesh.control.consensus import Replica
 from mesh.control.controller import Controller
+from mesh.state.ballots import Ballot, Draft
 from mesh.state.configuration import Item
 from mesh.state.quorum import Voters
-from mesh.transport.messages import MessageKind
+from mesh.transport import messages
+from mesh.transport.messages import kind_of
 
 BACK_S = 0.3  # a machine is back after so long
 NEWEST = 10_000  # a version that nothing in a play has
@@ -52,7 +53,7 @@
     one, two = world.sidecars
     if not await until(lambda: len(world.counting()) >= len(world.controllers) // 2 + 1, 4.0):
         return
-    await until(lambda: all(world.machines[name].process.role.voters for name in world.sidecars))
+    await until(lambda: all(world.machines[name].process.role.voters.names for name in world.sidecars))
     await world.patch(0, change([service("berths", 1), service("crew", 1)], [route("a", 1, "/a/")]))
     if await claimed(world, one, "k1") == "RUN":
         world.record(one, "k1")
@@ -232,17 +233,17 @@
         world = World(seed=seed)
         world.messed = frozenset(
             {
-                MessageKind.CONTROLLER,
-                MessageKind.COMMIT,
-                MessageKind.ABANDON,
-                MessageKind.ITEMS,
-                MessageKind.ACK,
-                MessageKind.SIDECAR,
-                MessageKind.ENDPOINTS,
-                MessageKind.CLAIM,
-                MessageKind.CLAIMED,
-                MessageKind.DONE,
-                MessageKind.FREE,
+                kind_of(messages.Hello),
+                kind_of(messages.Commit),
+                kind_of(messages.Abandon),
+                kind_of(messages.Items),
+                kind_of(messages.ItemsReceived),
+                kind_of(messages.Register),
+                kind_of(messages.Endpoints),
+                kind_of(messages.ClaimKey),
+                kind_of(messages.ClaimAnswer),
+                kind_of(messages.KeyDone),
+                kind_of(messages.FreeKey),
             }
         )
         play(world)
@@ -400,7 +401,9 @@
     that."""
     one, two = world.sidecars
     await ready(world)
-    await until(lambda: all(len(world.machines[name].process.role.voters) == 3 for name in world.sidecars))
+    await until(
+        lambda: all(len(world.machines[name].process.role.voters.names) == 3 for name in world.sidecars)
+    )
     first, wiped, last = world.controllers
     world.cut(one, 0.6, [first, last])
     outcome = world.claim(one, "k")
@@ -427,7 +430,7 @@
 
 
 def test_found_if_a_wiped_controller_does_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(controllers, "CLAIM_S", 0.0)
+    monkeypatch.setattr(recovery, "CLAIM_S", 0.0)
     with pytest.raises(Broken, match="twice|by enough"):
         claimed_late()
 
@@ -446,9 +449,10 @@
 def test_found_if_a_wiped_controller_counts_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     load = Controller._load
 
-    def whole(controller: Controller) -> None:
-        load(controller)
-        controller.counts = True
+    def whole(controller: Controller) -> bool:
+        fresh = load(controller)
+        controller.context.member.settle(max(1, controller.voters.epoch))
+        return fresh
 
     monkeypatch.setattr(Controller, "_load", whole)
     assert any("before it has recovered" in broken for broken in found(wipe_of_one))
--- a/tests/mesh/test_mesh_idempotency.py
+++ b/tests/mesh/test_mesh_idempotency.py
@@ -2,7 +2,17 @@
 
 import pytest
 
-from mesh.state.idempotency import NOBODY, Claim, Grant, Mark, Registry, Verdict, row_of
+from mesh.state.idempotency import (
+    NOBODY,
+    PART_BYTES,
+    ROW_BYTES,
+    Claim,
+    Grant,
+    Mark,
+    Registry,
+    Verdict,
+    row_of,
+)
 
 LIMIT = 1.0
 
@@ -202,3 +212,34 @@
     first.granted("y")
     assert second.verdict(now) == Verdict.RUN
     assert first.verdict(now) == (Verdict.AGAIN if waits else Verdict.RUN)
+
+
+@pytest.mark.parametrize("count", [0, 1, 700, 5000])
+def test_grants_are_told_in_parts_that_hold_all_of_one_moment(count):
+    made, other = Registry(60.0), Registry(60.0)
+    for number in range(count):
+        made.claim(0.0, f"k{number}", f"t{number}", 5.0)
+        if number % 3 == 0:
+            made.done(0.0, f"k{number}", f"t{number}", [200, [], b"x" * 900])
+    snapshot = made.snapshot(0.0)
+    for number in range(0, count, 2):  # what changes meanwhile changes no part
+        made.free(0.1, f"k{number}", f"t{number}")
+    made.claim(0.1, "late", "t", 5.0)
+    parts, more = 0, True
+    while more:
+        rows, more = snapshot.part(0.2, parts)
+        size = sum(ROW_BYTES + (900 if row.answer else 0) for row in rows)
+        assert size <= PART_BYTES or len(rows) == 1
+        other.take(0.2, rows)
+        parts += 1
+    assert parts == snapshot.parts and len(other) == count and other.look(0.2, "late") is None
+    assert snapshot.part(0.2, parts) == ((), False)
+
+
+def test_a_grant_that_is_larger_than_a_part_is_told_alone():
+    made = Registry(60.0)
+    for number in range(3):
+        made.claim(0.0, f"k{number}", "t", 5.0)
+        made.done(0.0, f"k{number}", "t", [200, [], b"x" * (2 * PART_BYTES)])
+    snapshot = made.snapshot(0.0)
+    assert [len(snapshot.part(0.0, at)[0]) for at in range(snapshot.parts)] == [1, 1, 1]
--- a/tests/mesh/test_mesh_lease.py
+++ b/tests/mesh/test_mesh_lease.py
@@ -16,14 +16,15 @@
 from test_mesh_faults import WORKERS
 from test_mesh_faults import until as until_
 
-from mesh.control import controller as controllers
+from mesh.control.heartbeats import GAP_S, Heartbeats
 from mesh.control.lease import ReadLease, Safety, safety
 from mesh.proxy.sidecar import Sidecar
 from mesh.state.quorum import Voters
+from mesh.transport.messages import HeartbeatAnswer
 
 CUT_S = 20.0
 LEASE_S = 1.5  # half of `contact`
-LOST_S = LEASE_S + controllers.GAP_S + 0.5  # contact is lost, and that is known, so long after a cut
+LOST_S = LEASE_S + GAP_S + 0.5  # contact is lost, and that is known, so long after a cut
 AT_ONCE_S = 0.05
 Story = Callable[[World], Coroutine[Any, Any, None]]
 UNKNOWN = change((), [route("z", 9, "/z/", "nowhere")])
@@ -155,7 +156,7 @@
     inside = world.sidecars[0]
     controller = world.controller(alone)
     assert controller is not None
-    while max(controller._pulses.values()) < world.now - 0.0005:
+    while max(controller.heartbeats._sent.values()) < world.now - 0.0005:
         await asyncio.sleep(0.0002)  # answers to a heartbeat are on their way
     world.freeze(alone, 6.0)
     waiting = asyncio.ensure_future(world.ask(alone, b"PATCH", change([service("berths", 3)]), 10.0))
@@ -192,7 +193,7 @@
         if outcome != ["RUN"]:
             raise Broken(f"a key is not granted by the majority: {outcome}")
     controller = world.controller(alone)
-    assert before == 0 and controller is not None and len(controller.keys) == 0
+    assert before == 0 and controller is not None and len(controller.grants.registry) == 0
 
 
 def test_the_majority_grants_keys_and_the_one_that_is_cut_off_grants_none() -> None:
@@ -229,8 +230,8 @@
     told = [text for _, host, text in world.said if host == world.controllers[0]]
     assert any(text.startswith("no majority for long") for text in told)
     controller = world.controller(world.controllers[0])
-    assert controller is not None and controller.safety == Safety(0, 0)
-    assert controller._away() == [f"{name}:7000" for name in world.controllers[1:]]
+    assert controller is not None and controller.heartbeats.safety == Safety(0, 0)
+    assert controller.heartbeats.away() == [f"{name}:7000" for name in world.controllers[1:]]
 
 
 def test_one_that_has_lost_its_majority_for_long_says_so_and_names_who_is_away() -> None:
@@ -293,12 +294,12 @@
 def test_found_if_an_answer_renews_the_lease_from_when_it_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
     """What waited in a socket of a frozen process then counts as news."""
 
-    def late(made: controllers.Controller, link: Any, number: int, *told: Any) -> None:
-        made._pulses[number] = made.loop.time()
-        pulsed(made, link, number, *told)
+    def late(made: Heartbeats, link: Any, told: HeartbeatAnswer) -> None:
+        made._sent[told.number] = made._context.loop.time()
+        hear(made, link, told)
 
-    pulsed = controllers.Controller._pulsed
-    monkeypatch.setattr(controllers.Controller, "_pulsed", late)
+    hear = Heartbeats.hear
+    monkeypatch.setattr(Heartbeats, "hear", late)
     with pytest.raises(Broken, match="frozen"):
         for seed in range(5):
             play(World(seed=seed), frozen)
--- a/tests/mesh/test_mesh_offers.py
+++ b/tests/mesh/test_mesh_offers.py
@@ -6,11 +6,13 @@
 from functools import partial
 
 import pytest
+from mesh_world import message
 from test_mesh_sidecar import Link, played
 
 from mesh.errors import ErrorKind
 from mesh.proxy.chunked_transfer import PIECE
-from mesh.transport.messages import MessageKind
+from mesh.transport import messages
+from mesh.transport.messages import kind_of
 
 NARROW = "[limit_set]\nlink_mbps = 1.0\n"  # 125 kB/s: 2.5 kB go with their request
 asking = partial(played, version=2, more=NARROW)
@@ -25,19 +27,21 @@
 
 def said(scene, word):
     links = scene.links.items()
-    return [(node, message) for node, link in links for message in link.said if message[0] == word]
+    return [(node, row) for node, link in links for row in link.said if row[0] == word]
 
 
 def glance(scene, node, number, wait, pace=0.1, open_=True, carry=0.0, ill=0.0):
-    scene.sidecar._hear(scene.links[node], [MessageKind.GLANCE, number, open_, wait, pace, carry, ill])
+    scene.sidecar._hear(
+        scene.links[node], message(kind_of(messages.LoadReport), number, open_, wait, pace, carry, ill)
+    )
 
 
 def _load_queries(scene):
     known(scene)
     scene.sidecar._random = random.Random(3).random  # two that differ: else six draws may all be the same one
     ear = scene.ask("pure")
-    looks = said(scene, MessageKind.LOOK)
-    assert len(looks) == 2 and not said(scene, MessageKind.ASK)
+    looks = said(scene, kind_of(messages.LoadQuery))
+    assert len(looks) == 2 and not said(scene, kind_of(messages.Forward))
     return ear, looks[0][1][1], [node for node, _ in looks]
 
 
@@ -46,7 +50,7 @@
     ear, number, (one, other) = _load_queries(scene)
     glance(scene, one, number, 0.3)
     glance(scene, other, number, 0.0, pace=0.2)
-    ((node, ask),) = said(scene, MessageKind.ASK)
+    ((node, ask),) = said(scene, kind_of(messages.Forward))
     assert node == other and scene.links[other].waits == 1
     scene.end((node, ask[1]))
     assert ear.status == 200 and scene.links[other].waits == 0
@@ -61,9 +65,11 @@
     _, number, (one, other) = _load_queries(scene)
     glance(scene, one, number, 5.0)
     scene.sidecar._looked(number)  # as much time again has passed
-    assert [node for node, _ in said(scene, MessageKind.ASK)] == [one], "who says nothing may be dead"
+    assert [node for node, _ in said(scene, kind_of(messages.Forward))] == [one], (
+        "who says nothing may be dead"
+    )
     glance(scene, other, number, 0.0)  # too late
-    assert len(said(scene, MessageKind.ASK)) == 1
+    assert len(said(scene, kind_of(messages.Forward))) == 1
 
 
 def test_who_does_not_answer_in_time_is_passed_over():
@@ -74,7 +80,7 @@
 def _nobody(scene):
     _, number, _ = _load_queries(scene)
     scene.sidecar._looked(number)
-    assert len(said(scene, MessageKind.ASK)) == 1, "asking costs a moment, never the request"
+    assert len(said(scene, kind_of(messages.Forward))) == 1, "asking costs a moment, never the request"
 
 
 def test_a_request_goes_where_nobody_answers_as_well():
@@ -86,7 +92,7 @@
     _, number, (one, other) = _load_queries(scene)
     glance(scene, one, number, 0.0, open_=False)
     glance(scene, other, number, 0.5)
-    assert [node for node, _ in said(scene, MessageKind.ASK)] == [other]
+    assert [node for node, _ in said(scene, kind_of(messages.Forward))] == [other]
 
 
 def test_one_that_takes_nothing_is_not_offered_it():
@@ -98,7 +104,7 @@
     _, number, (one, other) = _load_queries(scene)
     glance(scene, one, number, 0.0, ill=0.5)
     glance(scene, other, number, 0.2)
-    assert [node for node, _ in said(scene, MessageKind.ASK)] == [other]
+    assert [node for node, _ in said(scene, kind_of(messages.Forward))] == [other]
 
 
 def test_one_that_fails_half_of_its_calls_counts_as_slower():
@@ -111,7 +117,7 @@
     scene.sidecar._hung_up(ear.message)
     glance(scene, one, number, 0.0)
     glance(scene, other, number, 0.0)
-    assert not said(scene, MessageKind.ASK) and scene.sidecar._open_requests == 0
+    assert not said(scene, kind_of(messages.Forward)) and scene.sidecar._open_requests == 0
 
 
 def test_a_client_that_leaves_while_others_are_asked_is_offered_nowhere():
@@ -123,7 +129,7 @@
     _, number, (one, other) = _load_queries(scene)
     scene.sidecar._endpoint_down(one, scene.links[one])
     glance(scene, other, number, 0.1)
-    assert [node for node, _ in said(scene, MessageKind.ASK)] == [other]
+    assert [node for node, _ in said(scene, kind_of(messages.Forward))] == [other]
 
 
 def test_a_connection_that_ends_while_it_is_asked_is_an_answer():
@@ -136,8 +142,8 @@
 def _sent_in_pieces(scene):
     """An offer whose body is told by its size."""
     ear = scene.ask("effectful", body=BODY)
-    scene.sidecar._looked(said(scene, MessageKind.LOOK)[0][1][1])
-    ((node, ask),) = said(scene, MessageKind.ASK)
+    scene.sidecar._looked(said(scene, kind_of(messages.LoadQuery))[0][1][1])
+    ((node, ask),) = said(scene, kind_of(messages.Forward))
     assert ask[2][5] == b"" and ask[2][14] == len(BODY)
     return ear, node, ask[1]
 
@@ -146,8 +152,8 @@
 def _pieces(scene):
     _, node, number = _sent_in_pieces(scene)
     for upto in (10_000, 40_000, len(BODY)):
-        scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
-        pieces = [message[2] for _, message in said(scene, MessageKind.PIECE)]
+        scene.sidecar._hear(scene.links[node], message(kind_of(messages.SendBody), number, upto))
+        pieces = [message[2] for _, message in said(scene, kind_of(messages.BodyChunk))]
         assert b"".join(pieces) == BODY[:upto] and all(len(piece) <= PIECE for piece in pieces)
 
 
@@ -158,7 +164,7 @@
 @asking
 def _breaks(scene, upto, status):
     ear, node, number = _sent_in_pieces(scene)
-    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+    scene.sidecar._hear(scene.links[node], message(kind_of(messages.SendBody), number, upto))
     for other in scene.sidecar.endpoints:
         if other != node:
             scene.sidecar._endpoint_down(other, scene.links[other])
@@ -175,9 +181,9 @@
 def _given_up(scene):
     ear, node, number = _sent_in_pieces(scene)
     scene.sidecar._hung_up(ear.message)
-    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, 9_000])
-    assert [message[1] for _, message in said(scene, MessageKind.DROP)] == [number] and not said(
-        scene, MessageKind.PIECE
+    scene.sidecar._hear(scene.links[node], message(kind_of(messages.SendBody), number, 9_000))
+    assert [message[1] for _, message in said(scene, kind_of(messages.BodyDropped))] == [number] and not said(
+        scene, kind_of(messages.BodyChunk)
     )
 
 
@@ -192,7 +198,7 @@
     scene.sidecar.server_queue.submit = jobs.append
     link = Link("n2")
     ask = ["berths", "c", b"POST", b"/x", [], b"", left, aim, b"t", "", "k", False, False, False, len(BODY)]
-    scene.sidecar._hear(link, [MessageKind.ASK, 7, ask])
+    scene.sidecar._hear(link, message(kind_of(messages.Forward), 7, ask))
     return link, jobs
 
 
@@ -202,9 +208,11 @@
     at = 0
     while not jobs:
         word, number, upto = link.said[-1]
-        assert (word, number) == (MessageKind.WANT, 7) and at < upto
+        assert (word, number) == (kind_of(messages.SendBody), 7) and at < upto
         for start in range(at, upto, PIECE):
-            scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[start : min(start + PIECE, upto)]])
+            scene.sidecar._hear(
+                link, message(kind_of(messages.BodyChunk), 7, BODY[start : min(start + PIECE, upto)])
+            )
         at = upto
     assert at == len(BODY) and jobs[0].make(1.0, "i-1").endswith(b"\r\n\r\n" + BODY)
     assert scene.sidecar._open_jobs == 1 and not scene.sidecar._loads and not len(scene.sidecar._intake)
@@ -217,9 +225,9 @@
 @asking
 def _dropped(scene):
     link, jobs = _fetched(scene)
-    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[:1000]])
-    scene.sidecar._hear(link, [MessageKind.DROP, 7])
-    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[1000:]])
+    scene.sidecar._hear(link, message(kind_of(messages.BodyChunk), 7, BODY[:1000]))
+    scene.sidecar._hear(link, message(kind_of(messages.BodyDropped), 7))
+    scene.sidecar._hear(link, message(kind_of(messages.BodyChunk), 7, BODY[1000:]))
     assert not jobs and scene.sidecar._open_jobs == 0 and not scene.sidecar._loads
 
 
@@ -243,7 +251,12 @@
 def _too_long(scene):
     link, jobs = _fetched(scene, left=1.0)  # its body alone takes 0.4 s, of which a third may be waited
     ((word, number, fault, arrived, *_),) = link.said
-    assert (word, number, ErrorKind(fault), arrived) == (MessageKind.TOLD, 7, ErrorKind.FULL, False)
+    assert (word, number, ErrorKind(fault), arrived) == (
+        kind_of(messages.ForwardAnswer),
+        7,
+        ErrorKind.FULL,
+        False,
+    )
     assert not jobs and scene.sidecar._open_jobs == 0
 
 
@@ -254,7 +267,7 @@
 @asking
 def _ends_before(scene, upto, status):
     ear, node, number = _sent_in_pieces(scene)
-    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+    scene.sidecar._hear(scene.links[node], message(kind_of(messages.SendBody), number, upto))
     scene.sidecar._end_all()
     assert ear.status == status and scene.sidecar._open_requests == 0
 
@@ -279,9 +292,9 @@
 def _overtaken(scene, got, given_back):
     link, jobs = _fetched(scene)
     ((key, load),) = scene.sidecar._loads.items()
-    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[:got]])
+    scene.sidecar._hear(link, message(kind_of(messages.BodyChunk), 7, BODY[:got]))
     scene.sidecar._overtaken(key)
-    told = [ErrorKind(message[2]) for message in link.said if message[0] == MessageKind.TOLD]
+    told = [ErrorKind(message[2]) for message in link.said if message[0] == kind_of(messages.ForwardAnswer)]
     assert told == [ErrorKind.FULL] * given_back and (not scene.sidecar._loads) == given_back and not jobs
 
 
@@ -293,7 +306,7 @@
 @asking
 def _time_is_up(scene, upto, status):
     ear, node, number = _sent_in_pieces(scene)
-    scene.sidecar._hear(scene.links[node], [MessageKind.WANT, number, upto])
+    scene.sidecar._hear(scene.links[node], message(kind_of(messages.SendBody), number, upto))
     scene.sidecar._late(scene.sidecar._asks[number][0])
     assert ear.status == status and (b"Retry-After" in ear.headers) == (status == 503)
 
@@ -307,9 +320,9 @@
 def _at_last(scene):
     link, jobs = _fetched(scene)
     ((key, _),) = scene.sidecar._loads.items()
-    scene.sidecar._hear(link, [MessageKind.PIECE, 7, BODY[:40_000]])
+    scene.sidecar._hear(link, message(kind_of(messages.BodyChunk), 7, BODY[:40_000]))
     scene.sidecar._overtaken(key, True)
-    assert link.said[-1][:4] == [MessageKind.TOLD, 7, int(ErrorKind.FULL), False]
+    assert link.said[-1][:4] == [kind_of(messages.ForwardAnswer), 7, int(ErrorKind.FULL), False]
     assert not scene.sidecar._loads and scene.sidecar._open_jobs == 0 and not jobs
 
 
--- a/tests/mesh/test_mesh_repair.py
+++ b/tests/mesh/test_mesh_repair.py
@@ -27,7 +27,8 @@
 )
 
 from mesh.control.ballot import Member, Patience
-from mesh.control.controller import Controller
+from mesh.control.context import Context
+from mesh.control.elections import Elections
 
 CATCH_UP_S = 4.0  # a machine stops counting as lost so long after its start: the bound that is given
 GRACE_S = 6.0
@@ -269,23 +270,23 @@
 
 def slow_repair(patch: pytest.MonkeyPatch) -> None:
     """A voter is replaced as late as it used to be."""
-    patch.setattr(Controller, "_patience", property(lambda controller: Patience(14.0, 14.0, 7.0)))
+    patch.setattr(Context, "patience", property(lambda context: Patience(14.0, 14.0, 7.0)))
 
 
 def no_hand_over(patch: pytest.MonkeyPatch) -> None:
     """One that leaves ends with its vote, and is found to be gone as late as it used to be."""
 
-    async def ends(controller: Controller) -> None:
+    async def ends(elections: Elections, limit_s: float) -> None:
         return
 
-    patch.setattr(Controller, "_hand_over", ends)
+    patch.setattr(Elections, "hand_over", ends)
     slow_repair(patch)
 
 
 def all_wait(patch: pytest.MonkeyPatch) -> None:
     """A new machine waits as one whose disk was emptied, and for twice as long as a loss is to last."""
     patch.setattr(Member, "may_have_promised", property(lambda member: not member.lasted))
-    patch.setattr("mesh.control.controller.CLAIM_S", CATCH_UP_S)
+    patch.setattr("mesh.control.recovery.CLAIM_S", CATCH_UP_S)
 
 
 @pytest.mark.parametrize("defence", [slow_repair, no_hand_over, all_wait])
--- a/tests/mesh/test_mesh_rounds.py
+++ b/tests/mesh/test_mesh_rounds.py
@@ -34,34 +34,35 @@
 from mesh_world import Broken, World, change, route, service
 from test_mesh_faults import WORKERS, aftermath, ready, until
 
-from mesh.control import controller as controllers
-from mesh.control.ballot import FIRST, Ballot
-from mesh.control.consensus import Draft, Replica
+from mesh.control import recovery
+from mesh.control.consensus import Replica
 from mesh.control.controller import Controller
 from mesh.errors import ErrorKind
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
+from mesh.state.ballots import FIRST, Ballot, Draft
 from mesh.state.configuration import Item
 from mesh.state.idempotency import Grant, Mark, Registry
 from mesh.state.quorum import Turn, Voters
 from mesh.storage.record_store import unframe
+from mesh.transport import messages
 from mesh.transport.connection import pack
-from mesh.transport.messages import MessageKind
+from mesh.transport.messages import kind_of
 
 SPAN = 320  # numbered points after the first start, in which faults strike
 AGREE_S = 20.0  # all copies agree by then, when nothing fails any more
 MESSED = (
-    MessageKind.CONTROLLER,
-    MessageKind.COMMIT,
-    MessageKind.ABANDON,
-    MessageKind.ITEMS,
-    MessageKind.ACK,
-    MessageKind.SIDECAR,
-    MessageKind.ENDPOINTS,
-    MessageKind.CLAIM,
-    MessageKind.CLAIMED,
-    MessageKind.DONE,
-    MessageKind.FREE,
+    kind_of(messages.Hello),
+    kind_of(messages.Commit),
+    kind_of(messages.Abandon),
+    kind_of(messages.Items),
+    kind_of(messages.ItemsReceived),
+    kind_of(messages.Register),
+    kind_of(messages.Endpoints),
+    kind_of(messages.ClaimKey),
+    kind_of(messages.ClaimAnswer),
+    kind_of(messages.KeyDone),
+    kind_of(messages.FreeKey),
 )
 KEYS = ("k1", "k2", "k3", "k4")
 PREFIXES = ("/p/", "/q/")  # few, so that routes clash
@@ -89,22 +90,29 @@
 
         @wraps(claim)
         def claimed(
-            sidecar: Sidecar, key: str, token: str, left: float, patience: float, job: Any, tell: Any
+            sidecar: Sidecar,
+            number: int,
+            key: str,
+            token: str,
+            left: float,
+            patience: float,
+            job: Any,
+            tell: Any,
         ) -> None:
-            def heard(fault: int, *told: Any) -> None:
-                if not fault:
-                    body = told[3]
+            def heard(told: messages.ForwardAnswer) -> None:
+                if not told.error:
+                    body = told.body
                     self.counts["repeats"] += 1
                     if body != self.answers.get(key):
                         self.errors.append(f"a repeat of {key} got {body!r}, not {self.answers.get(key)!r}")
-                tell(fault, *told)
+                tell(told)
 
-            claim(sidecar, key, token, left, patience, job, heard)
+            claim(sidecar, number, key, token, left, patience, job, heard)
 
         @wraps(take)
-        def taken(sidecar: Sidecar, rows: list[list[Any]]) -> None:
+        def taken(sidecar: Sidecar, items: Iterable[Item]) -> None:
             before = sidecar.items
-            take(sidecar, rows)
+            take(sidecar, items)
             self._look(sidecar, before)
 
         self._patch.setattr(Sidecar, "_claim", claimed)
@@ -230,7 +238,7 @@
 
 def _claims(world: Round, name: str, key: str) -> None:
     process = world.machines[name].process
-    if process is not None and process.alive and process.role is not None and process.role.voters:
+    if process is not None and process.alive and process.role is not None and process.role.voters.names:
         world.claim(name, key)
 
 
@@ -258,10 +266,10 @@
     role = world.controller(name)
     process = world.machines[name].process
     for key in KEYS if role is not None and process is not None else ():
-        grant = role.keys._grants.get(key)
+        grant = role.grants.registry._grants.get(key)
         if grant is not None and grant.mark == Mark.DONE:
             for end in list(process.ends)[:1]:
-                end.take(pack([MessageKind.DONE, key, "long ago", [200, [], b"of long ago"]]))
+                end.take(pack(messages.KeyDone(key, "long ago", [200, [], b"of long ago"])))
 
 
 FAULTS: tuple[Callable[[Round, str], None], ...] = (
@@ -341,7 +349,7 @@
         key = draw.choice(KEYS)
         process = world.machines[name].process
         assert process is not None
-        if process.alive and process.role is not None and process.role.voters:
+        if process.alive and process.role is not None and process.role.voters.names:
             outcome = world.claim(name, key, draw.choice((0.3, 2.0, 8.0)))
             await until(lambda outcome=outcome: bool(outcome), 2.5)  # type: ignore[misc]
             world.counts[f"claims {outcome[0] if outcome else 'without an end'}"] += 1
@@ -355,7 +363,9 @@
 async def story(world: Round) -> None:
     """All of a round but its end."""
     await ready(world)  # type: ignore[arg-type]
-    if not await until(lambda: all(world.machines[name].process.role.voters for name in world.sidecars)):
+    if not await until(
+        lambda: all(world.machines[name].process.role.voters.names for name in world.sidecars)
+    ):
         raise Broken("sidecars have heard of no voters")
     draw, base = world.draw, world.points
     for _ in range(draw.randint(1, 5)):
@@ -540,7 +550,7 @@
 
 def no_wait(patch: pytest.MonkeyPatch) -> None:
     """A wiped controller does not wait until claims that it may have granted are void."""
-    patch.setattr(controllers, "CLAIM_S", 0.0)
+    patch.setattr(recovery, "CLAIM_S", 0.0)
 
 
 def second_answer(patch: pytest.MonkeyPatch) -> None:
--- a/tests/mesh/test_mesh_sidecar.py
+++ b/tests/mesh/test_mesh_sidecar.py
@@ -4,6 +4,8 @@
 import json
 
 import pytest
+from mesh_world import message
+from msgspec.structs import replace
 
 from hollyport.http.back import Reply
 from hollyport.http.message import Message
@@ -12,7 +14,17 @@
 from mesh.proxy.request_age import SURE
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
-from mesh.transport.messages import MessageKind, Record
+from mesh.state.quorum import Voters
+from mesh.transport.messages import (
+    Call,
+    Endpoints,
+    Forward,
+    ForwardAnswer,
+    RecordChanged,
+    SidecarRecord,
+    encode,
+    kind_of,
+)
 
 SETTINGS = """
 node_name = "n1"
@@ -68,7 +80,7 @@
         self.waits += more
 
     def send(self, message):
-        self.said.append(message)
+        self.said.append(encode(message))
 
     def put(self, packed):
         self.said.append(packed)
@@ -79,12 +91,12 @@
 
     def __init__(self, version=0, more=""):
         self.sidecar = Sidecar(settings.read(SETTINGS + more).ok)
-        self.sidecar._take_items([list(item) for item in configuration.read(json.dumps(ITEMS).encode()).ok])
+        self.sidecar._take_items(configuration.read(json.dumps(ITEMS).encode()).ok)
         self.links = {}
         for number, zone in enumerate(("east", "west", "south"), 2):
             node = f"n{number}"
             record = [node, f"192.0.2.{number}:7000", zone, "meals", f"i-{number}", 5, True, 0.0, 1, 1]
-            self.sidecar._take_record([*record, version])
+            self.sidecar._take_record(SidecarRecord(*record, version))
             self.links[node] = Link(node)
             self.sidecar._endpoint_up(node, self.links[node])
 
@@ -108,7 +120,7 @@
 
     def end(self, offer, fault=0, arrived=True, status=200, body=b"whole"):
         headers = [(b"x-server-seal", b"s")]
-        self.sidecar._told(offer[1], int(fault), arrived, status, headers, body)
+        self.sidecar._told(ForwardAnswer(offer[1], int(fault), arrived, status, headers, body))
 
 
 def played(test, version=0, more=""):
@@ -302,15 +314,15 @@
     sent = []
     sidecar = scene.sidecar
     sidecar.server_queue.life("i-1", 5, 0.0, True)
-    sidecar.voters, sidecar._enough = ("b1", "b2", "b3"), 2
-    ask = ["berths", "c", b"POST", b"/x", [], b"", 1.0, 0.2, b"t", "key", "k", False, False]
+    sidecar.key_claims.voters = Voters(1, ("b1", "b2", "b3"))
+    call = Call("berths", "c", b"POST", b"/x", [], b"", 1.0, 0.2, b"t", "key", "k")
     link = Link()
     link.send = sent.append
-    sidecar._asked(link, 7, ask)
-    assert [(said[0], said[1], ErrorKind(said[2])) for said in sent] == [
-        (MessageKind.TOLD, 7, ErrorKind.REFUSED)
+    sidecar._asked(link, Forward(7, call))
+    assert [(type(told), told.number, ErrorKind(told.error)) for told in sent] == [
+        (ForwardAnswer, 7, ErrorKind.REFUSED)
     ]
-    assert sidecar._open_jobs == 0 and not sidecar._claims
+    assert sidecar._open_jobs == 0 and not sidecar.key_claims.open
 
 
 def test_without_controllers_a_keyed_request_is_given_back_at_once_and_unrun():
@@ -332,15 +344,13 @@
 def _strange(scene):
     assert scene.ask(path="/other/x").status == 404
     assert scene.ask(deadline=b"soon").status == 400
-    record = [*scene.sidecar._records["n2"]]
-    record[Record.OPEN], record[Record.NUMBER] = False, 2
+    record = replace(scene.sidecar._records["n2"], is_open=False, number=2)
     for node in ("n3", "n4"):
         scene.sidecar._endpoint_down(node, scene.links[node])
-    scene.sidecar._hear(scene.links["n2"], [MessageKind.LEAVING, record])
+    scene.sidecar._hear(scene.links["n2"], RecordChanged(record))
     assert scene.ask().status == 503
-    old = [*record]
-    old[Record.OPEN], old[Record.NUMBER] = True, 1
-    scene.sidecar._hear(scene.links["n2"], [MessageKind.ENDPOINTS, [old]])
+    old = replace(record, is_open=True, number=1)
+    scene.sidecar._hear(scene.links["n2"], Endpoints((old,)))
     assert scene.ask().status == 503, "an older record came back"
 
 
@@ -354,7 +364,8 @@
     sidecar.server_queue.life("i-1", 5, 0.0, True)
     sent = []
     sidecar.server_queue.submit = sent.append
-    sidecar._asked(Link(), 1, [*ask[:left_out], *(["more"] if left_out is None else [])])
+    row = [*ask[:left_out], *([False, 0, "more"] if left_out is None else [])]
+    sidecar._hear(Link(), message(kind_of(Forward), 1, row))
     assert len(sent) == 1 and sent[0].overdue is None
 
 
--- a/tests/mesh/test_mesh_voters.py
+++ b/tests/mesh/test_mesh_voters.py
@@ -13,7 +13,7 @@
 
 import cbor2
 import pytest
-from mesh_world import Broken, World, change, read_back, route, service
+from mesh_world import Broken, World, change, message, read_back, route, service
 from test_mesh_api import ME, Disk, make_controller
 from test_mesh_faults import (
     NEWEST,
@@ -26,12 +26,16 @@
 from test_mesh_faults import claimed as one_claim
 from test_mesh_faults import until as until_
 
-from mesh.control.ballot import Accepted, Ballot, Member, Patience, PeerView, Proposal, Watch, plan
+from mesh.control.ballot import Member, Patience, Proposal, Watch, plan
 from mesh.control.controller import Controller
+from mesh.control.recovery import Recovery
 from mesh.proxy.sidecar import Sidecar
-from mesh.state.idempotency import Registry
-from mesh.state.quorum import Voters
-from mesh.transport.messages import MessageKind
+from mesh.state.ballots import Accepted, Ballot
+from mesh.state.idempotency import FREED_S, Registry
+from mesh.state.quorum import PeerView, Voters
+from mesh.transport import messages
+from mesh.transport.connection import pack
+from mesh.transport.messages import kind_of
 
 QUICK = '"catch_up=1s", "contact=1s"'  # replaced after 0.5 s, removed after 4 s, forgotten after 16 s
 SLOW = '"catch_up=8s", "contact=1s"'  # replaced after 4 s
@@ -282,8 +286,11 @@
             controller = world.controller(world.controllers[at])
             assert controller is not None
             for _ in range(4):
-                world.machines[controller.me[:-5]].process.soon(  # type: ignore[union-attr]
-                    lambda: controller.voters.epoch == 1 and controller._task(controller._propose(wishes[at]))
+                world.machines[controller.context.me[:-5]].process.soon(  # type: ignore[union-attr]
+                    lambda: (
+                        controller.voters.epoch == 1
+                        and controller.context.start(controller.elections.propose(wishes[at]))
+                    )
                 )
                 await asyncio.sleep(world.random.uniform(0, 0.3))
 
@@ -316,14 +323,14 @@
 
 
 def test_found_if_new_voters_count_without_hearing_those_before(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def at_once(controller: Controller, told: Voters, sealed: bool) -> bool:
+    async def at_once(recovery: Recovery, told: Voters, sealed: bool) -> bool:
         if not sealed:
-            return bool(await hear_all(controller, told, sealed))
-        controller.member.settle(controller.voters.epoch)
+            return bool(await hear_all(recovery, told, sealed))
+        recovery._context.member.settle(recovery._context.voters.epoch)
         return True
 
-    hear_all = Controller._hear_all
-    monkeypatch.setattr(Controller, "_hear_all", at_once)
+    hear_all = Recovery._hear_all
+    monkeypatch.setattr(Recovery, "_hear_all", at_once)
     with pytest.raises(Broken, match="twice|by enough"):
         for seed in range(6):
             play(goes(seed), one_goes)
@@ -354,7 +361,7 @@
     controller = world.controller(b)
     assert controller is not None
     names = tuple(f"{name}:7000" for name in (b, d, e))
-    world.machines[b].process.soon(lambda: controller._task(controller._propose(names)))  # type: ignore[union-attr]
+    world.machines[b].process.soon(lambda: controller.context.start(controller.elections.propose(names)))  # type: ignore[union-attr]
     assert await until_(lambda: all(voters(world, name).epoch == 2 for name in (b, c, d, e)))
     await one_claim(world, two, "k")
     await until_(lambda: bool(outcome))
@@ -380,7 +387,7 @@
             Sidecar,
             "_take_voters",
             lambda sidecar, told: (
-                (None if sidecar._epoch else take_voters(sidecar, told))
+                (None if sidecar.voters.epoch else take_voters(sidecar, told))
                 if sidecar.me == "10.0.1.1"
                 else take_voters(sidecar, told)
             ),
@@ -456,7 +463,7 @@
         assert process is not None
         process.run(process.role.stop())
         await asyncio.sleep(0.35)
-        assert {world.controller(name)._heir for name in (second, third)} == {f"{second}:7000"}  # type: ignore[union-attr]
+        assert {world.controller(name).elections._successor for name in (second, third)} == {f"{second}:7000"}  # type: ignore[union-attr]
         world.kill(first, 0.3)
         await asyncio.sleep(8.0)
         assert newest(world).epoch == 1 and settled(world, 1)
@@ -483,7 +490,7 @@
         await asyncio.sleep(20.0)
         for name in world.spares:
             controller = world.controller(name)
-            assert controller is not None and not gone & set(controller._dials)
+            assert controller is not None and not gone & set(controller.peers.names)
         for name in world.sidecars:
             assert not gone & set(world.machines[name].process.role._controller_dials)  # type: ignore[union-attr]
         # An old word brings none of them back; they themselves do.
@@ -491,9 +498,9 @@
         assert controller is not None
         process = world.machines[world.spares[0]].process
         assert process is not None
-        old = [
-            MessageKind.CONTROLLER,
-            controller.me,
+        old = message(
+            kind_of(messages.Hello),
+            controller.context.me,
             [1, []],
             sorted(gone),
             "",
@@ -501,32 +508,30 @@
             1,
             dict.fromkeys(gone, 1),
             {},
-        ]
-        process.soon(lambda: controller._hear(next(iter(controller._linked.values())), old))
+        )
+        process.soon(lambda: controller.hear(next(iter(controller.peers.linked.values())), old))
         sidecar = world.machines[world.sidecars[0]].process
         assert sidecar is not None
         lines = sidecar.role._controllers.values()
-        sidecar.soon(lambda: sidecar.role._hear(next(iter(lines)), [MessageKind.VOTERS, 1, sorted(gone)]))
+        sidecar.soon(
+            lambda: sidecar.role._hear(
+                next(iter(lines)), message(kind_of(messages.CurrentVoters), 1, sorted(gone))
+            )
+        )
         sidecar.soon(
             lambda: sidecar.role._hear(
                 next(iter(lines)),
-                [
-                    MessageKind.CONTROLLERS,
-                    sorted(gone),
-                    "",
-                    dict.fromkeys(gone, 1),
-                    {},
-                ],
+                message(kind_of(messages.Controllers), sorted(gone), "", dict.fromkeys(gone, 1), {}),
             )
         )
         await asyncio.sleep(2.0)
-        assert not gone & set(controller._dials) and newest(world).epoch == 4
-        assert not gone & set(sidecar.role._controller_dials) and sidecar.role._epoch == 4
+        assert not gone & set(controller.peers.names) and newest(world).epoch == 4
+        assert not gone & set(sidecar.role._controller_dials) and sidecar.role.key_claims.voters.epoch == 4
         world.start_controller(olds[0])
         back = f"{olds[0]}:7000"
         assert await until_(
             lambda: all(
-                back in world.controller(name)._dials
+                back in world.controller(name).peers.names
                 for name in world.spares  # type: ignore[union-attr]
             )
         )
@@ -565,13 +570,13 @@
         found = [
             controller for controller in map(world.controller, world.controllers) if controller is not None
         ]
-        assert not any(far in controller._dials for controller in found)
+        assert not any(far in controller.peers.names for controller in found)
         assert not any(
             far in world.machines[name].process.role._controller_dials  # type: ignore[union-attr]
             for name in world.sidecars
         )
         await asyncio.sleep(6.0)
-        assert all(far in controller._linked for controller in found)
+        assert all(far in controller.peers.linked for controller in found)
         assert all(
             far in world.machines[name].process.role._controllers  # type: ignore[union-attr]
             for name in world.sidecars
@@ -753,22 +758,22 @@
 
     def __init__(self) -> None:
         self.sent: list[Any] = []
-        self.send = self.sent.append
+        self.send = lambda made: self.sent.append(cbor2.loads(pack(made)[4:]))
         self.put = lambda packed: self.sent.append(cbor2.loads(packed[4:]))
 
 
 def in_contact(controller: Controller) -> None:
     """Have all its voters answer it now."""
     for name in controller.voters.names:
-        controller._contact.answered(name, time.monotonic())
+        controller.heartbeats.lease.answered(name, time.monotonic())
 
 
 def with_controller(then: Callable[[Controller, Disk], None]) -> None:
     async def main() -> None:
         made = make_controller((ME, B, C))
         in_contact(made)
-        then(made, made._store)  # type: ignore[arg-type]
-        for dial in made._dials.values():
+        then(made, made.context.store)  # type: ignore[arg-type]
+        for dial in made.peers._dials.values():
             dial.stop()
 
     asyncio.run(main())
@@ -777,32 +782,32 @@
 def test_what_an_older_process_says_is_of_the_first_epoch() -> None:
     def then(controller: Controller, disk: Disk) -> None:
         line: Any = Line()
-        controller._hear(line, [MessageKind.CLAIM, 1, "k", "t", 5.0])
-        controller._hear(line, [MessageKind.FETCH, 2, 1, False, b""])
-        controller._hear(line, [MessageKind.KEYS, 3])
+        controller.hear(line, message(kind_of(messages.ClaimKey), 1, "k", "t", 5.0))
+        controller.hear(line, message(kind_of(messages.Fetch), 2, 1, False, b""))
+        controller.hear(line, message(kind_of(messages.FetchGrants), 3))
         assert [told[:3] for told in line.sent] == [
-            [MessageKind.CLAIMED, 1, 1],
-            [MessageKind.FETCHED, 2, True],
-            [MessageKind.KEYED, 3, True],
+            [kind_of(messages.ClaimAnswer), 1, 1],
+            [kind_of(messages.FetchAnswer), 2, True],
+            [kind_of(messages.GrantsAnswer), 3, True],
         ]
         assert len(line.sent[0]) == 6, "an older sidecar reads no more"
-        controller._elect(Voters(2, (ME, B, D)))
-        controller.member.settle(2)
+        controller.learn_voters(Voters(2, (ME, B, D)), ())
+        controller.context.member.settle(2)
         in_contact(controller)
         line.sent.clear()
-        controller._hear(line, [MessageKind.CLAIM, 4, "l", "t", 5.0])
-        controller._hear(line, [MessageKind.FETCH, 5, 1, False, b""])
-        controller._hear(line, [MessageKind.KEYS, 6])
+        controller.hear(line, message(kind_of(messages.ClaimKey), 4, "l", "t", 5.0))
+        controller.hear(line, message(kind_of(messages.Fetch), 5, 1, False, b""))
+        controller.hear(line, message(kind_of(messages.FetchGrants), 6))
         assert [told[:3] for told in line.sent] == [
-            [MessageKind.VOTERS, 2, [ME, B, D]],
-            [MessageKind.CLAIMED, 4, -1],
-            [MessageKind.FETCHED, 5, False],
-            [MessageKind.KEYED, 6, False],
+            [kind_of(messages.CurrentVoters), 2, [ME, B, D]],
+            [kind_of(messages.ClaimAnswer), 4, -1],
+            [kind_of(messages.FetchAnswer), 5, False],
+            [kind_of(messages.GrantsAnswer), 6, False],
         ]
-        controller._hear(line, [MessageKind.CONTROLLER, B, [1, [A, B, C]], [B]])
-        assert controller.voters.epoch == 2 and B in controller._old_controllers
-        controller._hear(line, [MessageKind.SIDECAR, ["n", "", "", "", "", 1, True, 0.0, 1, 1]])
-        assert controller._sight(2).old
+        controller.hear(line, message(kind_of(messages.Hello), B, [1, [A, B, C]], [B]))
+        assert controller.voters.epoch == 2 and B in controller.peers._old
+        controller.hear(line, message(kind_of(messages.Register), ["n", "", "", "", "", 1, True, 0.0, 1, 1]))
+        assert controller.elections.view(2).old
 
     with_controller(then)
 
@@ -819,17 +824,17 @@
         waiting: list[Any] = []
         disk.put = lambda record, done=None: waiting.append(done)  # type: ignore[method-assign]
         line: Any = Line()
-        controller._hear(line, [MessageKind.KEYS, 1, 1, True])
+        controller.hear(line, message(kind_of(messages.FetchGrants), 1, 1, True))
         assert line.sent.pop()[2] is False, "not sealed"
-        controller._hear(line, [MessageKind.SEAL, 2, 1, [1, "p"], [ME, B, D]])
-        controller._hear(line, [MessageKind.KEYS, 3, 1, True])
+        controller.hear(line, message(kind_of(messages.Seal), 2, 1, [1, "p"], [ME, B, D]))
+        controller.hear(line, message(kind_of(messages.FetchGrants), 3, 1, True))
         assert line.sent == []
         for done in waiting:
             if done is not None:
                 done(True)
         assert [told[:3] for told in line.sent] == [
-            [MessageKind.SEALED, 2, True],
-            [MessageKind.KEYED, 3, True],
+            [kind_of(messages.SealAnswer), 2, True],
+            [kind_of(messages.GrantsAnswer), 3, True],
         ]
 
     with_controller(then)
@@ -838,20 +843,20 @@
 def test_claims_that_come_while_voters_change_are_held_and_a_freed_one_is_not() -> None:
     def then(controller: Controller, disk: Disk) -> None:
         line: Any = Line()
-        controller._hear(line, [MessageKind.SEAL, 1, 1, [1, "p"], [ME, B, D]])
+        controller.hear(line, message(kind_of(messages.Seal), 1, 1, [1, "p"], [ME, B, D]))
         line.sent.clear()
         for number, token in ((2, "s"), (3, "t")):
-            controller._hear(line, [MessageKind.CLAIM, number, token, token, 5.0])
-        controller._hear(line, [MessageKind.CLAIM, 4, "k", "u", 5.0, 2])
-        controller._hear(line, [MessageKind.FREE, "s", "s"])
+            controller.hear(line, message(kind_of(messages.ClaimKey), number, token, token, 5.0))
+        controller.hear(line, message(kind_of(messages.ClaimKey), 4, "k", "u", 5.0, 2))
+        controller.hear(line, message(kind_of(messages.FreeKey), "s", "s"))
         assert line.sent == []
-        controller._elect(Voters(2, (ME, B, D)))
-        controller.member.settle(2)
+        controller.learn_voters(Voters(2, (ME, B, D)), ())
+        controller.context.member.settle(2)
         in_contact(controller)
-        controller._claim_again()
-        assert [told[:3] for told in line.sent if told[0] == MessageKind.CLAIMED] == [
-            [MessageKind.CLAIMED, 3, -1],
-            [MessageKind.CLAIMED, 4, 1],
+        controller.grants.retry()
+        assert [told[:3] for told in line.sent if told[0] == kind_of(messages.ClaimAnswer)] == [
+            [kind_of(messages.ClaimAnswer), 3, -1],
+            [kind_of(messages.ClaimAnswer), 4, 1],
         ]
 
     with_controller(then)
@@ -863,21 +868,22 @@
     made.free(0.0, "k", "t")
     made.take(0.1, other.rows(0.1))
     assert made.look(0.1, "k") is None
-    made.take(9.0, other.rows(9.0))
-    assert made.look(9.0, "k") is not None
+    made.take(FREED_S + 1.0, other.rows(FREED_S + 1.0))
+    assert made.look(FREED_S + 1.0, "k") is not None
 
 
 def test_an_emptied_disk_learns_what_others_have_promised() -> None:
     async def main() -> None:
         made = make_controller((ME, B, C))
-        made.counts = False
+        made.context.member.whole = 0
         line: Any = Line()
-        line.peer, made._linked = B, {B: line}
-        hearing = asyncio.ensure_future(made._fetch_keys(made.voters, 1, False))
+        line.peer, made.peers.linked = B, {B: line}
+        hearing = asyncio.ensure_future(made.recovery.fetch_grants(made.voters, 1, False))
+        await asyncio.sleep(0)
         await asyncio.sleep(0)
-        [[_, number, epoch, sealed]] = line.sent
-        assert (epoch, sealed) == (1, False)
-        made._hear(line, [MessageKind.KEYED, number, True, [], 1, [7, "p"]])
-        assert await hearing and made.member.promised == Ballot(7, "p")
+        [[_, number, epoch, sealed, part]] = line.sent
+        assert (epoch, sealed, part) == (1, False, 0)
+        made.hear(line, message(kind_of(messages.GrantsAnswer), number, True, [], 1, [7, "p"]))
+        assert await hearing and made.context.member.promised == Ballot(7, "p")
 
     asyncio.run(main())
--- a/verify/claims.py
+++ b/verify/claims.py
@@ -24,7 +24,7 @@
 from functools import cache
 from typing import Any
 
-from mesh.state.idempotency import Grant, Mark, Registry, Verdict, row_of
+from mesh.state.idempotency import Grant, GrantRow, Mark, Registry, Verdict, row_of
 from verify.parts import CLAIM_S, TICK_S, Parts
 from verify.search import Model, Property, State, put
 
@@ -112,7 +112,7 @@
         return (int(name or NOBODY), mark, NOBODY if answer is None else answer), news
 
     @staticmethod
-    def _row(grant: State) -> list[Any]:
+    def _row(grant: State) -> GrantRow:
         token, mark, answer = grant
         until = TIME if mark == Mark.CLAIMED else 0.0
         name = "" if token == NOBODY else str(token)
--- a/verify/items.py
+++ b/verify/items.py
@@ -24,8 +24,8 @@
 from functools import cache
 from typing import Any
 
-from mesh.control.ballot import FIRST, Ballot
-from mesh.control.consensus import Draft, Promise, Replica
+from mesh.control.consensus import Promise, Replica
+from mesh.state.ballots import FIRST, Ballot, Draft
 from mesh.state.configuration import EMPTY, Item, Items
 from verify.parts import Parts
 from verify.search import Model, Property, State, StepProperty, put
--- a/verify/mutations.py
+++ b/verify/mutations.py
@@ -13,11 +13,12 @@
 from pyrsistent import pmap
 
 from mesh.control import consensus
-from mesh.control.ballot import FIRST, Ballot, Member
-from mesh.control.consensus import Draft, Plan, Promise, Replica
+from mesh.control.ballot import Member
+from mesh.control.consensus import Plan, Promise, Replica
 from mesh.state import configuration
+from mesh.state.ballots import FIRST, Ballot, Draft
 from mesh.state.configuration import Clash, Item, Items, Table
-from mesh.state.idempotency import Claim, Grant, Mark, Registry, Verdict
+from mesh.state.idempotency import Claim, Grant, GrantRow, Mark, Registry, Verdict
 from mesh.state.quorum import Voters
 from verify import claims, items, sets
 from verify.claims import ClaimsModel
@@ -113,7 +114,7 @@
 class FirstStays(Registry):
     """Of claims that disagree the first one heard stays."""
 
-    def take(self, now: float, rows: Iterable[list[Any]]) -> None:
+    def take(self, now: float, rows: Iterable[GrantRow]) -> None:
         for row in rows:
             mine = self._grants.get(row[0])
             if mine is None or mine.mark == Mark.DONE or row[2] == Mark.DONE or mine.token == row[1]:
--- a/verify/sets.py
+++ b/verify/sets.py
@@ -20,7 +20,8 @@
 from functools import cache
 from typing import Any
 
-from mesh.control.ballot import Accepted, Ballot, Proposal
+from mesh.control.ballot import Proposal
+from mesh.state.ballots import Accepted, Ballot
 from mesh.state.idempotency import Mark, Verdict
 from mesh.state.quorum import Voters
 from verify.claims import MAY_HAVE_RUN, WAIT_TICKS, ClaimsModel, name
