A call whose client has left is taken back: dropped where it waits, broken off where it may run twice

Cause: the sidecar finished a request whose client had left for itself alone.

Change: Cancel, from the sidecar where a request began to the one beside the server, which answers it like any other. A call that waits is given back as never run; a body on its way is dropped; a repeatable one at the server is broken off, and that tells nothing of the server's health or budget. What may run once and has begun runs on, and so does an operation with a key, whose answer is kept for its repeat.

Tests: test_mesh_server_queue, test_mesh_offers.

--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -50,7 +50,9 @@
         "began",
         "over",
         "overdue",
+        "repeatable",
         "timer",
+        "withdrawn",
     )
 
     def __init__(
@@ -66,6 +68,8 @@
         self.make, self.tid, self.done, self.kind = make, tid, done, kind
         self.deadline, self.due, self.last = deadline, due, last
         self.trial = self.over = False
+        self.repeatable = False  # whether it may run more than once
+        self.withdrawn = False  # nobody waits for its answer any more
         self.overdue: Callable[[], None] | None = None  # told once where the server takes unusually long
         self.timer: asyncio.TimerHandle | None = None
         self.exchange: Exchange | None = None
@@ -228,6 +232,21 @@
         heapq.heappush(self.queue, (order, self._count, job))
         self._pump()
 
+    def withdraw(self, job: Job) -> None:
+        """Nobody waits for a call any more. One that waits goes no more; one that may run twice is broken off
+        at the server, which then ends work on it; any other runs on."""
+        if job.over or job.withdrawn:
+            return
+        if job.exchange is None:
+            job.withdrawn = True
+            self.queue = [entry for entry in self.queue if entry[2] is not job]
+            heapq.heapify(self.queue)
+            self.late = deque(waiting for waiting in self.late if waiting is not job)
+            self._end(job, ErrorKind.REFUSED, False)
+        elif job.repeatable:
+            job.withdrawn = True
+            job.exchange.cancel()
+
     def _next(self, now: float) -> Job | None:
         """The call to go next; those that can't be in time any more step back behind all that can."""
         while self.queue and now > self.queue[0][2].due:
@@ -325,7 +344,7 @@
                 fault = ErrorKind.LATE
             elif how in (How.MOOT, How.CONNECT_FAILED) and not self._written(job):
                 fault, arrived = ErrorKind.FULL, False
-            if current and how != How.MOOT:
+            if current and how != How.MOOT and not job.withdrawn:  # what was broken off here tells nothing
                 self._judge(True)
                 self._failed(now, trial, how in (How.CONNECT_FAILED, How.RESET))
             self._end(job, fault, arrived)
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -39,6 +39,7 @@
     BodyChunk,
     BodyDropped,
     Call,
+    Cancel,
     ClaimAnswer,
     Controllers,
     CurrentVoters,
@@ -202,6 +203,7 @@
         self._sizes: dict[str, float] = {}  # by route: bytes of an answer, about
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._ages: dict[str, RequestAges] = {}  # by route
+        self._jobs: dict[Place, Job] = {}  # calls without a key for the server beside
         self._callers: set[PeerConnection] = set()
         self._open_requests = self._open_jobs = 0
         self.leaving = self.closed = self._probed = False
@@ -591,6 +593,7 @@
         return {
             Forward: self._asked,
             ForwardAnswer: lambda link, told: self._told(told),
+            Cancel: self._cancelled,
             LoadQuery: self._answer_load,
             LoadReport: lambda link, told: self._glance(told, node=link.peer),
             SendBody: self._wanted,
@@ -1004,12 +1007,32 @@
         message.answer(answer.status, answer.text, headers)
 
     def _hung_up(self, message: Request) -> None:
-        """The client has left. What runs is left to run; its answer goes nowhere."""
+        """The client has left. Nothing of its request is sent to a server any more, and one that may run
+        twice is broken off there. What may not, and may have begun, runs on; so does an operation with a key,
+        whose answer is kept for its repeat."""
+        request = self._request_of(message)
+        if request is None or request.over:
+            return
+        self._finish(request)
+        if request.route.variant == "idempotent":
+            return
+        for number, (asked, endpoint) in list(self._asks.items()):
+            if asked is request:
+                self._cancel(number, endpoint)
+
+    def _request_of(self, message: Request) -> PendingRequest | None:
+        """The open request of a client's message."""
         asked = [request for request, _ in self._asks.values()]
-        for request in (*asked, *(look.request for look in self._load_queries.values())):
-            if request.message is message and not request.over:
-                self._finish(request)
-                return
+        looked = [look.request for look in self._load_queries.values()]
+        return next((request for request in (*asked, *looked) if request.message is message), None)
+
+    def _cancel(self, number: int, endpoint: Endpoint) -> None:
+        """Tell the sidecar beside a server that nobody waits for a call any more; it answers all the same."""
+        link = self._endpoint_links.get(endpoint.node)
+        if endpoint.node == self.me:
+            self._withdraw((None, number))
+        elif link is not None:
+            link.send(Cancel(number))
 
     # --- a request for the server beside
 
@@ -1026,6 +1049,20 @@
             lambda: link.send(Overdue(number)),
         )
 
+    def _cancelled(self, link: PeerConnection, told: Cancel) -> None:
+        """The client of a call has left."""
+        place = (link, told.number)
+        if place in self._loads:
+            self._unload(place)
+            link.send(_unanswered(told.number, ErrorKind.REFUSED))
+        else:
+            self._withdraw(place)
+
+    def _withdraw(self, place: Place) -> None:
+        job = self._jobs.get(place)
+        if job is not None:
+            self.server_queue.withdraw(job)
+
     def _with_hint(self, answer: ForwardAnswer, route: str) -> ForwardAnswer:
         """What each answer tells of the server here besides: seconds that a call waits, and works; the part
         of calls that fail here of late."""
@@ -1058,6 +1095,7 @@
 
         def done(error: ErrorKind | None, arrived: bool, reply: Reply | None) -> None:
             self._open_jobs -= 1
+            self._jobs.pop(place, None)
             found = self._judge(error, reply)
             if key:
                 self._close_key(key, token, found, reply)
@@ -1082,7 +1120,9 @@
         )
         if call.repeatable:
             job.overdue = overdue
+            job.repeatable = True
         if not key:
+            self._jobs[place] = job
             server_queue.submit(job)
             return
         patience = max(LEAST_CLAIM_S, aim * PATIENCE)
--- a/mesh/transport/messages.py
+++ b/mesh/transport/messages.py
@@ -428,6 +428,12 @@
     number: int
 
 
+class Cancel(Message, frozen=True, tag=59):
+    """The client of a call has left."""
+
+    number: int
+
+
 class SendBody(Message, frozen=True, tag=54):
     """Answer to `Forward`: so much of its body may be sent, from its beginning."""
 
--- a/tests/mesh/test_mesh_offers.py
+++ b/tests/mesh/test_mesh_offers.py
@@ -328,3 +328,65 @@
 
 def test_a_body_that_stops_half_way_is_given_back_at_its_deadline_as_its_sender_keeps_it():
     _at_last()
+
+
+# --- clients that leave
+
+
+@pytest.mark.parametrize(("variant", "told"), [("pure", 1), ("effectful", 1), ("idempotent", 0)])
+def test_the_sidecar_beside_the_server_hears_that_a_client_has_left(variant, told):
+    """An operation with a key runs on: its answer is kept for the repeat."""
+
+    @played
+    def test(scene):
+        ear = scene.ask(variant)
+        ((node, offer),) = said(scene, kind_of(messages.Forward))
+        scene.sidecar._hung_up(ear.message)
+        scene.sidecar._hung_up(ear.message)
+        assert said(scene, kind_of(messages.Cancel)) == [(node, [kind_of(messages.Cancel), offer[1]])] * told
+        assert scene.sidecar._open_requests == 0
+        scene.end((node, offer[1]), ErrorKind.REFUSED, arrived=False)
+        assert not ear.status and not any(endpoint.inflight for endpoint in scene.sidecar.endpoints.values())
+
+    test()
+
+
+def _call(repeatable):
+    return ["berths", "c", b"GET", b"/x", [], b"", 5.0, 1.0, b"t", "", "k", False, repeatable]
+
+
+@played
+def _withdrawn(scene):
+    sidecar, link = scene.sidecar, Link("n2")
+    sidecar.server_queue.life("i-1", 5, 0.0, True)
+    budget = sidecar.server_queue.budget
+    budget.most, sidecar.server_queue.out = budget.k, budget.budget  # all are at work
+    sidecar.server_queue.mean = 0.001
+    sidecar._hear(link, message(kind_of(messages.Forward), 7, _call(True)))
+    sidecar._hear(link, message(kind_of(messages.Forward), 8, _call(True)))
+    sidecar._hear(link, message(kind_of(messages.Cancel), 9))
+    sidecar._hear(Link("n3"), message(kind_of(messages.Cancel), 7))
+    assert not link.said, "another's number, or none"
+    sidecar._hear(link, message(kind_of(messages.Cancel), 7))
+    assert [row[:4] for row in link.said] == [
+        [kind_of(messages.ForwardAnswer), 7, int(ErrorKind.REFUSED), False]
+    ]
+    assert sidecar._open_jobs == 1 and len(sidecar._jobs) == 1
+
+
+def test_a_call_that_waits_is_given_back_once_its_client_has_left():
+    _withdrawn()
+
+
+@asking
+def _half_a_body(scene):
+    link, jobs = _fetched(scene)
+    scene.sidecar._hear(link, message(kind_of(messages.BodyChunk), 7, BODY[:1000]))
+    scene.sidecar._hear(link, message(kind_of(messages.Cancel), 7))
+    assert link.said[-1][:4] == [kind_of(messages.ForwardAnswer), 7, int(ErrorKind.REFUSED), False]
+    scene.sidecar._hear(link, message(kind_of(messages.BodyChunk), 7, BODY[1000:]))
+    assert not jobs and not scene.sidecar._loads and scene.sidecar._open_jobs == 0
+
+
+def test_a_body_on_its_way_is_dropped_once_its_client_has_left():
+    _half_a_body()
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -57,6 +57,9 @@
         self.touched = True
         self.wire.sent.append(self)
 
+    def cancel(self):
+        self.end(How.CANCELLED, self.touched)
+
     def reply(self, status=200, headers=(SEAL,)):
         self.wire.sent.remove(self)
         self.ended(How.OK, Reply(status, list(headers), b"body"))
@@ -286,3 +289,53 @@
     assert server_queue.takes_calls(), "the one trial may go"
     server_queue.gone()
     assert not server_queue.takes_calls()
+
+
+def test_a_call_whose_client_has_left_goes_no_more_and_the_others_keep_their_order(server_queue):
+    told = []
+    calls = {
+        name: job(server_queue, name, due, told=told) for name, due in zip("abcd", (1, 2, 3, 4), strict=True)
+    }
+    for call in calls.values():
+        server_queue.submit(call)
+    server_queue.withdraw(calls["c"])
+    server_queue.withdraw(calls["c"])
+    assert told == [("c", ErrorKind.REFUSED, False)]
+    for _ in range(3):
+        server_queue.upstream.sent[0].reply()
+    assert [name for name, error, _ in told if error is None] == ["a", "b", "d"]
+
+
+def test_one_that_may_run_twice_is_broken_off_and_that_tells_nothing_of_the_server(server_queue):
+    told = []
+    first, second = job(server_queue, "a", 1, told=told), job(server_queue, "b", 2, told=told)
+    first.repeatable = True
+    for call in (first, second):
+        server_queue.submit(call)
+    k = server_queue.budget.k
+    server_queue.withdraw(first)
+    assert told == [("a", ErrorKind.BROKEN, True)] and names(server_queue) == ["b"]
+    assert server_queue.ill() == 0.0 and server_queue.budget.k == k and server_queue.out == 1
+
+
+def test_one_that_may_not_runs_on(server_queue):
+    told = []
+    call = job(server_queue, "a", 1, told=told)
+    server_queue.submit(call)
+    server_queue.withdraw(call)
+    assert told == [] and names(server_queue) == ["a"]
+    server_queue.upstream.sent[0].reply()
+    assert told == [("a", None, True)]
+
+
+def test_a_trial_that_is_broken_off_leaves_room_for_the_next(server_queue):
+    server_queue.budget.most = 3
+    running, trial = job(server_queue, "a", 1), job(server_queue, "b", 2)
+    trial.repeatable = True
+    for call in (running, trial):
+        server_queue.submit(call)
+    assert trial.trial and server_queue.budget.trial
+    server_queue.withdraw(trial)
+    assert not server_queue.budget.trial
+    server_queue.submit(job(server_queue, "c", 3))
+    assert names(server_queue) == ["a", "c"]
