--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -166,6 +166,8 @@
         """The end of an answer that has no other; elsewhere a break."""
         super().eof_received()
         if self._until_close and not self._complete and self._done is not None:
+            if self.expect is not None and self._foreign(*self.expect):
+                return  # a late answer to a request before this one: the own one will not come any more
             self._complete = True
             self._answered()
 
