--- a/benchmarks/hollow.py
+++ b/benchmarks/scale.py
@@ -1,16 +1,15 @@
 """What control costs by the number of sidecars: real processes on loopback, most sidecars sharing a process.
 
-    python -m benchmarks.hollow [--sizes 30,60,120,240] [--controllers 5] [--real 2] [--shared 20]
-        [--routes 310] [--seconds 15] [--json FILE]
-
-For each size that many sidecars run beside as many controllers: some are processes of their own, the others
-run as the same code, `shared` to a process ("hollow"), each with an address of its own, its connections and
-its failure detector. There is no traffic. Measured from outside, by /proc: processor time, resident memory
-and bytes that a process reads and writes (TCP alone; the failure detector's datagrams are not counted by
-Linux there), at rest; the time until all know all after a start of everything; the time until a change is in
-force at the last sidecar, from its acknowledgement; what the others, and the one itself, pay when one starts
-anew. Lines through the sizes are drawn by least squares. Wants free cores; stops before half of the memory is
-used.
+    python -m benchmarks.scale [--sidecars 30,60,120,240] [--controllers 5] [--services 12] [--routes 310]
+        [--real 2] [--shared 20] [--seconds 15] [--runs 1] [--json FILE] [--plot FILE.svg]
+
+For each size that many sidecars run beside the controllers: a few are processes of their own, the others run
+as the same code, `shared` to a process ("hollow"), each with an address of its own, its connections and its
+failure detector. There is no traffic. Measured from outside, by /proc: processor time, resident memory and
+bytes that a process reads and writes (TCP alone: Linux counts no datagrams there), at rest; the time until
+all know all after a start of everything; the time until a change is in force at the last sidecar, from its
+acknowledgement; what one that starts anew pays, and each other. Lines through the sizes are drawn by least
+squares. Wants free cores; gives up before half of the memory is used, or a size takes too long.
 """
 
 from __future__ import annotations
@@ -25,11 +24,13 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+import uvloop
+
 from mesh import settings
 from mesh.proxy.sidecar import Sidecar
 from rehearsal.daemon import LEASH, ROOT, environment
@@ -40,8 +41,8 @@
 LIMIT_S = 90.0  # nothing is waited for longer
 LOOK_S = 0.01  # between two looks of a host at its sidecars
 CHANGES = 8  # whose way to the last sidecar is measured
-SERVICES = 12
 ZONES, REGIONS = 4, 2
+PLOTS_ACROSS = 3
 MOST_MEMORY = 0.5  # of the machine's
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -117,8 +118,9 @@
 class Rig:
     """A mesh of one size."""
 
-    def __init__(self, folder: Path, size: int, controllers: int, real: int, shared: int) -> None:
-        self._folder, self.size = folder, size
+    def __init__(self, folder: Path, size: int, told: argparse.Namespace) -> None:
+        self._folder, self.size, self._services = folder, size, told.services
+        controllers, real, shared = told.controllers, told.real, told.shared
         draw = random.SystemRandom()
         net = f"127.{draw.randrange(1, 255)}"
         where = [f"{net}.{n // 200}.{1 + n % 200}" for n in range(controllers + size)]
@@ -132,7 +134,7 @@
         ]
         rest = files[len(self.real) :]
         self.hosts = [
-            Worker(f"host{at}", ["benchmarks.hollow", "host", str(size), *map(str, part)], None, len(part))
+            Worker(f"host{at}", ["benchmarks.scale", "host", str(size), *map(str, part)], None, len(part))
             for at in range(0, len(rest), shared)
             if (part := rest[at : at + shared])
         ]
@@ -157,7 +159,7 @@
         if role == "controller":
             told["data_dir"] = str(self._folder / f"{role}{number}-data")
         else:
-            told |= {"app_addr": self._address(where, "app"), "service": f"s{number % SERVICES}"}
+            told |= {"app_addr": self._address(where, "app"), "service": f"s{number % self._services}"}
             doors += ["outbound", "ready"]
         lines = [f"{name} = {json.dumps(value)}" for name, value in told.items()]
         lines += ["[limit_set]", f"max_fds = {SOCKETS}", "[fault_budget]", "machine_loss = 2"]
@@ -232,7 +234,7 @@
 
     async def patch(self, version: int, routes: int) -> float:
         """Have a configuration taken; when that was acknowledged."""
-        body = json.dumps(_change(version, routes)).encode()
+        body = json.dumps(_change(version, routes, self._services)).encode()
         for at in range(200):
             seed = self._seeds[at % len(self._seeds)]
             told = await wire.ask(self._address(seed, "control"), "PATCH", "/-/config", body)
@@ -244,7 +246,7 @@
     async def beat(self, number: int) -> None:
         """What the server beside a sidecar of its own says."""
         told = {
-            "service": f"s{number % SERVICES}", "address": self._address(self._where[number], "app"),
+            "service": f"s{number % self._services}", "address": self._address(self._where[number], "app"),
             "zone": "z", "revision": "v1", "slots": 4, "state": "ready", "cold_left": "0ms",
             "call_seq": int(time.monotonic() * 1000),
         }  # fmt: skip
@@ -266,13 +268,13 @@
         return float(max(host.told[-1]["at"] for host in self.hosts))
 
 
-def _change(version: int, routes: int) -> dict[str, Any]:
+def _change(version: int, routes: int, services: int) -> dict[str, Any]:
     """`routes` of them under a version; the first one has everything."""
     rules = [
         {
             "name": f"r{n}", "variant": "pure", "target": "200ms", "priority": 2, "revision": f"r{version}",
             "matcher": {"path_prefix": f"/route-{n}/"},
-            "effect": {"service": f"s{n % SERVICES}", "timeout": "500ms", "max_attempts": 2},
+            "effect": {"service": f"s{n % services}", "timeout": "500ms", "max_attempts": 2},
         }
         for n in range(routes)
     ]  # fmt: skip
@@ -280,7 +282,7 @@
     if version == 1:
         made["cluster_list"] = [
             {"name": f"s{n}", "health_path": "/health", "max_conns": 110, "revision": "r1"}
-            for n in range(SERVICES)
+            for n in range(services)
         ]
     return {"upserts": made}
 
@@ -363,11 +365,11 @@
 async def measure(size: int, told: argparse.Namespace) -> Row:
     """One size."""
     with tempfile.TemporaryDirectory(prefix="hollow-") as folder:
-        rig = Rig(Path(folder), size, told.controllers, told.real, told.shared)
+        rig = Rig(Path(folder), size, told)
         try:
             row: Row = {"sidecars": size, "processes": len(rig.workers)}
             row |= await _begin(rig, told.routes)
-            await asyncio.sleep(10.0)  # what a start leaves settles
+            await asyncio.sleep(told.settle)  # what a start leaves
             row |= await _rest(rig, told.seconds)
             row |= await _changes(rig, told.routes)
             row |= await _restart(rig)
@@ -387,43 +389,88 @@
 
 
 def _lines(rows: list[Row]) -> Iterator[str]:
+    """A table: the values at each size, and the line a + b n through them."""
     names = [name for name in rows[0] if name != "sidecars"]
-    yield f"{'':44}" + "".join(f"{row['sidecars']:>12.0f}" for row in rows) + f"{'a':>12}{'b n':>14}"
+    yield f"{'sidecars':44}" + "".join(f"{row['sidecars']:>12.0f}" for row in rows) + f"{'a':>12}{'b':>12}"
     for name in names:
         first, more = slope([(row["sidecars"], row[name]) for row in rows])
         values = "".join(f"{row[name]:>12.4g}" for row in rows)
-        yield f"{name:44}{values}{first:>12.4g}{more:>14.4g}"
+        yield f"{name:44}{values}{first:>12.4g}{more:>12.4g}"
 
 
-async def main(words: list[str]) -> int:
-    """Measure all sizes, and print the table."""
-    if words[:1] == ["host"]:
-        await host(words[2:], int(words[1]))
-        return 0
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.hollow", description=__doc__)
-    parser.add_argument("--sizes", default="30,60,120,240")
+def plot(rows: list[Row], path: Path) -> None:
+    """A small plot of each row with its line, as SVG."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    names = [name for name in rows[0] if name != "sidecars"]
+    down = -(-len(names) // PLOTS_ACROSS)
+    figure, axes = pyplot.subplots(down, PLOTS_ACROSS, figsize=(12, 2.6 * down))
+    sizes = [row["sidecars"] for row in rows]
+    for axis, name in zip(axes.flat, names, strict=False):
+        first, more = slope([(row["sidecars"], row[name]) for row in rows])
+        axis.plot(sizes, [row[name] for row in rows], "o")
+        axis.plot(sizes, [first + more * size for size in sizes], "-", linewidth=0.8)
+        axis.set_title(name, fontsize=8)
+        axis.set_ylim(bottom=0)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def options(words: list[str]) -> argparse.Namespace:
+    """The command line."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.scale", description=__doc__)
+    parser.add_argument("--sidecars", default="30,60,120,240")
     parser.add_argument("--controllers", type=int, default=5)
+    parser.add_argument("--services", type=int, default=12)
+    parser.add_argument("--routes", type=int, default=310)
     parser.add_argument("--real", type=int, default=2)
     parser.add_argument("--shared", type=int, default=20)
-    parser.add_argument("--routes", type=int, default=310)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--settle", type=float, default=10.0)
+    parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--json", default="")
-    told = parser.parse_args(words)
+    parser.add_argument("--plot", default="")
+    return parser.parse_args(words)
+
+
+async def _run(told: argparse.Namespace) -> list[Row]:
+    """All sizes, up to the first that can't be measured."""
     rows: list[Row] = []
-    async for row in _measured([int(size) for size in told.sizes.split(",")], told):
-        rows.append(row)
-        print(f"{row['sidecars']:.0f} sidecars: done, {row['all, MB']:.0f} MB", file=sys.stderr)
-    print(f"{told.controllers} controllers, {told.routes} routes, {os.cpu_count()} cores")
-    print(*_lines(rows), sep="\n")
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows, indent=1), encoding="utf-8")
-    return 0
+    for size in map(int, told.sidecars.split(",")):
+        try:
+            rows.append(await measure(size, told))
+        except (RuntimeError, OSError) as error:
+            print(f"{size} sidecars: {error!r}", file=sys.stderr)
+            break
+        print(f"{size} sidecars: done, {rows[-1]['all, MB']:.0f} MB", file=sys.stderr)
+    return rows
 
 
-async def _measured(sizes: list[int], told: argparse.Namespace) -> AsyncIterator[Row]:
-    for size in sizes:
-        yield await measure(size, told)
+async def main(words: list[str]) -> int:
+    """Measure, and print a table a run."""
+    if words[:1] == ["host"]:
+        await host(words[2:], int(words[1]))
+        return 0
+    told = options(words)
+    runs = []
+    for number in range(told.runs):
+        rows = await _run(told)
+        if not rows:
+            return 1
+        runs.append(rows)
+        print(
+            f"run {number + 1}: {told.controllers} controllers, {told.routes} routes, {os.cpu_count()} cores"
+        )
+        print(*_lines(rows), "", sep="\n", flush=True)
+    if told.json:
+        Path(told.json).write_text(json.dumps(runs, indent=1), encoding="utf-8")
+    if told.plot:
+        plot(runs[-1], Path(told.plot))
+    return 0
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main(sys.argv[1:])))
+    sys.exit(uvloop.run(main(sys.argv[1:])))
