--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -352,6 +352,8 @@
     began = time.monotonic()
     await rig.start(one)
     while not await rig.ready(one):
+        if time.monotonic() > began + LIMIT_S:
+            raise RuntimeError(f"a sidecar that started anew was not ready within {LIMIT_S:g} s")
         await asyncio.sleep(0.02)
     ready_s = time.monotonic() - began
     await rig.beat(0)
