--- a/review/2/case.py
+++ b/review/2/case.py
@@ -65,7 +65,7 @@
 
 async def play(folder: Path, record: Record, trouble: bool) -> list[str]:
     """Plays the case and returns the breaches of ROUTE."""
-    async with stand_ins.deployment(folder, record, {"payments": 2, "pricing": 2}) as made:
+    async with stand_ins.deployment(folder, record, {"payments": 3, "pricing": 3}) as made:
         await made.start(*made.controllers, *made.sidecars)
         await made.wait_until_ready(*made.controllers)
         servers = [Server(machine, record) for machine in made.sidecars]
