--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -1,8 +1,8 @@
 """Stand-ins for the clients, servers, operators and machines around hollyport, on loopback addresses.
 
-The programs under review run as separate processes, with the commands of `deploy/system.toml`. Everything here
-uses the standard library only and behaves as the operators' pages say: where they are silent, as a sound server,
-client or platform. All that is sent, answered and run goes to a `Record`.
+The programs under review run as separate processes, with the commands of `deploy/system.toml`. Everything
+here uses the standard library only and behaves as the operators' pages say: where they are silent, as a
+sound server, client or platform. All that is sent, answered and run goes to a `Record`.
 """
 
 from __future__ import annotations
@@ -182,8 +182,16 @@
 class Deployment:
     """A small deployment: controllers in three zones, and sidecars beside the servers of some services."""
 
-    def __init__(self, folder: Path, record: Record, services: dict[str, int], controllers: int = 3) -> None:
-        self._folder, self._record = folder, record
+    def __init__(
+        self,
+        folder: Path,
+        record: Record,
+        services: dict[str, int],
+        controllers: int = 3,
+        zones: tuple[str, ...] = ZONES,
+        region: str = REGION,
+    ) -> None:
+        self._folder, self._record, self._zones, self._region = folder, record, zones, region
         self.first_start = True
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
             self._roles = tomllib.load(file)["roles"]
@@ -192,11 +200,11 @@
         ports = dict(zip(PORT_NAMES, _free_ports(addresses, len(PORT_NAMES)), strict=True))
         ports["peer"] = _free_ports(addresses, 1, PEER_PORTS)[0]
         self.controllers = [
-            Machine(f"core-{number + 1}", "controller", addresses[number], ZONES[number % len(ZONES)], ports)
+            Machine(f"core-{number + 1}", "controller", addresses[number], zones[number % len(zones)], ports)
             for number in range(controllers)
         ]
         self.sidecars = [
-            Machine(f"auxiliary-{number + 1}", "sidecar", address, ZONES[number % len(ZONES)], ports, service)
+            Machine(f"auxiliary-{number + 1}", "sidecar", address, zones[number % len(zones)], ports, service)
             for number, (address, service) in enumerate(
                 zip(addresses[controllers:], sidecar_services, strict=True)
             )
@@ -212,7 +220,7 @@
             "serves": ["auxiliary" if is_sidecar else "control_plane"],
             "ip": machine.ip,
             "zone": machine.zone,
-            "region": REGION,
+            "region": self._region,
             "port_range": [machine.ports["peer"], machine.ports["peer"] + PEER_PORTS - 1],
             "seed_list": seeds,
             "first_start": self.first_start,
@@ -231,7 +239,7 @@
         else:
             values["data_dir"] = str(self._folder / f"{machine.name}-data")
         tables: dict[str, dict[str, Any]] = {
-            "zones": dict.fromkeys(ZONES, REGION),
+            "zones": dict.fromkeys(self._zones, self._region),
             "listen_map": {name: machine.at(name) for name in names},
             "limit_set": {
                 "cpu_share": 0.86,
@@ -486,7 +494,13 @@
 
 
 def rule(
-    name: str, variant: str, prefix: str, service: str, revision: int, timeout: str = "2s", target: str = "300ms"
+    name: str,
+    variant: str,
+    prefix: str,
+    service: str,
+    revision: int,
+    timeout: str = "2s",
+    target: str = "300ms",
 ) -> dict[str, Any]:
     """Returns one route as it stands in an operator's call."""
     return {
@@ -553,9 +567,7 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(
-    folder: Path, record: Record, services: dict[str, int]
-) -> AsyncIterator[Deployment]:
+async def deployment(folder: Path, record: Record, services: dict[str, int]) -> AsyncIterator[Deployment]:
     """A deployment that is not started yet; all its processes have ended afterwards."""
     made = Deployment(folder, record, services)
     try:
@@ -570,7 +582,8 @@
 def run_case(case_folder: Path, play: Play) -> int:
     """Plays a case, prints and records its breaches of the rule, and returns the exit code.
 
-    `play` gets a temporary folder, the record, and whether to bring the trouble about; it returns the breaches.
+    `play` gets a temporary folder, the record, and whether to bring the trouble about; it returns the
+    breaches.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(case_folder / "record.txt")
