--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,6 +29,7 @@
 WORK_S = 0.21  # of a booking hold on the site
 DEADLINE_S = 4.0  # of a booking hold on the site
 KEYS = 12
+SERVERS = {"tahan": 3, "carian": 4, "manifes": 3}  # ten machines: one is the share of `node_freeze`, 0.1
 HOLD = "/hold/"
 
 
@@ -67,7 +68,7 @@
 async def configure(made: Deployment, record: Record) -> None:
     """Sends the first configuration, and waits until the sidecars are ready."""
     rules = [stand_ins.rule("hold", "idempotent", HOLD, "tahan", 7, "4s", "600ms")]
-    change = stand_ins.first_call(rules, ["tahan"])
+    change = stand_ins.first_call(rules, list(SERVERS))
     if await stand_ins.send_configuration(made.controllers, record, change) != 200:
         raise stand_ins.Void("the first configuration was not acknowledged")
     await made.wait_until_ready(*made.sidecars)
@@ -75,7 +76,7 @@
 
 async def send_twice(made: Deployment, record: Record, trouble: bool) -> list[Try]:
     """Sends the holds at one machine, and again at a machine of another zone, which is frozen by then."""
-    first_machine, second_machine, _ = made.sidecars
+    first_machine, second_machine = made.sidecars[:2]
     sent_at = time.monotonic()
     tries = await send_holds(first_machine, record)
     if any(one.status != 200 for one in tries):
@@ -93,7 +94,7 @@
 
 async def play(folder: Path, record: Record, trouble: bool) -> list[str]:
     """Plays the case and returns the breaches of TWICE."""
-    made = Deployment(folder, record, {"tahan": 3}, zones=SITE_ZONES, region=SITE_REGION)
+    made = Deployment(folder, record, SERVERS, zones=SITE_ZONES, region=SITE_REGION)
     try:
         machines = [*made.controllers, *made.sidecars]
         for machine in machines:
