Keys run once however late a repeat is read: grants outlast the window, old requests get none

Callers saw: twelve repeats of twelve keys, each sent 58.5 s after the first of its key with a `key_window` of 60 s, were answered with a new seal: each operation had run again. They had waited for 2.8 s at a sidecar that stood still.

Cause: `Registry.claim` kept a grant for exactly `key_window` after the controller had made it, and compared that with the time of the repeat's claim, not with that of its sending. Nothing was allowed for, and nothing bounded, the time between a client's sending and a process's reading: a frozen sidecar, at the entry or beside the server, a slow connection between the two, a full listen queue, requests sent ahead on one connection. Evidence: the same repeats with nothing frozen all get the first answers, and the record of the case shows them sent at 58.5 s and run just after the machine woke at 61.3 s.

Change: a grant outlasts the window by `MAX_REQUEST_AGE_S`, 10 s, and no claim is made for a request that may be older than that, less the second a round may take: it gets 503 and nothing has run. How old a request may be is bounded without a common clock: by the loop's ticks (`read_clock.py`), by since when a connection or a listen queue has been left unread, and between sidecars by the least offset of timestamps in pings (`peer_clock.py`). So the two halves hold for any delay, not for one of 3 s.

--- a/hollyport/guests/listener.py
+++ b/hollyport/guests/listener.py
@@ -67,6 +67,9 @@
         self._accepting = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self.on_lost: Callable[[], object] | None = None  # told where the listening socket itself has failed
+        self.on_backlog: Callable[[bool], None] = lambda waiting: (
+            None
+        )  # told whether some are left unaccepted
 
     async def start(
         self, loop: asyncio.AbstractEventLoop, host: str, port: int, shared: socket.socket | None = None
@@ -142,13 +145,17 @@
                 return
             if not self._take():
                 return
+        self.on_backlog(True)
 
     def _take(self) -> bool:
         """Accept one connection; False if there is none, or no descriptor for it."""
         assert self._socket is not None and self._loop is not None
         try:
             made, peer = self._socket.accept()
-        except (BlockingIOError, InterruptedError):
+        except BlockingIOError:
+            self.on_backlog(False)
+            return False
+        except InterruptedError:
             return False
         except OSError as error:
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
@@ -168,7 +175,7 @@
         if self._door is not None and not self._let_in(made, host):
             return True
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        task = self._loop.create_task(self._open(made, host))
+        task = self._loop.create_task(self._open(self._guest(self), made, host))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
         return True
@@ -207,10 +214,9 @@
                     return True
         return False
 
-    async def _open(self, made: socket.socket, host: str) -> None:
+    async def _open(self, guest: Guest, made: socket.socket, host: str) -> None:
         assert self._loop is not None
         loop = self._loop
-        guest = self._guest(self)
         if self._door is not None:
             self._hosts[guest] = host
         try:
@@ -221,6 +227,7 @@
             self.lost(guest)
 
     def _pause(self) -> None:
+        self.on_backlog(True)
         if self._socket is not None and self._loop is not None and self._accepting:
             self._loop.remove_reader(self._socket.fileno())
             self._loop.call_later(PAUSE_S, self._go_on)
--- a/hollyport/http/message.py
+++ b/hollyport/http/message.py
@@ -48,7 +48,7 @@
     """One request as it came, and where its one answer goes."""
 
     __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "request_id",
-                 "_head", "length", "terms", "flow", "old")  # fmt: skip
+                 "_head", "length", "terms", "flow", "old", "sent_after")  # fmt: skip
 
     def __init__(self, connection: Answering) -> None:
         self.connection = connection
@@ -62,6 +62,7 @@
         self.terms: Terms | None = None  # read from the head alone, where the body is too large to wait for
         self.flow: Flow | None = None  # the body, where it goes on while it comes
         self.old = False  # HTTP/1.0
+        self.sent_after: float | None = None  # its first byte was sent later than this, where that is known
 
     def header(self, name: bytes) -> bytes | None:
         """The first header of this lower-case name."""
--- a/mesh/control/key_grants.py
+++ b/mesh/control/key_grants.py
@@ -6,7 +6,7 @@
 
 from mesh.control.context import CLAIM_TIMEOUT_S, Context
 from mesh.control.heartbeats import Heartbeats
-from mesh.state.idempotency import GrantRow, OperationStatus, Registry, grant_to_row
+from mesh.state.idempotency import MAX_REQUEST_AGE_S, GrantRow, OperationStatus, Registry, grant_to_row
 from mesh.transport.connection import PeerConnection
 from mesh.transport.messages import ClaimAnswer, ClaimKey, CurrentVoters, FreeKey, KeyBroken, KeyDone
 
@@ -27,7 +27,7 @@
 
     def __init__(self, context: Context, heartbeats: Heartbeats) -> None:
         self._context, self._heartbeats = context, heartbeats
-        self.registry = Registry(context.settings.bound("key_window", 60.0))
+        self.registry = Registry(context.settings.bound("key_window", 60.0) + MAX_REQUEST_AGE_S)
         self._pending: list[PendingClaim] = []
 
     # --- disk
--- a/mesh/planner.py
+++ b/mesh/planner.py
@@ -16,6 +16,7 @@
 from expression import Error, Ok, Result
 
 from mesh.control.ballot import initial_voters
+from mesh.state.idempotency import MAX_REQUEST_AGE_S
 from mesh.state.quorum import majority
 
 MAX_MEASURED_SIDECARS = 300
@@ -96,7 +97,7 @@
 CONTROLLER_CONNECTIONS = Curve(0.0, 1.0)
 # Results of benchmarks/claims.py.
 CLAIM_CPU_S = 38e-6  # of a controller, per call with a key from claim to completion
-CLAIM_MEMORY_BYTES = 1058  # held for `key_window`
+CLAIM_MEMORY_BYTES = 1058  # held for `key_window` and `MAX_REQUEST_AGE_S`
 CLAIM_TRAFFIC_BYTES = 674  # received and sent
 BITS_PER_BYTE, MEGA = 8, 1e6
 CLIENT_FRACTION = 0.5  # of a sidecar's descriptors that is reserved for clients
@@ -154,7 +155,7 @@
 
 def _requirements(fleet: Fleet, voters: int) -> Iterator[Requirement]:
     claims = fleet.keyed_calls * majority(voters) / voters  # at each voter
-    claims_mb = claims * CLAIM_MEMORY_BYTES * fleet.key_window_s / MEGA
+    claims_mb = claims * CLAIM_MEMORY_BYTES * (fleet.key_window_s + MAX_REQUEST_AGE_S) / MEGA
     link_bytes = fleet.controller_link_mbps * MEGA / BITS_PER_BYTE
     peer_descriptors = fleet.sidecar_descriptors * (1 - CLIENT_FRACTION)
     rows = (
--- a/mesh/proxy/body_receiver.py
+++ b/mesh/proxy/body_receiver.py
@@ -22,7 +22,8 @@
     """A call whose body is being received."""
 
     call: Call
-    started_at: float
+    started_at: float  # by the time of the event loop
+    received_at: float  # of the call, by the monotonic clock
     chunks: list[bytes] = field(default_factory=list)
 
     @property
@@ -66,7 +67,7 @@
         if self.receive_window.expected_transfer_s(call.size) > timeout_s:
             self._on_reject(connection, number, call)
             return
-        self.bodies[call_id] = IncomingBody(call, now)
+        self.bodies[call_id] = IncomingBody(call, now, self._context.monotonic())
         self._context.open_calls += 1
         self.receive_window.add(now, call_id, call.size)
         self._context.loop.call_later(timeout_s, self.expire, call_id)
@@ -109,6 +110,7 @@
             remaining_s=call.remaining_s - elapsed_s,
             target_s=call.target_s - elapsed_s,
             size=0,
+            age_s=None if call.age_s is None else call.age_s + self._context.monotonic() - body.received_at,
         )
         self._on_complete(connection, message.number, complete_call)
 
--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -44,6 +44,8 @@
     def on_forward(self, connection: PeerConnection, request: Forward) -> None:
         """Handles a call of another sidecar."""
         number, call = request.number, request.call
+        if call.age_s is not None:
+            call = msgspec.structs.replace(call, age_s=self._age_s(connection, call, call.age_s))
         if not call.size:
             self._run_remote(connection, number, call)
         elif not self._queue.open or call.service != self._context.settings.service:
@@ -51,6 +53,16 @@
         else:
             self.bodies.fetch(connection, number, call, _max_wait_s(call))
 
+    def _age_s(self, connection: PeerConnection, call: Call, age_s: float) -> float:
+        """Returns the most time since the client of a call that is read now sent its request.
+
+        `age_s` is that when the call was sent, which cannot have been before the connection was opened.
+        """
+        sent_after = connection.opened_after
+        if call.sent_at is not None:
+            sent_after = max(sent_after, call.sent_at)
+        return age_s + max(0.0, self._context.monotonic() - sent_after)
+
     def on_cancel(self, connection: PeerConnection, message: Cancel) -> None:
         """Handles the cancellation of a call of another sidecar."""
         call_id = (connection, message.number)
@@ -140,7 +152,9 @@
         if call.repeatable:
             job.on_overdue, job.repeatable = on_overdue, True
         if call.key:
-            self.claim(call_id[1], call.key, token, call.remaining_s, _claim_timeout_s(call), job, on_answer)
+            sent_after = context.monotonic() - (call.age_s or 0.0)
+            timeout_s = _claim_timeout_s(call)
+            self.claim(call_id[1], call.key, token, call.remaining_s, timeout_s, job, on_answer, sent_after)
         else:
             self.jobs[call_id] = job
             queue.submit(job)
@@ -200,11 +214,13 @@
         timeout_s: float,
         job: Job,
         on_answer: OnAnswer,
+        sent_after: float,
     ) -> None:
         """Claims an idempotency key and submits the job once enough controllers have granted it.
 
-        If that takes too long, as during a network partition, the call is rejected so that another sidecar
-        can try, and for a while further calls with keys are rejected at once.
+        The client sent its request later than `sent_after`, by the monotonic clock. If the claim takes too
+        long, as during a network partition, the call is rejected so that another sidecar can try, and for a
+        while further calls with keys are rejected at once.
         """
 
         def on_decision(verdict: ClaimDecision, answer: Any) -> None:
@@ -223,7 +239,7 @@
             self._context.open_calls -= 1
             on_answer(ForwardAnswer.failed(number, ErrorKind.REFUSED))
         else:
-            self._key_claims.claim(key, token, remaining_s, timeout_s, on_decision)
+            self._key_claims.claim(key, token, remaining_s, timeout_s, on_decision, sent_after)
 
     def close_key(self, key: str, token: str, error: ErrorKind | None, reply: Reply | None) -> None:
         """Reports the result of the operation of a key to the controllers."""
--- a/mesh/proxy/context.py
+++ b/mesh/proxy/context.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from mesh.settings import Settings
+from mesh.transport.read_clock import ReadClock
 
 
 class ProxyContext:
@@ -16,6 +17,7 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.loop = asyncio.get_running_loop()
+        self.read_clock = ReadClock(self.loop, self.monotonic)
         self.node_name = settings.name
         self.incarnation = time.time_ns() // 1_000_000  # greater in each later process of this node
         self.random: Callable[[], float] = random.random
@@ -30,6 +32,10 @@
         """Returns the event loop's time."""
         return self.loop.time()
 
+    def monotonic(self) -> float:
+        """Returns the monotonic clock, which the event loop's time may trail while the loop is busy."""
+        return time.monotonic()
+
     def next_number(self) -> int:
         """Returns a number that is unique in this process."""
         self._last_number += 1
--- a/mesh/proxy/control_client.py
+++ b/mesh/proxy/control_client.py
@@ -66,7 +66,12 @@
         self._incarnations: dict[str, int] = {}  # by controller
         self._forgotten: dict[str, int] = {}  # by controller: the incarnation that others have forgotten
         self.key_claims = KeyClaims(
-            context.loop, self.connections, self._zones, settings.zone, context.next_number
+            context.loop,
+            self.connections,
+            self._zones,
+            settings.zone,
+            context.next_number,
+            context.monotonic,
         )
 
     def start(self) -> None:
--- a/mesh/proxy/forwarder.py
+++ b/mesh/proxy/forwarder.py
@@ -182,6 +182,7 @@
     def _call(self, request: PendingRequest, attempt: Attempt) -> Call:
         """Returns the message that carries a request to the sidecar beside a server."""
         message, now = request.message, self._context.now()
+        connection = self._directory.connections.get(attempt.endpoint.node)
         dropped = _connection_headers(message) | REPLACED_HEADERS
         return Call(
             service=request.service,
@@ -200,6 +201,8 @@
             past_target=request.past_target,
             size=len(attempt.body),
             priority=request.route.priority,
+            age_s=self._context.monotonic() - request.sent_after if request.key else None,
+            sent_at=connection.earliest_peer_time() if request.key and connection is not None else None,
         )
 
     def finish_attempt(self, answer: ForwardAnswer) -> None:
--- a/mesh/proxy/ingress.py
+++ b/mesh/proxy/ingress.py
@@ -12,6 +12,7 @@
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.control_client import ControlClient
 from mesh.proxy.forwarder import Forwarder
+from mesh.proxy.key_claims import MAX_CLAIM_AGE_S
 from mesh.proxy.pending_request import PendingRequest
 from mesh.proxy.request_age import RequestAges
 from mesh.proxy.weighted_split import WeightedSplit
@@ -45,6 +46,9 @@
         parsed = self._parse(message, route)
         if parsed.is_error():
             forwarder.answer_error(message, parsed.error, route=route.name)
+        elif parsed.ok.key and self._context.monotonic() > parsed.ok.sent_after + MAX_CLAIM_AGE_S:
+            # A first request with its key may have been forgotten since its client sent it.
+            forwarder.answer_error(message, ErrorKind.REFUSED, route.target_s, route.name)
         else:
             forwarder.submit(parsed.ok)
 
@@ -66,7 +70,7 @@
             age_s = self._ages_of(route).age(timeout_s, route.timeout_s)
         if len(message.body) > self._control.table.limits.max_body_bytes:
             return Error(ErrorKind.TOO_LARGE)
-        now = self._context.now()
+        now, sent_after = self._context.now(), message.sent_after
         remaining_s = min(remaining_s, self._context.shutdown_deadline - now)
         return Ok(
             PendingRequest(
@@ -79,6 +83,7 @@
                 offered_until=now + remaining_s * OFFER_FRACTION,
                 is_retry=age_s > RETRY_AGE_S,
                 past_target=age_s >= route.target_s,
+                sent_after=self._context.monotonic() if sent_after is None else sent_after,
             )
         )
 
--- a/mesh/proxy/key_claims.py
+++ b/mesh/proxy/key_claims.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from mesh.state.idempotency import Claim, ClaimDecision, OperationStatus
+from mesh.state.idempotency import MAX_REQUEST_AGE_S, Claim, ClaimDecision, OperationStatus
 from mesh.state.quorum import NO_VOTERS, Voters
 from mesh.transport.connection import PeerConnection, pack
 from mesh.transport.messages import ClaimAnswer, ClaimKey, FreeKey, KeyBroken, KeyDone, Message
 
 ROUND_TIMEOUT_S = 1.0  # after which a round of a claim is void
+MAX_CLAIM_AGE_S = MAX_REQUEST_AGE_S - ROUND_TIMEOUT_S  # age of a request from which on no round is started
 MIN_TIMEOUT_S = 0.01
 HEDGE_DELAY_S = 0.02  # without a verdict by then, all controllers are queried, not only the nearest
 PAUSE_S = 0.25  # during which no claim is tried after one has timed out
@@ -25,15 +26,25 @@
 
 
 class ClaimAttempt:
-    """One claim. It starts a new round whenever the voters change."""
+    """One claim. It starts a new round whenever the voters change.
+
+    Its request was sent later than `sent_after`, by the monotonic clock.
+    """
 
     def __init__(
-        self, claims: KeyClaims, key: str, token: str, remaining_s: float, on_decision: OnDecision
+        self,
+        claims: KeyClaims,
+        key: str,
+        token: str,
+        remaining_s: float,
+        on_decision: OnDecision,
+        sent_after: float,
     ) -> None:
         self._claims, self._key, self._token, self._on_decision = claims, key, token, on_decision
+        self._sent_after = sent_after
         self._deadline = claims.loop.time() + remaining_s
         self._number = 0
-        self._claim = Claim(0, 0, claims.loop.time(), ROUND_TIMEOUT_S)
+        self._claim = Claim(0, 0, claims.monotonic(), ROUND_TIMEOUT_S)
         self._packed = b""
         self._ordered_voters: list[str] = []
         self._queried: list[str] = []
@@ -56,8 +67,12 @@
         claims.pending.pop(self._number, None)
         self._number = claims.next_number()
         claims.pending[self._number] = self
+        if claims.monotonic() > self._sent_after + MAX_CLAIM_AGE_S:
+            claims.too_old += 1
+            self._end(ClaimDecision.TOO_OLD)
+            return
         voters = claims.voters
-        self._claim = Claim(len(voters.names), voters.write_quorum, loop.time(), ROUND_TIMEOUT_S)
+        self._claim = Claim(len(voters.names), voters.write_quorum, claims.monotonic(), ROUND_TIMEOUT_S)
         remaining_s = self._deadline - loop.time() + GRANT_MARGIN_S
         self._packed = pack(ClaimKey(self._number, self._key, self._token, remaining_s, max(1, voters.epoch)))
         self._ordered_voters = claims.nearest_first()
@@ -118,9 +133,12 @@
             return
         if self._claim.has_refusal and len(self._queried) < len(self._ordered_voters):
             self._query(self._ordered_voters)
-        verdict = self._claim.decision(self._claims.loop.time())
-        if verdict == ClaimDecision.WAIT:
-            return
+        verdict = self._claim.decision(self._claims.monotonic())
+        if verdict != ClaimDecision.WAIT:
+            self._end(verdict)
+
+    def _end(self, verdict: ClaimDecision) -> None:
+        """Reports the verdict."""
         del self._claims.pending[self._number]
         for timer in self._timers:
             timer.cancel()
@@ -139,18 +157,15 @@
         zones: Mapping[str, str],
         zone: str,
         next_number: Callable[[], int],
+        monotonic: Callable[[], float],
     ) -> None:
-        self.loop, self.connections, self._zones, self._zone, self.next_number = (
-            loop,
-            connections,
-            zones,
-            zone,
-            next_number,
-        )
+        self.loop, self.connections, self._zones, self._zone = loop, connections, zones, zone
+        self.next_number, self.monotonic = next_number, monotonic
         self.voters: Voters = NO_VOTERS
         self.pending: dict[int, ClaimAttempt] = {}
         self._queried: dict[str, list[str]] = {}  # by token of a running operation: the controllers queried
         self.timed_out = 0  # number of claims
+        self.too_old = 0  # number of claims that were refused for the age of their requests
         self._paused_until = 0.0  # while the controllers seem unreachable
 
     def nearest_first(self) -> list[str]:
@@ -168,10 +183,20 @@
         self._paused_until = self.loop.time() + PAUSE_S
 
     def claim(
-        self, key: str, token: str, remaining_s: float, timeout_s: float, on_decision: OnDecision
+        self,
+        key: str,
+        token: str,
+        remaining_s: float,
+        timeout_s: float,
+        on_decision: OnDecision,
+        sent_after: float,
     ) -> None:
-        """Claims a key within `timeout_s` for a call that has `remaining_s` left."""
-        ClaimAttempt(self, key, token, remaining_s, on_decision).start(
+        """Claims a key within `timeout_s` for a call that has `remaining_s` left.
+
+        Its client sent the request later than `sent_after`, by the monotonic clock. Controllers remember the
+        grant of an earlier request only for so long, so no claim of an old one is made.
+        """
+        ClaimAttempt(self, key, token, remaining_s, on_decision, sent_after).start(
             min(timeout_s, max(MIN_TIMEOUT_S, remaining_s))
         )
 
--- a/mesh/proxy/pending_request.py
+++ b/mesh/proxy/pending_request.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True, eq=False)
 class PendingRequest:
-    """A request received by this sidecar. Times are those of the event loop, in seconds."""
+    """A request received by this sidecar. Times are those of the event loop, in seconds, unless stated."""
 
     message: Request
     route: Route
@@ -23,6 +23,7 @@
     offered_until: float  # no further server is offered the request after this
     is_retry: bool = False  # whether its client has already spent time on it
     past_target: bool = False  # whether its target latency has already passed
+    sent_after: float = 0.0  # by the monotonic clock: its client sent it later than this
     attempt_id: bytes = b""
     key: str = ""  # idempotency key; empty if its route uses none
     tried: list[Endpoint] = field(default_factory=list)
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -125,17 +125,19 @@
         self._server = await connection.listen(
             settings.peer_address,
             self.on_message,
-            self._callers.add,
+            self.on_caller_connected,
             self.on_caller_disconnected,
             connection.IDLE_PING_INTERVAL_S,
         )
         self.directory.start()
+        self.context.read_clock.start()
         open_server, max_connections = http_server.open_http_server, MAX_LOCAL_CONNECTIONS
         self._outbound = await open_server(
             settings.outbound,
             self.ingress.serve,
             self.forwarder.on_client_disconnected,
             settings.max_fds // 2,
+            self.context.read_clock,
         )
         await open_server(settings.control, self.heartbeats.serve, None, max_connections)
         await open_server(settings.ready, self.readiness, None, max_connections)
@@ -197,6 +199,12 @@
         if handler is not None:
             handler(peer, message)
 
+    def on_caller_connected(self, peer: PeerConnection) -> None:
+        """Registers a connection that another sidecar has made, and tells it this process's clock."""
+        self._callers.add(peer)
+        peer.opened_after = self.context.read_clock.received_after()
+        peer.send_timestamp()
+
     def on_caller_disconnected(self, peer: PeerConnection) -> None:
         """Cleans up after a connection that another sidecar had made."""
         self._callers.discard(peer)
--- a/mesh/proxy/sidecar_figures.py
+++ b/mesh/proxy/sidecar_figures.py
@@ -56,3 +56,4 @@
     yield gauge("mesh_voters_epoch", "The epoch of the voters whose grants count.", claims.voters.epoch)
     yield gauge("mesh_key_claims_open", "Claims of keys without a verdict.", len(claims.pending))
     yield counter("mesh_key_claims_timed_out", "Claims that took too long.", claims.timed_out)
+    yield counter("mesh_key_claims_too_old", "Claims refused as their requests were old.", claims.too_old)
--- a/mesh/state/idempotency.py
+++ b/mesh/state/idempotency.py
@@ -3,7 +3,11 @@
 A claim is a lock by quorum. Each controller grants a key to the first token that it has written to disk, and
 withdraws a grant only at the request of the holder of that token, who knows that nothing ran with it. A token
 that was granted by a quorum may run, where any two quorums share a controller; no second token ever reaches a
-quorum within the retention window. Times are seconds of one clock; messages carry ages, never times of day.
+quorum within the retention time. Times are seconds of one clock; messages carry ages, never times of day.
+
+Two requests with one key are one operation if the second is sent within the key window after the first. The
+second may be claimed later than it was sent, as a process or a connection may stand still meanwhile. So a key
+is retained for `MAX_REQUEST_AGE_S` longer than the window, and no request older than that is granted one.
 """
 
 from __future__ import annotations
@@ -17,6 +21,7 @@
 NO_TOKEN = ""  # a token that no claimant has
 PART_BYTES = 128 * 1024  # approximate size of one part of a grant transfer
 ROW_BYTES = 160  # approximate size of a grant without its response
+MAX_REQUEST_AGE_S = 10.0  # time since its client sent it after which a request is granted no key
 FREED_RETENTION_S = 30.0  # how long a freed token is remembered: peers may send rows from before its release
 
 
@@ -80,10 +85,10 @@
 
 
 class Registry:
-    """The grants of one controller."""
+    """The grants of one controller, each kept for `retention_s`."""
 
-    def __init__(self, window_s: float) -> None:
-        self._window = window_s
+    def __init__(self, retention_s: float) -> None:
+        self._retention_s = retention_s
         self._grants: OrderedDict[str, Grant] = OrderedDict()  # in the order of their first grant
         self._freed: OrderedDict[tuple[str, str], float] = OrderedDict()  # by key and token: remembered until
 
@@ -107,7 +112,7 @@
         if grant is not None:
             return grant, False
         grant = self._grants[key] = Grant(
-            token, OperationStatus.CLAIMED, now + left_s, now + max(self._window, left_s)
+            token, OperationStatus.CLAIMED, now + left_s, now + max(self._retention_s, left_s)
         )
         return grant, True
 
@@ -116,7 +121,7 @@
         grant = self.get(now, key)
         if grant is not None and grant.status == OperationStatus.DONE:
             return False
-        expires_at = grant.expires_at if grant is not None else now + self._window
+        expires_at = grant.expires_at if grant is not None else now + self._retention_s
         self._grants[key] = Grant(token, OperationStatus.DONE, now, expires_at, response)
         return True
 
@@ -220,6 +225,7 @@
     AT_WORK = 3  # another claimant runs the operation
     LOST = 4  # the operation may have run, and its response is lost
     AGAIN = 5  # nobody holds a quorum and too few controllers were free: release and retry
+    TOO_OLD = 6  # the request is so old that the grant of an earlier one may have been forgotten
 
 
 @dataclass
--- a/mesh/transport/connection.py
+++ b/mesh/transport/connection.py
@@ -10,8 +10,10 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import socket
+import time
 from collections.abc import Callable, Iterator
 from typing import Any, cast
 
@@ -21,6 +23,7 @@
 from mesh.figures import OTHER_LABEL, Labels, MetricFamily, MetricKind
 from mesh.settings import Address
 from mesh.transport.messages import KINDS, Message, Ping, Pong, decode, encode
+from mesh.transport.peer_clock import PeerClock
 
 MAX_MESSAGE_BYTES = 80 << 20
 PING_INTERVAL_S = 1.0  # silence after which the peer is pinged
@@ -108,6 +111,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self.open = False
         self.peer: Any = None  # identifies the peer; set by the owner
+        self.opened_after = -math.inf  # by the monotonic clock, where the owner knows it
+        self._peer_clock = PeerClock()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -166,8 +171,8 @@
         if silence_s >= ping_interval_s * PEER_TIMEOUT_S / PING_INTERVAL_S:
             self.abort()
             return
-        if silence_s >= ping_interval_s * 0.95:
-            self.send(Ping())
+        if silence_s >= ping_interval_s * 0.95 or self._peer_clock.needs_timestamp(time.monotonic()):
+            self.send_timestamp()
         self._timer = self._loop.call_later(ping_interval_s, self._check_alive)
 
     def data_received(self, data: bytes) -> None:
@@ -199,9 +204,12 @@
 
     def _dispatch(self, message: Message | None) -> None:
         """Handles one message; None stands for a message kind of a newer version."""
-        if isinstance(message, Ping):
-            self.send(Pong())
-        elif message is not None and not isinstance(message, Pong):
+        if isinstance(message, Ping | Pong):
+            if message.sent_at is not None:
+                self._peer_clock.on_timestamp(time.monotonic(), message.sent_at)
+            if isinstance(message, Ping):
+                self.send(Pong(time.monotonic()))
+        elif message is not None:
             try:
                 self._on_message(self, message)
             except Exception:
@@ -227,6 +235,14 @@
         if self._transport is not None and frames and not self._transport.is_closing():
             self._transport.write(frames[0] if len(frames) == 1 else b"".join(frames))
 
+    def send_timestamp(self) -> None:
+        """Pings the peer, which thereby learns this process's clock, and answers with its own."""
+        self.send(Ping(time.monotonic()))
+
+    def earliest_peer_time(self) -> float | None:
+        """Returns a time that the peer's monotonic clock has reached, or None if it has sent no timestamp."""
+        return self._peer_clock.earliest(time.monotonic())
+
     def unsent_bytes(self) -> int:
         """Returns the number of buffered bytes that the kernel has not accepted yet."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
--- a/mesh/transport/messages.py
+++ b/mesh/transport/messages.py
@@ -432,6 +432,10 @@
     past_target: bool = False  # whether its target latency has passed
     size: int = 0  # bytes of a body that is sent separately, in chunks
     priority: int = 0  # of its route; 0 is the highest
+    # Only with a key: the most time since the client sent the request, and the time of sending, by a lower
+    # bound on the receiver's monotonic clock, if its clock is known. None from older versions.
+    age_s: float | None = None
+    sent_at: float | None = None
 
 
 class Forward(Message, frozen=True, tag=50):
@@ -514,10 +518,14 @@
 class Ping(Message, frozen=True, tag=0):
     """Keepalive request."""
 
+    sent_at: float | None = None  # by the sender's monotonic clock; None from older versions
+
 
 class Pong(Message, frozen=True, tag=1):
     """Response to `Ping`."""
 
+    sent_at: float | None = None  # by the sender's monotonic clock; None from older versions
+
 
 def kind_of(message: type[Message]) -> int:
     """Returns the tag of a message class."""
--- a/rehearsal/mesh/field.py
+++ b/rehearsal/mesh/field.py
@@ -24,7 +24,8 @@
 
 SOCKETS = 1024
 GRACE_S = 4.0  # from SIGTERM to the end
-BOUNDS = [f"grace={GRACE_S:g}s", "retry_ratio=0.2", "retry_window=10s", "retry_slack=5", "key_window=600s"]
+BOUNDS = [f"grace={GRACE_S:g}s", "retry_ratio=0.2", "retry_window=10s", "retry_slack=5"]
+KEY_WINDOW_S = 600.0
 SERVICES = ("ferry", "till")
 ERRORS = ("Traceback", "could not be handled")  # in a log: a fault of the program
 DOORS = ("connection", "control", "outbound", "ready", "app", "behind")
@@ -85,9 +86,16 @@
     """All machines."""
 
     def __init__(
-        self, folder: Path, history: History, controllers: int = 3, pairs: int = 2, relayed: bool = False
+        self,
+        folder: Path,
+        history: History,
+        controllers: int = 3,
+        pairs: int = 2,
+        relayed: bool = False,
+        key_window_s: float = KEY_WINDOW_S,
     ) -> None:
         self._folder, self._history = folder, history
+        self._bounds = [*BOUNDS, f"key_window={key_window_s:g}s"]
         self._first = True
         self._struck: list[asyncio.subprocess.Process] = []
         self.relay = Relay() if relayed else None
@@ -110,7 +118,7 @@
             "port_range": [machine.port("connection")] * 2,
             "seed_list": [controller.at("control") for controller in self.controllers],
             "first_start": self._first,
-            "bound_set": BOUNDS,
+            "bound_set": self._bounds,
         }
         doors = ["control"]
         if machine.role == "controller":
--- a/tests/mesh/calls_world.py
+++ b/tests/mesh/calls_world.py
@@ -27,6 +27,7 @@
 from mesh.state import configuration
 from mesh.transport.http_server import HttpConnection, HttpServer
 from mesh.transport.messages import SidecarRecord
+from mesh.transport.read_clock import ReadTimes
 
 PEER_PORT, OUTBOUND_PORT, SERVER_PORT = 7000, 80, 9000
 SERVICE_S = 0.02  # service time of a call
@@ -296,15 +297,17 @@
     serve: Callable[..., None],
     hangup: Callable[..., None] | None = None,
     max_connections: int = 64,
+    read_clock: ReadTimes | None = None,
 ) -> HttpServer:
     """Replaces `mesh.transport.http_server.open_http_server`, without a socket."""
     import asyncio
 
     loop = asyncio.get_running_loop()
-    server = HttpServer(serve, hangup or (lambda message: None))
+    server = HttpServer(serve, hangup or (lambda message: None), read_clock)
     server.listener = listener = Listener(
         lambda taken: HttpConnection(taken, loop, server), max_connections, max_connections
     )
     listener._loop = loop
+    server.on_backlog(False)
     await loop.create_server(lambda: HttpConnection(listener, loop, server), address.host, address.port)
     return server
--- a/tests/mesh/mesh_world.py
+++ b/tests/mesh/mesh_world.py
@@ -136,7 +136,7 @@
             monotonic=lambda: self.now,
         )
         http_servers = SimpleNamespace(open_http_server=open_http_server, HttpServer=HttpServer)
-        for module in (context, heartbeats, proxy_context):
+        for module in (context, heartbeats, proxy_context, connection):
             self._patch.setattr(module, "time", clock)
         for module in (controllers, sidecars):
             self._patch.setattr(module, "http_server", http_servers)
@@ -485,8 +485,9 @@
 
     # --- claimants
 
-    def claim(self, name: str, key: str, left_s: float = 8.0) -> list[str]:
-        """Claims a key with a claimant's real code; the outcome is appended to the returned list."""
+    def claim(self, name: str, key: str, left_s: float = 8.0, age_s: float = 0.0) -> list[str]:
+        """Claims a key with a claimant's real code for a request that was sent `age_s` ago; the outcome is
+        appended to the returned list."""
         process = self.machines[name].process
         assert process is not None
         sidecar = process.role
@@ -514,7 +515,7 @@
         def begin() -> None:
             sidecar.server_queue.submit = submit
             job = SimpleNamespace(token=token, outcome=outcome)
-            sidecar.calls.claim(0, key, token, left_s, 1.0, job, tell)
+            sidecar.calls.claim(0, key, token, left_s, 1.0, job, tell, self.now - age_s)
 
         if self.trace:
             self.say(token, f"claims {key}")
--- a/tests/mesh/test_mesh_rounds.py
+++ b/tests/mesh/test_mesh_rounds.py
@@ -42,7 +42,7 @@
 from mesh.proxy.call_runner import CallRunner
 from mesh.proxy.control_client import ControlClient
 from mesh.state import configuration
-from mesh.state.ballots import INITIAL_BALLOT, Ballot, Draft
+from mesh.state.ballots import Ballot, Draft
 from mesh.state.configuration import Item
 from mesh.state.idempotency import Grant, OperationStatus, Registry
 from mesh.state.quorum import Voters, WriteLease
@@ -100,6 +100,7 @@
             limit_s: float,
             job: Any,
             tell: Any,
+            sent_after: float,
         ) -> None:
             def heard(told: messages.ForwardAnswer) -> None:
                 if not told.error:
@@ -109,7 +110,7 @@
                         self.errors.append(f"a repeat of {key} got {body!r}, not {self.answers.get(key)!r}")
                 tell(told)
 
-            claim(calls, number, key, token, left_s, limit_s, job, heard)
+            claim(calls, number, key, token, left_s, limit_s, job, heard, sent_after)
 
         @wraps(take)
         def taken(control: ControlClient, items: Iterable[Item]) -> None:
@@ -485,12 +486,19 @@
     play(seed)
 
 
+async def send_until_taken(world: World, body: bytes) -> int:
+    """Sends a change to one controller again while it is refused for want of contact; returns the status."""
+    while True:
+        status, _ = await world.ask(world.controllers[0], b"PATCH", body)
+        if status != 503:
+            return status
+        await asyncio.sleep(0.05)
+
+
 async def power_loss_before_write(world: World) -> None:
     """Cuts power of all controllers while a change is only in a controller's memory."""
     await ready(world)
-    status = asyncio.ensure_future(
-        world.ask(world.controllers[0], b"PATCH", change((), [route("x", 1, "/p/")]))
-    )
+    status = asyncio.ensure_future(send_until_taken(world, change((), [route("x", 1, "/p/")])))
     process = world.machines[world.sidecars[0]].process
     assert process is not None
 
@@ -502,13 +510,11 @@
         )
 
     while not found(lambda controller: controller.agreement.replica.open_draft is not None):
-        await asyncio.sleep(0.0005)
-        if found(lambda controller: controller.agreement.replica.active_ballot != INITIAL_BALLOT):
-            world.sync_s = (0.5, 0.6)  # promises are on disk, the change is not
+        await asyncio.sleep(0.0005)  # less than a sync takes: the draft is on no disk yet
     for name in world.controllers:
+        assert not any(b"route/x" in batch for batch in world.machines[name].disk.synced)
         world.power_off(name, 0.3)
-    world.sync_s = (0.002, 0.006)
-    assert (await status)[0] == 0
+    assert await status == 0
     assert await until(lambda: world.caught_up_controllers() == world.controllers)
     await asyncio.sleep(AGREE_S)
     if "route/x" in process.role.items and not found(lambda controller: "route/x" in controller.items):
