A sidecar sends nothing to a server whose service no heartbeat has told

Callers saw: captures, allowed at `payments` only, were run by a server of `pricing` and answered with 200: 513 in 70 s, from 5 s after that server had started at the address of a payments server that had crashed.

Cause: `ServerHeartbeats.adopt_instance` took any instance id that a server at the address gave, without asking for its service. It was called with the id of a 421 (`ServerQueue._on_end`) and, after a start of the sidecar, with that of the health page (`Sidecar._on_table_changed`). `X-Expect-Instance` then named the stranger, which ran what it was sent. Evidence: in the record of the case the stranger turns one request away with 421 and runs the next ones, while its heartbeats are answered with 400 as those of another service.

Change: only a heartbeat names a service, so an id from any other answer counts only if a heartbeat with it has named this service. An id is never used by a second server, so this stays true: the controllers remember the last server that each sidecar has registered, on disk, and tell a sidecar that has started again (`KnownServer`). Beside its own server it serves at once, as before, also after all processes were killed; beside a stranger it waits for a heartbeat. After a 421 other sidecars now hear at once that the server is gone.

`test_a_deleted_instance...` calls the renamed method, with the id confirmed, so that only its end keeps the server out.

--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -18,6 +18,8 @@
 from mesh.control.elections import Reconfiguration
 from mesh.control.heartbeats import Heartbeats
 from mesh.control.key_grants import KeyGrants
+from mesh.control.known_servers import RECORD_KIND as SERVER_RECORD
+from mesh.control.known_servers import KnownServers
 from mesh.control.lease import HEARTBEAT_FRACTION
 from mesh.control.peers import Peers
 from mesh.control.publisher import Publisher
@@ -51,8 +53,14 @@
         self.elections = Reconfiguration(
             context, self.peers, self.heartbeats, self.learn_voters, lambda: self.publisher.any_old
         )
+        self.known_servers = KnownServers(context)
         self.publisher = Publisher(
-            context, self.peers, self.agreement, self.heartbeats, self.elections.current_voters
+            context,
+            self.peers,
+            self.agreement,
+            self.heartbeats,
+            self.known_servers,
+            self.elections.current_voters,
         )
         self.recovery = Recovery(
             context,
@@ -130,6 +138,7 @@
         yield from self.context.member.records()
         yield from self.agreement.replica.records()
         yield from self.grants.records()
+        yield from self.known_servers.records()
 
     def metrics(self) -> Iterable[MetricFamily]:
         """Returns the metrics of this process."""
@@ -142,6 +151,7 @@
             self.elections,
             self.publisher,
             self.recovery,
+            self.known_servers,
             self.api,
         )
 
@@ -177,6 +187,8 @@
                 self.agreement.load(record)
             elif kind in ("voters", "whole", "ballot"):
                 self.context.member.load(record)
+            elif kind == SERVER_RECORD:
+                self.known_servers.load(record)
             else:
                 self.grants.load(record)
         self.agreement.finish_loading()
--- a/mesh/control/controller_figures.py
+++ b/mesh/control/controller_figures.py
@@ -10,6 +10,7 @@
 from mesh.control.elections import Reconfiguration
 from mesh.control.heartbeats import Heartbeats
 from mesh.control.key_grants import KeyGrants
+from mesh.control.known_servers import KnownServers
 from mesh.control.peers import Peers
 from mesh.control.publisher import Publisher
 from mesh.control.recovery import Recovery
@@ -25,6 +26,7 @@
     elections: Reconfiguration,
     publisher: Publisher,
     recovery: Recovery,
+    known_servers: KnownServers,
     api: AdminApi,
 ) -> Iterator[MetricFamily]:
     """Yields all metric families of one controller."""
@@ -37,6 +39,7 @@
     yield api.changes.family()
     yield gauge("mesh_sequence", "Changes of the configuration that it holds.", agreement.replica.sequence)
     yield gauge("mesh_items", "Items that it holds, dropped ones too.", len(agreement.copy.items))
+    yield gauge("mesh_servers_remembered", "Sidecars whose last server it knows.", len(known_servers))
     yield gauge("mesh_keys", "Operation keys that it holds.", len(grants.registry))
     yield gauge("mesh_controllers_known", "Other controllers.", len(peers.names))
     yield gauge("mesh_controllers_linked", "Connections to other controllers.", len(peers.connections))
--- a/mesh/control/publisher.py
+++ b/mesh/control/publisher.py
@@ -7,6 +7,7 @@
 from mesh.control.agreement import Agreement
 from mesh.control.context import Context
 from mesh.control.heartbeats import Heartbeats
+from mesh.control.known_servers import KnownServers
 from mesh.control.peers import Peers
 from mesh.state.configuration import EMPTY, Item
 from mesh.state.configuration import Items as ItemTable
@@ -47,11 +48,12 @@
         peers: Peers,
         agreement: Agreement,
         heartbeats: Heartbeats,
+        known_servers: KnownServers,
         current_voters: Callable[[], CurrentVoters],
     ) -> None:
         self._context, self._peers = context, peers
         self._agreement, self._heartbeats = agreement, heartbeats
-        self._current_voters = current_voters
+        self._known_servers, self._current_voters = known_servers, current_voters
         self.acknowledged: dict[str, int] = {}  # by sidecar: number of the last `Items` that it acknowledged
         self._sidecars: dict[PeerConnection, str] = {}
         self._old: set[PeerConnection] = set()  # sidecars of a version without epochs
@@ -105,7 +107,9 @@
             self._digest_capable.add(connection)
         if new_connection:
             self._send_initial_state(connection, message.version)
+            self._send_known_server(connection, record)
         if changed:
+            self._known_servers.learn(record)
             if not self._pending_records:
                 self._context.loop.call_later(RECORD_BATCH_S, self._send_pending_records)
             self._pending_records[record.node] = record
@@ -126,6 +130,12 @@
         elif self._heartbeats.reported_contact:
             connection.send(Digest(self._agreement.copy.digest))
 
+    def _send_known_server(self, connection: PeerConnection, record: SidecarRecord) -> None:
+        """Tells a sidecar that has no server yet which one an earlier incarnation of it has registered."""
+        server = self._known_servers.get(record.node)
+        if server is not None and not record.instance:
+            connection.send(server)
+
     def _endpoints(self) -> Endpoints:
         return Endpoints(tuple(self._records.values()))
 
--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -1,4 +1,8 @@
-"""Heartbeats of a sidecar's local server, and the record that the sidecar publishes."""
+"""Heartbeats of a sidecar's local server, and the record that the sidecar publishes.
+
+Only a heartbeat names the service of a server. An id that a server gives in any other answer is used if a
+heartbeat with that id has named this sidecar's service before, possibly to an earlier incarnation.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +19,7 @@
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.server_queue import ServerQueue
 from mesh.settings import parse_duration
-from mesh.transport.messages import VERSION, SidecarRecord
+from mesh.transport.messages import FIRST_RECORD_NUMBER, VERSION, KnownServer, SidecarRecord
 
 JSON = [(b"Content-Type", b"application/json")]
 INSTANCES_PATH = b"/-/instances/"
@@ -56,8 +60,11 @@
 
     def __init__(self, context: ProxyContext, queue: ServerQueue, on_change: Callable[[], None]) -> None:
         self._context, self._queue, self._on_change = context, queue, on_change
-        self._number = 1  # of the current record within this incarnation
-        queue.on_replaced = self.adopt_instance
+        self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
+        self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
+        self._found = ""  # the id that a server has given last, other than in a heartbeat
+        self.unconfirmed = 0  # number of ids found whose service was not known
+        queue.on_replaced = self._on_replaced
 
     def serve(self, message: Request) -> None:
         """Handles a request to the control address."""
@@ -107,11 +114,39 @@
             self._on_change()
         return None
 
-    def adopt_instance(self, instance: str) -> None:
-        """Adopts an instance id learned from the server, so that a restarted sidecar need not wait for a
-        heartbeat."""
+    # --- ids that a server gives in other answers
+
+    def on_instance_found(self, instance: str) -> None:
+        """Handles the id, or an empty string, that a server at the local server's address has given.
+
+        The server is used at once if its id is known to be of this service, so that a restarted sidecar need
+        not wait for a heartbeat. Another service may use the address by now, so any other id has to wait.
+        """
+        self._found = instance
+        if instance in self._confirmed:
+            self._adopt(instance)
+        elif instance and not self._queue.instance and instance not in self._queue.ended_instances:
+            self.unconfirmed += 1
+            logger.info("found a server of an unknown service, awaiting its heartbeat", instance=instance)
+
+    def on_known_server(self, message: KnownServer) -> None:
+        """Handles the message that an earlier incarnation of this sidecar has registered a server."""
+        if message.service != self._context.settings.service:
+            return
+        self._confirmed.add(message.instance)
+        if message.instance == self._found:
+            self._adopt(message.instance)
+
+    def _on_replaced(self, instance: str) -> None:
+        """Handles the end of the server, at whose address another one with this id answers."""
+        self.on_instance_found(instance)
+        if not self._queue.instance:
+            self._on_change()
+
+    def _adopt(self, instance: str) -> None:
+        """Uses a server of this service before its heartbeat, unless it has ended or there is another one."""
         queue = self._queue
-        if instance and not queue.instance and instance not in queue.ended_instances:
+        if not queue.instance and instance not in queue.ended_instances:
             logger.info("learned the instance id from the server", instance=instance)
             queue.update_server(instance, MAX_STEPS, 0.0, True)
             self._on_change()
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -86,6 +86,7 @@
             messages.NewerLifeKnown: lambda peer, message: self.heartbeats.ensure_newer_than(
                 message.incarnation
             ),
+            messages.KnownServer: lambda peer, message: self.heartbeats.on_known_server(message),
             messages.Endpoints: lambda peer, message: directory.apply_records(message.records),
             messages.RecordChanged: lambda peer, message: directory.apply_records((message.record,)),
             messages.EndpointGone: lambda peer, message: directory.on_endpoint_gone(
@@ -113,7 +114,7 @@
     def metrics(self) -> Iterable[MetricFamily]:
         """Returns the metrics of this process."""
         return sidecar_figures.metrics(
-            self.context, self.control, self.directory, self.forwarder, self.server_queue
+            self.context, self.control, self.directory, self.forwarder, self.server_queue, self.heartbeats
         )
 
     # --- startup and shutdown
@@ -232,7 +233,7 @@
             queue.update_limits(cluster.max_conns)
             if not queue.instance and not self._health_checked:
                 self._health_checked = True
-                queue.probe(cluster.health_path, self.heartbeats.adopt_instance)
+                queue.probe(cluster.health_path, self.heartbeats.on_instance_found)
         if self._outbound is not None:
             limits = table.limits
             self._outbound.update_limits(
--- a/mesh/proxy/sidecar_figures.py
+++ b/mesh/proxy/sidecar_figures.py
@@ -9,6 +9,7 @@
 from mesh.proxy.control_client import ControlClient
 from mesh.proxy.directory import Directory
 from mesh.proxy.forwarder import Forwarder
+from mesh.proxy.server_heartbeats import ServerHeartbeats
 from mesh.proxy.server_queue import ServerQueue
 
 
@@ -18,6 +19,7 @@
     directory: Directory,
     forwarder: Forwarder,
     queue: ServerQueue,
+    heartbeats: ServerHeartbeats,
 ) -> Iterator[MetricFamily]:
     """Returns all metric families of one sidecar."""
     yield from forwarder.counts.metrics()
@@ -25,6 +27,11 @@
     yield gauge("mesh_open_calls", "Calls for the server beside that have not ended.", context.open_calls)
     yield gauge("mesh_leaving", "1 once this sidecar has been told to end.", context.draining)
     yield from _server_metrics(queue)
+    yield counter(
+        "mesh_servers_unconfirmed",
+        "Server ids found beside whose service was not known.",
+        heartbeats.unconfirmed,
+    )
     yield from _control_metrics(control)
     yield gauge("mesh_sidecars_known", "Sidecars with a record, this one too.", len(directory.records))
     yield gauge("mesh_sidecars_linked", "Connections to other sidecars.", len(directory.connections))
--- a/mesh/transport/messages.py
+++ b/mesh/transport/messages.py
@@ -29,6 +29,10 @@
 version 3 `Cancel`, and version 4 `RecordsDigest`."""
 
 
+FIRST_RECORD_NUMBER = 1
+"""Number of the first `SidecarRecord` of each incarnation, which names no server."""
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """Base class of all messages: immutable, and encoded as an array."""
 
@@ -138,6 +142,13 @@
     incarnation: int
 
 
+class KnownServer(Message, frozen=True, tag=27):
+    """Controller to a sidecar that has registered no server: the last one that it had registered before."""
+
+    service: str
+    instance: str
+
+
 class RecordChanged(Message, frozen=True, tag=52):
     """Sidecar to the sidecars that send requests to it: its record has changed."""
 
--- a/rehearsal/mesh/server.py
+++ b/rehearsal/mesh/server.py
@@ -37,10 +37,13 @@
         draw: random.Random,
         work_s: float = WORK_S,
         errs: bool = True,
+        service: str = "",
     ) -> None:
-        """`work_s`: what a run takes, about. `errs`: whether some runs fail or break off."""
-        self._machine, self._history, self._draw = machine, history, draw
+        """`work_s`: what a run takes, about. `errs`: whether some runs fail or break off. `service`: what it
+        belongs to, by default that of the machine."""
+        self.machine, self._history, self._draw = machine, history, draw
         self._work_s, self._errs = work_s, errs
+        self.service = service or machine.service
         self.instance = ""
         self._state = "ready"
         self._free = asyncio.Semaphore(SLOTS)
@@ -53,7 +56,7 @@
         """Begin a life."""
         self.instance = f"i-{self._draw.getrandbits(32):08x}"
         self._state, self._call = "ready", 0
-        host, _, port = self._machine.at("app").rpartition(":")
+        host, _, port = self.machine.at("app").rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port), limit=wire.MOST_HEAD)
         self._beats = asyncio.create_task(self._beat())
 
@@ -61,8 +64,8 @@
         """Tell the sidecar; whether it has acknowledged."""
         self._call += 1
         told = {
-            "service": self._machine.service,
-            "address": self._machine.at("app"),
+            "service": self.service,
+            "address": self.machine.at("app"),
             "revision": "v1",
             "slots": SLOTS,
             "state": self._state,
@@ -73,7 +76,7 @@
 
     async def _tell(self, method: str, body: bytes = b"") -> bool:
         path = f"/-/instances/{self.instance}"
-        answer = await wire.ask(self._machine.at("control"), method, path, body)
+        answer = await wire.ask(self.machine.at("control"), method, path, body)
         return answer is not None and answer.status == 200
 
     async def _beat(self) -> None:
@@ -89,12 +92,17 @@
         await self._tell("DELETE")
         await self.stop()
 
-    async def stop(self) -> None:
-        """End at once."""
+    async def fall_silent(self) -> None:
+        """Send no more heartbeats, and serve on."""
         if self._beats is not None:
             self._beats.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._beats
+            self._beats = None
+
+    async def stop(self) -> None:
+        """End at once."""
+        await self.fall_silent()
         if self._server is not None:
             self._server.close()
         for writer in list(self._open):
@@ -117,7 +125,8 @@
 
     def _refused(self, arrival: Arrival, status: int) -> tuple[bytes, bool]:
         arrival.ran, arrival.status = False, status
-        return wire.answer(status, {"X-Attempt-Id": arrival.attempt, **NOT_RUN}, b"not run\n"), True
+        headers = {"X-Attempt-Id": arrival.attempt, "X-Instance-Id": self.instance, **NOT_RUN}
+        return wire.answer(status, headers, b"not run\n"), True
 
     async def _answer(self, asked: wire.Message) -> tuple[bytes, bool]:
         """The bytes of an answer, and whether the connection goes on after them."""
@@ -128,7 +137,7 @@
             return wire.answer(status, {"X-Instance-Id": self.instance}, b""), True
         arrival = Arrival(
             asked.header("x-attempt-id"),
-            f"{self._machine.name}/{self.instance}",
+            f"{self.machine.name}/{self.instance}",
             summary(method, target, asked.body),
             asked.header("x-caller-service"),
             asked.header("x-operation-key"),
--- a/tests/mesh/test_mesh_request_delays.py
+++ b/tests/mesh/test_mesh_request_delays.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-import random
 import time
 from pathlib import Path
 
 import pytest
 from plays import room
+from small_mesh import SmallMesh, send, small_mesh
 
 from mesh.state.idempotency import MAX_REQUEST_AGE_S
 from rehearsal.mesh import wire
-from rehearsal.mesh.field import Field, Machine
+from rehearsal.mesh.field import Machine
 from rehearsal.mesh.judge import History
-from rehearsal.mesh.operator import HOST, PATHS, Operator
-from rehearsal.mesh.server import Server
 
 KEY_WINDOW_S = 3.0
 REPEAT_AFTER_S = 2.5  # within the window
@@ -26,70 +23,38 @@
 READ_S = 2.0  # time for the thawed processes to run what they read
 DEADLINE_S = 30.0
 KEYS = 6
-PREFIX, SERVICE = PATHS["idempotent"]
-
-
-async def send(machine: Machine, key: str, attempt: str) -> wire.Message:
-    """Sends a keyed request on a connection of its own; returns the answer."""
-    line = await wire.Line.open(machine.at("outbound"))
-    headers = {
-        "Host": HOST,
-        "X-Attempt-Id": attempt,
-        "X-Operation-Key": key,
-        "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-    }
-    try:
-        return await line.ask(wire.request("POST", f"{PREFIX}{key}", headers, b"berth 7"))
-    finally:
-        line.close()
 
 
 async def send_all(machine: Machine, attempt: str) -> list[wire.Message]:
     """Sends one request for each key, all at once."""
-    return await asyncio.gather(*(send(machine, f"k{n}", f"{attempt}-{n}") for n in range(KEYS)))
+    return await asyncio.gather(*(send(machine, f"k{n}", f"{attempt}-{n}", DEADLINE_S) for n in range(KEYS)))
 
 
 async def repeat_at_frozen(
-    field: Field, first: Machine, second: Machine, frozen: list[Machine], freeze_s: float
+    mesh: SmallMesh, frozen: list[Machine], freeze_s: float
 ) -> asyncio.Task[list[wire.Message]]:
     """Runs all keys, and repeats them within the window while some machines stand still."""
+    first, second = mesh.callers
     sent_at = time.monotonic()
     assert [answer.status for answer in await send_all(first, "first")] == [200] * KEYS
     await asyncio.sleep(sent_at + REPEAT_AFTER_S - FROZEN_BEFORE_S - time.monotonic())
     for machine in frozen:
-        field.freeze(machine)
+        mesh.field.freeze(machine)
     await asyncio.sleep(FROZEN_BEFORE_S)
     repeats = asyncio.create_task(send_all(second, "second"))
     await asyncio.sleep(freeze_s)
     for machine in frozen:
-        field.freeze(machine, False)
+        mesh.field.freeze(machine, False)
     await asyncio.sleep(READ_S)
     return repeats
 
 
 async def play(folder: Path, at_entry: bool, freeze_s: float) -> tuple[History, list[wire.Message]]:
     """Plays a freeze of the sidecar that the clients send to, or of all those beside the servers."""
-    history = History()
-    field = Field(folder, history, key_window_s=KEY_WINDOW_S)
-    servers = [Server(machine, history, random.Random(1), errs=False) for machine in field.sidecars]
-    operator = Operator(field.controllers, history, random.Random(1), itertools.count(1))
-    first, second = [machine for machine in field.sidecars if machine.service != SERVICE]
-    beside_servers = [machine for machine in field.sidecars if machine.service == SERVICE]
-    try:
-        await field.start_all()
-        for server in servers:
-            await server.start()
-        assert await operator.first() == 200
-        while not all([await machine.ready() for machine in field.sidecars]):
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(1.0)  # until all connections are up
-        frozen = [second] if at_entry else beside_servers
-        repeats = await repeat_at_frozen(field, first, second, frozen, freeze_s)
-        return history, await asyncio.wait_for(repeats, READ_S)
-    finally:
-        for server in servers:
-            await server.stop()
-        await field.close()
+    async with small_mesh(folder, KEY_WINDOW_S) as mesh:
+        frozen = mesh.callers[1:] if at_entry else mesh.called
+        repeats = await repeat_at_frozen(mesh, frozen, freeze_s)
+        return mesh.history, await asyncio.wait_for(repeats, READ_S)
 
 
 @pytest.mark.parametrize("freeze_s", [SHORT_FREEZE_S, LONG_FREEZE_S])
--- a/tests/mesh/test_mesh_rules.py
+++ b/tests/mesh/test_mesh_rules.py
@@ -14,7 +14,7 @@
 from mesh.errors import ErrorKind
 from mesh.proxy.call_runner import _request_builder
 from mesh.proxy.sidecar import Sidecar
-from mesh.transport.messages import Call
+from mesh.transport.messages import Call, KnownServer
 
 INSTANCE = "/-/instances/i-1"
 ROOT = Path(__file__).parents[2]
@@ -87,7 +87,8 @@
             await call(made.heartbeats.serve, "put", INSTANCE, {**beat, "call_seq": number})
         ).status == 200
         assert not made.server_queue.instance
-    made.heartbeats.adopt_instance("i-1")  # an id from a health check is only a hint
+    made.heartbeats.on_known_server(KnownServer("berths", "i-1"))
+    made.heartbeats.on_instance_found("i-1")  # an id from a health check is only a hint
     assert not made.server_queue.instance
     assert (await call(made.heartbeats.serve, "put", "/-/instances/i-2", beat)).status == 200
     assert made.server_queue.instance == "i-2", "a new instance is accepted"
