Controllers date grants by the monotonic clock, not by the loop's latest poll

Callers could see: nothing was seen.

Cause: `wall_time` advanced with the event loop's time, which is that of its latest poll. A controller that stands still between a poll and a read dates what it then reads by the time before, so that a grant could end early by as long as it stood still.

Change: it advances with the monotonic clock itself.

Test: `test_a_controller_that_stood_still_counts_the_time...` failed before.

--- a/mesh/control/context.py
+++ b/mesh/control/context.py
@@ -33,7 +33,7 @@
         self.rounds = Rounds()
         self.store = RecordStore(settings.data_dir or "/tmp/record_store", all_records)
         self.stopping = False
-        self._wall_offset_s = time.time() - self.loop.time()
+        self._wall_offset_s = time.time() - time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -64,8 +64,11 @@
         return ReplacementDelays(catch_up / 2, self.absence_timeout_s, catch_up / 10)
 
     def wall_time(self) -> float:
-        """Returns a time of day that never steps: read once at start, advanced by the monotonic clock."""
-        return self._wall_offset_s + self.loop.time()
+        """Returns a time of day that never steps: read once at start, advanced by the monotonic clock.
+
+        The event loop's time would be that of its latest poll, which a process that stood still may trail.
+        """
+        return self._wall_offset_s + time.monotonic()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine in the background and keeps a reference to its task until it ends."""
--- a/tests/mesh/test_mesh_read_clock.py
+++ b/tests/mesh/test_mesh_read_clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -11,6 +12,7 @@
 
 from hollyport.http.message import Message
 from mesh import settings
+from mesh.control import context
 from mesh.errors import ErrorKind
 from mesh.proxy.key_claims import MAX_CLAIM_AGE_S
 from mesh.proxy.sidecar import Sidecar
@@ -325,3 +327,17 @@
         made.close()
 
     asyncio.run(run())
+
+
+def test_a_controller_that_stood_still_counts_the_time_though_its_loop_has_not_polled_since(monkeypatch):
+    # guards against a grant that expires early, as it was made by the time of the poll before a standstill
+    async def run():
+        made = context.Context(settings.read(SETTINGS).ok, lambda: ())
+        before = made.wall_time()
+        now = time.monotonic()
+        monkeypatch.setattr(context.time, "monotonic", lambda: now + 20.0)  # the loop's own time stays
+        monkeypatch.setattr(made.loop, "time", lambda: now)
+        assert made.wall_time() - before >= 20.0
+        monkeypatch.undo()
+
+    asyncio.run(run())
