A server that a late heartbeat of its predecessor replaced is used again

Callers could see: requests refused, with the only server of a service well.

Cause: a sidecar that has started again no longer knows which servers had ended. A heartbeat of the predecessor that comes seconds late then replaces the server at the address, whose id counts as ended from there on: its own heartbeats were ignored for good.

Change: where the server at the address gives its id in a 421, and its last heartbeat to this process said that it is ready, it counts as alive. After `draining` or `DELETE` it doesn't.

Test: `test_a_server_that_a_late_heartbeat_of_its_predecessor_replaced...`: the case of a ready server failed before, that of a draining one passed.

--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -62,6 +62,7 @@
         self._context, self._queue, self._on_change = context, queue, on_change
         self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
         self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
+        self._alive: set[str] = set()  # ids whose last heartbeat to this incarnation said that they are ready
         self._found = ""  # the id that a server has given last, other than in a heartbeat
         self.unconfirmed = 0  # number of ids found whose service was not known
         queue.on_replaced = self._on_replaced
@@ -87,6 +88,7 @@
     def _handle_end(self, instance: str) -> None:
         """Handles the end of an instance: it gets no further calls, and late heartbeats of it are ignored."""
         queue = self._queue
+        self._alive.discard(instance)
         queue.ended_instances.add(instance)
         if queue.instance == instance:
             queue.on_server_gone()
@@ -108,6 +110,7 @@
             logger.warning("rejected a heartbeat of another service", service=heartbeat.service)
             return ErrorKind.BAD
         queue.heartbeat_numbers[instance] = heartbeat.call_number
+        (self._alive.add if heartbeat.ready else self._alive.discard)(instance)
         before = (queue.instance, queue.open)
         queue.update_server(instance, heartbeat.slots, heartbeat.warm_up_s, heartbeat.ready)
         if (queue.instance, queue.open) != before:  # a change of slots alone affects no other sidecar
@@ -120,10 +123,13 @@
         """Handles the id, or an empty string, that a server at the local server's address has given.
 
         The server is used at once if its id is known to be of this service, so that a restarted sidecar need
-        not wait for a heartbeat. Another service may use the address by now, so any other id has to wait.
+        not wait for a heartbeat. Another service may use the address by now, so any other id has to wait. One
+        that is ready by its own heartbeat is alive after all if a late heartbeat has replaced it.
         """
         self._found = instance
-        if instance in self._confirmed:
+        if instance in self._alive:
+            self._queue.ended_instances.discard(instance)
+        if instance in self._alive or instance in self._confirmed:
             self._adopt(instance)
         elif instance and not self._queue.instance and instance not in self._queue.ended_instances:
             self.unconfirmed += 1
--- a/tests/mesh/test_mesh_known_servers.py
+++ b/tests/mesh/test_mesh_known_servers.py
@@ -89,3 +89,21 @@
     assert (await call(made.heartbeats.serve, "put", "/-/instances/i-2", beat)).status == 200
     assert made.heartbeats.record().instance == "i-2" and made.heartbeats.record().is_open
     made.close()
+
+
+@pytest.mark.parametrize(("last_state", "returns"), [("ready", True), ("draining", False)])
+@in_event_loop
+async def test_a_server_that_a_late_heartbeat_of_its_predecessor_replaced_is_used_again(last_state, returns):
+    # guards against a server that is shut out for good, as the predecessor's heartbeat came after its own
+    made = Sidecar(settings.read(SETTINGS).ok)
+    beat = {**BEAT, "service": SERVICE}
+    newcomer, predecessor = "/-/instances/i-2", "/-/instances/i-1"
+    await call(made.heartbeats.serve, "put", newcomer, {**beat, "call_seq": 1, "state": last_state})
+    await call(made.heartbeats.serve, "put", predecessor, {**beat, "call_seq": 9})
+    assert made.server_queue.instance == "i-1"
+    made.server_queue.on_server_gone()
+    made.server_queue.on_replaced("i-2")  # the newcomer has answered with 421
+    assert made.server_queue.instance == ("i-2" if returns else "")
+    await call(made.heartbeats.serve, "put", newcomer, {**beat, "call_seq": 2, "state": last_state})
+    assert made.server_queue.open == returns
+    made.close()
