Controllers remember no servers that sidecars before version 5 have registered

Callers could see: after an upgrade a sidecar goes on sending requests to a server of another service. Not seen; found by reading.

Cause: a sidecar of an older version registers any server at its address as one of its service. Controllers would have told its successor so (`KnownServer`).

Change: the protocol version is 5, from which on a sidecar registers a server only if its service is known; controllers remember no others. Versions work together as before.

Test: `test_a_server_that_an_older_version_has_registered_is_not_remembered`, which the code before this commit fails: it did not look at the version.

--- a/mesh/control/known_servers.py
+++ b/mesh/control/known_servers.py
@@ -15,6 +15,7 @@
 from mesh.transport.messages import FIRST_RECORD_NUMBER, KnownServer, SidecarRecord
 
 RECORD_KIND = "server"  # on disk
+MIN_VERSION = 5  # older sidecars may have registered a server of another service
 MAX_SIDECARS = 4096  # for which a server is remembered; those that registered one longest ago are forgotten
 
 
@@ -37,6 +38,8 @@
 
         A sidecar's first record names no server: it may still be the one that is remembered.
         """
+        if record.version < MIN_VERSION:
+            return
         server = KnownServer(record.service, record.instance)
         is_news = (
             server != self._servers.get(record.node) if record.instance else record.node in self._servers
--- a/mesh/transport/messages.py
+++ b/mesh/transport/messages.py
@@ -24,9 +24,10 @@
 from mesh.state.idempotency import GrantRow
 from mesh.state.quorum import PeerView, Voters
 
-VERSION = 4
+VERSION = 5
 """Protocol version of a sidecar, published in its record. Version 2 added chunked bodies and `LoadQuery`,
-version 3 `Cancel`, and version 4 `RecordsDigest`."""
+version 3 `Cancel`, and version 4 `RecordsDigest`. From version 5 on a sidecar registers a server only if its
+service is known."""
 
 
 FIRST_RECORD_NUMBER = 1
--- a/tests/mesh/test_mesh_known_servers.py
+++ b/tests/mesh/test_mesh_known_servers.py
@@ -10,15 +10,15 @@
 from test_mesh_sidecar import SETTINGS
 
 from mesh import settings
-from mesh.control.known_servers import MAX_SIDECARS, KnownServers
+from mesh.control.known_servers import MAX_SIDECARS, MIN_VERSION, KnownServers
 from mesh.proxy.sidecar import Sidecar
-from mesh.transport.messages import FIRST_RECORD_NUMBER, KnownServer, SidecarRecord
+from mesh.transport.messages import FIRST_RECORD_NUMBER, VERSION, KnownServer, SidecarRecord
 
 SERVICE = "berths"
 
 
-def record(instance, number=FIRST_RECORD_NUMBER + 1, node="n1", service=SERVICE):
-    return SidecarRecord(node, "192.0.2.1:7000", "east", service, instance, 5, True, 0.0, 1, number)
+def record(instance, number=FIRST_RECORD_NUMBER + 1, node="n1", service=SERVICE, version=VERSION):
+    return SidecarRecord(node, "192.0.2.1:7000", "east", service, instance, 5, True, 0.0, 1, number, version)
 
 
 def known_servers():
@@ -49,6 +49,13 @@
     assert restarted.get("n1") is None and not made.records()
 
 
+def test_a_server_that_an_older_version_has_registered_is_not_remembered():
+    # guards against an upgrade that keeps a server of another service, as older sidecars took any
+    made, written = known_servers()
+    made.learn(record("i-1", version=MIN_VERSION - 1))
+    assert made.get("n1") is None and not written
+
+
 def test_the_servers_of_many_sidecars_are_bounded():
     made, _ = known_servers()
     for number in range(MAX_SIDECARS + 5):
