A sidecar's first server begins with half of its slots, cold or not

Cause: a server found by its health page was taken for a warm one and began with half of its slots; one known by its heartbeat says that it is cold, and began with 1. Since only a heartbeat tells the service, all begin so after such a loss, though no warm server is left to call instead.

Change: the exception "told slots" holds for the first server of a sidecar's process as well.

Test: `test_the_first_server_after_a_start_begins_at_half...` failed before.

--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -120,9 +120,10 @@
     def _new_budget(self, reported_slots: int = 1) -> Budget:
         """Returns the initial budget of a server process.
 
-        Exception "told slots": a warm server that reports its number of slots starts with half of them
-        instead of 1, and gains the others by trials. Otherwise a fleet that restarts under full load would
-        spend seconds queueing calls that its servers have room for.
+        Exception "told slots": a server that reports its number of slots starts with half of them instead of
+        1, and gains the others by trials. Otherwise a fleet that restarts under full load would spend seconds
+        queueing calls that its servers have room for. A cold server starts with 1 nevertheless, unless it is
+        the first of this sidecar: the fleet that has restarted with it has no warm server to call instead.
         """
         return Budget(1.0, min(MAX_STEPS, self.slots, self.max_conns), -(-reported_slots // 2))
 
@@ -132,12 +133,13 @@
         self.warming_up_until = self._loop.time() + warm_up_s
         if instance != self.instance or slots != self.slots:
             is_new = instance != self.instance
+            is_first = not self.instance and not self.ended_instances
             if is_new and self.instance:
                 self.ended_instances.add(self.instance)
                 self.upstream.remove(self.instance)
             self.instance, self.slots = instance, slots
             if is_new:
-                self.budget = self._new_budget(slots if warm_up_s <= 0 else 1)
+                self.budget = self._new_budget(slots if warm_up_s <= 0 or is_first else 1)
                 self._samples, self._failure_rate = 0, 0.0
                 self.upstream.update(instance, self._address, 0, True)
             self.budget.max_steps = min(MAX_STEPS, slots, self.max_conns)
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -219,6 +219,13 @@
     assert server_queue.budget.steps == 1
 
 
+def test_the_first_server_after_a_start_begins_at_half_of_its_slots_though_it_is_cold(server_queue):
+    # guards against seconds of queues after all machines lost power, as then all servers are cold
+    server_queue.instance = ""
+    server_queue.update_server("i-2", 8, 2.0, True)
+    assert server_queue.budget.steps == 4
+
+
 def run_calls(server_queue, kind, service_s, times=3):
     """Runs calls of a kind one after the other."""
     for _ in range(times):
