The new tests with real processes hold beside tests that keep the disks busy

Cause, traced on a scratch copy beside ten processes that write and sync: each of their claims timed out, as no controller's disk had answered within 80 ms. That is as the claims are made, and clients come again; the test did not. No claim was refused for its age.

The test of the early listener sends the heartbeat on the connection that it opened.

--- a/rehearsal/mesh/server.py
+++ b/rehearsal/mesh/server.py
@@ -62,12 +62,12 @@
         self._beats = asyncio.create_task(self._beat())
 
     @property
-    def heartbeats(self) -> int:
-        """How many heartbeats this life has sent."""
-        return self._call
+    def path(self) -> str:
+        """Where it tells of itself."""
+        return f"/-/instances/{self.instance}"
 
-    async def beat(self) -> bool:
-        """Tell the sidecar; whether it has acknowledged."""
+    def heartbeat_body(self) -> bytes:
+        """The body of its next heartbeat."""
         self._call += 1
         told = {
             "service": self.service,
@@ -78,13 +78,16 @@
             "cold_left": "0ms",
             "call_seq": self._call,
         }
-        acknowledged = await self._tell("PUT", json.dumps(told).encode())
+        return json.dumps(told).encode()
+
+    async def beat(self) -> bool:
+        """Tell the sidecar; whether it has acknowledged."""
+        acknowledged = await self._tell("PUT", self.heartbeat_body())
         self.acknowledged += acknowledged
         return acknowledged
 
     async def _tell(self, method: str, body: bytes = b"") -> bool:
-        path = f"/-/instances/{self.instance}"
-        answer = await wire.ask(self.machine.at("control"), method, path, body)
+        answer = await wire.ask(self.machine.at("control"), method, self.path, body)
         return answer is not None and answer.status == 200
 
     async def _beat(self) -> None:
