Key ranges: the agreed table, messages, and the arithmetic of leases

This is the frame that the parts are built on: the table of a service's key ranges as an item of the replicated configuration, revoked and assigned in numbered changes; the messages of leases, releases and load; the lease arithmetic; the fields of clusters and settings; and the design note. Nothing uses it yet, so nothing is served that was not before.

--- a/mesh/errors.py
+++ b/mesh/errors.py
@@ -24,6 +24,7 @@
     NO_QUORUM = 13  # too few controllers answered
     NOT_HERE = 14  # no such resource
     OWN = 15  # internal error
+    NOT_OWNER = 16  # like REFUSED; the server does not hold the request's key, or no server does
 
 
 class ErrorResponse(NamedTuple):
@@ -50,6 +51,7 @@
     ErrorKind.NO_QUORUM: ErrorResponse(503, True, b"no quorum\n"),
     ErrorKind.NOT_HERE: ErrorResponse(404, False, b"not here\n"),
     ErrorKind.OWN: ErrorResponse(500, False, b"own error\n"),
+    ErrorKind.NOT_OWNER: ErrorResponse(503, True, b"no owner\n"),
 }
 NOT_EXECUTED_ERRORS = frozenset(kind for kind, response in ERROR_RESPONSES.items() if response.not_executed)
 """Kinds that are reported only if the request has not run and never will."""
--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -135,6 +135,7 @@
     "link_mbps": Field(("limit_set", "link_mbps"), _number, 1000.0),
     "memory_mb": Field(("limit_set", "memory_mb"), _number, 300.0),
     "disk_mb": Field(("limit_set", "disk_mb"), _number, 0.0),
+    "grants": Field(("grants",), _string, ""),
     "losses": Field(("fault_budget", "machine_loss"), _integer, 1),
 }
 
@@ -164,6 +165,7 @@
     link_mbps: float
     memory_mb: float
     disk_mb: float
+    grants: str  # how servers are given keys, where a service does not say so
     losses: int
 
     def bound(self, name: str, default: float) -> float:
--- a/mesh/state/configuration.py
+++ b/mesh/state/configuration.py
@@ -1,8 +1,9 @@
 """Configuration items: versioned one by one, merged item by item, validated as a whole. No I/O.
 
-An item's name is `route/NAME`, `service/NAME` or `limit`. Of each name the highest version wins, whether it
-was set or removed. Consensus never chooses two contents for one version (`consensus.py`); if a caller merges
-such items all the same, the greater content wins, so that copies converge in any order.
+An item's name is `route/NAME`, `service/NAME` or `limit`, or `shards/SERVICE` for the assignment of a
+service's keys (`mesh.state.shards`), which no operator sends or reads. Of each name the highest version wins,
+whether it was set or removed. Consensus never chooses two contents for one version (`consensus.py`); if a
+caller merges such items all the same, the greater content wins, so that copies converge in any order.
 """
 
 from __future__ import annotations
@@ -12,16 +13,21 @@
 from collections.abc import Iterable, Mapping
 from functools import lru_cache
 from hashlib import blake2b
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 from pyrsistent import PMap, pmap
 
 from mesh.settings import parse_duration
+from mesh.state import shards
+from mesh.state.shards import ShardTable
 
 REVISION_PATTERN = re.compile(r"r([0-9]{1,40})")
 MAX_TARGET_EXCESS_S = 60.0  # a target latency that exceeds the route's timeout by this much is a mistake
 VARIANTS = ("pure", "effectful", "idempotent", "upload")
+GRANTS_BY_HEARTBEAT = "heartbeat"  # in answers to the servers' heartbeats
+GRANTS_BY_INVOCATION = "invocation"  # by calls to the servers
 
 
 class Item(NamedTuple):
@@ -176,12 +182,14 @@
 
 
 class Cluster(NamedTuple):
-    """One service."""
+    """One service. If it is sharded, each of its servers runs only requests for keys that it holds."""
 
     name: str
     health_path: str
     max_conns: int
     idempotent: bool
+    sharded: bool = False
+    grants: str = ""  # how its servers are given keys: GRANTS_BY_HEARTBEAT or GRANTS_BY_INVOCATION
 
 
 class Limits(NamedTuple):
@@ -205,8 +213,13 @@
     return int(value)
 
 
-def parse_item(item: Item) -> Route | Cluster | Limits:
+ParsedItem = Route | Cluster | Limits | ShardTable
+
+
+def parse_item(item: Item) -> ParsedItem:
     """Parses the content of an item; raises ValueError if it is invalid."""
+    if item.name.startswith(shards.ITEM_PREFIX):
+        return ShardTable.decode(item.name, item.version, item.content)
     raw = json.loads(item.content)
     if item.name == "limit":
         return Limits(
@@ -220,7 +233,14 @@
         if not isinstance(health_path, str) or not health_path.startswith("/"):
             raise ValueError(f"{health_path!r} is no path")
         max_conns = _parse_count(raw.get("max_conns", 64), 1)
-        return Cluster(raw["name"], health_path, max_conns, raw.get("idempotent") is True)
+        return Cluster(
+            name=raw["name"],
+            health_path=health_path,
+            max_conns=max_conns,
+            idempotent=raw.get("idempotent") is True,
+            sharded=raw.get("sharded") is True,
+            grants=str(raw.get("grants", "")),
+        )
     rule = raw["rule"]
     matcher, effect = rule.get("matcher"), rule.get("effect")
     if not isinstance(matcher, dict) or not isinstance(effect, dict):
@@ -269,6 +289,12 @@
     routes_by_host: Mapping[str, tuple[tuple[str, Route], ...]]  # of each host, the longest prefix first
     clusters: Mapping[str, Cluster]
     limits: Limits
+    shards: Mapping[str, ShardTable] = MappingProxyType({})  # by service
+
+    def is_sharded(self, service: str) -> bool:
+        """Returns whether a service is split by key."""
+        cluster = self.clusters.get(service)
+        return cluster is not None and cluster.sharded
 
     def route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that matches the path."""
@@ -279,7 +305,7 @@
 
 
 EMPTY_TABLE = RoutingTable({}, {}, Limits())
-_parsed: dict[Item, Route | Cluster | Limits] = {}
+_parsed: dict[Item, ParsedItem] = {}
 
 
 class Conflict(NamedTuple):
@@ -298,6 +324,7 @@
     routes_by_host: dict[str, dict[str, Route]] = {}
     clusters: dict[str, Cluster] = {}
     limits = Limits()
+    tables: dict[str, ShardTable] = {}
     conflicts: list[Conflict] = []
     routes: list[Route] = []
     if len(_parsed) > 4 * len(items) + 64:
@@ -312,6 +339,8 @@
             clusters[parsed.name] = parsed
         elif isinstance(parsed, Limits):
             limits = parsed
+        elif isinstance(parsed, ShardTable):
+            tables[parsed.service] = parsed
         else:
             routes.append(parsed)
     for route in sorted(routes, key=lambda r: r.name):
@@ -328,17 +357,17 @@
         host: tuple(sorted(by_prefix.items(), key=lambda pair: -len(pair[0])))
         for host, by_prefix in routes_by_host.items()
     }
-    return RoutingTable(sorted_routes, clusters, limits), conflicts
+    return RoutingTable(sorted_routes, clusters, limits, tables), conflicts
 
 
 def to_json(items: Items) -> bytes:
-    """Returns all items in force as the `upserts` of an admin call."""
+    """Returns the operators' items in force as the `upserts` of an admin call."""
     rules_by_host: dict[str, list[Any]] = {}
     clusters: list[Any] = []
     upserts: dict[str, Any] = {}
     for name in sorted(items):
         content = items[name].content
-        if not content:
+        if not content or name.startswith(shards.ITEM_PREFIX):
             continue
         raw = json.loads(content)
         if name == "limit":
--- a/mesh/transport/messages.py
+++ b/mesh/transport/messages.py
@@ -23,6 +23,7 @@
 from mesh.state.configuration import Item
 from mesh.state.idempotency import GrantRow
 from mesh.state.quorum import PeerView, Voters
+from mesh.state.shards import NO_KEY, FencedRange, Owner, ReleasedRange
 
 VERSION = 5
 """Protocol version of a sidecar, published in its record. Version 2 added chunked bodies and `LoadQuery`,
@@ -347,6 +348,56 @@
     token: str
 
 
+# --- ownership of key ranges (`mesh.state.shards`, `mesh.state.key_leases`)
+
+
+class RenewLease(Message, frozen=True, tag=80):
+    """Sidecar to the voters: requests confirmation that the server beside it may hold these ranges."""
+
+    number: int  # repeated by the response
+    epoch: int
+    service: str
+    owner: Owner
+    ranges: tuple[FencedRange, ...]
+
+
+class LeaseAnswer(Message, frozen=True, tag=81):
+    """Response to `RenewLease`. No voter of the epoch confirms a range that is revoked as far as it knows."""
+
+    number: int
+    epoch: int
+    confirmed: tuple[bool, ...]  # by position in the request; empty if it is no voter of the epoch
+
+
+class RangesReleased(Message, frozen=True, tag=82):
+    """Sidecar to all controllers: a server does not hold these ranges, and will not under these fences.
+
+    It is sent again until the table of the service has no such revoked ranges of the server.
+    """
+
+    service: str
+    owner: Owner
+    ranges: tuple[ReleasedRange, ...]
+
+
+class BucketLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The recent load of one bucket of keys."""
+
+    bucket: int  # number of the bucket: its first key divided by `shard_load.BUCKET_KEYS`
+    work: float  # average number of requests at work at the server at the same time
+
+
+class ShardLoad(Message, frozen=True, tag=83):
+    """Sidecar to all controllers, sent periodically: the load of the server beside it, by bucket of keys.
+
+    Buckets without load are left out.
+    """
+
+    service: str
+    owner: Owner
+    loads: tuple[BucketLoad, ...]
+
+
 # --- reconfiguration of the voters (`mesh.control.ballot`)
 
 
@@ -448,6 +499,7 @@
     # bound on the receiver's monotonic clock, if its clock is known. None from older versions.
     age_s: float | None = None
     sent_at: float | None = None
+    shard_key: int = NO_KEY  # of a request to a sharded service
 
 
 class Forward(Message, frozen=True, tag=50):
