A sidecar counts its server's 421s by which server gave them

From outside a 421 for a key that isn't held, and one from another server at the address, look alike: both count as `leaving`, and the log tells the same line.

Change: mesh_server_misdirected_total by `server`: `same` where the 421 has the id that the call was for, `other` where it has another id or none.

--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -114,6 +114,8 @@
         self.mean_service_s = 0.05  # moving average of the time from sending a call to its answer
         self._service_times: dict[str, tuple[float, int]] = {}  # by kind of call: mean and number of samples
         self._failure_rate, self._failure_rate_at = 0.0, 0.0  # the rate and when it was updated
+        # Calls answered with 421, by which server gave the answer.
+        self.misdirected_by_same_server = self.misdirected_by_other_server = 0
         self._timer: asyncio.TimerHandle | None = None
         self.on_replaced: Callable[[str], None] = lambda instance: None
 
@@ -398,6 +400,8 @@
         trial = job.trial and current
         if trial:
             budget.trial_in_flight = False
+        if reply is not None and reply.status == 421:
+            self._count_misdirected(instance, reply)
         if reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
             if current:
                 self._on_failure(now, trial)
@@ -426,6 +430,13 @@
             self._finish(job, error, arrived)
         self._send_queued()
 
+    def _count_misdirected(self, instance: str, reply: Reply) -> None:
+        """Counts a 421: the server that a call was for does not hold its key, or another server answered."""
+        if reply.header(b"x-instance-id") == instance.encode("latin-1"):
+            self.misdirected_by_same_server += 1
+        else:
+            self.misdirected_by_other_server += 1
+
     def _on_answer(self, now: float, job: Job, trial: bool, succeeded: bool) -> None:
         """Updates the budget and the service times after an answer.
 
--- a/mesh/proxy/sidecar_figures.py
+++ b/mesh/proxy/sidecar_figures.py
@@ -52,6 +52,17 @@
     yield gauge("mesh_server_budget", "Calls that may be at the server together.", queue.budget.limit)
     yield gauge("mesh_server_failing", "Part of its calls that fail of late.", queue.failure_rate())
     yield gauge("mesh_server_call_seconds", "What a call takes there of late.", queue.mean_service_s)
+    misdirected: dict[Labels, float] = {
+        ("same",): float(queue.misdirected_by_same_server),
+        ("other",): float(queue.misdirected_by_other_server),
+    }
+    yield MetricFamily(
+        "mesh_server_misdirected",
+        "Calls answered with 421, by the server that they were for (same) or another one at its address.",
+        MetricKind.COUNTER,
+        misdirected,
+        ("server",),
+    )
 
 
 def _control_metrics(control: ControlClient) -> Iterator[MetricFamily]:
--- a/tests/mesh/test_mesh_figures.py
+++ b/tests/mesh/test_mesh_figures.py
@@ -88,6 +88,7 @@
         assert requests("", "no_route") == requests("pure", "bad") == 1.0
         assert found["mesh_offers_total", (("place", "further"), ("service", "meals"))] == 1.0
         assert found["mesh_offers_total", (("place", "first"), ("service", "meals"))] == 2.0
+        assert found["mesh_server_misdirected_total", (("server", "same"),)] == 0.0
         assert found["mesh_sidecars_linked", ()] == 3.0 and found["mesh_open_requests", ()] == 0.0
         harness.sidecar.close()
 
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -192,6 +192,19 @@
     assert server_queue.instance == "" and "i-1" in server_queue.ended_instances
 
 
+@pytest.mark.parametrize(
+    ("headers", "by_same", "by_other"),
+    [([(b"x-instance-id", b"i-1")], 1, 0), ([(b"x-instance-id", b"i-2")], 0, 1), ([], 0, 1)],
+)
+def test_a_misdirected_response_is_counted_by_the_server_that_gave_it(
+    server_queue, headers, by_same, by_other
+):
+    server_queue.submit(job(server_queue, "a", 1))
+    server_queue.upstream.sent[0].reply(421, headers)
+    assert server_queue.misdirected_by_same_server == by_same
+    assert server_queue.misdirected_by_other_server == by_other
+
+
 def test_resets_lower_the_steps_to_zero_and_one_trial_restores_them(server_queue):
     results = []
     server_queue.submit(job(server_queue, "a", 1, results=results))
