A failing test: a 421 for a key that isn't held ends the server's life

Cause: ServerQueue._on_end takes each 421 for "another server is at the address". A server that doesn't hold a key answers 421 too, with its own id.

Measured: it fails ('' == 'i-1'), the 30 other tests of its file pass.

--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -192,6 +192,19 @@
     assert server_queue.instance == "" and "i-1" in server_queue.ended_instances
 
 
+def test_a_421_for_a_key_that_is_not_held_does_not_end_the_server_s_life(server_queue):
+    results, recorded = [], []
+    server_queue.on_replaced = recorded.append
+    server_queue.mean_service_s = 0.001
+    server_queue.submit(job(server_queue, "misdirected", 1, results=results))
+    server_queue.submit(job(server_queue, "waiting", 1, results=results))
+    server_queue.upstream.sent[0].reply(421, [(b"x-not-run", b"1"), (b"x-instance-id", b"i-1")])
+    assert server_queue.instance == "i-1" and server_queue.open
+    assert not server_queue.ended_instances and not recorded
+    assert [name for name, _, _ in results] == ["misdirected"] and results[0][2]
+    assert sent_names(server_queue) == ["waiting"]
+
+
 @pytest.mark.parametrize(
     ("headers", "by_same", "by_other"),
     [([(b"x-instance-id", b"i-1")], 1, 0), ([(b"x-instance-id", b"i-2")], 0, 1), ([], 0, 1)],
