A server whose clock loses 2 % holds no range longer than it is leased

Cause: hold_duration divided by 1.02. A clock that loses 2 % of each second takes 1 / 0.98 of a time that it is told, and 1.02 * 0.98 is less than 1: a hold of a lease of 5 s ended 2 ms after it.

--- a/tests/mesh/test_mesh_shards.py
+++ b/tests/mesh/test_mesh_shards.py
@@ -105,6 +105,11 @@
     assert hold_duration(now=16.0, lease_ends_at=15.0) == 0.0
 
 
+def test_a_server_whose_clock_loses_its_whole_drift_holds_no_range_longer_than_it_is_leased():
+    hold_s = hold_duration(now=10.0, lease_ends_at=15.0)
+    assert 10.0 + hold_s / (1 - CLOCK_DRIFT) <= 15.0
+
+
 def test_a_range_is_reassigned_only_after_its_lease_by_clocks_that_drift_apart():
     times = LeaseTimes.of_bound(10.0)
     assert times.reassignment_delay_s >= times.lease_s * (1 + CLOCK_DRIFT)
