Rehearsal: the keys that a server holds, and a judge of who owned them

Each change is reported as an event, and key_owners.py finds two servers that held a key at once and both began requests on it. It is stricter than the rule: grants right after a freeze or a cut count, too.

--- a/rehearsal/mesh/judge.py
+++ b/rehearsal/mesh/judge.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from rehearsal.mesh.key_holds import HoldEvent
+from rehearsal.mesh.key_owners import KeyRun, shared_keys
+
 PROMISES = frozenset({408, 421, 429, 503})  # it has not run and never will
 RECOVER_S = 1.0  # after all that was ended is ready again, requests are served
 SLACK_S = 0.25  # a connection that ends so soon may have ended before the request was read
@@ -55,6 +58,7 @@
     status: int = 200
     seal: str = ""
     body: bytes = b""
+    shard_key: int | None = None
 
 
 @dataclass(slots=True)
@@ -74,6 +78,7 @@
     tries: list[Try] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
+    holds: list[HoldEvent] = field(default_factory=list)  # of servers that are divided by key
     # the configuration at the end, as each controller told it
     readings: list[Items] = field(default_factory=list)
     kills: list[tuple[str, float]] = field(default_factory=list)  # sidecars that were ended without a word
@@ -231,6 +236,20 @@
     return made
 
 
+def owners(history: History) -> list[str]:
+    """No two servers that are up begin requests on a shard key while both hold it.
+
+    Stricter than the rule: grants count also right after a freeze or a cut of their sender.
+    """
+    runs = [KeyRun(run.server, run.shard_key, run.at) for run in history.runs if run.shard_key is not None]
+    made = []
+    for shared in shared_keys(history.holds, runs):
+        one, other = shared.servers
+        when = f"from {shared.since:.3f} to {shared.until:.3f}"
+        made.append(f"{one} and {other} both held key {shared.key} {when}, and both began requests on it")
+    return made
+
+
 def processes(history: History) -> list[str]:
     """No process ends by itself or tells of an error of its own."""
     return history.troubles
@@ -245,6 +264,7 @@
     "what was read gets a whole answer": whole,
     "what was acknowledged reads back": configuration,
     "after a fault requests are served again": recovery,
+    "a shard key has one owner": owners,
     "no process is in trouble": processes,
 }
 
--- a/tests/mesh/test_mesh_judge.py
+++ b/tests/mesh/test_mesh_judge.py
@@ -9,6 +9,8 @@
 
 from rehearsal.mesh import judge as checks
 from rehearsal.mesh.judge import Arrival, Change, History, Try
+from rehearsal.mesh.key_holds import HoldEvent
+from rehearsal.mesh.key_ranges import KeyRange
 
 ROUTE = {"hostname": "mesh.example", "rule": {"name": "sailings", "revision": "r4"}}
 
@@ -51,6 +53,20 @@
     return {"route/sailings": (version, content)}
 
 
+def held(server: str, at: float, until: float, first: int = 0, last: int = 99) -> HoldEvent:
+    return HoldEvent(server, at, KeyRange(first, last), until)
+
+
+def moved(*events: HoldEvent, runs: tuple[tuple[str, float], ...], key: int = 7) -> History:
+    """A history of holds, and of runs on one key by server and time."""
+    tries = [answered(f"a{n}", seal=f"s{n}") for n in range(len(runs))]
+    arrivals = [
+        run(f"a{n}", server=server, at=at, seal=f"s{n}", shard_key=key) for n, (server, at) in enumerate(runs)
+    ]
+    return History(tries, arrivals, holds=list(events))
+
+
+BOTH_RAN = (("sidecar0/i-1", 1.2), ("sidecar1/i-2", 2.5))
 KEYED = {"kind": "idempotent", "key": "k1"}
 VALID = {
     "empty history": History(),
@@ -82,6 +98,27 @@
     "nothing was served before the kill either": History(
         [refused(), refused("a2", sent=9.0)], kills=[("controller0", 3.0)], backs=[4.0]
     ),
+    "a key moved after its release": moved(
+        held("sidecar0/i-1", 1.0, 5.0),
+        held("sidecar0/i-1", 2.0, 2.0),
+        held("sidecar1/i-2", 2.0, 9.0),
+        runs=BOTH_RAN,
+    ),
+    "a key moved after its hold had run out": moved(
+        held("sidecar0/i-1", 1.0, 2.0), held("sidecar1/i-2", 2.0, 9.0), runs=BOTH_RAN
+    ),
+    "a key moved after its server had ended": moved(
+        held("sidecar0/i-1", 1.0, 9.0),
+        held("sidecar0/i-1", 2.0, 2.0, 0, 65_535),
+        held("sidecar1/i-2", 2.1, 9.0),
+        runs=BOTH_RAN,
+    ),
+    "two servers hold a key, and one has stopped running it": moved(
+        held("sidecar0/i-1", 1.0, 9.0), held("sidecar1/i-2", 2.0, 9.0), runs=BOTH_RAN
+    ),
+    "two servers run requests on keys that only one of them holds": moved(
+        held("sidecar0/i-1", 1.0, 9.0, 0, 9), held("sidecar1/i-2", 1.0, 9.0, 10, 99), runs=BOTH_RAN
+    ),
     "invalid change refused": History(changes=[changed(4, status=400, valid=False)], readings=[{}]),
 }
 TWO_RUNS = [run("a1", key="k1"), run("a2", key="k1", seal="s2")]
@@ -183,6 +220,28 @@
         checks.recovery,
         History([answered()], [run()], kills=[("controller0", 3.0)], backs=[4.0]),
     ),
+    "two servers ran requests on a key that both held": (
+        checks.owners,
+        moved(held("sidecar0/i-1", 1.0, 9.0), held("sidecar1/i-2", 1.1, 9.0), runs=BOTH_RAN),
+    ),
+    "a hold was renewed after the key had moved": (
+        checks.owners,
+        moved(
+            held("sidecar0/i-1", 1.0, 2.0),
+            held("sidecar0/i-1", 1.9, 4.0),
+            held("sidecar1/i-2", 2.0, 9.0),
+            runs=(("sidecar1/i-2", 2.5), ("sidecar0/i-1", 3.9)),
+        ),
+    ),
+    "only a part of the keys was released": (
+        checks.owners,
+        moved(
+            held("sidecar0/i-1", 1.0, 9.0),
+            held("sidecar0/i-1", 1.1, 1.1, 50, 99),
+            held("sidecar1/i-2", 1.2, 9.0),
+            runs=(("sidecar0/i-1", 3.0), ("sidecar1/i-2", 2.0)),
+        ),
+    ),
     "a process exited": (checks.processes, History(troubles=["sidecar0 ended by itself with 1"])),
 }
 
