Rehearsal: servers hold keys, granted by invocation or with heartbeats

A service of the field can be divided by key. Clients send X-Shard-Key, the operator configures sharded, warm and grants, settings files carry grants.

--- a/rehearsal/mesh/__main__.py
+++ b/rehearsal/mesh/__main__.py
@@ -14,10 +14,13 @@
 from pathlib import Path
 
 from rehearsal.daemon import ROOT, environment
+from rehearsal.mesh.field import BY_HEARTBEAT, BY_INVOCATION, NO_SHARDING, Sharding
 from rehearsal.mesh.judge import judge
+from rehearsal.mesh.operator import PATHS
 from rehearsal.mesh.play import FAULTS, LATE_MS, play
 
 PASS, FAIL, VOID = 0, 1, 3
+SHARDED_SERVICES = ("ferry",)  # the other one stays undivided beside it
 SHOWN = 5  # breaches of one invariant
 ROUNDS = ROOT / "tests" / "mesh" / "test_mesh_rounds.py"
 
@@ -33,10 +36,14 @@
     parser.add_argument("--seconds", type=float, default=9.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--fault", choices=list(FAULTS), default="none")
+    parser.add_argument(
+        "--sharded", choices=[BY_HEARTBEAT, BY_INVOCATION], help="divide a service by key, and grant keys so"
+    )
     told = parser.parse_args()
+    sharding = Sharding(told.sharded, SHARDED_SERVICES) if told.sharded else NO_SHARDING
     with tempfile.TemporaryDirectory(prefix="rehearsal-mesh-") as folder:
         try:
-            rig = asyncio.run(play(Path(folder), told.seconds, told.seed, told.fault))
+            rig = asyncio.run(play(Path(folder), told.seconds, told.seed, told.fault, sharding))
         except KeyboardInterrupt:
             print("void: interrupted")
             return VOID
@@ -51,8 +58,9 @@
         print(f"broken: {invariant}: {len(breaches)}")
         for breach in breaches[:SHOWN]:
             print(f"    {breach}")
-    if broken or not figures["served"]:
-        print("fail" if broken else "fail: nothing was served")
+    unserved = [kind for kind in PATHS if not any(one.good for one in rig.history.tries if one.kind == kind)]
+    if broken or unserved:
+        print("fail" if broken else f"fail: nothing was served of {', '.join(unserved)}")
         return FAIL
     if rig.late_ms > LATE_MS:
         print(f"void: the rig itself ran {rig.late_ms:.0f} ms late")
--- a/rehearsal/mesh/caller.py
+++ b/rehearsal/mesh/caller.py
@@ -10,6 +10,7 @@
 from rehearsal.mesh import wire
 from rehearsal.mesh.field import Machine
 from rehearsal.mesh.judge import PROMISES, History, Try
+from rehearsal.mesh.key_ranges import LAST_KEY, KeyRange
 from rehearsal.mesh.operator import HOST, PATHS
 from rehearsal.mesh.server import summary
 
@@ -20,6 +21,7 @@
 PACE_S = 0.02
 KINDS = ("pure", "effectful", "idempotent", "idempotent")
 CLOSED = frozenset({400, 401, 404, 413, 431})
+BUSY, BUSY_KEYS = 0.3, KeyRange(20_000, 20_015)  # this part of the requests is for these shard keys
 OLD, TWICE = 0.3, 0.1  # parts of the keyed calls that repeat an old one, or go out from two machines at once
 
 
@@ -32,6 +34,14 @@
     target: str
     body: bytes
     key: str = ""
+    shard_key: int | None = None  # where its service is divided by key
+
+
+def draw_shard_key(draw: random.Random) -> int:
+    """A key as clients use them: many requests are about a few that sit close together."""
+    if draw.random() < BUSY:
+        return BUSY_KEYS.first + draw.randrange(BUSY_KEYS.last - BUSY_KEYS.first + 1)
+    return draw.randrange(LAST_KEY + 1)
 
 
 class Caller:
@@ -66,7 +76,10 @@
         body = b"" if kind == "pure" else draw.randbytes(draw.choice((10, 500, 8000)))
         key = f"k-{name}" if kind == "idempotent" else ""
         method = "GET" if kind == "pure" else "POST"
-        made = Operation(kind, method, f"{PATHS[kind][0]}{name}?n={draw.randrange(9)}", body, key)
+        prefix, service = PATHS[kind]
+        target = f"{prefix}{name}?n={draw.randrange(9)}"
+        shard_key = draw_shard_key(draw) if service in self.machine.sharding.services else None
+        made = Operation(kind, method, target, body, key, shard_key)
         if key:
             self._keyed.append(made)
         return made
@@ -145,6 +158,8 @@
         }
         if made.key:
             headers["X-Operation-Key"] = made.key
+        if made.shard_key is not None:
+            headers["X-Shard-Key"] = str(made.shard_key)
         raw = wire.request(made.method, made.target, headers, made.body, self._draw.random() < 0.2)
         after = 0.0
         try:
--- a/rehearsal/mesh/field.py
+++ b/rehearsal/mesh/field.py
@@ -16,6 +16,7 @@
 import socket
 import sys
 from pathlib import Path
+from typing import NamedTuple
 
 from rehearsal.daemon import LEASH, environment
 from rehearsal.mesh import wire
@@ -26,6 +27,8 @@
 GRACE_S = 4.0  # from SIGTERM to the end
 BOUNDS = [f"grace={GRACE_S:g}s", "retry_ratio=0.2", "retry_window=10s", "retry_slack=5"]
 KEY_WINDOW_S = 600.0
+HOLD_MAX_S = 10.0
+BY_HEARTBEAT, BY_INVOCATION = "heartbeat", "invocation"  # how servers are given shard keys
 SERVICES = ("ferry", "till")
 ERRORS = ("Traceback", "could not be handled")  # in a log: a fault of the program
 DOORS = ("connection", "control", "outbound", "ready", "app", "behind")
@@ -52,11 +55,31 @@
     return found
 
 
+class Sharding(NamedTuple):
+    """Which services are divided by key, and how their servers are given keys."""
+
+    grants: str = ""
+    services: tuple[str, ...] = ()
+    warm_s: float = 1.0  # for so long keys are slow that came without a handover
+
+
+NO_SHARDING = Sharding()
+
+
 class Machine:
     """One machine, and its process over all lives."""
 
-    def __init__(self, name: str, role: str, host: str, ports: dict[str, int], service: str = "") -> None:
+    def __init__(
+        self,
+        name: str,
+        role: str,
+        host: str,
+        ports: dict[str, int],
+        service: str = "",
+        sharding: Sharding = NO_SHARDING,
+    ) -> None:
         self.name, self.role, self.host, self.service = name, role, host, service
+        self.sharding = sharding
         self._ports = ports
         self.process: asyncio.subprocess.Process | None = None
         self.in_use = role == "sidecar"  # whether clients send here
@@ -93,9 +116,13 @@
         pairs: int = 2,
         relayed: bool = False,
         key_window_s: float = KEY_WINDOW_S,
+        sharding: Sharding = NO_SHARDING,
     ) -> None:
         self._folder, self._history = folder, history
+        self.sharding = sharding
         self._bounds = [*BOUNDS, f"key_window={key_window_s:g}s"]
+        if sharding.services:
+            self._bounds.append(f"hold_max={HOLD_MAX_S:g}s")
         self._first = True
         self._struck: list[asyncio.subprocess.Process] = []
         self.relay = Relay() if relayed else None
@@ -105,7 +132,7 @@
             Machine(f"controller{n}", "controller", where[n], ports) for n in range(controllers)
         ]
         self.sidecars = [
-            Machine(f"sidecar{n}", "sidecar", host, ports, SERVICES[n % len(SERVICES)])
+            Machine(f"sidecar{n}", "sidecar", host, ports, SERVICES[n % len(SERVICES)], sharding)
             for n, host in enumerate(where[controllers:])
         ]
 
@@ -120,6 +147,8 @@
             "first_start": self._first,
             "bound_set": self._bounds,
         }
+        if self.sharding.grants:
+            told["grants"] = self.sharding.grants
         doors = ["control"]
         if machine.role == "controller":
             told["data_dir"] = str(self.data(machine))
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from rehearsal.mesh import wire
-from rehearsal.mesh.field import SERVICES, Machine
+from rehearsal.mesh.field import NO_SHARDING, SERVICES, Machine, Sharding
 from rehearsal.mesh.judge import Change, History, Items
 
 HOST = "mesh.example"
@@ -41,6 +41,22 @@
     }
 
 
+def cluster(name: str, version: int, sharding: Sharding) -> dict[str, Any]:
+    """A service, as it stands in a call."""
+    told: dict[str, Any] = {
+        "name": name,
+        "health_path": "/health",
+        "max_conns": 80,
+        "protocol": "h1",
+        "tls": False,
+        "idempotent": False,
+        "revision": f"r{version}",
+    }
+    if name in sharding.services:
+        told |= {"sharded": True, "warm": f"{sharding.warm_s:g}s", "grants": sharding.grants}
+    return told
+
+
 def laid_out(raw: dict[str, Any]) -> dict[str, Any]:
     """What is told under `upserts`, by item."""
     found: dict[str, Any] = {}
@@ -62,9 +78,15 @@
     """One of them. Several share their versions, and overtake each other."""
 
     def __init__(
-        self, controllers: list[Machine], history: History, draw: random.Random, versions: Iterator[int]
+        self,
+        controllers: list[Machine],
+        history: History,
+        draw: random.Random,
+        versions: Iterator[int],
+        sharding: Sharding = NO_SHARDING,
     ) -> None:
         self._controllers, self._history, self._draw, self._versions = controllers, history, draw, versions
+        self._sharding = sharding
         self.stopping = False
         self.acknowledged: Callable[[Machine], None] | None = None  # told in the turn that an answer came in
 
@@ -101,18 +123,7 @@
         """The call that has every item."""
         version = next(self._versions)
         rules = [rule(kind, kind, prefix, to, version) for kind, (prefix, to) in PATHS.items()]
-        clusters = [
-            {
-                "name": name,
-                "health_path": "/health",
-                "max_conns": 80,
-                "protocol": "h1",
-                "tls": False,
-                "idempotent": False,
-                "revision": f"r{version}",
-            }
-            for name in SERVICES
-        ]
+        clusters = [cluster(name, version, self._sharding) for name in SERVICES]
         limits = {"max_body_bytes": 1 << 20, "revision": f"r{version}"}
         upserts = {
             "limit_set": limits,
--- a/rehearsal/mesh/play.py
+++ b/rehearsal/mesh/play.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from rehearsal.mesh.caller import Caller, Operation
-from rehearsal.mesh.field import Field, Machine
+from rehearsal.mesh.field import NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import RECOVER_S, History, Try
 from rehearsal.mesh.operator import Operator
 from rehearsal.mesh.server import Server
@@ -31,14 +31,16 @@
 class Rig:
     """One play, as `async with`."""
 
-    def __init__(self, folder: Path, seed: int = 1, relayed: bool = False) -> None:
+    def __init__(
+        self, folder: Path, seed: int = 1, relayed: bool = False, sharding: Sharding = NO_SHARDING
+    ) -> None:
         draw = random.Random(seed)
         self.history = History()
-        self.field = Field(folder, self.history, relayed=relayed)
+        self.field = Field(folder, self.history, relayed=relayed, sharding=sharding)
         self._late = Lateness()
         versions = itertools.count(1)
         self._operators = [
-            Operator(self.field.controllers, self.history, random.Random(draw.random()), versions)
+            Operator(self.field.controllers, self.history, random.Random(draw.random()), versions, sharding)
             for _ in range(OPERATORS)
         ]
         sidecars = self.field.sidecars
@@ -196,6 +198,10 @@
             **dict(sorted(counts.items())),
             "arrivals": len(history.arrivals),
             "runs": len(runs),
+            "arrivals without their key": sum(
+                arrival.shard_key is not None and arrival.status == 421 for arrival in history.arrivals
+            ),
+            "holds and releases": len(history.holds),
             "keys run": sum(run.key != "" for run in runs),
             "changes": len(history.changes),
             "changes acknowledged": sum(change.status == 200 for change in history.changes),
@@ -356,9 +362,9 @@
 RELAYED = frozenset({"cut", "cut-peers"})
 
 
-async def play(folder: Path, seconds: float, seed: int, fault: str) -> Rig:
+async def play(folder: Path, seconds: float, seed: int, fault: str, sharding: Sharding = NO_SHARDING) -> Rig:
     """A third of the time before a fault, one within it and one after; the rig, with its history."""
-    async with Rig(folder, seed, fault in RELAYED) as rig:
+    async with Rig(folder, seed, fault in RELAYED, sharding) as rig:
         await asyncio.sleep(seconds / 3)
         await FAULTS[fault](rig, lambda: asyncio.sleep(seconds / 3))
         await asyncio.sleep(seconds / 3)
--- a/tests/mesh/small_mesh.py
+++ b/tests/mesh/small_mesh.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from rehearsal.mesh import wire
-from rehearsal.mesh.field import KEY_WINDOW_S, Field, Machine
+from rehearsal.mesh.field import KEY_WINDOW_S, NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import Arrival, History
 from rehearsal.mesh.operator import HOST, PATHS, Operator
 from rehearsal.mesh.server import Server
@@ -28,6 +28,7 @@
     field: Field
     history: History
     servers: dict[str, Server]  # by machine
+    operator: Operator
 
     @property
     def callers(self) -> list[Machine]:
@@ -60,12 +61,14 @@
 
 
 @asynccontextmanager
-async def small_mesh(folder: Path, key_window_s: float = KEY_WINDOW_S) -> AsyncIterator[SmallMesh]:
+async def small_mesh(
+    folder: Path, key_window_s: float = KEY_WINDOW_S, sharding: Sharding = NO_SHARDING
+) -> AsyncIterator[SmallMesh]:
     """Starts a mesh with its first configuration, and ends all its processes afterwards."""
     history = History()
-    field = Field(folder, history, key_window_s=key_window_s)
-    made = SmallMesh(field, history, {})
-    operator = Operator(field.controllers, history, random.Random(1), itertools.count(1))
+    field = Field(folder, history, key_window_s=key_window_s, sharding=sharding)
+    operator = Operator(field.controllers, history, random.Random(1), itertools.count(1), sharding)
+    made = SmallMesh(field, history, {}, operator)
     try:
         await field.start_all()
         for machine in field.sidecars:
