Controllers decide and propose who holds which keys, and vote on leases

Callers saw nothing yet: tables of key ranges had a format and rules, but no controller made one, so a sharded service had no owners.

The coordinator's assigner proposes the next version of a table as a change of the configuration, and every controller collects releases, loads and times, as each may become coordinator. Servers count as missing only from when the controller was in contact, so a cut that heals moves nothing. A voter confirms a lease by its chosen table and by the change that it has accepted. A change of tables alone is validated without building the routing table.

--- a/mesh/control/context.py
+++ b/mesh/control/context.py
@@ -70,6 +70,10 @@
         """
         return self._wall_offset_s + time.monotonic()
 
+    def monotonic_time(self) -> float:
+        """Returns the time of the monotonic clock at this moment, not at the event loop's latest poll."""
+        return time.monotonic()
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine in the background and keeps a reference to its task until it ends."""
         task = self.loop.create_task(work)
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -21,12 +21,15 @@
 from mesh.control.known_servers import RECORD_KIND as SERVER_RECORD
 from mesh.control.known_servers import KnownServers
 from mesh.control.lease import HEARTBEAT_FRACTION
+from mesh.control.lease_votes import LeaseVotes
 from mesh.control.peers import Peers
 from mesh.control.publisher import Publisher
 from mesh.control.recovery import Recovery
+from mesh.control.shard_assigner import ShardAssigner
 from mesh.figures import MetricFamily
 from mesh.settings import Settings
 from mesh.state import configuration
+from mesh.state.configuration import Item
 from mesh.state.quorum import Voters
 from mesh.transport import connection, http_server, messages
 from mesh.transport.connection import PeerConnection
@@ -72,7 +75,10 @@
             self._on_caught_up,
         )
         self.api = AdminApi(context, self.agreement, self.heartbeats)
-        self.agreement.on_new_items = self.publisher.publish
+        self.lease_votes = LeaseVotes(context, self.agreement, self.elections.current_voters)
+        self.shards = ShardAssigner(context, self.agreement, self.heartbeats, self.elections, self.publisher)
+        self.agreement.on_new_items = self._on_new_items
+        self.publisher.on_servers_changed = self.shards.on_servers_changed
         self.heartbeats.on_contact = self.publisher.on_contact
         self.heartbeats.on_renewed = self.grants.retry_pending
         self._handlers = self._handlers_by_type()
@@ -104,6 +110,9 @@
             messages.Pull: self.publisher.on_pull,
             messages.PullRecords: self.publisher.on_pull_records,
             messages.ItemsReceived: self.publisher.on_items_received,
+            messages.RenewLease: self.lease_votes.on_renew,
+            messages.RangesReleased: self.shards.on_released,
+            messages.ShardLoad: self.shards.on_load,
         }
 
     # --- state
@@ -153,6 +162,7 @@
             self.recovery,
             self.known_servers,
             self.api,
+            self.shards,
         )
 
     # --- start and stop
@@ -171,6 +181,7 @@
         self.context.spawn(self.recovery.run(disk_empty))
         self.context.spawn(self.heartbeats.run())
         self.context.spawn(self._check_periodically())
+        self.context.spawn(self.shards.run())
         keys = len(self.grants.registry)
         logger.info("controller listens", counts=self.caught_up, items=len(self.items), keys=keys)
 
@@ -192,6 +203,7 @@
             else:
                 self.grants.load(record)
         self.agreement.finish_loading()
+        self.shards.learn(self.items.values())
         if self.settings.first_start:
             self.context.member.mark_caught_up(1)
         return not records
@@ -232,6 +244,11 @@
         if handler is not None:
             handler(link, message)
 
+    def _on_new_items(self, items: list[Item]) -> None:
+        """Passes items that are new to this controller's copy of the configuration on."""
+        self.shards.learn(items)
+        self.publisher.publish(items)
+
     def peers_changed(self) -> None:
         """Tells the sidecars that the set of known controllers has changed."""
         self.publisher.send(self.peers.controllers())
--- a/mesh/control/controller_figures.py
+++ b/mesh/control/controller_figures.py
@@ -14,6 +14,7 @@
 from mesh.control.peers import Peers
 from mesh.control.publisher import Publisher
 from mesh.control.recovery import Recovery
+from mesh.control.shard_assigner import ShardAssigner
 from mesh.figures import MetricFamily, counter, gauge
 
 
@@ -28,6 +29,7 @@
     recovery: Recovery,
     known_servers: KnownServers,
     api: AdminApi,
+    shards: ShardAssigner,
 ) -> Iterator[MetricFamily]:
     """Yields all metric families of one controller."""
     yield from _voting(context, heartbeats)
@@ -47,6 +49,7 @@
     yield gauge(
         "mesh_sidecars_following", "Sidecars that hear the configuration from here.", publisher.following
     )
+    yield from shards.metrics()
     yield counter("mesh_disk_batches", "Batches of records that were synced.", context.store.batches)
     yield counter("mesh_disk_errors", "Batches that the disk did not take.", context.store.errors)
     yield gauge("mesh_disk_well", "1 while the disk takes records.", context.store.healthy)
--- a/mesh/control/elections.py
+++ b/mesh/control/elections.py
@@ -208,7 +208,7 @@
                 context.spawn(self._change_once())
             return
         settled = now >= self._voters_since + MIN_CHANGE_INTERVAL_S
-        if settled and self._needs_change(now) and self._is_coordinator() and self._heartbeats.in_contact:
+        if settled and self._needs_change(now) and self.is_coordinator() and self._heartbeats.in_contact:
             context.spawn(self._change_once())
 
     def _needs_change(self, now: float) -> bool:
@@ -226,7 +226,7 @@
             has_spare and (too_few or absence_s >= delays.replace_after_s)
         )
 
-    def _is_coordinator(self) -> bool:
+    def is_coordinator(self) -> bool:
         """Returns whether this controller proposes. This avoids contention; safety does not depend on it."""
         context = self._context
         live = [context.me, *self._peers.live()]
@@ -236,7 +236,7 @@
 
     def announce_successor(self) -> None:
         """Announces the next coordinator if this controller is the coordinator."""
-        if self._is_coordinator():
+        if self.is_coordinator():
             successor = coordinator(self._context.voters, self._peers.live(), "")
             self._peers.send(Successor(self._context.voters.epoch, successor))
 
--- a/mesh/control/publisher.py
+++ b/mesh/control/publisher.py
@@ -9,6 +9,7 @@
 from mesh.control.heartbeats import Heartbeats
 from mesh.control.known_servers import KnownServers
 from mesh.control.peers import Peers
+from mesh.control.server_directory import ServerDirectory
 from mesh.state.configuration import EMPTY, Item
 from mesh.state.configuration import Items as ItemTable
 from mesh.state.distribution import RecordsDigest
@@ -63,6 +64,9 @@
         self._digest_capable: set[PeerConnection] = set()  # sidecars that understand `RecordsDigest`
         self._pending_records: dict[str, SidecarRecord] = {}  # changed records that are not sent yet
         self._followers: set[PeerConnection] = set()  # sidecars that get items and records from here
+        self.servers = ServerDirectory()
+        self.on_servers_changed: Callable[[], None] = lambda: None
+        """Called when a server that sidecars have registered comes, goes, opens or closes."""
         self._number = 0
         self._packed_table: tuple[ItemTable, bytes] = (EMPTY, b"")  # all items, packed once for all sidecars
 
@@ -103,6 +107,10 @@
         if changed:
             self._records[record.node] = record
             self._records_digest.update(record.node, record.incarnation, record.number)
+        if (changed or new_connection) and self.servers.register(
+            self._context.monotonic_time(), self._records[record.node]
+        ):
+            self.on_servers_changed()
         if message.version >= VERSION_WITH_RECORDS_DIGEST:
             self._digest_capable.add(connection)
         if new_connection:
@@ -173,6 +181,9 @@
         self._followers.discard(connection)
         self._digest_capable.discard(connection)
         record = self._records.get(node) if node is not None else None
+        if node is not None and node not in self._sidecars.values():
+            self.servers.disconnect(self._context.monotonic_time(), node)
+            self.on_servers_changed()
         if record is not None:
             self._context.loop.call_later(
                 RECORD_RETENTION_S, self._expire_record, record.node, record.incarnation
@@ -183,6 +194,7 @@
         if record is None or record.incarnation != incarnation or node in self._sidecars.values():
             return
         del self._records[node]
+        self.servers.remove(node)
         self._records_digest.remove(node)
         self._pending_records.pop(node, None)
         self.send(EndpointGone(node, incarnation))
--- a/mesh/state/configuration.py
+++ b/mesh/state/configuration.py
@@ -79,12 +79,28 @@
     if different:
         return Error("; ".join(sorted(different)))
     newer = tuple(item for item in rows if item.name not in items or item.version > items[item.name].version)
+    if all(item.name.startswith(shards.ITEM_PREFIX) for item in newer):
+        return _validate_tables(newer)
     names = {item.name for item in newer}
     conflicts = build_table(items.update({item.name: item for item in newer}))[1]
     texts = [conflict.text for conflict in conflicts if conflict.names & names]
     return Error("; ".join(sorted(texts))) if texts else Ok(newer)
 
 
+def _validate_tables(change: tuple[Item, ...]) -> Result[tuple[Item, ...], str]:
+    """Returns a change that consists of tables of key ranges, or why one of them is invalid.
+
+    No other item refers to a table, so the rest of the configuration need not be looked at.
+    """
+    try:
+        for item in change:
+            if item.content:
+                parse_item(item)
+    except (ValueError, KeyError, IndexError, TypeError) as error:
+        return Error(str(error))
+    return Ok(change)
+
+
 def parse_revision(value: Any) -> int:
     """Parses a revision such as `r12` into its number; raises ValueError if it is malformed."""
     match = REVISION_PATTERN.fullmatch(value) if isinstance(value, str) else None
--- a/tests/mesh/mesh_world.py
+++ b/tests/mesh/mesh_world.py
@@ -34,7 +34,7 @@
 
 from hollyport.http.message import Message
 from mesh import settings
-from mesh.control import agreement, context, elections, heartbeats, peers, recovery
+from mesh.control import agreement, context, elections, heartbeats, peers, recovery, shard_assigner
 from mesh.control import controller as controllers
 from mesh.control.controller import Controller
 from mesh.errors import ErrorKind
@@ -143,7 +143,7 @@
         for module in (agreement, controllers, elections, heartbeats, connection, proxy_context):
             self._patch.setattr(module, "random", self.random)
         log = Log(self)
-        control = (agreement, controllers, elections, heartbeats, peers, recovery, connection)
+        control = (agreement, controllers, elections, heartbeats, peers, recovery, shard_assigner, connection)
         proxy = (control_client, directory, server_heartbeats, sidecars)
         for module in (*control, *proxy):
             self._patch.setattr(module, "logger", log)
