Requests to a sharded service go to the owner of their key, and wait for it on a move

What callers saw: requests to a service that is split by key went to any of its servers, which answered 421 for a key that they didn't hold; the sidecar beside took each such answer for the end of its server.

Cause: nothing read X-Shard-Key, and the table of owners was not used.

Change: the sidecar of the caller sends a request with a key to the owner of the key by its table, without a load query, and once under each assignment of the key. What comes back with NOT_OWNER waits there for the next assignment, or for the connection to its owner, for a quarter of its target latency at most, and is refused otherwise. Of a sharded service connections are kept to all servers. The sidecar beside the server asks `ServerQueue.key_gate` before a body is fetched, before the key of an operation is claimed, when a call is queued and before it is sent; `recheck_keys` gives back what waits for a lost key, calls whose connection is still being opened included. A 421 of the present server for a key ends neither its life nor lowers its budget.

--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -48,8 +48,10 @@
             call = msgspec.structs.replace(call, age_s=self._age_s(connection, call, call.age_s))
         if not call.size:
             self._run_remote(connection, number, call)
-        elif not self._queue.open or call.service != self._context.settings.service:
-            connection.send(ForwardAnswer.failed(number, ErrorKind.LEAVING))
+            return
+        refusal = self._refusal(call)
+        if refusal is not None:
+            connection.send(ForwardAnswer.failed(number, refusal))
         else:
             self.bodies.fetch(connection, number, call, _max_wait_s(call))
 
@@ -131,8 +133,9 @@
     def _run(self, call: Call, call_id: CallId, on_answer: OnAnswer, on_overdue: Callable[[], None]) -> None:
         """Submits a call to the queue of the local server; `on_answer` is called once with the result."""
         queue, context = self._queue, self._context
-        if call.service != context.settings.service or not queue.open:
-            on_answer(ForwardAnswer.failed(call_id[1], ErrorKind.LEAVING))
+        refusal = self._refusal(call)
+        if refusal is not None:
+            on_answer(ForwardAnswer.failed(call_id[1], refusal))
             return
         context.open_calls += 1
         token = f"{context.node_name}/{context.incarnation}/{context.next_number()}" if call.key else ""
@@ -148,7 +151,7 @@
             on_done,
             call.route,
         )
-        job.priority = call.priority
+        job.priority, job.shard_key = call.priority, call.shard_key
         if call.repeatable:
             job.on_overdue, job.repeatable = on_overdue, True
         if call.key:
@@ -159,6 +162,13 @@
             self.jobs[call_id] = job
             queue.submit(job)
 
+    def _refusal(self, call: Call) -> ErrorKind | None:
+        """Returns why a call can't run at the local server now, or None if it can."""
+        queue = self._queue
+        if call.service != self._context.settings.service or not queue.open:
+            return ErrorKind.LEAVING
+        return None if queue.holds_key(call.shard_key) else ErrorKind.NOT_OWNER
+
     def _latest_starts(self, now: float, call: Call) -> tuple[float, float]:
         """Returns the due time and the latest start of a call.
 
--- a/mesh/proxy/directory.py
+++ b/mesh/proxy/directory.py
@@ -13,6 +13,7 @@
 from mesh.proxy.failure_detector import FailureDetector
 from mesh.proxy.subset import CONNECT_TIMEOUT_S, Subset
 from mesh.settings import Address
+from mesh.state.configuration import RoutingTable
 from mesh.state.distribution import RecordsDigest
 from mesh.transport.connection import IDLE_PING_INTERVAL_S, Dialer, MessageHandler, PeerConnection
 from mesh.transport.messages import SidecarRecord
@@ -25,7 +26,7 @@
     """The endpoints that one sidecar knows, from the records that sidecars publish of themselves.
 
     `on_message` receives the messages of other sidecars. `on_connection_lost` is called with the node whose
-    connection has ended.
+    connection has ended, `on_server_changed` once a server may have become usable.
     """
 
     def __init__(self, context: ProxyContext, on_message: MessageHandler) -> None:
@@ -36,6 +37,8 @@
         self.digest = RecordsDigest()  # of `records`
         self.max_sidecars = 0  # the most sidecars known at any time
         self.on_connection_lost: Callable[[str], None] = lambda node: None
+        self.on_server_changed: Callable[[], None] = lambda: None
+        self._sharded_services: frozenset[str] = frozenset()
         self._subsets: dict[str, Subset] = {}  # by service
         self._dials: dict[str, Dialer] = {}  # by node
         self._timer: asyncio.TimerHandle | None = None
@@ -114,6 +117,7 @@
             endpoint.address = record.address
             self._stop_dial(record.node)
         self._choose(self._subsets[record.service])
+        self.on_server_changed()
 
     def _endpoint_of(self, record: SidecarRecord) -> Endpoint:
         """Returns the endpoint that a record describes, replacing one of another service on the same node."""
@@ -134,6 +138,7 @@
         if subset is None:
             context = self._context
             subset = self._subsets[service] = Subset(context.node_name, context.settings.zone, context.now())
+            subset.keeps_all = service in self._sharded_services
         return subset
 
     def on_endpoint_gone(self, node: str, incarnation: int) -> None:
@@ -157,6 +162,15 @@
 
     # --- connections
 
+    def on_table_changed(self, table: RoutingTable) -> None:
+        """Connects to all servers of the services that are sharded by the table now in force."""
+        sharded = frozenset(name for name, cluster in table.clusters.items() if cluster.sharded)
+        changed, self._sharded_services = sharded ^ self._sharded_services, sharded
+        for service in changed & self._subsets.keys():
+            subset = self._subsets[service]
+            subset.keeps_all = service in sharded
+            self._choose(subset)
+
     def _choose(self, subset: Subset) -> None:
         """Chooses a service's subset anew, and connects to the servers that are new in it."""
         subset.choose(self._context.now(), self._reachable)
@@ -214,6 +228,7 @@
         """Registers a new connection to a sidecar."""
         connection.peer = node
         self.connections[node] = connection
+        self.on_server_changed()
 
     def on_disconnected(self, node: str, connection: PeerConnection) -> None:
         """Removes a connection to a sidecar that has ended."""
--- a/mesh/proxy/forwarder.py
+++ b/mesh/proxy/forwarder.py
@@ -18,6 +18,7 @@
 from mesh.proxy.request_counts import NO_ROUTE, RequestCounts
 from mesh.proxy.retry_budget import RetryBudget
 from mesh.proxy.server_queue import NETWORK_MARGIN_S
+from mesh.proxy.shard_router import NoOwner, ShardRouter, wait_until
 from mesh.transport.connection import PeerConnection
 from mesh.transport.messages import (
     BodyChunk,
@@ -40,6 +41,8 @@
 MAX_ATTEMPTS = 3  # servers that a request is sent to before it is refused
 MAX_CLOSED_S = 0.2  # upper bound on how long a server that reported a full queue is skipped
 MIN_CHUNKS_VERSION = 2  # protocol version from which sidecars accept bodies in chunks
+OWNER_GONE_ERRORS = frozenset({ErrorKind.NOT_OWNER, ErrorKind.LEAVING, ErrorKind.BROKEN})
+"""Errors after which a key may soon have another owner."""
 DEFAULT_TARGET_S = 0.2  # target latency assumed for errors of requests that have no route
 
 OnAnswer = Callable[[ForwardAnswer], None]
@@ -78,12 +81,19 @@
     """Requests that entered the mesh at this sidecar and have not been answered yet."""
 
     def __init__(
-        self, context: ProxyContext, directory: Directory, picker: Picker, local: LocalCalls
+        self,
+        context: ProxyContext,
+        directory: Directory,
+        picker: Picker,
+        router: ShardRouter,
+        local: LocalCalls,
     ) -> None:
         self._context, self._directory = context, directory
         self._picker, self._local = picker, local
+        self.router = router
         picker.send_attempt, picker.no_server = self._send_attempt, self._on_no_server
         directory.on_connection_lost = self._on_connection_lost
+        directory.on_server_changed = self.resume_waiting
         self.attempts: dict[int, Attempt] = {}  # by attempt number
         self._budgets: dict[str, RetryBudget] = {}  # by service
         self.counts = RequestCounts()
@@ -98,7 +108,10 @@
         self._context.open_requests += 1
         wait_s = max(0.0, request.deadline - now - NETWORK_MARGIN_S)
         request.timer = self._context.loop.call_later(wait_s, self.on_deadline, request)
-        self._picker.pick(request)
+        if request.is_sharded:
+            self._route_by_key(request)
+        else:
+            self._picker.pick(request)
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -128,12 +141,17 @@
 
     def fail_all(self) -> None:
         """Fails all open requests at shutdown; those that cannot have run are reported as not executed."""
-        for request in [
-            *self._picker.probe_waiters,
-            *(attempt.request for attempt in self.attempts.values()),
-        ]:
+        for request in self._open_requests():
             self.on_deadline(request)
 
+    def _open_requests(self) -> list[PendingRequest]:
+        """Returns the requests that wait for a server or its answer, each as often as it was sent."""
+        return [
+            *(attempt.request for attempt in self.attempts.values()),
+            *self._picker.probe_waiters,
+            *self.router.waiting,
+        ]
+
     def _fail(self, request: PendingRequest, error: ErrorKind) -> None:
         if request.finished:
             return
@@ -142,6 +160,7 @@
 
     def _finish(self, request: PendingRequest) -> None:
         request.finish()
+        self.router.discard(request)
         self._context.open_requests -= 1
 
     def answer_error(
@@ -158,6 +177,44 @@
             headers = [(b"Retry-After", b"%.3f" % (target_s * (0.2 + 0.4 * self._context.random())))]
         message.answer(response.status, response.text, headers)
 
+    # --- requests to sharded services
+
+    def resume_waiting(self) -> None:
+        """Sends the requests whose keys have got an owner that can be reached, after a change of either."""
+        for request in list(self.router.waiting):
+            if request in self.router.waiting:
+                self._route_by_key(request)
+
+    def _route_by_key(self, request: PendingRequest) -> None:
+        """Sends a request to the owner of its key, or lets it wait for one, or refuses it."""
+        now = self._context.now()
+        decision = self.router.route(now, request)
+        if isinstance(decision, Endpoint):
+            self._send_to_owner(now, request, decision)
+        elif decision is NoOwner.REFUSE:
+            self._refuse_unowned(request)
+        else:
+            self.router.hold(request)
+            if request.wait_timer is None:
+                wait_s = wait_until(request) - now
+                request.wait_timer = self._context.loop.call_later(wait_s, self.end_wait, request)
+
+    def _send_to_owner(self, now: float, request: PendingRequest, endpoint: Endpoint) -> None:
+        """Sends a request to the owner of its key, within the retry budget if it was sent before."""
+        if request.tried and not self._may_retry(now, request):
+            self._refuse_unowned(request)
+            return
+        self.router.on_sent(request)
+        self._send_attempt(request, endpoint)
+
+    def end_wait(self, request: PendingRequest) -> None:
+        """Refuses a request that has waited for an owner of its key for as long as it may."""
+        if request in self.router.waiting:
+            self._refuse_unowned(request)
+
+    def _refuse_unowned(self, request: PendingRequest) -> None:
+        self._fail(request, ErrorKind.BROKEN if request.may_have_run else ErrorKind.NOT_OWNER)
+
     # --- attempts
 
     def _send_attempt(self, request: PendingRequest, endpoint: Endpoint) -> None:
@@ -203,6 +260,7 @@
             priority=request.route.priority,
             age_s=self._context.monotonic() - request.sent_after if request.key else None,
             sent_at=connection.earliest_peer_time() if request.key and connection is not None else None,
+            shard_key=request.shard_key,
         )
 
     def finish_attempt(self, answer: ForwardAnswer) -> None:
@@ -242,7 +300,10 @@
             request.may_have_run = True
         if request.finished:
             return
-        if self._may_try_another(now, request, error) and self._may_retry(now, request):
+        may_try_another = self._may_try_another(now, request, error)
+        if may_try_another and request.is_sharded:
+            self._route_by_key(request)
+        elif may_try_another and self._may_retry(now, request):
             self._picker.pick(request)
         elif not request.open_offers:  # otherwise another attempt may still be answered
             uncertain = request.may_have_run and error in NOT_EXECUTED_ERRORS
@@ -251,6 +312,8 @@
     @staticmethod
     def _may_try_another(now: float, request: PendingRequest, error: ErrorKind) -> bool:
         """Whether a request that failed with this error may be sent to another server."""
+        if request.is_sharded and error not in OWNER_GONE_ERRORS:
+            return False
         max_arrivals = request.route.max_attempts
         safe = error in NOT_EXECUTED_ERRORS or (request.repeatable and error == ErrorKind.BROKEN)
         left = len(request.tried) < max(MAX_ATTEMPTS, max_arrivals) and request.arrivals < max_arrivals
@@ -260,11 +323,11 @@
     def hedge_attempt(self, number: int) -> None:
         """Sends a request whose server takes unusually long to a second server as well.
 
-        Only requests that may run twice are hedged, within the retry budget. The first answer is used, and
-        the other attempt is not cancelled.
+        Only requests that may run twice are hedged, within the retry budget, and none to a sharded service,
+        as no other server holds its key. The first answer is used, and the other attempt is not cancelled.
         """
         attempt = self.attempts.get(number)
-        if attempt is None:
+        if attempt is None or attempt.request.is_sharded:
             return
         request, now = attempt.request, self._context.now()
         only_one = request.open_offers == 1 and request.arrivals + 1 < request.route.max_attempts
@@ -294,11 +357,7 @@
 
     def _request_of(self, message: Request) -> PendingRequest | None:
         """Returns the open request of a client's message, if there is one."""
-        requests = [
-            *(attempt.request for attempt in self.attempts.values()),
-            *self._picker.probe_waiters,
-        ]
-        return next((request for request in requests if request.message is message), None)
+        return next((request for request in self._open_requests() if request.message is message), None)
 
     def _cancel(self, number: int, endpoint: Endpoint) -> None:
         """Asks the sidecar beside a server to cancel a call; it still sends an answer."""
--- a/mesh/proxy/ingress.py
+++ b/mesh/proxy/ingress.py
@@ -17,11 +17,13 @@
 from mesh.proxy.request_age import RequestAges
 from mesh.proxy.weighted_split import WeightedSplit
 from mesh.state.configuration import Route
+from mesh.state.shards import LAST_KEY, NO_KEY
 
 RETRY_AGE_S = 0.002  # an older request has been refused or lost before
 OFFER_FRACTION = 0.2  # fraction of a request's time after which it is offered to no further server
 LEAVING_RETRY_DELAY_S = 1.0  # clients retry later at a sidecar that shuts down than at a full server
 MAX_ROUTES = 1024  # for which ages are tracked
+MAX_SHARD_KEY_DIGITS = len(str(LAST_KEY))
 
 
 class Ingress:
@@ -70,13 +72,19 @@
             age_s = self._ages_of(route).age(timeout_s, route.timeout_s)
         if len(message.body) > self._control.table.limits.max_body_bytes:
             return Error(ErrorKind.TOO_LARGE)
+        service, shard_key = self._split.choose(route), NO_KEY
+        if self._control.table.is_sharded(service):
+            parsed_key = _parse_shard_key(message.header(b"x-shard-key") or b"")
+            if parsed_key is None:
+                return Error(ErrorKind.BAD)
+            shard_key = parsed_key
         now, sent_after = self._context.now(), message.sent_after
         remaining_s = min(remaining_s, self._context.shutdown_deadline - now)
         return Ok(
             PendingRequest(
                 message=message,
                 route=route,
-                service=self._split.choose(route),
+                service=service,
                 started_at=now,
                 deadline=now + remaining_s,
                 target_at=now + min(route.target_s, remaining_s),
@@ -84,6 +92,7 @@
                 is_retry=age_s > RETRY_AGE_S,
                 past_target=age_s >= route.target_s,
                 sent_after=self._context.monotonic() if sent_after is None else sent_after,
+                shard_key=shard_key,
             )
         )
 
@@ -96,6 +105,13 @@
         return ages
 
 
+def _parse_shard_key(text: bytes) -> int | None:
+    """Returns the key of a request to a sharded service, or None if it is not a whole number in range."""
+    if not text.isdigit() or len(text) > MAX_SHARD_KEY_DIGITS or int(text) > LAST_KEY:
+        return None
+    return int(text)
+
+
 def _parse_milliseconds(text: bytes) -> float | None:
     """Returns a number of milliseconds in seconds, or None if it is not a finite number."""
     try:
--- a/mesh/proxy/pending_request.py
+++ b/mesh/proxy/pending_request.py
@@ -8,6 +8,7 @@
 from hollyport.http.message import Message as Request
 from mesh.proxy.endpoints import Endpoint
 from mesh.state.configuration import Route
+from mesh.state.shards import NO_KEY
 
 
 @dataclass(slots=True, eq=False)
@@ -26,12 +27,15 @@
     sent_after: float = 0.0  # by the monotonic clock: its client sent it later than this
     attempt_id: bytes = b""
     key: str = ""  # idempotency key; empty if its route uses none
+    shard_key: int = NO_KEY  # if its service is sharded
+    fence: int = 0  # of the assignment of its shard key under which it was last sent
     tried: list[Endpoint] = field(default_factory=list)
     arrivals: int = 0  # number of servers that it has reached
     open_offers: int = 0  # number of unanswered offers
     may_have_run: bool = False
     finished: bool = False
     timer: asyncio.TimerHandle | None = None
+    wait_timer: asyncio.TimerHandle | None = None  # ends its wait for an owner of its shard key
 
     def __post_init__(self) -> None:
         self.attempt_id = self.message.header(b"x-attempt-id") or b""
@@ -43,8 +47,14 @@
         """Whether the request may run more than once."""
         return self.route.variant == "pure"
 
+    @property
+    def is_sharded(self) -> bool:
+        """Whether only the owner of its shard key can serve the request."""
+        return self.shard_key != NO_KEY
+
     def finish(self) -> None:
         """Marks the request as answered or abandoned."""
         self.finished = True
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.wait_timer):
+            if timer is not None:
+                timer.cancel()
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -17,6 +17,7 @@
 from hollyport.settings.config import Address as NodeAddress
 from mesh.errors import ErrorKind
 from mesh.settings import Address
+from mesh.state.shards import NO_KEY
 
 INITIAL_BACKOFF_NS, MAX_BACKOFF_NS = 100_000_000, 2_000_000_000
 IDLE_TIMEOUT_S = 15.0  # applies unless the server announces a shorter one; see IDLE_TIMEOUT_FRACTION
@@ -56,6 +57,8 @@
         "repeatable",
         "timer",
         "cancelled",
+        "shard_key",
+        "key_lost",
     )
 
     def __init__(
@@ -83,12 +86,17 @@
         self.timer: asyncio.TimerHandle | None = None
         self.exchange: Exchange | None = None
         self.started_at = 0.0
+        self.shard_key = NO_KEY  # if its service is sharded
+        self.key_lost = False  # taken back before it reached the server, which holds its shard key no more
 
 
 class ServerQueue:
     """The local server of a sidecar, with its connections, concurrency budget and queue.
 
     `on_replaced` is called with the instance id of another server that answers at the address.
+
+    If the service is sharded, `key_gate` returns whether the server holds a key now, and `on_key_work` is
+    called at the end of each call that reached the server, with its key and the seconds that it took there.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, max_connections: int) -> None:
@@ -116,6 +124,11 @@
         self._failure_rate, self._failure_rate_at = 0.0, 0.0  # the rate and when it was updated
         self._timer: asyncio.TimerHandle | None = None
         self.on_replaced: Callable[[str], None] = lambda instance: None
+        self.key_gate: Callable[[int], bool] = lambda key: True
+        self.on_key_work: Callable[[int, float], None] = lambda key, work_s: None
+        self._exchanging: set[Job] = set()  # calls that were sent or whose connection is being opened
+        self.keys_not_held = 0  # calls given back before the server saw them, as it doesn't hold their keys
+        self.misdirected_keys = 0  # calls that the server itself refused, as it doesn't hold their keys
 
     def _new_budget(self, reported_slots: int = 1) -> Budget:
         """Returns the initial budget of a server process.
@@ -186,6 +199,38 @@
         for job in (*(entry[2] for entry in queued), *late):
             self._finish(job, error, False)
 
+    # --- calls of a sharded service
+
+    def holds_key(self, key: int) -> bool:
+        """Returns whether the server may be sent a call for a shard key now, and counts the call if not."""
+        held = key == NO_KEY or self.key_gate(key)
+        self.keys_not_held += not held
+        return held
+
+    def recheck_keys(self) -> None:
+        """Gives back the calls for keys that the server no longer holds, unless they have reached it."""
+        waiting = [*(entry[2] for entry in self.queued), *self.late]
+        for job in waiting:
+            if not self.holds_key(job.shard_key):
+                self._remove(job)
+                self._finish(job, ErrorKind.NOT_OWNER, False)
+        for job in [job for job in self._exchanging if not self._written(job)]:
+            if job.exchange is not None and not self.holds_key(job.shard_key):
+                job.key_lost = True
+                job.exchange.cancel()
+
+    @staticmethod
+    def _refuses_key(job: Job, instance: str, reply: Reply | None) -> bool:
+        """Returns whether a server process has refused a call as it doesn't hold the key.
+
+        A 421 of another process says that the one that the call was meant for is gone.
+        """
+        if reply is None or reply.status != 421 or job.shard_key == NO_KEY:
+            return False
+        return reply.header(b"x-instance-id") in (None, instance.encode())
+
+    # --- queueing
+
     def expected_service_s(self, kind: str) -> float:
         """Returns the expected time from sending a call of a kind to its answer."""
         return self._service_times.get(kind, (self.mean_service_s, 0))[0]
@@ -242,6 +287,9 @@
         if not self.open or not self.instance:
             self._finish(job, ErrorKind.LEAVING, False)
             return
+        if not self.holds_key(job.shard_key):
+            self._finish(job, ErrorKind.NOT_OWNER, False)
+            return
         if not self.budget.steps and (self.budget.trial_in_flight or now * 1e9 < self.budget.retry_at):
             self._finish(job, ErrorKind.FULL, False)  # the server has no capacity in the near future
             return
@@ -368,6 +416,9 @@
         if remaining_s <= NETWORK_MARGIN_S:
             self._finish(job, ErrorKind.FULL, False)
             return
+        if not self.holds_key(job.shard_key):
+            self._finish(job, ErrorKind.NOT_OWNER, False)
+            return
         exchange = self.upstream.exchange(
             instance,
             lambda: job.build_request(job.deadline - self._loop.time(), instance),
@@ -381,6 +432,7 @@
         job.trial, job.exchange, job.started_at = trial, exchange, now
         self.budget.trial_in_flight = self.budget.trial_in_flight or trial
         self.in_flight += 1
+        self._exchanging.add(job)
         if job.on_overdue is not None:
             job.timer = self._loop.call_later(
                 OVERDUE_FACTOR * self.expected_service_s(job.kind), job.on_overdue
@@ -390,6 +442,7 @@
     def _on_end(self, job: Job, instance: str, outcome: AttemptOutcome, answer: Any) -> None:
         """Handles the outcome of a call that was sent."""
         self.in_flight -= 1
+        self._exchanging.discard(job)
         now = self._loop.time()
         if job.timer is not None:
             job.timer.cancel()
@@ -398,7 +451,12 @@
         trial = job.trial and current
         if trial:
             budget.trial_in_flight = False
-        if reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
+        if job.shard_key != NO_KEY and self._written(job):
+            self.on_key_work(job.shard_key, now - job.started_at)
+        if self._refuses_key(job, instance, reply):
+            self.misdirected_keys += 1
+            self._finish(job, ErrorKind.NOT_OWNER, True, reply)
+        elif reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
             if current:
                 self._on_failure(now, trial)
                 if reply.status == 421:
@@ -418,7 +476,7 @@
             if outcome == AttemptOutcome.TIMEOUT:
                 error = ErrorKind.LATE
             elif outcome in (AttemptOutcome.MOOT, AttemptOutcome.CONNECT_FAILED) and not self._written(job):
-                error, arrived = ErrorKind.FULL, False
+                error, arrived = ErrorKind.NOT_OWNER if job.key_lost else ErrorKind.FULL, False
             # A call that was cancelled here says nothing about the server.
             if current and outcome != AttemptOutcome.MOOT and not job.cancelled:
                 self._record_outcome(True)
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -25,6 +25,7 @@
 from mesh.proxy.picker import Picker
 from mesh.proxy.server_heartbeats import ServerHeartbeats
 from mesh.proxy.server_queue import ServerQueue
+from mesh.proxy.shard_router import ShardRouter
 from mesh.settings import Settings
 from mesh.state import configuration
 from mesh.state.quorum import Voters
@@ -56,7 +57,8 @@
         self.control.records_digest = lambda: self.directory.digest.value
         self.calls = CallRunner(context, self.server_queue, self.control.key_claims)
         self.picker = Picker(context, self.directory, self.calls.load_report)
-        self.forwarder = Forwarder(context, self.directory, self.picker, self.calls)
+        router = ShardRouter(self.directory, lambda: self.control.table.shards)
+        self.forwarder = Forwarder(context, self.directory, self.picker, router, self.calls)
         self.ingress = Ingress(context, self.control, self.forwarder)
         self._callers: set[PeerConnection] = set()  # connections of sidecars that send calls here
         self._handlers = self._message_handlers()
@@ -232,6 +234,8 @@
     def _on_table_changed(self) -> None:
         """Applies the limits of the configuration that has come into force to the server and the clients."""
         table, queue = self.control.table, self.server_queue
+        self.directory.on_table_changed(table)
+        self.forwarder.resume_waiting()
         cluster = table.clusters.get(self.settings.service)
         if cluster is not None:
             queue.update_limits(cluster.max_conns)
--- a/mesh/proxy/sidecar_figures.py
+++ b/mesh/proxy/sidecar_figures.py
@@ -23,6 +23,7 @@
 ) -> Iterator[MetricFamily]:
     """Returns all metric families of one sidecar."""
     yield from forwarder.counts.metrics()
+    yield from forwarder.router.metrics()
     yield gauge("mesh_open_requests", "Requests that began here and have no answer.", context.open_requests)
     yield gauge("mesh_open_calls", "Calls for the server beside that have not ended.", context.open_calls)
     yield gauge("mesh_leaving", "1 once this sidecar has been told to end.", context.draining)
@@ -52,6 +53,16 @@
     yield gauge("mesh_server_budget", "Calls that may be at the server together.", queue.budget.limit)
     yield gauge("mesh_server_failing", "Part of its calls that fail of late.", queue.failure_rate())
     yield gauge("mesh_server_call_seconds", "What a call takes there of late.", queue.mean_service_s)
+    yield counter(
+        "mesh_shard_calls_returned",
+        "Calls given back unsent, as the server did not hold their keys.",
+        queue.keys_not_held,
+    )
+    yield counter(
+        "mesh_shard_calls_misdirected",
+        "Calls that the server refused itself, as it did not hold their keys.",
+        queue.misdirected_keys,
+    )
 
 
 def _control_metrics(control: ControlClient) -> Iterator[MetricFamily]:
--- a/mesh/proxy/subset.py
+++ b/mesh/proxy/subset.py
@@ -7,7 +7,8 @@
 uses a subset of a service's servers: mostly servers of its own zone, and some of other zones in case its zone
 is overloaded or cut off. Servers are ordered by rendezvous hashing (Thaler and Ravishankar, 1998): each
 sidecar has an order of its own, so that load spreads evenly over the servers, and a server that is added or
-removed changes one place of a subset. Of a small service all servers are kept.
+removed changes one place of a subset. Of a small service all servers are kept, and of a sharded one, as only
+the owner of its key can serve a request.
 """
 
 from __future__ import annotations
@@ -45,6 +46,7 @@
         self._sidecar, self._zone = sidecar, zone
         self.known: list[Endpoint] = []  # usable or not, in this sidecar's rendezvous order
         self.chosen: list[Endpoint] = []
+        self.keeps_all = False  # whether all known servers are chosen
         self._last_request_at = now
         self._widened_at, self._widened_size = now - WIDENED_FOR_S, SUBSET_SIZE
 
@@ -87,7 +89,7 @@
         `reachable` returns whether a server is connected or can be expected to be connected soon.
         """
         size = self._size(now)
-        if len(self.known) <= size:
+        if self.keeps_all or len(self.known) <= size:
             self.chosen = list(self.known)
             return
         serving = [server for server in self.known if server.instance and not server.draining]
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -9,6 +9,7 @@
 from mesh.errors import ErrorKind
 from mesh.proxy.server_queue import Job, ServerQueue
 from mesh.settings import Address
+from mesh.state.shards import NO_KEY
 
 SEAL = (b"x-server-seal", b"s")
 
@@ -392,3 +393,67 @@
         server_queue.submit(created)
     server_queue.submit(job_with_priority(server_queue, "urgent", 1.5, 0, results))
     assert results == [("urgent", ErrorKind.FULL, False)]
+
+
+# --- keys of a sharded service
+
+
+def keyed_job(server_queue, name, key, results):
+    created = job(server_queue, name, 1, results=results)
+    created.shard_key = key
+    return created
+
+
+def test_calls_whose_keys_are_lost_are_given_back_wherever_they_wait(server_queue):
+    results, held = [], {1, 2, 3}
+    server_queue.mean_service_s, server_queue.key_gate = 0.001, held.__contains__
+    server_queue.submit(keyed_job(server_queue, "connecting", 1, results))
+    (exchange,) = server_queue.upstream.sent
+    exchange.touched, exchange.cancel = False, lambda: exchange.end(AttemptOutcome.MOOT, False)
+    for name, key in (("not held", 9), ("queued", 1), ("late", 1), ("unsharded", NO_KEY), ("next", 2)):
+        server_queue.submit(keyed_job(server_queue, name, key, results))
+    late = next(entry[2] for entry in server_queue.queued if entry[2].kind == "late")
+    server_queue._remove(late)
+    server_queue.late.append(late)
+    assert [name for name, *_ in results] == ["not held"]
+    held.discard(1)
+    server_queue.recheck_keys()
+    held.clear()
+    server_queue.upstream.sent[0].reply()  # then the next call is due, whose key was lost as well
+    assert sorted(results) == sorted(
+        [(name, ErrorKind.NOT_OWNER, False) for name in ("connecting", "late", "next", "not held", "queued")]
+        + [("unsharded", None, True)]
+    )
+    assert server_queue.in_flight == 0 and server_queue.keys_not_held == 5
+
+
+@pytest.mark.parametrize(
+    ("key", "headers", "is_key_refused"),
+    [
+        (1, [], True),
+        (1, [(b"x-instance-id", b"i-1")], True),
+        (1, [(b"x-instance-id", b"i-2")], False),
+        (NO_KEY, [(b"x-instance-id", b"i-1")], False),
+    ],
+)
+def test_a_misdirected_key_does_not_count_against_its_server(server_queue, key, headers, is_key_refused):
+    results = []
+    server_queue.submit(keyed_job(server_queue, "a", key, results))
+    before = server_queue.budget.concurrency, server_queue.budget.steps, server_queue.failure_rate()
+    server_queue.upstream.sent[0].reply(421, [(b"x-not-run", b"1"), *headers])
+    assert results == [("a", ErrorKind.NOT_OWNER if is_key_refused else ErrorKind.LEAVING, True)]
+    assert (server_queue.instance == "i-1") == server_queue.open == is_key_refused
+    assert server_queue.misdirected_keys == is_key_refused
+    after = server_queue.budget.concurrency, server_queue.budget.steps, server_queue.failure_rate()
+    assert after == before or not is_key_refused
+
+
+def test_the_work_of_each_call_that_reached_the_server_is_reported_by_key(server_queue):
+    work = []
+    server_queue.on_key_work = lambda key, work_s: work.append((key, work_s))
+    for key, touched in ((1, True), (NO_KEY, True), (2, False)):
+        server_queue.submit(keyed_job(server_queue, "a", key, []))
+        server_queue._loop.now += 0.25
+        server_queue.upstream.sent[0].end(AttemptOutcome.RESET, touched)
+        server_queue.budget.steps = 1
+    assert work == [(1, 0.25)]
--- a/tests/mesh/test_mesh_subset.py
+++ b/tests/mesh/test_mesh_subset.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections import Counter
 from functools import partial
@@ -26,6 +27,7 @@
     WIDENED_FOR_S,
     Subset,
 )
+from mesh.state.configuration import Item
 from mesh.transport.messages import LoadQuery, SidecarRecord, kind_of
 
 ZONES = ("east", "west", "south")
@@ -322,3 +324,32 @@
         failing = _full_subset
     with pytest.raises(AssertionError):
         failing(dials)
+
+
+@with_sidecar
+def _sharded_service(harness, dials, table_first):
+    directory, control, clock = harness.sidecar.directory, harness.sidecar.control, Clock(harness)
+
+    def set_sharded(version, sharded):
+        content = json.dumps({"name": "meals", "sharded": sharded})
+        control.apply_items([Item("service/meals", version, content)])
+
+    if table_first:
+        set_sharded(2, True)
+    directory.apply_records([*records(60), *records(60, 100, "berths")])
+    if not table_first:
+        set_sharded(2, True)
+    assert {record.node for record in records(60)} <= dials.open
+    dials.connect(directory)
+    clock.time += IDLE_TIMEOUT_S
+    directory._refresh()
+    assert len(dials.open) == 3 + 60 + IDLE_SUBSET_SIZE, "the subset of the other service is not kept small"
+    set_sharded(3, False)
+    clock.time += directory_module.LINGER_S
+    directory._refresh()
+    assert len(dials.open) == 2 * IDLE_SUBSET_SIZE
+
+
+@pytest.mark.parametrize("table_first", [True, False])
+def test_all_servers_of_a_sharded_service_are_connected_whatever_is_known_first(dials, table_first):
+    _sharded_service(dials, table_first)
