--- a/mesh/proxy/grant_calls.py
+++ b/mesh/proxy/grant_calls.py
@@ -55,8 +55,9 @@
 class GrantCalls:
     """Grants and releases of key ranges by calls to the server beside.
 
-    `on_released` is called when the server has let go of a range, `on_closed` before it is asked to, and
-    `on_contact` after each call with whether the server has answered.
+    `on_released` is called when the server has let go of a range, `on_closed` before it is asked to,
+    `on_refused` when it has seen a higher fence, and `on_contact` after each call with whether the server has
+    answered.
     """
 
     def __init__(self, context: ProxyContext, address: Address, holds: ServerHolds) -> None:
@@ -67,6 +68,7 @@
         )
         self.on_released: Callable[[], None] = lambda: None
         self.on_closed: Callable[[], None] = lambda: None
+        self.on_refused: Callable[[], None] = lambda: None
         self.on_contact: Callable[[bool], None] = lambda answered: None
         self.outcomes = LabelledCounter(
             "mesh_grant_calls", "Calls that grant or release key ranges.", ("call", "outcome")
@@ -145,6 +147,7 @@
             outcome = "refused"
             logger.warning("the server has seen a higher fence", range=held.range, fence=held.fence)
             self._holds.on_grant_refused(held)
+            self.on_refused()
         else:
             self._holds.on_grant_unanswered(now, held)
             if reply is not None:
--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -33,6 +33,7 @@
         self.calls = GrantCalls(context, context.settings.app, self.holds)
         self.reports = RangeReports(context, self.holds, control.send)
         self.calls.on_released = self.reports.report_releases
+        self.calls.on_refused = self.update
         queue.key_gate = self._allows
         queue.on_key_work = self.reports.on_key_work
 
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -453,7 +453,7 @@
     result: list[GrantRow] = []
     size = 0
     for row in sorted(rows, key=lambda row: bool(row.handover)):
-        size += len(json.dumps(row)) + len(",")
+        size += len(json.dumps(row, separators=(",", ":"))) + len(",")
         if size > MAX_ROWS_BYTES:
             break
         result.append(row)
