--- a/mesh/state/key_leases.py
+++ b/mesh/state/key_leases.py
@@ -45,8 +45,8 @@
 def hold_duration(now: float, lease_ends_at: float, transit_s: float = 0.0) -> float:
     """Returns how long a server may be told to hold a range, in seconds; 0 if not at all.
 
-    The server's clock may lose `CLOCK_DRIFT` of each second. `transit_s` is the longest time from `now` until the
-    server begins to count; it is 0 where the server counts from a time before `now`.
+    The server's clock may lose `CLOCK_DRIFT` of each second. `transit_s` is the longest time from `now` until
+    the server begins to count; it is 0 where the server counts from a time before `now`.
     """
     return max(0.0, (lease_ends_at - now - transit_s) * (1 - CLOCK_DRIFT))
 
