Rehearsal: keys that come without the handover of their last holder are slow

The stand-in servers took any handover, so a mesh that loses them, or gives those of an earlier holder, looked as good as one that doesn't. The servers of a service now share which handover brings the state of which keys; without it their requests take three times as long for warm. A play counts the runs on cold keys.

--- a/rehearsal/mesh/judge.py
+++ b/rehearsal/mesh/judge.py
@@ -59,6 +59,7 @@
     seal: str = ""
     body: bytes = b""
     shard_key: int | None = None
+    cold: bool = False  # the server holds the key without the state of its last holder
 
 
 @dataclass(slots=True)
--- a/rehearsal/mesh/key_holds.py
+++ b/rehearsal/mesh/key_holds.py
@@ -30,8 +30,16 @@
     until: float
 
 
+class GrantRow(NamedTuple):
+    """Keys that a server is to hold."""
+
+    keys: KeyRange
+    fence: int
+    handover: str = ""  # of their last holder, if it released them
+
+
 class HoldRow(NamedTuple):
-    """Keys that a server is to hold, or says that it holds."""
+    """Keys that a server says that it holds."""
 
     keys: KeyRange
     fence: int
@@ -61,13 +69,40 @@
     until: float
 
 
+class KeyStates:
+    """Which handover brings the state of each key of one service: that of the key's last holder."""
+
+    def __init__(self) -> None:
+        self._handovers: KeyRangeMap[str] = KeyRangeMap()  # empty: the holder hasn't released the key
+
+    def take(self, keys: KeyRange, handover: str) -> list[KeyRange]:
+        """Notes a new holder; returns the keys that it holds without their state."""
+        rows = self._handovers.overlapping(keys)
+        self._handovers.assign(keys, "")
+        return [row.keys for row in rows if not handover or row.value != handover]
+
+    def hand_over(self, keys: KeyRange, handover: str) -> None:
+        """Notes that the holder of some keys has released them."""
+        self._handovers.assign(keys, handover)
+
+
 class KeyHolds:
-    """The keys of one life of a server. `report` is told of each change, for whoever judges the play."""
+    """The keys of one life of a server. `report` is told of each change, for whoever judges the play.
+
+    For `warm_s` keys are cold if they came without the handover of their last holder.
+    """
 
     def __init__(
-        self, server: str, new_handover: Callable[[], str], report: Callable[[HoldEvent], None]
+        self,
+        server: str,
+        new_handover: Callable[[], str],
+        report: Callable[[HoldEvent], None],
+        states: KeyStates,
+        warm_s: float,
     ) -> None:
         self._server = server
+        self._states, self._warm_s = states, warm_s
+        self._cold_until: KeyRangeMap[float] = KeyRangeMap()
         self._new_handover = new_handover
         self._report = report
         self._fences: KeyRangeMap[int] = KeyRangeMap()  # highest that was seen
@@ -80,8 +115,9 @@
 
     # --- what is granted and taken back
 
-    def grant(self, keys: KeyRange, fence: int, hold_s: float, counted_from: float, now: float) -> bool:
+    def grant(self, granted: GrantRow, hold_s: float, counted_from: float, now: float) -> bool:
         """Takes or renews a hold; returns False if a higher fence was seen on any of the keys."""
+        keys, fence, handover = granted
         if any(row.value > fence for row in self._fences.overlapping(keys)):
             return False
         self._expire(now)
@@ -91,11 +127,28 @@
         self._handovers.remove(keys)
         self._let_go.remove(keys)
         self._held.assign(keys, Hold(fence, now, until))
+        self._warm_up(keys, [row.keys for row in lasting], handover, now)
         for row in lasting:
             self._held.assign(row.keys, Hold(fence, row.value.since, until))
         self._report(HoldEvent(self._server, now, keys, until))
         return True
 
+    def _warm_up(self, keys: KeyRange, kept: list[KeyRange], handover: str, now: float) -> None:
+        """Notes which of the keys that come anew are cold."""
+        new: KeyRangeMap[bool] = KeyRangeMap()
+        new.assign(keys, True)
+        for part in kept:
+            new.remove(part)
+        for row in new.rows():
+            self._cold_until.remove(row.keys)
+            for cold in self._states.take(row.keys, handover):
+                self._cold_until.assign(cold, now + self._warm_s)
+
+    def is_cold(self, key: int, now: float) -> bool:
+        """Whether requests for a key are slow, as its state has yet to be loaded."""
+        until = self._cold_until.get(key)
+        return until is not None and now < until
+
     def let_go(self, keys: KeyRange, now: float) -> None:
         """Starts no more work on some keys. Work that runs on them may end; see `end_release`."""
         self._expire(now)
@@ -120,11 +173,12 @@
         handover = self._new_handover()
         for row in self._let_go.overlapping(keys):
             self._released.append(ReleasedRow(row.keys, handover))
+            self._states.hand_over(row.keys, handover)
         self._let_go.remove(keys)
         self._handovers.assign(keys, handover)
         return handover
 
-    def replace(self, rows: Iterable[HoldRow], hold_s: float, counted_from: float, now: float) -> None:
+    def replace(self, rows: Iterable[GrantRow], hold_s: float, counted_from: float, now: float) -> None:
         """Holds what an answer to a heartbeat lists, and lets go of what it leaves out.
 
         A row with a lower fence than was seen on one of its keys is not taken; what is held of it stays as it
@@ -134,7 +188,7 @@
         left_out.assign(ALL_KEYS, True)
         for row in rows:
             left_out.remove(row.keys)
-            self.grant(row.keys, row.fence, hold_s, counted_from, now)
+            self.grant(row, hold_s, counted_from, now)
         for gap in left_out.rows():
             for held in self._held.overlapping(gap.keys):
                 self.let_go(held.keys, now)
--- a/rehearsal/mesh/key_messages.py
+++ b/rehearsal/mesh/key_messages.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from rehearsal.mesh.key_holds import HoldRow, ReleasedRow
+from rehearsal.mesh.key_holds import GrantRow, HoldRow, ReleasedRow
 from rehearsal.mesh.key_ranges import ALL_KEYS, KeyRange
 
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
@@ -16,10 +16,8 @@
 class Grant(NamedTuple):
     """A call that gives keys to a server, or renews them."""
 
-    keys: KeyRange
-    fence: int
+    row: GrantRow
     hold_s: float
-    handover: str
 
 
 class Release(NamedTuple):
@@ -32,7 +30,7 @@
 class HeartbeatGrants(NamedTuple):
     """All that a server is to hold, as the answer to a heartbeat tells it."""
 
-    rows: list[HoldRow]
+    rows: list[GrantRow]
     hold_s: float
 
 
@@ -40,11 +38,9 @@
     """Returns the grant in the body of a call, or None if it is malformed."""
     try:
         raw = json.loads(body)
-        handover = raw.get("handover", "")
-        if not isinstance(handover, str):
-            raise ValueError("the handover is not a text")
         keys = _key_range(raw["source"], raw["target_version"])
-        return Grant(keys, _whole(raw["fence"]), _hold_time(raw["hold"], hold_max_s), handover)
+        row = GrantRow(keys, _whole(raw["fence"]), _text(raw.get("handover", "")))
+        return Grant(row, _hold_time(raw["hold"], hold_max_s))
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
@@ -63,7 +59,8 @@
     try:
         raw = json.loads(body)
         rows = [
-            HoldRow(_key_range(first, last), _whole(fence)) for first, last, fence, _handover in raw["holds"]
+            GrantRow(_key_range(first, last), _whole(fence), _text(handover))
+            for first, last, fence, handover in raw["holds"]
         ]
         return HeartbeatGrants(rows, _hold_time(raw["hold"], hold_max_s))
     except (ValueError, KeyError, TypeError):
@@ -92,6 +89,12 @@
     return value
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
 def _key_range(first: Any, last: Any) -> KeyRange:
     keys = KeyRange(_whole(first), _whole(last))
     if not keys.first <= keys.last <= ALL_KEYS.last:
--- a/rehearsal/mesh/play.py
+++ b/rehearsal/mesh/play.py
@@ -6,13 +6,14 @@
 import itertools
 import random
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from rehearsal.mesh.caller import Caller, Operation
 from rehearsal.mesh.field import NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import RECOVER_S, History, Try
+from rehearsal.mesh.key_holds import KeyStates
 from rehearsal.mesh.operator import Operator
 from rehearsal.mesh.server import Server
 from rehearsal.worker import Lateness
@@ -44,8 +45,15 @@
             for _ in range(OPERATORS)
         ]
         sidecars = self.field.sidecars
+        key_states: defaultdict[str, KeyStates] = defaultdict(KeyStates)  # by service
         self.servers = {
-            machine.name: Server(machine, self.history, random.Random(draw.random())) for machine in sidecars
+            machine.name: Server(
+                machine,
+                self.history,
+                random.Random(draw.random()),
+                key_states=key_states[machine.service],
+            )
+            for machine in sidecars
         }
         self.keyed: list[Operation] = []
         self.callers = [
@@ -201,6 +209,7 @@
             "arrivals without their key": sum(
                 arrival.shard_key is not None and arrival.status == 421 for arrival in history.arrivals
             ),
+            "runs on cold keys": sum(arrival.cold for arrival in history.arrivals),
             "holds and releases": len(history.holds),
             "keys run": sum(run.key != "" for run in runs),
             "changes": len(history.changes),
--- a/rehearsal/mesh/server.py
+++ b/rehearsal/mesh/server.py
@@ -16,11 +16,12 @@
 from rehearsal.mesh import key_messages, wire
 from rehearsal.mesh.field import BY_HEARTBEAT, BY_INVOCATION, HOLD_MAX_S, Machine
 from rehearsal.mesh.judge import Arrival, History
-from rehearsal.mesh.key_holds import KeyHolds
+from rehearsal.mesh.key_holds import KeyHolds, KeyStates
 
 SLOTS = 4
 QUEUE = 8  # that wait for a slot; more are turned away
 WORK_S = 0.008
+COLD_FACTOR = 3.0  # a run takes this much longer while its key's state isn't there
 ERRS, SPOILS = 0.01, 0.005  # parts of the runs that end with its own 500, and that break off their answer
 BEAT_S = 0.4
 LETTING_GO_BEAT_S = 0.1  # between heartbeats while keys are being let go
@@ -51,14 +52,17 @@
         work_s: float = WORK_S,
         errs: bool = True,
         service: str = "",
+        key_states: KeyStates | None = None,
     ) -> None:
         """`work_s`: what a run takes, about. `errs`: whether some runs fail or break off. `service`: what it
-        belongs to, by default that of the machine."""
+        belongs to, by default that of the machine. `key_states`: what the servers of its service share, where
+        that is divided by key."""
         self.machine, self._history, self._draw = machine, history, draw
         self._work_s, self._errs = work_s, errs
         self.service = service or machine.service
         sharding = machine.sharding
         self._grants = sharding.grants if self.service in sharding.services else ""
+        self._key_states = key_states if key_states is not None else KeyStates()
         self.holds: KeyHolds | None = None  # of this life, where the service is divided by key
         self._work_ended = asyncio.Event()
         self.instance = ""
@@ -80,7 +84,13 @@
         self._beats = asyncio.create_task(self._beat())
 
     def _new_holds(self) -> KeyHolds:
-        return KeyHolds(self.name, lambda: f"{self._draw.getrandbits(64):016x}", self._history.holds.append)
+        return KeyHolds(
+            self.name,
+            lambda: f"{self._draw.getrandbits(64):016x}",
+            self._history.holds.append,
+            self._key_states,
+            self.machine.sharding.warm_s,
+        )
 
     @property
     def name(self) -> str:
@@ -251,10 +261,12 @@
     ) -> tuple[bytes, bool]:
         """Runs a request; it fails if the hold of its key ends meanwhile."""
         if holds is None or arrival.shard_key is None:
-            return await self._work(arrival, until)
+            return await self._work(arrival, until, self._work_s)
+        arrival.cold = holds.is_cold(arrival.shard_key, arrival.at)
+        work_s = self._work_s * (COLD_FACTOR if arrival.cold else 1.0)
         number = holds.begin_work(arrival.shard_key, arrival.at)
         try:
-            answer = await self._work(arrival, until)
+            answer = await self._work(arrival, until, work_s)
         finally:
             was_held = holds.end_work(number, time.monotonic())
             self._work_ended.set()
@@ -284,12 +296,12 @@
         grant = key_messages.parse_grant(body, HOLD_MAX_S)
         if grant is None:
             return 400
-        return 200 if holds.grant(grant.keys, grant.fence, grant.hold_s, now, now) else 409
+        return 200 if holds.grant(grant.row, grant.hold_s, now, now) else 409
 
-    async def _work(self, arrival: Arrival, until: float) -> tuple[bytes, bool]:
+    async def _work(self, arrival: Arrival, until: float, work_s: float) -> tuple[bytes, bool]:
         draw = self._draw
         self._count += 1
-        takes = draw.lognormvariate(0.0, 0.6) * self._work_s
+        takes = draw.lognormvariate(0.0, 0.6) * work_s
         await asyncio.sleep(min(takes, max(0.0, until - time.monotonic())))
         echo = {"X-Attempt-Id": arrival.attempt}
         if time.monotonic() >= until:
--- a/tests/mesh/small_mesh.py
+++ b/tests/mesh/small_mesh.py
@@ -13,6 +13,7 @@
 from rehearsal.mesh import wire
 from rehearsal.mesh.field import KEY_WINDOW_S, NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import Arrival, History
+from rehearsal.mesh.key_holds import KeyStates
 from rehearsal.mesh.operator import HOST, PATHS, Operator
 from rehearsal.mesh.server import Server
 
@@ -29,6 +30,7 @@
     history: History
     servers: dict[str, Server]  # by machine
     operator: Operator
+    key_states: KeyStates  # of the service that is divided by key, where one is
 
     @property
     def callers(self) -> list[Machine]:
@@ -44,7 +46,7 @@
         """Returns a server for the address of a machine, which is not started yet."""
         draw = random.Random(f"{machine.name} {len(self.servers)}")
         made = self.servers[f"{machine.name} {len(self.servers)}"] = Server(
-            machine, self.history, draw, errs=False, service=service
+            machine, self.history, draw, errs=False, service=service, key_states=self.key_states
         )
         return made
 
@@ -68,7 +70,7 @@
     history = History()
     field = Field(folder, history, key_window_s=key_window_s, sharding=sharding)
     operator = Operator(field.controllers, history, random.Random(1), itertools.count(1), sharding)
-    made = SmallMesh(field, history, {}, operator)
+    made = SmallMesh(field, history, {}, operator, KeyStates())
     try:
         await field.start_all()
         for machine in field.sidecars:
--- a/tests/mesh/test_mesh_key_holds.py
+++ b/tests/mesh/test_mesh_key_holds.py
@@ -6,28 +6,43 @@
 
 import pytest
 
-from rehearsal.mesh.key_holds import SLOWEST_CLOCK, HoldEvent, HoldRow, KeyHolds, ReleasedRow
+from rehearsal.mesh.key_holds import (
+    SLOWEST_CLOCK,
+    GrantRow,
+    HoldEvent,
+    HoldRow,
+    KeyHolds,
+    KeyStates,
+    ReleasedRow,
+)
 from rehearsal.mesh.key_ranges import ALL_KEYS, KeyRange, KeyRangeMap, Row
 
 KEYS = KeyRange(100, 199)
 HALF = KeyRange(100, 149)
 OTHER_HALF = KeyRange(150, 199)
 HOLD_S = 4.0
+WARM_S = 1.0
 REAL_HOLD_S = HOLD_S / SLOWEST_CLOCK
 
 
 class Made:
     """Key holds with handovers h1, h2, ... and all events that they reported."""
 
-    def __init__(self) -> None:
+    def __init__(self, states: KeyStates | None = None) -> None:
         numbers = itertools.count(1)
         self.events: list[HoldEvent] = []
-        self.holds = KeyHolds("s1", lambda: f"h{next(numbers)}", self.events.append)
+        self.holds = KeyHolds(
+            "s1", lambda: f"h{next(numbers)}", self.events.append, states or KeyStates(), WARM_S
+        )
 
-    def grant(self, keys: KeyRange = KEYS, fence: int = 1, now: float = 0.0) -> bool:
-        return self.holds.grant(keys, fence, HOLD_S, now, now)
+    def grant(self, keys: KeyRange = KEYS, fence: int = 1, now: float = 0.0, handover: str = "") -> bool:
+        return self.holds.grant(GrantRow(keys, fence, handover), HOLD_S, now, now)
 
-    def replace(self, *rows: HoldRow, sent_at: float, now: float) -> None:
+    def release(self, keys: KeyRange = KEYS, now: float = 0.0) -> str:
+        self.holds.let_go(keys, now)
+        return self.holds.end_release(keys, now)
+
+    def replace(self, *rows: GrantRow, sent_at: float, now: float) -> None:
         self.holds.replace(rows, HOLD_S, sent_at, now)
 
 
@@ -144,7 +159,7 @@
 
 def test_an_answer_lets_go_of_what_it_leaves_out(made: Made) -> None:
     made.grant()
-    made.replace(HoldRow(OTHER_HALF, 1), sent_at=1.0, now=1.2)
+    made.replace(GrantRow(OTHER_HALF, 1), sent_at=1.0, now=1.2)
     assert not made.holds.holds(100, 1.2)
     assert made.holds.holds(150, 1.0 + REAL_HOLD_S - 0.001)
     assert not made.holds.holds(150, 1.0 + REAL_HOLD_S)  # counted from when the heartbeat was sent
@@ -187,14 +202,14 @@
 
 def test_a_row_with_a_lower_fence_is_not_taken_and_the_others_are(made: Made) -> None:
     made.grant(HALF, fence=5)
-    made.replace(HoldRow(HALF, 4), HoldRow(OTHER_HALF, 4), sent_at=1.0, now=1.0)
+    made.replace(GrantRow(HALF, 4), GrantRow(OTHER_HALF, 4), sent_at=1.0, now=1.0)
     assert made.holds.held_rows(1.0) == [HoldRow(HALF, 5), HoldRow(OTHER_HALF, 4)]
     assert not made.holds.holds(100, REAL_HOLD_S)  # not renewed
     assert made.holds.holds(150, REAL_HOLD_S)
 
 
 def test_an_answer_that_comes_after_its_hold_holds_nothing(made: Made) -> None:
-    made.replace(HoldRow(KEYS, 1), sent_at=0.0, now=REAL_HOLD_S)
+    made.replace(GrantRow(KEYS, 1), sent_at=0.0, now=REAL_HOLD_S)
     assert not made.holds.holds(100, REAL_HOLD_S)
 
 
@@ -208,3 +223,33 @@
         HoldEvent("s1", 3.0, ALL_KEYS, 3.0),
     ]
     assert not made.holds.holds(150, 3.0)
+
+
+def test_keys_are_cold_that_came_without_the_handover_of_their_last_holder() -> None:
+    states = KeyStates()
+    first, second = Made(states), Made(states)
+    first.grant()
+    assert not first.holds.is_cold(100, 0.0)  # nobody held it before
+    handover = first.release(HALF, 1.0)
+    second.grant(KEYS, fence=2, now=1.0, handover=handover)
+    assert [second.holds.is_cold(key, 1.0) for key in (100, 150)] == [False, True]  # half was not released
+    assert not second.holds.is_cold(150, 1.0 + WARM_S)
+
+
+@pytest.mark.parametrize("handover", ["", "old"])
+def test_a_handover_that_is_missing_or_of_an_earlier_holder_leaves_keys_cold(handover: str) -> None:
+    states = KeyStates()
+    first, second = Made(states), Made(states)
+    first.grant()
+    first.release(now=1.0)
+    second.grant(fence=2, now=1.0, handover=handover)
+    assert second.holds.is_cold(100, 1.0)
+
+
+def test_keys_are_cold_after_a_hold_that_ran_out_and_a_renewal_changes_nothing(made: Made) -> None:
+    made.grant()
+    made.grant(now=3.0)
+    assert not made.holds.is_cold(100, 3.0)
+    made.grant(now=10.0)
+    made.grant(now=10.5)
+    assert made.holds.is_cold(100, 10.5)
