Servers count from when they opened; large tables are published less often

The first assignment counted from when a server was first heard of, though it may open later; it now counts from when it opened. Each change of a table goes to every sidecar: the pause after a proposal grows with the size of the tables, so that a restart of all servers shares changes instead of sending a table of 5 kB every 30 ms.

--- a/mesh/control/server_directory.py
+++ b/mesh/control/server_directory.py
@@ -18,7 +18,7 @@
     owner: Owner  # without an instance if the sidecar knows of no server
     is_open: bool  # whether it accepts requests, by its sidecar's last record
     slots: int
-    first_seen_at: float  # of this instance
+    open_since: float  # meaningless while it is closed
     missing_since: float | None = None  # without a connection of the sidecar, or without an instance
 
     def is_open_for(self, service: str) -> bool:
@@ -36,16 +36,17 @@
         """Handles a record that came on a sidecar's connection; returns whether anything has changed."""
         owner = Owner(record.node, record.instance)
         known = self.nodes.get(record.node)
-        is_known = known is not None and known.owner == owner
+        is_open = record.is_open and bool(record.instance)
+        was_open = known is not None and known.owner == owner and known.is_open
         missing_since = None
         if not record.instance:
             missing_since = now if known is None or known.missing_since is None else known.missing_since
         self.nodes[record.node] = ServerNode(
             record.service,
             owner,
-            record.is_open and bool(record.instance),
+            is_open,
             max(1, record.slots),
-            known.first_seen_at if known is not None and is_known else now,
+            known.open_since if known is not None and (was_open or not is_open) else now,
             missing_since,
         )
         return self.nodes[record.node] != known
--- a/mesh/control/shard_assigner.py
+++ b/mesh/control/shard_assigner.py
@@ -33,7 +33,8 @@
 
 BUSY_INTERVAL_S = 0.05  # between plans while ranges are on the move
 IDLE_INTERVAL_S = 0.25
-MIN_INTERVAL_S = 0.03  # between two proposals, which operators' changes need, too; shares one plan of events
+MIN_INTERVAL_S = 0.03  # between two plans: leaves turns to operators' changes, and shares a plan among events
+MAX_TABLE_BYTES_PER_S = 100_000  # of tables that every sidecar gets
 PROPOSAL_TIMEOUT_S = 1.0
 SERVICE_PREFIX = "service/"  # of the names of configuration items
 
@@ -112,9 +113,10 @@
             await self._wait(BUSY_INTERVAL_S if self._busy else IDLE_INTERVAL_S)
             self._watch_contact()
             self._busy = False
-            if self._may_propose():
-                await self._propose(list(self._due_changes()))
-            await asyncio.sleep(MIN_INTERVAL_S)
+            changes = list(self._due_changes()) if self._may_propose() else []
+            if changes:
+                await self._propose(changes)
+            await asyncio.sleep(_pause_after(changes))
 
     async def _wait(self, limit_s: float) -> None:
         """Waits for an event, at most for a time."""
@@ -181,8 +183,6 @@
 
     async def _propose(self, changes: list[ProposedChange]) -> None:
         """Proposes changes of several services as one change of the configuration."""
-        if not changes:
-            return
         self._busy = True
         items = tuple(change.item for change in changes)
         await self._agreement.propose_change(items, PROPOSAL_TIMEOUT_S)
@@ -221,6 +221,12 @@
         yield self.keys_moved.family()
 
 
+def _pause_after(changes: list[ProposedChange]) -> float:
+    """Returns how long to wait after a proposal: the larger the tables, the more moves share a change."""
+    size = sum(len(change.item.content) for change in changes)
+    return max(MIN_INTERVAL_S, size / MAX_TABLE_BYTES_PER_S)
+
+
 def _state(shard: Shard) -> str:
     if not shard.owner.instance:
         return "free"
--- a/mesh/control/shard_planner.py
+++ b/mesh/control/shard_planner.py
@@ -32,8 +32,8 @@
 MAX_SHARDS = 512  # of one table
 MAX_SHARDS_OF_OWNER = 24  # the answer to a server's heartbeat, which lists them, may be 4 KiB
 
-ARRIVAL_PAUSE_S = 0.5  # the first assignment waits until no server has arrived for so long
-MAX_ARRIVAL_S = 3.0  # from the first server's arrival to the first assignment
+ARRIVAL_PAUSE_S = 0.5  # the first assignment waits until no server has opened for so long
+MAX_ARRIVAL_S = 3.0  # from the opening of the first server to the first assignment
 STRIPES_OF_SERVER = 2  # adjacent busy keys are spread over more servers than with one range each
 
 MISSING_GRACE_S = 2.0  # a process that was killed is back sooner
@@ -217,7 +217,7 @@
 
 
 def _has_everybody_arrived(now: float, servers: list[ServerNode]) -> bool:
-    arrivals = [server.first_seen_at for server in servers]
+    arrivals = [server.open_since for server in servers]
     return now >= min(max(arrivals) + ARRIVAL_PAUSE_S, min(arrivals) + MAX_ARRIVAL_S)
 
 
--- a/tests/mesh/test_mesh_shard_assigner.py
+++ b/tests/mesh/test_mesh_shard_assigner.py
@@ -9,14 +9,18 @@
 import pytest
 from mesh_world import World
 from operator_calls import change, service
+from test_mesh_api import make_controller
 from test_mesh_faults import ready
+from test_mesh_rules import in_event_loop
+from test_mesh_sidecar import FakeConnection
 
 from mesh.control.controller import Controller
 from mesh.control.elections import Reconfiguration
 from mesh.control.shard_facts import decode_table
+from mesh.state.configuration import EMPTY, Item, validate_change
 from mesh.state.key_leases import LeaseTimes
 from mesh.state.shards import NOBODY, Owner, ReleasedRange, ShardTable
-from mesh.transport.messages import BucketLoad, RangesReleased, ShardLoad, SidecarRecord
+from mesh.transport.messages import VERSION, BucketLoad, RangesReleased, Register, ShardLoad, SidecarRecord
 
 SERVICE = "baskets"
 DELAY_S = LeaseTimes.of_bound(10.0).reassignment_delay_s
@@ -196,3 +200,28 @@
     until(world, lambda: all(map(is_stable, world.tables())), NOTICE_S)
     owners = {world.tables()[0].find(64 * bucket).owner for bucket in range(9)}
     assert len(owners) == 2 and NOBODY not in owners
+
+
+@pytest.mark.parametrize(
+    "content", ["{}", "no JSON", '{"owners":[],"shards":[]}', '{"owners":[],"shards":[[0]]}']
+)
+def test_a_table_that_can_not_be_read_is_no_valid_change(content):
+    assert validate_change(EMPTY, [Item(f"shards/{SERVICE}", 1, content)]).is_error()
+
+
+@in_event_loop
+async def test_a_sidecar_is_missing_from_the_end_of_its_last_connection_until_it_registers_again():
+    controller, earlier, later = make_controller(()), FakeConnection(), FakeConnection()
+    publisher, record = controller.publisher, SidecarRecord("n1", "", "", SERVICE, "i-1", 5, True, 0.0, 1, 1)
+    nodes = publisher.servers.nodes
+    for link in (earlier, later):
+        publisher.on_register(link, Register(record, VERSION))
+    publisher.on_disconnect(earlier)
+    assert nodes["n1"].is_open_for(SERVICE) and not nodes["n1"].is_open_for("berths")
+    publisher.on_disconnect(later)
+    assert nodes["n1"].missing_since is not None and not nodes["n1"].is_open_for(SERVICE)
+    publisher.on_register(earlier, Register(record, VERSION))
+    assert nodes["n1"].is_open_for(SERVICE)
+    publisher.on_disconnect(earlier)
+    publisher._expire_record("n1", 1)
+    assert not nodes
--- a/tests/mesh/test_mesh_shard_planner.py
+++ b/tests/mesh/test_mesh_shard_planner.py
@@ -22,7 +22,17 @@
 )
 from mesh.state.key_leases import LeaseTimes
 from mesh.state.shard_load import bucket_of
-from mesh.state.shards import KEY_COUNT, NOBODY, KeyRange, Owner, ReleasedRange
+from mesh.state.shards import (
+    ALL_KEYS,
+    KEY_COUNT,
+    NOBODY,
+    Assignment,
+    KeyRange,
+    Owner,
+    ReleasedRange,
+    Revocation,
+    ShardTable,
+)
 from mesh.transport.messages import SidecarRecord
 
 SERVICE = "baskets"
@@ -202,12 +212,24 @@
     play.step()
     (first, *_) = [shard for shard in play.facts.table.shards if shard.revoked]
     part = KeyRange(first.range.first, first.range.first + 63)
-    stale = ReleasedRange(first.range, first.fence + 1, "stale")
-    play.facts.add_releases(first.owner, [stale, ReleasedRange(part, first.fence, "token")])
+    others = [ReleasedRange(first.range, fence, "other") for fence in (first.fence + 1, first.fence + 9)]
+    play.facts.add_releases(first.owner, [*others, ReleasedRange(part, first.fence, "token")])
     play.step()
     assert [(one.range, one.handover) for one in play.planned.assignments] == [(part, "token")]
 
 
+def test_each_part_of_a_revoked_range_has_the_time_of_its_own_revocation():
+    facts, owner, successor = ShardFacts(SERVICE), Owner("n1", "i-1"), Owner("n2", "i-2")
+    table = ShardTable(SERVICE).change(assignments=[Assignment(ALL_KEYS, owner)])
+    parts = [KeyRange(400, 499), KeyRange(200, 299), KeyRange(300, 399), KeyRange(100, 199)]
+    for now, part in enumerate(parts):
+        table = table.change(revocations=[Revocation(part, successor)])
+        facts.learn(float(now), table)
+    for now in range(len(parts)):
+        due = [found.shard.range for found in facts.reassignable(now + DELAY_S + 0.1, DELAY_S)]
+        assert sorted(due) == sorted(parts[: now + 1])
+
+
 @pytest.mark.parametrize("arriving", [1, 6])
 def test_new_servers_get_a_fair_share_in_small_moves(arriving):
     play = Play(35)
