Calls for a key that the server is about to be given wait for it beside the server

What callers would see: a request that waited for the next owner of its key reaches the sidecar of that owner before its server has been granted the key, and would be given back.

Cause: the table that names the owner comes to the callers at the time at which it comes to the owner's sidecar, which then has to confirm a lease and to grant the key.

Change: `ServerQueue.key_expected` (by default false) tells that the server is about to be given a key. A call for such a key waits for `recheck_keys`, for a limited part of its target latency, and is given back with NOT_OWNER then.

--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -21,6 +21,7 @@
 
 MIN_CLAIM_TIMEOUT_S = 0.08
 FREE_WAIT_FRACTION = 0.25  # fraction of its target latency that a call may always wait in the queue
+KEY_WAIT_FRACTION = 0.15  # fraction of its target latency that a call may wait for its shard key
 SERVICE_TIME_SPREAD = 2.0  # multiple of the mean service time by which most calls are answered
 MAX_WAIT_TARGET_FACTOR = 1.5  # multiple of its target latency that a call may wait in the queue
 MAX_WAIT_FRACTION = 0.3  # fraction of its remaining time that a call may wait in the queue of one server
@@ -152,6 +153,7 @@
             call.route,
         )
         job.priority, job.shard_key = call.priority, call.shard_key
+        job.key_wait_until = now + call.target_s * KEY_WAIT_FRACTION
         if call.repeatable:
             job.on_overdue, job.repeatable = on_overdue, True
         if call.key:
@@ -167,7 +169,7 @@
         queue = self._queue
         if call.service != self._context.settings.service or not queue.open:
             return ErrorKind.LEAVING
-        return None if queue.holds_key(call.shard_key) else ErrorKind.NOT_OWNER
+        return None if queue.accepts_key(call.shard_key) else ErrorKind.NOT_OWNER
 
     def _latest_starts(self, now: float, call: Call) -> tuple[float, float]:
         """Returns the due time and the latest start of a call.
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -59,6 +59,7 @@
         "cancelled",
         "shard_key",
         "key_lost",
+        "key_wait_until",
     )
 
     def __init__(
@@ -87,6 +88,7 @@
         self.exchange: Exchange | None = None
         self.started_at = 0.0
         self.shard_key = NO_KEY  # if its service is sharded
+        self.key_wait_until = due_at  # by then the server must have been given its shard key
         self.key_lost = False  # taken back before it reached the server, which holds its shard key no more
 
 
@@ -95,8 +97,10 @@
 
     `on_replaced` is called with the instance id of another server that answers at the address.
 
-    If the service is sharded, `key_gate` returns whether the server holds a key now, and `on_key_work` is
-    called at the end of each call that reached the server, with its key and the seconds that it took there.
+    If the service is sharded, `key_gate` returns whether the server holds a key now, and `key_expected`
+    whether it is about to be given one that it doesn't hold: calls for such a key wait until `recheck_keys`
+    is called once it is. `on_key_work` is called at the end of each call that reached the server, with its
+    key and the seconds that it took there.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, max_connections: int) -> None:
@@ -125,7 +129,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self.on_replaced: Callable[[str], None] = lambda instance: None
         self.key_gate: Callable[[int], bool] = lambda key: True
+        self.key_expected: Callable[[int], bool] = lambda key: False
         self.on_key_work: Callable[[int, float], None] = lambda key, work_s: None
+        self.awaiting_keys: list[Job] = []  # calls for keys that the server is about to be given
         self._exchanging: set[Job] = set()  # calls that were sent or whose connection is being opened
         self.keys_not_held = 0  # calls given back before the server saw them, as it doesn't hold their keys
         self.misdirected_keys = 0  # calls that the server itself refused, as it doesn't hold their keys
@@ -196,29 +202,58 @@
         """Rejects all waiting calls with an error."""
         queued, self.queued = self.queued, []
         late, self.late = self.late, deque()
-        for job in (*(entry[2] for entry in queued), *late):
+        awaiting_keys, self.awaiting_keys = self.awaiting_keys, []
+        for job in (*(entry[2] for entry in queued), *late, *awaiting_keys):
             self._finish(job, error, False)
 
     # --- calls of a sharded service
 
-    def holds_key(self, key: int) -> bool:
-        """Returns whether the server may be sent a call for a shard key now, and counts the call if not."""
-        held = key == NO_KEY or self.key_gate(key)
-        self.keys_not_held += not held
-        return held
+    def accepts_key(self, key: int) -> bool:
+        """Returns whether a call for a shard key can be sent now or soon; counts one that can't."""
+        accepted = self._holds_key(key) or self.key_expected(key)
+        self.keys_not_held += not accepted
+        return accepted
+
+    def _holds_key(self, key: int) -> bool:
+        return key == NO_KEY or self.key_gate(key)
 
     def recheck_keys(self) -> None:
-        """Gives back the calls for keys that the server no longer holds, unless they have reached it."""
-        waiting = [*(entry[2] for entry in self.queued), *self.late]
-        for job in waiting:
-            if not self.holds_key(job.shard_key):
+        """Handles a change of the keys that the server holds or is about to be given.
+
+        Calls for keys that it has been given are queued. Those for keys that it no longer holds are given
+        back unless they have reached it.
+        """
+        awaiting_keys, self.awaiting_keys = self.awaiting_keys, []
+        for job in awaiting_keys:
+            self.submit(job)
+        for job in [*(entry[2] for entry in self.queued), *self.late]:
+            if not self._holds_key(job.shard_key):
                 self._remove(job)
-                self._finish(job, ErrorKind.NOT_OWNER, False)
+                self._give_back(job)
         for job in [job for job in self._exchanging if not self._written(job)]:
-            if job.exchange is not None and not self.holds_key(job.shard_key):
+            if job.exchange is not None and not self._holds_key(job.shard_key):
+                self.keys_not_held += 1
                 job.key_lost = True
                 job.exchange.cancel()
 
+    def _give_back(self, job: Job) -> None:
+        """Rejects a call that has not reached the server, as that does not hold its key."""
+        self.keys_not_held += 1
+        self._finish(job, ErrorKind.NOT_OWNER, False)
+
+    def _await_key(self, now: float, job: Job) -> None:
+        """Keeps a call until the server holds its key, for a limited time."""
+        if now >= job.key_wait_until or not self.key_expected(job.shard_key):
+            self._give_back(job)
+            return
+        self.awaiting_keys.append(job)
+        self._loop.call_later(job.key_wait_until - now, self._end_key_wait, job)
+
+    def _end_key_wait(self, job: Job) -> None:
+        if job in self.awaiting_keys:
+            self.awaiting_keys.remove(job)
+            self._give_back(job)
+
     @staticmethod
     def _refuses_key(job: Job, instance: str, reply: Reply | None) -> bool:
         """Returns whether a server process has refused a call as it doesn't hold the key.
@@ -287,8 +322,8 @@
         if not self.open or not self.instance:
             self._finish(job, ErrorKind.LEAVING, False)
             return
-        if not self.holds_key(job.shard_key):
-            self._finish(job, ErrorKind.NOT_OWNER, False)
+        if not self._holds_key(job.shard_key):
+            self._await_key(now, job)
             return
         if not self.budget.steps and (self.budget.trial_in_flight or now * 1e9 < self.budget.retry_at):
             self._finish(job, ErrorKind.FULL, False)  # the server has no capacity in the near future
@@ -345,6 +380,7 @@
         self.queued = [entry for entry in self.queued if entry[2] is not job]
         heapq.heapify(self.queued)
         self.late = deque(waiting for waiting in self.late if waiting is not job)
+        self.awaiting_keys = [waiting for waiting in self.awaiting_keys if waiting is not job]
 
     def withdraw(self, job: Job) -> None:
         """Cancels a call whose client has disconnected.
@@ -416,8 +452,8 @@
         if remaining_s <= NETWORK_MARGIN_S:
             self._finish(job, ErrorKind.FULL, False)
             return
-        if not self.holds_key(job.shard_key):
-            self._finish(job, ErrorKind.NOT_OWNER, False)
+        if not self._holds_key(job.shard_key):
+            self._give_back(job)
             return
         exchange = self.upstream.exchange(
             instance,
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -457,3 +457,27 @@
         server_queue.upstream.sent[0].end(AttemptOutcome.RESET, touched)
         server_queue.budget.steps = 1
     assert work == [(1, 0.25)]
+
+
+def test_calls_for_a_key_that_the_server_is_about_to_be_given_wait_for_it_for_a_limited_time(server_queue):
+    results, held, expected = [], set(), {1, 2}
+    server_queue.key_gate, server_queue.key_expected = held.__contains__, expected.__contains__
+    server_queue.budget.steps = server_queue.budget.max_steps = 2
+    created = {}
+    for name, key in (("given", 1), ("left", 1), ("too late", 2), ("withdrawn", 2), ("not expected", 3)):
+        created[name] = keyed_job(server_queue, name, key, results)
+        created[name].key_wait_until = server_queue._loop.now + 0.2
+        server_queue.submit(created[name])
+    assert not sent_names(server_queue) and results == [("not expected", ErrorKind.NOT_OWNER, False)]
+    server_queue.withdraw(created["withdrawn"])
+    held.add(1)
+    server_queue.recheck_keys()
+    assert sent_names(server_queue) == ["given", "left"] and len(server_queue.awaiting_keys) == 1
+    server_queue._loop.now += 0.2
+    for at, callback, arguments in list(server_queue._loop.timers):
+        if at <= server_queue._loop.now:
+            callback(*arguments)
+    assert ("too late", ErrorKind.NOT_OWNER, False) in results and not server_queue.awaiting_keys
+    server_queue.submit(keyed_job(server_queue, "leaving", 2, results))
+    server_queue.update_server("i-1", 4, 0.0, False)
+    assert results[-1] == ("leaving", ErrorKind.LEAVING, False)
--- a/tests/mesh/test_mesh_shard_router.py
+++ b/tests/mesh/test_mesh_shard_router.py
@@ -16,6 +16,7 @@
 from test_mesh_sidecar import with_sidecar as with_harness
 
 from mesh.errors import ErrorKind
+from mesh.proxy.call_runner import KEY_WAIT_FRACTION
 from mesh.proxy.retry_budget import RetryBudget
 from mesh.proxy.shard_router import MAX_WAIT_FRACTION, WAIT_MARGIN_S
 from mesh.state import configuration
@@ -127,13 +128,19 @@
         assert wait_s == pytest.approx(limit_s - WAIT_MARGIN_S, abs=0.002)
         harness.sidecar.forwarder.end_wait(request)
         assert recorder.status == 503 and b"Retry-After" in recorder.headers
+    now = harness.sidecar.context.now()
+    recorder = send(harness)
+    harness.sidecar.context.now = lambda: now + 0.2 * MAX_WAIT_FRACTION
+    harness.respond(harness.forwards()[-1], ErrorKind.NOT_OWNER, False)
+    assert recorder.status == 503 and not waiting(harness)
 
 
 @with_sidecar
-def _failed_at_its_owner(harness, error, arrived, status):
+def _failed_at_its_owner(harness, error, arrived, waits, status):
     table = shard_meals(harness, TO_FIRST)
     recorder = send(harness)
     harness.respond(harness.forwards()[0], error, arrived)
+    assert len(waiting(harness)) == waits
     for request in waiting(harness):
         harness.sidecar.forwarder.end_wait(request)
     apply(harness, table.change(assignments=[TO_SECOND]))
@@ -141,10 +148,17 @@
 
 
 @pytest.mark.parametrize(
-    ("error", "status"), [("FULL", 503), ("LEAVING", 503), ("NOT_OWNER", 503), ("BROKEN", 502), ("LATE", 504)]
+    ("error", "waits", "status"),
+    [
+        ("FULL", False, 503),
+        ("LEAVING", True, 503),
+        ("NOT_OWNER", True, 503),
+        ("BROKEN", True, 502),
+        ("LATE", False, 504),
+    ],
 )
-def test_a_request_that_its_owner_did_not_serve_is_sent_to_no_server_that_does_not_own_its_key(error, status):
-    _failed_at_its_owner(ErrorKind[error], status != 503, status)
+def test_a_request_that_its_owner_did_not_serve_goes_to_no_other_server(error, waits, status):
+    _failed_at_its_owner(ErrorKind[error], status != 503, waits, status)
 
 
 @with_sidecar
@@ -215,3 +229,15 @@
 )
 def test_a_call_for_a_key_not_held_is_given_back_unclaimed_and_unfetched(operation, size, held_at_first):
     _gate(operation, size, held_at_first)
+
+
+@with_sidecar
+def test_a_call_for_a_key_that_the_server_is_about_to_be_given_waits_beside_it(harness):
+    queue, caller = harness.sidecar.server_queue, FakeConnection("n2")
+    queue.update_server("i-1", 5, 0.0, True)
+    queue.key_gate, queue.key_expected = (lambda key: False), (lambda key: key == 7)
+    call = Call("berths", "c", b"POST", b"/x", [], b"", 5.0, 1.0, b"t", "", "k", shard_key=7)
+    harness.sidecar.calls.on_forward(caller, Forward(9, call))
+    (job,) = queue.awaiting_keys
+    wait_s = job.key_wait_until - harness.sidecar.context.now()
+    assert wait_s == pytest.approx(1.0 * KEY_WAIT_FRACTION, abs=0.02) and not caller.sent
--- a/tests/mesh/test_mesh_subset.py
+++ b/tests/mesh/test_mesh_subset.py
@@ -331,19 +331,19 @@
     directory, control, clock = harness.sidecar.directory, harness.sidecar.control, Clock(harness)
 
     def set_sharded(version, sharded):
-        content = json.dumps({"name": "meals", "sharded": sharded})
-        control.apply_items([Item("service/meals", version, content)])
+        content = json.dumps({"name": "berths", "sharded": sharded})
+        control.apply_items([Item("service/berths", version, content)])
 
     if table_first:
         set_sharded(2, True)
     directory.apply_records([*records(60), *records(60, 100, "berths")])
     if not table_first:
         set_sharded(2, True)
-    assert {record.node for record in records(60)} <= dials.open
+    assert {record.node for record in records(60, 100)} <= dials.open
     dials.connect(directory)
     clock.time += IDLE_TIMEOUT_S
     directory._refresh()
-    assert len(dials.open) == 3 + 60 + IDLE_SUBSET_SIZE, "the subset of the other service is not kept small"
+    assert len(dials.open) == 60 + IDLE_SUBSET_SIZE, "the subset of the other service is not kept small"
     set_sharded(3, False)
     clock.time += directory_module.LINGER_S
     directory._refresh()
