The test of newer protocol versions sends a column that no version knows

Seen: test_a_call_of_an_older_or_newer_protocol_version_is_understood[None] fails since `Call` has `shard_key`: "Expected `int`, got `str` - at `$[2][18]`".

Cause: the test appends a text as the column that only a later version would have, and that column is `shard_key` now.

Change: the row has the present column too, so that the text is an unknown one again. What is checked is the same.

--- a/tests/mesh/test_mesh_sidecar.py
+++ b/tests/mesh/test_mesh_sidecar.py
@@ -378,7 +378,7 @@
     sidecar.server_queue.update_server("i-1", 5, 0.0, True)
     sent = []
     sidecar.server_queue.submit = sent.append
-    row = [*call[:omitted], *([False, 0, 0, None, None, "more"] if omitted is None else [])]
+    row = [*call[:omitted], *([False, 0, 0, None, None, -1, "more"] if omitted is None else [])]
     sidecar.on_message(FakeConnection(), message(kind_of(Forward), 1, row))
     assert len(sent) == 1 and sent[0].on_overdue is None
 
