--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.control_client import ControlClient
 from mesh.proxy.grant_calls import GrantCalls
@@ -16,9 +18,15 @@
 from mesh.state.configuration import GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION
 from mesh.state.shards import NO_KEY, Owner
 
+PROBE_INTERVAL_S = 2.0  # while the table names an earlier server of which the end is not certain
+
 
 class KeyRanges:
-    """The key ranges of the server beside one sidecar."""
+    """The key ranges of the server beside one sidecar.
+
+    An earlier server process has certainly ended once the present one, known by its heartbeat, has answered
+    at the server's address. A heartbeat alone may come late, from a process that has been replaced.
+    """
 
     def __init__(self, context: ProxyContext, control: ControlClient, queue: ServerQueue) -> None:
         assert context.settings.app is not None
@@ -26,6 +34,7 @@
         self._service = context.settings.service
         self._owner = Owner(context.node_name, "")
         self._heartbeats: ServerHeartbeats | None = None
+        self._next_probe_at = context.monotonic()
         self.leases = RangeLeases(
             context, control.connections, lambda: control.key_claims.voters, lambda: self.calls.wake()
         )
@@ -42,7 +51,14 @@
         self._heartbeats = heartbeats
         heartbeats.on_released = self.reports.report_releases
         self.calls.on_contact = self._queue.on_contact = heartbeats.on_contact
-        self.reports.on_tick = heartbeats.check_suspicion
+        self.reports.on_tick = self._on_tick
+
+    def _on_tick(self) -> None:
+        """Does what depends on the time alone."""
+        if self._heartbeats is not None:
+            self._heartbeats.check_suspicion()
+        self.calls.wake()
+        self._probe_for_earlier_servers()
 
     def _allows(self, key: int) -> bool:
         """Returns whether the server may get a call for a key now."""
@@ -65,6 +81,34 @@
         self.leases.update(self._owner, () if heartbeats.is_suspected else self.holds.ranges_to_lease())
         self.reports.update(self._owner if is_sharded else None)
         self.calls.update(self._owner.instance if is_sharded and way == GRANTS_BY_INVOCATION else "")
+        self._probe_for_earlier_servers()
+
+    # --- earlier servers
+
+    def _earlier_instances(self) -> set[str]:
+        """Returns the ids of earlier servers whose ranges the table has and whose end is not certain."""
+        shard_table = self._control.table.shards.get(self._service)
+        if shard_table is None or not self._control.table.is_sharded(self._service):
+            return set()
+        owners = {shard.owner for shard in shard_table.shards if shard.owner.node == self._owner.node}
+        return {owner.instance for owner in owners - {self._owner}} - self.holds.ended_instances
+
+    def _probe_for_earlier_servers(self) -> None:
+        """Asks who answers at the server's address, if that can show that an earlier server has ended."""
+        now, earlier = self._context.monotonic(), self._earlier_instances()
+        cluster = self._control.table.clusters.get(self._service)
+        if now < self._next_probe_at or not earlier or not self._queue.instance or cluster is None:
+            return
+        self._next_probe_at = now + PROBE_INTERVAL_S
+        self._queue.probe(cluster.health_path, partial(self._on_probe_answered, earlier))
+
+    def _on_probe_answered(self, earlier: set[str], instance: str) -> None:
+        if instance != self._owner.instance or instance in earlier:
+            return
+        for ended in earlier:
+            self.holds.on_server_ended(ended)
+        self.reports.report_releases()
+        self.calls.wake()
 
     def _grants_way(self) -> str:
         """Returns how the servers of the service are given keys."""
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -126,7 +126,7 @@
         self._refused: set[FencedRange] = set()  # the server has seen a higher fence
         self._answers: list[tuple[float, ReleasedRange]] = []  # what the server let go of, and since when
         self._left_out: dict[FencedRange, int] = {}  # from the answer to the heartbeat of this number on
-        self._ended: set[str] = set()  # server processes that have certainly ended
+        self.ended_instances: set[str] = set()  # server processes that have certainly ended
 
     def update(self, owner: Owner, view: TableView | None, by_call: bool) -> None:
         """Sets the present server, what this sidecar's copy of the table says of it, and how it is told.
@@ -158,7 +158,7 @@
     def on_server_ended(self, instance: str) -> None:
         """Notes that a server process has certainly ended: another one answers at its address."""
         if instance != self._owner.instance:
-            self._ended.add(instance)
+            self.ended_instances.add(instance)
 
     # --- what the server holds
 
@@ -277,8 +277,11 @@
     def releases_due(self, now: float) -> list[FencedRange]:
         """Returns the ranges that the server is to be asked to let go of.
 
-        A release waits for a grant of the same range that is on its way, which could arrive after it.
+        A release waits for a grant of the same range that is on its way, which could arrive after it; also
+        for those of an earlier process of this sidecar.
         """
+        if now < self._started_at + EARLIER_CALLS_S:
+            return []
         return [
             held
             for held in self._unwanted()
@@ -289,7 +292,7 @@
     def _unwanted(self) -> Iterator[FencedRange]:
         """Yields the ranges that the server at the address may hold and is not to."""
         for shard in self._view.revoked:
-            if shard.owner == self._owner or shard.owner.instance in self._ended:
+            if shard.owner == self._owner or shard.owner.instance in self.ended_instances:
                 yield shard.fenced_range
         yield from self._refused
 
@@ -304,7 +307,7 @@
     def _add_answer(self, now: float, released: ReleasedRange) -> None:
         """Notes that the server has let go of a range, from when on no unanswered grant can reach it."""
         held = FencedRange(released.range, released.fence)
-        since = max(now, self._started_at + EARLIER_CALLS_S)
+        since = now
         for granted, grant in self._grants.items():
             if _overlap(held, granted):
                 since = max(since, grant.unanswered_until)
@@ -349,7 +352,7 @@
         """Yields the parts of some ranges that a server can't hold, as its time is over or it has ended."""
         # A call that was meant for an earlier server may have reached the present one, so that an end alone
         # shows that a range is not held only where servers are told in answers, which can't be misdirected.
-        if owner.instance in self._ended and not self._by_call:
+        if owner.instance in self.ended_instances and not self._by_call:
             yield from ranges
         elif now >= self._started_at + self._times.reassignment_delay_s:
             live = [
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -478,3 +478,49 @@
     assert world.sent(Register)[-1].record.is_open is True
     assert world.sidecar.key_ranges.leases._ranges
     world.sidecar.close()
+
+
+# --- earlier servers
+
+
+@pytest.mark.parametrize(
+    ("answers", "reported"), [("i-2", True), ("i-1", False), ("", False), ("i-3", False)]
+)
+@BOTH_WAYS
+@in_event_loop
+async def test_ranges_of_an_earlier_server_are_reported_once_the_present_one_answers_at_its_address(
+    way, answers, reported
+):
+    world = World(way)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.begin()
+    await world.grant()
+    assert not probes
+    await world.heartbeat(instance="i-2")
+    await world.change(revocations=[Revocation(ALL, OTHER)])
+    assert not world.sent(RangesReleased) and not world.upstream.waiting and len(probes) == 1
+    probes[0](answers)
+    await world.turn()
+    if way == GRANTS_BY_INVOCATION and reported:  # calls for i-1 may have reached i-2
+        assert not world.sent(RangesReleased)
+        world.upstream.waiting[0].reply()
+        await world.turn()
+    assert bool(world.sent(RangesReleased)) == reported
+    assert all(report.owner == ME for report in world.sent(RangesReleased))
+    world.sidecar.close()
+
+
+# --- changes of the table of key ranges
+
+
+@in_event_loop
+async def test_a_change_of_key_ranges_alone_leaves_the_routes_as_they_are(monkeypatch):
+    world = World(GRANTS_BY_HEARTBEAT)
+    before = world.sidecar.control.table
+    monkeypatch.setattr(configuration, "build_table", None)
+    await world.begin()
+    table = world.sidecar.control.table
+    assert table.shards[SERVICE] == world.table
+    assert table.clusters is before.clusters and table.routes_by_host is before.routes_by_host
+    world.sidecar.close()
--- a/tests/mesh/test_mesh_server_holds.py
+++ b/tests/mesh/test_mesh_server_holds.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from mesh.proxy import server_holds
 from mesh.proxy.server_heartbeats import _encode_grants
@@ -327,13 +329,12 @@
     assert world.holds.releases_due(world.now) == [FencedRange(LOW, 1)]
 
 
-def test_a_release_answered_to_a_young_process_waits_for_calls_of_an_earlier_one():
+def test_no_release_is_sent_while_a_grant_of_an_earlier_process_may_be_on_its_way():
     world = World(by_call=True, now=START)
     world.revoke(LOW)
-    world.let_go(LOW)
-    assert not world.released()
+    assert not world.holds.releases_due(world.now)
     world.now += server_holds.EARLIER_CALLS_S
-    assert world.released()
+    assert world.holds.releases_due(world.now) == [FencedRange(LOW, 1)]
 
 
 def test_what_a_heartbeat_lists_as_held_is_not_released():
@@ -409,3 +410,155 @@
 )
 def test_parts_of_a_range_are_taken_away(taken, left):
     assert subtract(ALL, [KeyRange(*keys) for keys in taken]) == [KeyRange(*keys) for keys in left]
+
+
+# --- all rules together
+
+PART_KEYS = 50
+PARTS = [KeyRange(first, first + PART_KEYS - 1) for first in range(0, ALL.last, PART_KEYS)]
+
+
+class Server:
+    """A server with a slow clock, which holds each part until a time."""
+
+    def __init__(self):
+        self.holds_until = dict.fromkeys(PARTS, 0.0)
+        self.on_the_way = []  # grants by call that were given up: when they arrive, the range, and the hold
+        self.let_go = []  # rows not acknowledged yet
+
+    def take(self, counted_from, keys, hold_s):
+        for part in PARTS:
+            if keys.contains(part):
+                until = counted_from + hold_s * (1 + CLOCK_DRIFT)
+                self.holds_until[part] = max(self.holds_until[part], until)
+
+    def receive(self, now):
+        for arrives_at, keys, hold_s in self.on_the_way:
+            if arrives_at <= now:
+                self.take(arrives_at, keys, hold_s)
+        self.on_the_way = [grant for grant in self.on_the_way if grant[0] > now]
+
+    def release(self, keys):
+        for part in PARTS:
+            if keys.contains(part):
+                self.holds_until[part] = 0.0
+
+    def held(self, now):
+        return [part for part in PARTS if self.holds_until[part] > now]
+
+    def may_hold(self, now, keys):
+        return any(part.overlaps(keys) for part in self.held(now)) or any(
+            granted.overlaps(keys) for _, granted, _ in self.on_the_way
+        )
+
+
+class Play:
+    """Random steps of a sidecar and its server. What was reported as released must never be held again."""
+
+    def __init__(self, by_call):
+        self.world, self.server, self.reported = World(by_call, now=START), Server(), []
+
+    def advance(self, seconds):
+        world = self.world
+        world.now += seconds
+        self.server.receive(world.now)
+        world.holds.expire(world.now)
+        self.check()
+
+    def check(self):
+        self.reported += [row.range for row in self.world.released()]
+        for keys in self.reported:
+            assert not self.server.may_hold(self.world.now, keys)
+        for part in PARTS:
+            if self.world.allows(part.first):
+                assert part in self.server.held(self.world.now)
+
+    def restart(self):
+        world = self.world
+        world.book = LeaseBook()
+        world.holds = ServerHolds(TIMES, world.book, world.now)
+        world.see()
+
+    def revoke(self, part):
+        self.world.revoke(PARTS[part])
+
+    def call(self, arrives, answered, delay_s):
+        """Grants what is due, one call after another."""
+        world, server = self.world, self.server
+        world.lease()
+        for shard in world.holds.grants_due(world.now):
+            held = shard.fenced_range
+            hold_s = world.write(held) / 1000
+            if not hold_s:
+                continue
+            if answered:
+                server.take(world.now, held.range, hold_s)
+                world.holds.on_grant_taken(world.now, held)
+                continue
+            if arrives:
+                server.on_the_way.append((world.now + delay_s, held.range, hold_s))
+            world.holds.on_grant_unanswered(world.now, held)
+        self.check()
+
+    def release(self, answered):
+        world = self.world
+        for held in world.holds.releases_due(world.now):
+            world.holds.close(held)
+            self.server.release(held.range)
+            if answered:
+                world.holds.on_release_answered(world.now, held, "h")
+        self.check()
+
+    def beat(self, answered, leased):
+        world, server = self.world, self.server
+        if leased:
+            world.lease()
+        rows = [FencedRange(part, 1) for part in server.held(world.now)]
+        answer = world.heartbeat(rows, [HandoverRow(keys, "h") for keys in server.let_go])
+        if not answered:
+            # The gate can't tell that an answer was lost, only the server can: a call would get 421.
+            for grant in world.holds._grants.values():
+                grant.holds_until = 0.0
+        elif answer is not None:
+            told = [KeyRange(row.first, row.last) for row in answer.rows]
+            server.let_go = [
+                part for part in server.held(world.now) if not any(keys.contains(part) for keys in told)
+            ]
+            server.holds_until = dict.fromkeys(PARTS, 0.0)
+            for keys in told:
+                server.take(world.now, keys, answer.hold_ms / 1000)
+        self.check()
+
+
+flags = st.booleans()
+common_steps = [
+    st.tuples(st.just("advance"), st.sampled_from([0.05, 0.2, 0.5, 1.3, 4.0])),
+    st.tuples(st.just("advance"), st.sampled_from([0.05, 0.2, 0.5, 1.3, 4.0])),
+    st.tuples(st.just("revoke"), st.integers(0, len(PARTS) - 1)),
+    st.tuples(st.just("restart")),
+]
+delays = st.sampled_from([0.0, GRANT_TRANSIT_S / 2, GRANT_TRANSIT_S])
+steps_by_call = st.one_of(
+    *common_steps,
+    st.tuples(st.just("call"), flags, flags, delays),
+    st.tuples(st.just("release"), flags),
+)
+steps_by_heartbeat = st.one_of(*common_steps, st.tuples(st.just("beat"), flags, flags))
+
+
+def play(by_call, steps):
+    played = Play(by_call)
+    for name, *arguments in steps:
+        getattr(played, name)(*arguments)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(steps_by_call, max_size=30))
+def test_what_is_reported_as_released_is_never_held_again_by_call(steps):
+    play(True, steps)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(steps_by_heartbeat, max_size=30))
+def test_what_is_reported_as_released_is_never_held_again_by_heartbeat(steps):
+    play(False, steps)
