The gate of a server's queue is asked about calls without a shard key, too

What callers would see: a request through a sidecar that does not know yet that a service is sharded carries no key in its call; its server answers 421, which counts as the end of the server.

Cause: the gate was not asked about calls without a key.

Change: `ServerQueue.key_gate` is asked with NO_KEY about them; by default it allows all.

--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -97,10 +97,10 @@
 
     `on_replaced` is called with the instance id of another server that answers at the address.
 
-    If the service is sharded, `key_gate` returns whether the server holds a key now, and `key_expected`
-    whether it is about to be given one that it doesn't hold: calls for such a key wait until `recheck_keys`
-    is called once it is. `on_key_work` is called at the end of each call that reached the server, with its
-    key and the seconds that it took there.
+    `key_gate` returns whether the server may be sent a call for a shard key now, which is NO_KEY for a call
+    without one. `key_expected` returns whether it is about to be given a key that it doesn't hold: calls for
+    such a key wait until `recheck_keys` is called once it is. `on_key_work` is called at the end of each call
+    that reached the server, with its key and the seconds that it took there.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, max_connections: int) -> None:
@@ -210,13 +210,10 @@
 
     def accepts_key(self, key: int) -> bool:
         """Returns whether a call for a shard key can be sent now or soon; counts one that can't."""
-        accepted = self._holds_key(key) or self.key_expected(key)
+        accepted = self.key_gate(key) or self.key_expected(key)
         self.keys_not_held += not accepted
         return accepted
 
-    def _holds_key(self, key: int) -> bool:
-        return key == NO_KEY or self.key_gate(key)
-
     def recheck_keys(self) -> None:
         """Handles a change of the keys that the server holds or is about to be given.
 
@@ -227,11 +224,11 @@
         for job in awaiting_keys:
             self.submit(job)
         for job in [*(entry[2] for entry in self.queued), *self.late]:
-            if not self._holds_key(job.shard_key):
+            if not self.key_gate(job.shard_key):
                 self._remove(job)
                 self._give_back(job)
         for job in [job for job in self._exchanging if not self._written(job)]:
-            if job.exchange is not None and not self._holds_key(job.shard_key):
+            if job.exchange is not None and not self.key_gate(job.shard_key):
                 self.keys_not_held += 1
                 job.key_lost = True
                 job.exchange.cancel()
@@ -322,7 +319,7 @@
         if not self.open or not self.instance:
             self._finish(job, ErrorKind.LEAVING, False)
             return
-        if not self._holds_key(job.shard_key):
+        if not self.key_gate(job.shard_key):
             self._await_key(now, job)
             return
         if not self.budget.steps and (self.budget.trial_in_flight or now * 1e9 < self.budget.retry_at):
@@ -452,7 +449,7 @@
         if remaining_s <= NETWORK_MARGIN_S:
             self._finish(job, ErrorKind.FULL, False)
             return
-        if not self._holds_key(job.shard_key):
+        if not self.key_gate(job.shard_key):
             self._give_back(job)
             return
         exchange = self.upstream.exchange(
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -405,7 +405,7 @@
 
 
 def test_calls_whose_keys_are_lost_are_given_back_wherever_they_wait(server_queue):
-    results, held = [], {1, 2, 3}
+    results, held = [], {1, 2, NO_KEY}
     server_queue.mean_service_s, server_queue.key_gate = 0.001, held.__contains__
     server_queue.submit(keyed_job(server_queue, "connecting", 1, results))
     (exchange,) = server_queue.upstream.sent
@@ -418,7 +418,7 @@
     assert [name for name, *_ in results] == ["not held"]
     held.discard(1)
     server_queue.recheck_keys()
-    held.clear()
+    held.discard(2)
     server_queue.upstream.sent[0].reply()  # then the next call is due, whose key was lost as well
     assert sorted(results) == sorted(
         [(name, ErrorKind.NOT_OWNER, False) for name in ("connecting", "late", "next", "not held", "queued")]
@@ -464,11 +464,19 @@
     server_queue.key_gate, server_queue.key_expected = held.__contains__, expected.__contains__
     server_queue.budget.steps = server_queue.budget.max_steps = 2
     created = {}
-    for name, key in (("given", 1), ("left", 1), ("too late", 2), ("withdrawn", 2), ("not expected", 3)):
+    for name, key in (
+        ("given", 1),
+        ("left", 1),
+        ("too late", 2),
+        ("withdrawn", 2),
+        ("other", 3),
+        ("none", NO_KEY),
+    ):
         created[name] = keyed_job(server_queue, name, key, results)
         created[name].key_wait_until = server_queue._loop.now + 0.2
         server_queue.submit(created[name])
-    assert not sent_names(server_queue) and results == [("not expected", ErrorKind.NOT_OWNER, False)]
+    assert not sent_names(server_queue)
+    assert results == [(name, ErrorKind.NOT_OWNER, False) for name in ("other", "none")]
     server_queue.withdraw(created["withdrawn"])
     held.add(1)
     server_queue.recheck_keys()
