A change of key ranges alone does not rebuild the routes of a sidecar

What callers saw: nothing yet. Each move of a key range is two changes of the configuration, and each would have made every sidecar build its whole table anew, with several hundred routes.

Change: where all new items are assignments of keys, only those are replaced in the table; the routes, services and limits stay the same objects.

--- a/mesh/proxy/control_client.py
+++ b/mesh/proxy/control_client.py
@@ -10,7 +10,7 @@
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.key_claims import KeyClaims
 from mesh.settings import Address
-from mesh.state import configuration
+from mesh.state import configuration, shards
 from mesh.state.configuration import Item
 from mesh.state.distribution import (
     PULL_DELAY_S,
@@ -231,11 +231,16 @@
         connection.send(ItemsReceived(message.number))
 
     def apply_items(self, items: Iterable[Item]) -> None:
-        """Merges items into the configuration, and rebuilds the table if any of them is new."""
+        """Merges items into the configuration, and updates the table if any of them is new."""
         self.selector.on_pull_answered()
-        if not self.copy.merge(items):
+        new_items = self.copy.merge(items)
+        if not new_items:
             return
-        self.table, conflicts = configuration.build_table(self.copy.items)
-        for conflict in conflicts:
-            logger.warning("held out: {}", conflict.text)
+        if all(item.name.startswith(shards.ITEM_PREFIX) for item in new_items):
+            # Key ranges move often, and don't affect any route.
+            self.table = configuration.with_shards(self.table, new_items)
+        else:
+            self.table, conflicts = configuration.build_table(self.copy.items)
+            for conflict in conflicts:
+                logger.warning("held out: {}", conflict.text)
         self.on_table_changed()
--- a/mesh/state/configuration.py
+++ b/mesh/state/configuration.py
@@ -360,6 +360,18 @@
     return RoutingTable(sorted_routes, clusters, limits, tables), conflicts
 
 
+def with_shards(table: RoutingTable, items: Iterable[Item]) -> RoutingTable:
+    """Returns a table with some new assignments of keys; all items are `shards/...` items."""
+    tables = dict(table.shards)
+    for item in items:
+        if item.content:
+            shard_table = ShardTable.decode(item.name, item.version, item.content)
+            tables[shard_table.service] = shard_table
+        else:
+            tables.pop(item.name.removeprefix(shards.ITEM_PREFIX), None)
+    return table._replace(shards=tables)
+
+
 def to_json(items: Items) -> bytes:
     """Returns the operators' items in force as the `upserts` of an admin call."""
     rules_by_host: dict[str, list[Any]] = {}
