Servers of sharded services are leased, granted and released their key ranges

What callers saw: a service whose keys are divided serves nobody, as no server is ever given a key.

Change, all in the sidecar beside a server: - It asks the voters to confirm the ranges that the table gives its server, and counts a lease from when the question was sent (range_leases). - It keeps what the server was told with two bounds, until when it may hold and until when it certainly holds a range: releases go by the one and the gate for calls by the other (server_holds). - It grants and releases by calls (grant_calls) or in the answers to heartbeats (server_heartbeats), as the service or the settings say. - It reports releases and the load by bucket of keys (range_reports). - A draining server goes on with the keys that it holds until shortly before the bound `drain`; one that seems to be dead is published as closed and its leases are not renewed (server_suspicion). - Ranges of an earlier server process are reported at once when the present one has answered at its address; otherwise when their time is over.

Tests: rules one by one on fake time, both ways of granting against a server played by the test, and random plays of a server with a slow clock in which nothing may be held that was reported as released. These plays found that a release answered to a sidecar that had just restarted could be overtaken by a grant of the process before; releases wait for such grants now.

--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -2,13 +2,16 @@
 
 Only a heartbeat names the service of a server. An id that a server gives in any other answer is used if a
 heartbeat with that id has named this sidecar's service before, possibly to an earlier incarnation.
+
+If the service is sharded and its servers are given keys in the answers to their heartbeats, a heartbeat tells
+what the server holds and has let go of, and the answer all that it is to hold (`mesh.proxy.server_holds`).
 """
 
 from __future__ import annotations
 
 import json
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 from loguru import logger
@@ -17,12 +20,19 @@
 from hollyport.http.message import Message as Request
 from mesh.errors import ERROR_RESPONSES, ErrorKind
 from mesh.proxy.context import ProxyContext
+from mesh.proxy.server_holds import HandoverRow, HeartbeatGrants, HeartbeatRanges, ServerHolds
 from mesh.proxy.server_queue import ServerQueue
+from mesh.proxy.server_suspicion import ServerSuspicion
 from mesh.settings import parse_duration
+from mesh.state.shards import FencedRange, KeyRange
 from mesh.transport.messages import FIRST_RECORD_NUMBER, VERSION, KnownServer, SidecarRecord
 
 JSON = [(b"Content-Type", b"application/json")]
 INSTANCES_PATH = b"/-/instances/"
+EMPTY_ANSWER = b"{}"
+HEARTBEATS_PER_HOLD = 3  # two in a row may be lost
+DEFAULT_DRAIN_S = 2.0
+DRAIN_MARGIN_S = 0.4  # before the end of the bound `drain`, in which a draining server gets no more calls
 
 
 class ServerHeartbeat(NamedTuple):
@@ -33,6 +43,13 @@
     slots: int
     warm_up_s: float  # how much longer the server is warming up
     call_number: int  # increases with each heartbeat of an instance
+    holds: tuple[FencedRange, ...] = ()
+    released: tuple[HandoverRow, ...] = ()
+
+    @property
+    def ranges(self) -> HeartbeatRanges:
+        """What the heartbeat says of key ranges."""
+        return HeartbeatRanges(self.call_number, self.holds, self.released)
 
 
 def parse_heartbeat(body: bytes) -> Result[ServerHeartbeat, str]:
@@ -46,20 +63,44 @@
                 slots=max(1, int(fields.get("slots", 1))),
                 warm_up_s=parse_duration(fields.get("cold_left", "0ms")),
                 call_number=int(fields.get("call_seq", 0)),
+                holds=tuple(_parse_held(*row) for row in fields.get("holds", ())),
+                released=tuple(_parse_released(*row) for row in fields.get("released", ())),
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         return Error(str(error))
 
 
+def _parse_held(first: Any, last: Any, fence: Any) -> FencedRange:
+    return FencedRange(KeyRange(int(first), int(last)), int(fence))
+
+
+def _parse_released(first: Any, last: Any, handover: Any) -> HandoverRow:
+    return HandoverRow(KeyRange(int(first), int(last)), str(handover or ""))
+
+
+def _encode_grants(grants: HeartbeatGrants) -> bytes:
+    answer = {"holds": grants.rows, "hold": f"{grants.hold_ms}ms"}
+    return json.dumps(answer, separators=(",", ":")).encode()
+
+
 class ServerHeartbeats:
     """Handles requests to the control address of a sidecar, and maintains the sidecar's record.
 
-    `on_change` is called whenever a new record has to be published.
+    `on_change` is called whenever a new record has to be published, `on_released` when a heartbeat shows that
+    the server has let go of a range, and `on_closed` when it has been told to.
     """
 
-    def __init__(self, context: ProxyContext, queue: ServerQueue, on_change: Callable[[], None]) -> None:
-        self._context, self._queue, self._on_change = context, queue, on_change
+    def __init__(
+        self, context: ProxyContext, queue: ServerQueue, holds: ServerHolds, on_change: Callable[[], None]
+    ) -> None:
+        self._context, self._queue, self._holds, self._on_change = context, queue, holds, on_change
+        self.is_sharded = False  # the service of the server
+        self.grants_by_heartbeat = False
+        self.suspicion = ServerSuspicion(context.settings.beat_s, context.monotonic())
+        self.on_released: Callable[[], None] = lambda: None
+        self.on_closed: Callable[[], None] = lambda: None
+        self._was_suspected = False
         self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
         self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
         self._alive: set[str] = set()  # ids whose last heartbeat to this incarnation said that they are ready
@@ -75,15 +116,15 @@
             message.answer(ERROR_RESPONSES[ErrorKind.NOT_HERE].status)
             return
         instance = path[len(INSTANCES_PATH) :].decode("latin-1")
-        error = None
+        answer: Result[bytes, ErrorKind] = Ok(EMPTY_ANSWER)
         if message.method == b"DELETE":
             self._handle_end(instance)
         else:
-            error = self._handle_heartbeat(instance, message.body)
-        if error is not None:
-            message.answer(ERROR_RESPONSES[error].status)
+            answer = self._handle_heartbeat(instance, message.body)
+        if answer.is_error():
+            message.answer(ERROR_RESPONSES[answer.error].status)
         else:
-            message.answer(200, b"{}", JSON)
+            message.answer(200, answer.ok, JSON)
 
     def _handle_end(self, instance: str) -> None:
         """Handles the end of an instance: it gets no further calls, and late heartbeats of it are ignored."""
@@ -94,28 +135,76 @@
             queue.on_server_gone()
             self._on_change()
 
-    def _handle_heartbeat(self, instance: str, body: bytes) -> ErrorKind | None:
-        """Applies a heartbeat; returns the error if it is rejected."""
+    def _handle_heartbeat(self, instance: str, body: bytes) -> Result[bytes, ErrorKind]:
+        """Applies a heartbeat; returns the body of the answer, or the error if it is rejected."""
         queue = self._queue
         parsed = parse_heartbeat(body)
         if parsed.is_error():
-            return ErrorKind.BAD
+            return Error(ErrorKind.BAD)
         heartbeat = parsed.ok
         if (
             heartbeat.call_number <= queue.heartbeat_numbers.get(instance, -1)
             or instance in queue.ended_instances
         ):
-            return None  # arrived late: superseded by a newer heartbeat, or its instance has ended
+            # It arrived late: it is superseded by a newer heartbeat, or its instance has ended.
+            return Ok(EMPTY_ANSWER)
         if heartbeat.service != self._context.settings.service:
             logger.warning("rejected a heartbeat of another service", service=heartbeat.service)
-            return ErrorKind.BAD
+            return Error(ErrorKind.BAD)
         queue.heartbeat_numbers[instance] = heartbeat.call_number
+        self.suspicion.on_contact(self._context.monotonic())
         (self._alive.add if heartbeat.ready else self._alive.discard)(instance)
         before = (queue.instance, queue.open)
+        if self.is_sharded and not heartbeat.ready and before == (instance, True):
+            drain_s = self._context.settings.bound("drain", DEFAULT_DRAIN_S)
+            queue.drain(self._context.now() + drain_s - DRAIN_MARGIN_S)
         queue.update_server(instance, heartbeat.slots, heartbeat.warm_up_s, heartbeat.ready)
         if (queue.instance, queue.open) != before:  # a change of slots alone affects no other sidecar
             self._on_change()
-        return None
+        self.check_suspicion()
+        return Ok(self._answer_ranges(heartbeat.ranges))
+
+    def _answer_ranges(self, ranges: HeartbeatRanges) -> bytes:
+        """Learns from a heartbeat what the server holds; returns an answer that tells what it is to hold."""
+        if not self.grants_by_heartbeat:
+            return EMPTY_ANSWER
+        context, holds = self._context, self._holds
+        if holds.on_heartbeat(context.monotonic(), ranges):
+            self.on_released()
+        grants = holds.answer_heartbeat(
+            context.monotonic(),
+            context.read_clock.received_after(),
+            ranges,
+            HEARTBEATS_PER_HOLD * context.settings.beat_s,
+        )
+        if grants is None:
+            return EMPTY_ANSWER
+        self.on_closed()
+        return _encode_grants(grants)
+
+    # --- suspicion
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether the server of a sharded service seems to be dead, so that its ranges are to be moved."""
+        is_watched = self.is_sharded and bool(self._queue.instance)
+        return is_watched and self.suspicion.is_suspected(self._context.monotonic())
+
+    def on_contact(self, answered: bool) -> None:
+        """Handles the end of a call to the server: it has answered, or the connection failed."""
+        if answered:
+            self.suspicion.on_contact(self._context.monotonic())
+        else:
+            self.suspicion.on_failure()
+        self.check_suspicion()
+
+    def check_suspicion(self) -> None:
+        """Publishes the record if the server seems to be dead now and did not before, or the reverse."""
+        is_suspected = self.is_suspected
+        if is_suspected != self._was_suspected:
+            self._was_suspected = is_suspected
+            logger.info("the server seems to be dead" if is_suspected else "the server is alive")
+            self._on_change()
 
     # --- ids that a server gives in other answers
 
@@ -154,6 +243,7 @@
         queue = self._queue
         if not queue.instance and instance not in queue.ended_instances:
             logger.info("learned the instance id from the server", instance=instance)
+            self.suspicion.on_contact(self._context.monotonic())
             queue.update_server(instance, MAX_STEPS, 0.0, True)
             self._on_change()
 
@@ -172,7 +262,7 @@
             service=settings.service,
             instance=queue.instance,
             slots=queue.slots,
-            is_open=queue.open and not context.draining,
+            is_open=queue.open and not context.draining and not self.is_suspected,
             warm_up_s=max(0.0, queue.warming_up_until - context.now()),
             incarnation=context.incarnation,
             number=self._number,
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -28,6 +28,7 @@
 MAX_KINDS = 256  # kinds of calls whose service times are tracked separately
 FAILURE_SMOOTHING = 0.1  # smoothing factor of the failure rate
 FAILURE_HALF_LIFE_S = 3.0
+CONNECTION_FAILURES = frozenset({AttemptOutcome.CONNECT_FAILED, AttemptOutcome.RESET})
 NETWORK_MARGIN_S = 0.008  # part of a deadline reserved for the way back of the response
 
 
@@ -103,6 +104,7 @@
         self.ended_instances: set[str] = set()  # ids of server processes that have ended
         self.slots = 1
         self.open = False
+        self._drains_until = -math.inf  # a server that is not open any more may get calls until then
         self.max_conns = MAX_STEPS
         self.warming_up_until = 0.0
         self.budget = self._new_budget()
@@ -116,6 +118,9 @@
         self._failure_rate, self._failure_rate_at = 0.0, 0.0  # the rate and when it was updated
         self._timer: asyncio.TimerHandle | None = None
         self.on_replaced: Callable[[str], None] = lambda instance: None
+        self.on_contact: Callable[[bool], None] = lambda answered: None  # at the end of a call
+        self.key_gate: Callable[[int], bool] = lambda key: True
+        self.on_key_work: Callable[[int, float], None] = lambda key, work_s: None
 
     def _new_budget(self, reported_slots: int = 1) -> Budget:
         """Returns the initial budget of a server process.
@@ -139,15 +144,29 @@
                 self.upstream.remove(self.instance)
             self.instance, self.slots = instance, slots
             if is_new:
+                self._drains_until = -math.inf
                 self.budget = self._new_budget(slots if warm_up_s <= 0 or is_first else 1)
                 self._samples, self._failure_rate = 0, 0.0
                 self.upstream.update(instance, self._address, 0, True)
             self.budget.max_steps = min(MAX_STEPS, slots, self.max_conns)
         self.open = is_open
-        if not is_open:
-            self.reject_all(ErrorKind.LEAVING)
+        self._reject_unless_serving()
         self._send_queued()
 
+    @property
+    def serves(self) -> bool:
+        """Whether the server gets calls: it is open, or draining and allowed to go on for a while."""
+        return bool(self.instance) and (self.open or self._loop.time() < self._drains_until)
+
+    def drain(self, until: float) -> None:
+        """Lets the server get calls until a time, also after it has closed."""
+        self._drains_until = until
+        self._loop.call_later(until - self._loop.time(), self._reject_unless_serving)
+
+    def _reject_unless_serving(self) -> None:
+        if not self.serves:
+            self.reject_all(ErrorKind.LEAVING)
+
     def probe(self, path: str, on_result: Callable[[str], None]) -> None:
         """Requests the server's health page before any heartbeat; `on_result` is called with its instance id,
         or an empty string if it is not healthy."""
@@ -172,7 +191,7 @@
 
     def on_server_gone(self) -> None:
         """Handles the end of the server process, or its replacement by another one at the same address."""
-        self.open = False
+        self.open, self._drains_until = False, -math.inf
         if self.instance:
             self.ended_instances.add(self.instance)
             self.upstream.remove(self.instance)
@@ -212,7 +231,7 @@
 
     def accepts_calls(self) -> bool:
         """Returns whether a new call would be queued or sent instead of rejected at once."""
-        if not self.open or not self.instance:
+        if not self.serves:
             return False
         return bool(self.budget.steps) or self.budget.trial_allowed(int(self._loop.time() * 1e9))
 
@@ -239,7 +258,7 @@
     def submit(self, job: Job) -> None:
         """Sends a call at once, queues it by its due time, or rejects it."""
         now = self._loop.time()
-        if not self.open or not self.instance:
+        if not self.serves:
             self._finish(job, ErrorKind.LEAVING, False)
             return
         if not self.budget.steps and (self.budget.trial_in_flight or now * 1e9 < self.budget.retry_at):
@@ -422,8 +441,10 @@
             # A call that was cancelled here says nothing about the server.
             if current and outcome != AttemptOutcome.MOOT and not job.cancelled:
                 self._record_outcome(True)
-                self._on_failure(now, trial, outcome in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.RESET))
+                self._on_failure(now, trial, outcome in CONNECTION_FAILURES)
             self._finish(job, error, arrived)
+        if current and (reply is not None or outcome in CONNECTION_FAILURES):
+            self.on_contact(reply is not None)
         self._send_queued()
 
     def _on_answer(self, now: float, job: Job, trial: bool, succeeded: bool) -> None:
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -22,6 +22,7 @@
 from mesh.proxy.directory import Directory
 from mesh.proxy.forwarder import Forwarder
 from mesh.proxy.ingress import Ingress
+from mesh.proxy.key_ranges import KeyRanges
 from mesh.proxy.picker import Picker
 from mesh.proxy.server_heartbeats import ServerHeartbeats
 from mesh.proxy.server_queue import ServerQueue
@@ -49,9 +50,13 @@
         assert settings.app is not None
         self.context = context = ProxyContext(settings)
         self.server_queue = ServerQueue(context.loop, settings.app, MAX_SERVER_CONNECTIONS)
-        self.heartbeats = ServerHeartbeats(context, self.server_queue, self._publish_record)
-        self.control = ControlClient(context, self.on_message, self.heartbeats.record)
+        self.control = ControlClient(context, self.on_message, lambda: self.heartbeats.record())
         self.control.on_table_changed = self._on_table_changed
+        self.key_ranges = KeyRanges(context, self.control, self.server_queue)
+        self.heartbeats = ServerHeartbeats(
+            context, self.server_queue, self.key_ranges.holds, self._publish_record
+        )
+        self.key_ranges.attach(self.heartbeats)
         self.directory = Directory(context, self.on_message)
         self.control.records_digest = lambda: self.directory.digest.value
         self.calls = CallRunner(context, self.server_queue, self.control.key_claims)
@@ -78,6 +83,7 @@
             messages.LoadReport: forwarder.on_load_report,
             messages.SendBody: forwarder.on_send_body,
             messages.Overdue: forwarder.on_overdue,
+            messages.LeaseAnswer: self.key_ranges.leases.on_lease_answer,
             messages.ClaimAnswer: control.key_claims.on_claim_answer,
             messages.Items: control.on_items,
             messages.Digest: control.on_digest,
@@ -116,7 +122,13 @@
     def metrics(self) -> Iterable[MetricFamily]:
         """Returns the metrics of this process."""
         return sidecar_figures.metrics(
-            self.context, self.control, self.directory, self.forwarder, self.server_queue, self.heartbeats
+            self.context,
+            self.control,
+            self.directory,
+            self.forwarder,
+            self.server_queue,
+            self.heartbeats,
+            self.key_ranges,
         )
 
     # --- startup and shutdown
@@ -228,6 +240,7 @@
             packed = pack(RecordChanged(record))
             for caller in self._callers:
                 caller.send_packed(packed)
+        self.key_ranges.update()
 
     def _on_table_changed(self) -> None:
         """Applies the limits of the configuration that has come into force to the server and the clients."""
@@ -238,6 +251,7 @@
             if not queue.instance and not self._health_checked:
                 self._health_checked = True
                 queue.probe(cluster.health_path, self.heartbeats.on_instance_found)
+        self.key_ranges.update()
         if self._outbound is not None:
             limits = table.limits
             self._outbound.update_limits(
--- a/mesh/proxy/sidecar_figures.py
+++ b/mesh/proxy/sidecar_figures.py
@@ -9,6 +9,7 @@
 from mesh.proxy.control_client import ControlClient
 from mesh.proxy.directory import Directory
 from mesh.proxy.forwarder import Forwarder
+from mesh.proxy.key_ranges import KeyRanges
 from mesh.proxy.server_heartbeats import ServerHeartbeats
 from mesh.proxy.server_queue import ServerQueue
 
@@ -20,6 +21,7 @@
     forwarder: Forwarder,
     queue: ServerQueue,
     heartbeats: ServerHeartbeats,
+    key_ranges: KeyRanges,
 ) -> Iterator[MetricFamily]:
     """Returns all metric families of one sidecar."""
     yield from forwarder.counts.metrics()
@@ -32,6 +34,7 @@
         "Server ids found beside whose service was not known.",
         heartbeats.unconfirmed,
     )
+    yield from _range_metrics(context, key_ranges)
     yield from _control_metrics(control)
     yield gauge("mesh_sidecars_known", "Sidecars with a record, this one too.", len(directory.records))
     yield gauge("mesh_sidecars_linked", "Connections to other sidecars.", len(directory.connections))
@@ -54,6 +57,16 @@
     yield gauge("mesh_server_call_seconds", "What a call takes there of late.", queue.mean_service_s)
 
 
+def _range_metrics(context: ProxyContext, key_ranges: KeyRanges) -> Iterator[MetricFamily]:
+    """Returns the metrics of the key ranges of the server beside this sidecar."""
+    questions = key_ranges.leases.questions
+    held = key_ranges.holds.held_ranges(context.monotonic())
+    yield gauge("mesh_ranges_held", "Key ranges that the server holds.", len(held))
+    yield counter("mesh_leases_renewed", "Leases on one range, begun or prolonged.", questions.renewed)
+    yield counter("mesh_leases_refused", "Answers of voters that don't confirm a range.", questions.refused)
+    yield key_ranges.calls.outcomes.family()
+
+
 def _control_metrics(control: ControlClient) -> Iterator[MetricFamily]:
     """Returns the metrics of the controllers and the configuration."""
     claims = control.key_claims
