--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -171,6 +171,10 @@
             for held, grant in self._grants.items()
         )
 
+    def expects(self, key: int) -> bool:
+        """Returns whether the server is to hold a key, whether or not it does."""
+        return any(shard.range.first <= key <= shard.range.last for shard in self._wanted())
+
     def _is_closed(self, fence: int, key: int) -> bool:
         return any(
             closed.fence == fence and closed.range.first <= key <= closed.range.last
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -17,6 +17,7 @@
 from hollyport.settings.config import Address as NodeAddress
 from mesh.errors import ErrorKind
 from mesh.settings import Address
+from mesh.state.shards import NO_KEY
 
 INITIAL_BACKOFF_NS, MAX_BACKOFF_NS = 100_000_000, 2_000_000_000
 IDLE_TIMEOUT_S = 15.0  # applies unless the server announces a shorter one; see IDLE_TIMEOUT_FRACTION
@@ -57,6 +58,9 @@
         "repeatable",
         "timer",
         "cancelled",
+        "shard_key",
+        "key_lost",
+        "key_wait_until",
     )
 
     def __init__(
@@ -84,12 +88,20 @@
         self.timer: asyncio.TimerHandle | None = None
         self.exchange: Exchange | None = None
         self.started_at = 0.0
+        self.shard_key = NO_KEY  # if its service is sharded
+        self.key_wait_until = due_at  # by then the server must have been given its shard key
+        self.key_lost = False  # taken back before it reached the server, which holds its shard key no more
 
 
 class ServerQueue:
     """The local server of a sidecar, with its connections, concurrency budget and queue.
 
     `on_replaced` is called with the instance id of another server that answers at the address.
+
+    `key_gate` returns whether the server may be sent a call for a shard key now, which is NO_KEY for a call
+    without one. `key_expected` returns whether it is about to be given a key that it doesn't hold: calls for
+    such a key wait until `recheck_keys` is called once it is. `on_key_work` is called at the end of each call
+    that reached the server, with its key and the seconds that it took there.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, max_connections: int) -> None:
@@ -120,7 +132,12 @@
         self.on_replaced: Callable[[str], None] = lambda instance: None
         self.on_contact: Callable[[bool], None] = lambda answered: None  # at the end of a call
         self.key_gate: Callable[[int], bool] = lambda key: True
+        self.key_expected: Callable[[int], bool] = lambda key: False
         self.on_key_work: Callable[[int, float], None] = lambda key, work_s: None
+        self.awaiting_keys: list[Job] = []  # calls for keys that the server is about to be given
+        self._exchanging: set[Job] = set()  # calls that were sent or whose connection is being opened
+        self.keys_not_held = 0  # calls given back before the server saw them, as it doesn't hold their keys
+        self.misdirected_keys = 0  # calls that the server itself refused, as it doesn't hold their keys
 
     def _new_budget(self, reported_slots: int = 1) -> Budget:
         """Returns the initial budget of a server process.
@@ -202,9 +219,67 @@
         """Rejects all waiting calls with an error."""
         queued, self.queued = self.queued, []
         late, self.late = self.late, deque()
-        for job in (*(entry[2] for entry in queued), *late):
+        awaiting_keys, self.awaiting_keys = self.awaiting_keys, []
+        for job in (*(entry[2] for entry in queued), *late, *awaiting_keys):
             self._finish(job, error, False)
 
+    # --- calls of a sharded service
+
+    def accepts_key(self, key: int) -> bool:
+        """Returns whether a call for a shard key can be sent now or soon; counts one that can't."""
+        accepted = self.key_gate(key) or self.key_expected(key)
+        self.keys_not_held += not accepted
+        return accepted
+
+    def recheck_keys(self) -> None:
+        """Handles a change of the keys that the server holds or is about to be given.
+
+        Calls for keys that it has been given are queued. Those for keys that it no longer holds are given
+        back unless they have reached it.
+        """
+        awaiting_keys, self.awaiting_keys = self.awaiting_keys, []
+        for job in awaiting_keys:
+            self.submit(job)
+        for job in [*(entry[2] for entry in self.queued), *self.late]:
+            if not self.key_gate(job.shard_key):
+                self._remove(job)
+                self._give_back(job)
+        for job in [job for job in self._exchanging if not self._written(job)]:
+            if job.exchange is not None and not self.key_gate(job.shard_key):
+                self.keys_not_held += 1
+                job.key_lost = True
+                job.exchange.cancel()
+
+    def _give_back(self, job: Job) -> None:
+        """Rejects a call that has not reached the server, as that does not hold its key."""
+        self.keys_not_held += 1
+        self._finish(job, ErrorKind.NOT_OWNER, False)
+
+    def _await_key(self, now: float, job: Job) -> None:
+        """Keeps a call until the server holds its key, for a limited time."""
+        if now >= job.key_wait_until or not self.key_expected(job.shard_key):
+            self._give_back(job)
+            return
+        self.awaiting_keys.append(job)
+        self._loop.call_later(job.key_wait_until - now, self._end_key_wait, job)
+
+    def _end_key_wait(self, job: Job) -> None:
+        if job in self.awaiting_keys:
+            self.awaiting_keys.remove(job)
+            self._give_back(job)
+
+    @staticmethod
+    def _refuses_key(job: Job, instance: str, reply: Reply | None) -> bool:
+        """Returns whether a server process has refused a call as it doesn't hold the key.
+
+        A 421 of another process says that the one that the call was meant for is gone.
+        """
+        if reply is None or reply.status != 421 or job.shard_key == NO_KEY:
+            return False
+        return reply.header(b"x-instance-id") in (None, instance.encode())
+
+    # --- queueing
+
     def expected_service_s(self, kind: str) -> float:
         """Returns the expected time from sending a call of a kind to its answer."""
         return self._service_times.get(kind, (self.mean_service_s, 0))[0]
@@ -261,6 +336,9 @@
         if not self.serves:
             self._finish(job, ErrorKind.LEAVING, False)
             return
+        if not self.key_gate(job.shard_key):
+            self._await_key(now, job)
+            return
         if not self.budget.steps and (self.budget.trial_in_flight or now * 1e9 < self.budget.retry_at):
             self._finish(job, ErrorKind.FULL, False)  # the server has no capacity in the near future
             return
@@ -316,6 +394,7 @@
         self.queued = [entry for entry in self.queued if entry[2] is not job]
         heapq.heapify(self.queued)
         self.late = deque(waiting for waiting in self.late if waiting is not job)
+        self.awaiting_keys = [waiting for waiting in self.awaiting_keys if waiting is not job]
 
     def withdraw(self, job: Job) -> None:
         """Cancels a call whose client has disconnected.
@@ -387,6 +466,12 @@
         if remaining_s <= NETWORK_MARGIN_S:
             self._finish(job, ErrorKind.FULL, False)
             return
+        if not self.serves:
+            self._finish(job, ErrorKind.LEAVING, False)
+            return
+        if not self.key_gate(job.shard_key):
+            self._give_back(job)
+            return
         exchange = self.upstream.exchange(
             instance,
             lambda: job.build_request(job.deadline - self._loop.time(), instance),
@@ -400,6 +485,7 @@
         job.trial, job.exchange, job.started_at = trial, exchange, now
         self.budget.trial_in_flight = self.budget.trial_in_flight or trial
         self.in_flight += 1
+        self._exchanging.add(job)
         if job.on_overdue is not None:
             job.timer = self._loop.call_later(
                 OVERDUE_FACTOR * self.expected_service_s(job.kind), job.on_overdue
@@ -409,6 +495,7 @@
     def _on_end(self, job: Job, instance: str, outcome: AttemptOutcome, answer: Any) -> None:
         """Handles the outcome of a call that was sent."""
         self.in_flight -= 1
+        self._exchanging.discard(job)
         now = self._loop.time()
         if job.timer is not None:
             job.timer.cancel()
@@ -417,7 +504,12 @@
         trial = job.trial and current
         if trial:
             budget.trial_in_flight = False
-        if reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
+        if job.shard_key != NO_KEY and self._written(job):
+            self.on_key_work(job.shard_key, now - job.started_at)
+        if self._refuses_key(job, instance, reply):
+            self.misdirected_keys += 1
+            self._finish(job, ErrorKind.NOT_OWNER, True, reply)
+        elif reply is not None and (reply.header(b"x-not-run") is not None or reply.status == 421):
             if current:
                 self._on_failure(now, trial)
                 if reply.status == 421:
@@ -437,7 +529,7 @@
             if outcome == AttemptOutcome.TIMEOUT:
                 error = ErrorKind.LATE
             elif outcome in (AttemptOutcome.MOOT, AttemptOutcome.CONNECT_FAILED) and not self._written(job):
-                error, arrived = ErrorKind.FULL, False
+                error, arrived = ErrorKind.NOT_OWNER if job.key_lost else ErrorKind.FULL, False
             # A call that was cancelled here says nothing about the server.
             if current and outcome != AttemptOutcome.MOOT and not job.cancelled:
                 self._record_outcome(True)
