--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -167,7 +167,7 @@
     def _refusal(self, call: Call) -> ErrorKind | None:
         """Returns why a call can't run at the local server now, or None if it can."""
         queue = self._queue
-        if call.service != self._context.settings.service or not queue.open:
+        if call.service != self._context.settings.service or not queue.serves:
             return ErrorKind.LEAVING
         return None if queue.accepts_key(call.shard_key) else ErrorKind.NOT_OWNER
 
--- a/mesh/proxy/grant_calls.py
+++ b/mesh/proxy/grant_calls.py
@@ -55,9 +55,9 @@
 class GrantCalls:
     """Grants and releases of key ranges by calls to the server beside.
 
-    `on_released` is called when the server has let go of a range, `on_closed` before it is asked to,
-    `on_refused` when it has seen a higher fence, and `on_contact` after each call with whether the server has
-    answered.
+    `on_released` is called when the server has let go of a range, `on_gate_changed` when it has taken a grant
+    and before it is asked to let go, `on_refused` when it has seen a higher fence, and `on_contact` after
+    each call with whether the server has answered.
     """
 
     def __init__(self, context: ProxyContext, address: Address, holds: ServerHolds) -> None:
@@ -67,7 +67,7 @@
             context.loop, CONNECT_TIMEOUT_NS, IDLE_TIMEOUT_NS, MAX_CONNECTIONS, 0.0, HttpBack(False)
         )
         self.on_released: Callable[[], None] = lambda: None
-        self.on_closed: Callable[[], None] = lambda: None
+        self.on_gate_changed: Callable[[], None] = lambda: None
         self.on_refused: Callable[[], None] = lambda: None
         self.on_contact: Callable[[bool], None] = lambda answered: None
         self.outcomes = LabelledCounter(
@@ -143,6 +143,7 @@
         elif reply is not None and reply.status == 200:
             outcome = "taken"
             self._holds.on_grant_taken(now, held)
+            self.on_gate_changed()
         elif reply is not None and reply.status == 409:
             outcome = "refused"
             logger.warning("the server has seen a higher fence", range=held.range, fence=held.fence)
@@ -176,7 +177,7 @@
 
         self._releasing.add(held)
         self._holds.close(held)
-        self.on_closed()
+        self.on_gate_changed()
         self._exchange(build, write, RELEASE_TIMEOUT_S, self._on_release_end, held).start()
 
     def _on_release_end(self, held: FencedRange, write: _Write, reply: Reply | None) -> None:
--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -13,7 +13,7 @@
 from mesh.proxy.range_leases import RangeLeases
 from mesh.proxy.range_reports import RangeReports
 from mesh.proxy.server_heartbeats import ServerHeartbeats
-from mesh.proxy.server_holds import ServerHolds, TableView
+from mesh.proxy.server_holds import ANSWER_TRANSIT_S, ServerHolds, TableView
 from mesh.proxy.server_queue import ServerQueue
 from mesh.state.configuration import GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION
 from mesh.state.shards import NO_KEY, Owner
@@ -43,13 +43,16 @@
         self.reports = RangeReports(context, self.holds, control.send)
         self.calls.on_released = self.reports.report_releases
         self.calls.on_refused = self.update
+        self.calls.on_gate_changed = queue.recheck_keys
         queue.key_gate = self._allows
+        queue.key_expected = self.holds.expects
         queue.on_key_work = self.reports.on_key_work
 
     def attach(self, heartbeats: ServerHeartbeats) -> None:
         """Sets the heartbeats of the server, which tell of ranges and of the server's life."""
         self._heartbeats = heartbeats
         heartbeats.on_released = self.reports.report_releases
+        heartbeats.on_grants_answered = self._on_grants_answered
         self.calls.on_contact = self._queue.on_contact = heartbeats.on_contact
         self.reports.on_tick = self._on_tick
 
@@ -60,6 +63,11 @@
         self.calls.wake()
         self._probe_for_earlier_servers()
 
+    def _on_grants_answered(self) -> None:
+        """Lets the queue see the gate as it is now, and when the server has read the answer."""
+        self._queue.recheck_keys()
+        self._context.loop.call_later(ANSWER_TRANSIT_S, self._queue.recheck_keys)
+
     def _allows(self, key: int) -> bool:
         """Returns whether the server may get a call for a key now."""
         if key == NO_KEY:
@@ -79,6 +87,7 @@
             self._owner = self._owner._replace(instance=queue.instance)
         self.holds.update(self._owner, self._view(), way == GRANTS_BY_INVOCATION)
         self.leases.update(self._owner, () if heartbeats.is_suspected else self.holds.ranges_to_lease())
+        queue.recheck_keys()
         self.reports.update(self._owner if is_sharded else None)
         self.calls.update(self._owner.instance if is_sharded and way == GRANTS_BY_INVOCATION else "")
         self._probe_for_earlier_servers()
--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -88,7 +88,7 @@
     """Handles requests to the control address of a sidecar, and maintains the sidecar's record.
 
     `on_change` is called whenever a new record has to be published, `on_released` when a heartbeat shows that
-    the server has let go of a range, and `on_closed` when it has been told to.
+    the server has let go of a range, and `on_grants_answered` when an answer tells it what to hold.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
         self.grants_by_heartbeat = False
         self.suspicion = ServerSuspicion(context.settings.beat_s, context.monotonic())
         self.on_released: Callable[[], None] = lambda: None
-        self.on_closed: Callable[[], None] = lambda: None
+        self.on_grants_answered: Callable[[], None] = lambda: None
         self._was_suspected = False
         self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
         self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
@@ -179,7 +179,7 @@
         )
         if grants is None:
             return EMPTY_ANSWER
-        self.on_closed()
+        self.on_grants_answered()
         return _encode_grants(grants)
 
     # --- suspicion
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -132,6 +132,7 @@
         self.misdirected_by_same_server = self.misdirected_by_other_server = 0
         self._timer: asyncio.TimerHandle | None = None
         self.on_replaced: Callable[[str], None] = lambda instance: None
+        self.on_contact: Callable[[bool], None] = lambda answered: None  # at the end of a call
         self.key_gate: Callable[[int], bool] = lambda key: True
         self.key_expected: Callable[[int], bool] = lambda key: False
         self.on_key_work: Callable[[int, float], None] = lambda key, work_s: None
@@ -468,6 +469,9 @@
         if remaining_s <= NETWORK_MARGIN_S:
             self._finish(job, ErrorKind.FULL, False)
             return
+        if not self.serves:
+            self._finish(job, ErrorKind.LEAVING, False)
+            return
         if not self.key_gate(job.shard_key):
             self._give_back(job)
             return
--- a/tests/mesh/test_mesh_server_holds.py
+++ b/tests/mesh/test_mesh_server_holds.py
@@ -287,10 +287,11 @@
     world.revoke(LOW)
     grant = world.holds._grants[FencedRange(ALL, 1)]
     slowest_s = grant.hold_s * (1 + CLOCK_DRIFT)
-    world.now = grant.told_at + slowest_s - 0.001
+    transit_s = GRANT_TRANSIT_S if by_call else 0.0
+    world.now = grant.told_at + transit_s + slowest_s - 0.001
     world.holds.expire(world.now)
     assert not world.released()
-    world.now += GRANT_TRANSIT_S + 0.002
+    world.now += 0.002
     world.holds.expire(world.now)
     assert world.released() == [ReleasedRange(LOW, 1, "")]
 
