--- a/tests/verify/test_explorer.py
+++ b/tests/verify/test_explorer.py
@@ -5,6 +5,7 @@
 import mesh.control.context
 import mesh.proxy.key_claims
 from verify import mutations
+from verify.leases import BY_BEAT, BY_CALL, LeasesModel, holders, unpacked
 from verify.parts import CLAIM_S, TICK_S
 from verify.plays import PLAYS
 from verify.search import Model, search
@@ -33,6 +34,17 @@
     assert TICK_S <= CLAIM_S < 2 * TICK_S <= CLAIM_S + 0.1 + 1e-9
 
 
+@pytest.mark.parametrize("way", [BY_CALL, BY_BEAT])
+def test_a_range_does_move_in_the_model_of_leases(way):
+    def b_holds_what_a_has_released(model, state):
+        return "moved" if holders(unpacked(state)) == [1] and unpacked(state).nodes[0].closed else ""
+
+    model = LeasesModel({"ask": 2, "round": 2}, way=way)
+    model.properties = (b_holds_what_a_has_released,)
+    broken = search(model).broken
+    assert broken.why == "moved" and "A's server answers RELEASE" in broken.trace
+
+
 class Pair(Model):
     """Two counters that are alike; both at 2 is wrong."""
 
--- a/verify/mutations.py
+++ b/verify/mutations.py
@@ -15,14 +15,17 @@
 from mesh.control import consensus
 from mesh.control.ballot import Member
 from mesh.control.consensus import Plan, Promise, Replica
-from mesh.state import configuration
+from mesh.state import configuration, key_leases
 from mesh.state.ballots import INITIAL_BALLOT, Ballot, Draft
 from mesh.state.configuration import Conflict, Item, Items, RoutingTable
 from mesh.state.idempotency import Claim, ClaimDecision, Grant, GrantRow, OperationStatus, Registry
+from mesh.state.key_leases import LeaseTimes
 from mesh.state.quorum import Voters
-from verify import claims, items, sets
+from mesh.state.shards import FencedRange, Owner, ShardTable
+from verify import claims, items, leases, sets
 from verify.claims import ClaimsModel
 from verify.items import ItemsModel
+from verify.leases import BY_BEAT, BY_CALL, LeasesModel
 from verify.parts import Parts
 from verify.search import LIMIT, Model, Property, StepProperty, search
 from verify.search import Result as Found
@@ -213,6 +216,33 @@
         return super().accept(epoch, ballot, names)
 
 
+class RevokedRenews(ShardTable):
+    """The owner of a revoked range may renew its lease."""
+
+    __slots__ = ()
+
+    def confirms(self, owner: Owner, held: FencedRange) -> bool:
+        return all(
+            shard.owner == owner and shard.fence == held.fence for shard in self.overlapping(held.range)
+        )
+
+
+def times_without_drift(hold_max_s: float) -> LeaseTimes:
+    """A revoked range is assigned again after the time of a lease by the proposer's clock."""
+    times = LeaseTimes.of_bound(hold_max_s)
+    return times._replace(reassignment_delay_s=times.lease_s)
+
+
+def hold_without_drift(now: float, lease_ends_at: float, transit_s: float) -> float:
+    """A server is told to hold a range until its lease ends by the server's clock."""
+    return max(0.0, lease_ends_at - now - transit_s)
+
+
+def hold_without_transit(now: float, lease_ends_at: float, transit_s: float) -> float:
+    """A grant is taken to be there at once."""
+    return key_leases.hold_duration(now, lease_ends_at)
+
+
 Falls = tuple[Property | StepProperty, ...]
 
 
@@ -243,6 +273,11 @@
     return lambda: SetsModel(proposers, claimants, faults, parts, voters)
 
 
+def _leases(parts: Parts, way: str = BY_CALL, again: bool = False, **faults: int) -> Callable[[], Model]:
+    bound = {"ask": 1, "round": 2, **faults}
+    return lambda: LeasesModel(bound, parts, way, again=again)
+
+
 RUNS: Falls = (
     claims.never_two_runs,
     claims.what_may_have_run_is_never_followed_by_a_run,
@@ -250,6 +285,7 @@
 )
 OVER: Falls = (*sets.PROPERTIES, *sets.STEP_PROPERTIES)
 CLASH: Falls = (items.no_two_acknowledged_items_clash, items.acknowledged_items_stay_in_force)
+OWNER: Falls = leases.PROPERTIES
 KEPT: Falls = (items.acknowledged_items_are_kept, items.acknowledged_items_are_read)
 
 MUTATIONS: tuple[Mutation, ...] = (
@@ -393,6 +429,108 @@
     ),
     Mutation("sets-even-fewer", "half of an even set seal", _sets(Parts(voters=Fewer), 2, 0, 4), OVER),
     Mutation("sets-waits", "an emptied disk does not wait", _sets(Parts(waits=False), 1, 2, wipe=1), OVER),
+    Mutation(
+        "leases-majority",
+        "one voter's confirmation is a lease",
+        _leases(Parts(majority_confirms=False)),
+        OWNER,
+    ),
+    Mutation(
+        "leases-answer", "a lease counts from its answer", _leases(Parts(counts_from_question=False)), OWNER
+    ),
+    Mutation("leases-draft", "a voter looks at its copy alone", _leases(Parts(heeds_draft=False)), OWNER),
+    Mutation(
+        "leases-revoked", "what is revoked is renewed", _leases(Parts(shard_table=RevokedRenews)), OWNER
+    ),
+    Mutation(
+        "leases-wait", "a proposer waits for no lease to end", _leases(Parts(waits_out_leases=False)), OWNER
+    ),
+    Mutation(
+        "leases-chosen",
+        "the wait begins when the revocation is proposed",
+        _leases(Parts(waits_from_chosen=False)),
+        OWNER,
+    ),
+    Mutation(
+        "leases-successor",
+        "a proposer that comes later does not wait",
+        _leases(Parts(successor_waits=False), die=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-start",
+        "a sidecar that starts takes unknown holds for released",
+        _leases(Parts(waits_after_start=False), BY_BEAT, restart=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-again",
+        "what was reported released is granted again",
+        _leases(Parts(stays_released=False)),
+        OWNER,
+    ),
+    Mutation(
+        "leases-fence",
+        "a release counts for any fence",
+        _leases(Parts(release_has_fence=False), again=True),
+        OWNER,
+    ),
+    Mutation(
+        "leases-answered",
+        "a release passes an answer to a beat",
+        _leases(Parts(awaits_arrival=False), BY_BEAT),
+        OWNER,
+    ),
+    Mutation(
+        "leases-called",
+        "a release passes a call without an answer",
+        _leases(Parts(awaits_arrival=False), stall=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-earlier-called",
+        "a release passes a call of the sidecar's earlier life",
+        _leases(Parts(heeds_earlier_calls=False), stall=1, restart=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-ended",
+        "the end of a server frees what calls have given it",
+        _leases(Parts(ends_by_beat=False), crash=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-transit",
+        "a grant is taken to be there at once",
+        _leases(Parts(hold_duration=hold_without_transit), stall=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-hold-drift",
+        "the server's clock is taken to be right",
+        _leases(Parts(hold_duration=hold_without_drift), BY_BEAT),
+        OWNER,
+    ),
+    Mutation(
+        "leases-wait-drift",
+        "the proposer's clock is taken to be right",
+        _leases(Parts(lease_times=times_without_drift), BY_BEAT),
+        OWNER,
+    ),
+    Mutation("leases-fewer", "a revocation on half of the disks", _leases(Parts(voters=Fewer)), OWNER),
+    Mutation("leases-hasty", "a wiped voter hears one less", _leases(Parts(voters=Hasty), wipe=1), OWNER),
+    Mutation(
+        "leases-adopts",
+        "a wiped voter does not take over what others have accepted",
+        _leases(Parts(adopts=False), wipe=1),
+        OWNER,
+    ),
+    Mutation(
+        "leases-waits",
+        "a wiped voter does not wait for rounds to be void",
+        _leases(Parts(waits=False), wipe=1),
+        OWNER,
+    ),
 )
 
 
--- a/verify/plays.py
+++ b/verify/plays.py
@@ -7,6 +7,7 @@
 
 from verify.claims import ClaimsModel
 from verify.items import ItemsModel
+from verify.leases import BY_BEAT, BY_CALL, LeasesModel
 from verify.parts import Parts
 from verify.search import Model
 from verify.sets import SetsModel
@@ -31,6 +32,10 @@
     return lambda: ClaimsModel(controllers, 2, faults, None, swift, few, head, lost)
 
 
+def _leases(way: str, **faults: int) -> Callable[[], Model]:
+    return lambda: LeasesModel(faults, None, way)
+
+
 PLAYS: dict[str, Play] = {
     "items-one": Play(
         "one call; two disks are lost, one after the other, and a machine crashes",
@@ -93,4 +98,29 @@
         lambda: SetsModel(1, 1, voters=4),
         lambda: SetsModel(1, 1, {"wipe": 1, "tick": 2}, voters=4),
     ),
+    "leases-call": Play(
+        "a range is taken from A and given to B, by calls to the servers",
+        _leases(BY_CALL, ask=2, round=2),
+        _leases(BY_CALL, ask=2, round=3, stall=1, pause=1),
+    ),
+    "leases-beat": Play(
+        "the same by answers to the servers' heartbeats",
+        _leases(BY_BEAT, ask=2, round=2),
+        _leases(BY_BEAT, ask=3, round=3, pause=1),
+    ),
+    "leases-restart": Play(
+        "a sidecar starts again with no memory",
+        _leases(BY_BEAT, ask=1, round=2, restart=1),
+        _leases(BY_CALL, ask=2, round=2, restart=1, stall=1),
+    ),
+    "leases-crash": Play(
+        "a server crashes, a proposer ends half way; in the large bound the range moves twice",
+        _leases(BY_CALL, ask=1, round=2, crash=1, die=1),
+        _leases(BY_CALL, ask=2, round=4, crash=1, die=1),
+    ),
+    "leases-wipe": Play(
+        "a voter loses its disk",
+        _leases(BY_CALL, ask=1, round=2, wipe=1),
+        _leases(BY_CALL, ask=2, round=3, wipe=1, die=1),
+    ),
 }
