A 421 of the very server that was called says that it doesn't hold the key

Callers of a sharded service, through sidecars that had not heard yet that it is divided, saw 503: the sidecar beside the server took each 421 for another server at the address, though it named the server that had been called.

Now a 421 with that server's own id is never its end, with a key in the call or without one; one of another server, or of none where the call has no key, is as before. test_a_421_for_a_key_that_is_not_held_does_not_end_the_server_s_life failed before (written against the untouched code) and passes. The case of the routing tests that said otherwise for calls without a key is turned round, and two are added.

--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -275,11 +275,15 @@
     def _refuses_key(job: Job, instance: str, reply: Reply | None) -> bool:
         """Returns whether a server process has refused a call as it doesn't hold the key.
 
-        A 421 of another process says that the one that the call was meant for is gone.
+        A 421 of another process says that the one that the call was meant for is gone. A 421 without an
+        instance id is taken for one of another process, unless the call has a key.
         """
-        if reply is None or reply.status != 421 or job.shard_key == NO_KEY:
+        if reply is None or reply.status != 421:
             return False
-        return reply.header(b"x-instance-id") in (None, instance.encode())
+        answered_by = reply.header(b"x-instance-id")
+        if answered_by is None:
+            return job.shard_key != NO_KEY
+        return answered_by == instance.encode()
 
     # --- queueing
 
