--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -136,7 +136,6 @@
         self.key_gate: Callable[[int], bool] = lambda key: True
         self.key_expected: Callable[[int], bool] = lambda key: False
         self.on_key_work: Callable[[int, float], None] = lambda key, work_s: None
-        self.on_contact: Callable[[bool], None] = lambda answered: None  # at the end of a call
         self.awaiting_keys: list[Job] = []  # calls for keys that the server is about to be given
         self._exchanging: set[Job] = set()  # calls that were sent or whose connection is being opened
         self.keys_not_held = 0  # calls given back before the server saw them, as it doesn't hold their keys
