--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -67,7 +67,7 @@
     def tell(self, now: float, hold_s: float, transit_s: float) -> None:
         """Notes a grant that is about to be written; the server counts it at most `transit_s` later."""
         self.hold_s, self.told_at = hold_s, now
-        self.may_hold_until = max(self.may_hold_until, now + transit_s + hold_s * (1 + CLOCK_DRIFT))
+        self.may_hold_until = max(self.may_hold_until, now + transit_s + hold_s / (1 - CLOCK_DRIFT))
 
     def take(self, holds_from: float, counted_from: float) -> None:
         """Notes that the server holds the range, counted from a time, for as long as it was told last."""
--- a/tests/mesh/test_mesh_server_holds.py
+++ b/tests/mesh/test_mesh_server_holds.py
@@ -101,7 +101,7 @@
     lease_ends_at = world.now + TIMES.lease_s
     world.now += 2.0
     hold_s = world.write(FencedRange(ALL, 1)) / 1000
-    assert 0 < world.now + GRANT_TRANSIT_S + hold_s * (1 + CLOCK_DRIFT) <= lease_ends_at
+    assert 0 < world.now + GRANT_TRANSIT_S + hold_s / (1 - CLOCK_DRIFT) <= lease_ends_at
 
 
 def test_a_hold_by_heartbeat_ends_before_its_lease_by_a_slow_clock():
@@ -110,7 +110,7 @@
     lease_ends_at = world.now + TIMES.lease_s
     world.now += 2.0
     hold_s = world.heartbeat().hold_ms / 1000
-    assert 0 < world.now + hold_s * (1 + CLOCK_DRIFT) <= lease_ends_at
+    assert 0 < world.now + hold_s / (1 - CLOCK_DRIFT) <= lease_ends_at
 
 
 @BOTH_WAYS
@@ -286,7 +286,7 @@
     world.grant()
     world.revoke(LOW)
     grant = world.holds._grants[FencedRange(ALL, 1)]
-    slowest_s = grant.hold_s * (1 + CLOCK_DRIFT)
+    slowest_s = grant.hold_s / (1 - CLOCK_DRIFT)
     transit_s = GRANT_TRANSIT_S if by_call else 0.0
     world.now = grant.told_at + transit_s + slowest_s - 0.001
     world.holds.expire(world.now)
@@ -430,7 +430,7 @@
     def take(self, counted_from, keys, hold_s):
         for part in PARTS:
             if keys.contains(part):
-                until = counted_from + hold_s * (1 + CLOCK_DRIFT)
+                until = counted_from + hold_s / (1 - CLOCK_DRIFT)
                 self.holds_until[part] = max(self.holds_until[part], until)
 
     def receive(self, now):
