--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -22,9 +22,11 @@
 from mesh.proxy.directory import Directory
 from mesh.proxy.forwarder import Forwarder
 from mesh.proxy.ingress import Ingress
+from mesh.proxy.key_ranges import KeyRanges
 from mesh.proxy.picker import Picker
 from mesh.proxy.server_heartbeats import ServerHeartbeats
 from mesh.proxy.server_queue import ServerQueue
+from mesh.proxy.shard_router import ShardRouter
 from mesh.settings import Settings
 from mesh.state import configuration
 from mesh.state.quorum import Voters
@@ -49,14 +51,19 @@
         assert settings.app is not None
         self.context = context = ProxyContext(settings)
         self.server_queue = ServerQueue(context.loop, settings.app, MAX_SERVER_CONNECTIONS)
-        self.heartbeats = ServerHeartbeats(context, self.server_queue, self._publish_record)
-        self.control = ControlClient(context, self.on_message, self.heartbeats.record)
+        self.control = ControlClient(context, self.on_message, lambda: self.heartbeats.record())
         self.control.on_table_changed = self._on_table_changed
+        self.key_ranges = KeyRanges(context, self.control, self.server_queue)
+        self.heartbeats = ServerHeartbeats(
+            context, self.server_queue, self.key_ranges.holds, self._publish_record
+        )
+        self.key_ranges.attach(self.heartbeats)
         self.directory = Directory(context, self.on_message)
         self.control.records_digest = lambda: self.directory.digest.value
         self.calls = CallRunner(context, self.server_queue, self.control.key_claims)
         self.picker = Picker(context, self.directory, self.calls.load_report)
-        self.forwarder = Forwarder(context, self.directory, self.picker, self.calls)
+        router = ShardRouter(self.directory, lambda: self.control.table.shards)
+        self.forwarder = Forwarder(context, self.directory, self.picker, router, self.calls)
         self.ingress = Ingress(context, self.control, self.forwarder)
         self._callers: set[PeerConnection] = set()  # connections of sidecars that send calls here
         self._handlers = self._message_handlers()
@@ -78,6 +85,7 @@
             messages.LoadReport: forwarder.on_load_report,
             messages.SendBody: forwarder.on_send_body,
             messages.Overdue: forwarder.on_overdue,
+            messages.LeaseAnswer: self.key_ranges.leases.on_lease_answer,
             messages.ClaimAnswer: control.key_claims.on_claim_answer,
             messages.Items: control.on_items,
             messages.Digest: control.on_digest,
@@ -116,7 +124,13 @@
     def metrics(self) -> Iterable[MetricFamily]:
         """Returns the metrics of this process."""
         return sidecar_figures.metrics(
-            self.context, self.control, self.directory, self.forwarder, self.server_queue, self.heartbeats
+            self.context,
+            self.control,
+            self.directory,
+            self.forwarder,
+            self.server_queue,
+            self.heartbeats,
+            self.key_ranges,
         )
 
     # --- startup and shutdown
@@ -228,16 +242,20 @@
             packed = pack(RecordChanged(record))
             for caller in self._callers:
                 caller.send_packed(packed)
+        self.key_ranges.update()
 
     def _on_table_changed(self) -> None:
         """Applies the limits of the configuration that has come into force to the server and the clients."""
         table, queue = self.control.table, self.server_queue
+        self.directory.on_table_changed(table)
+        self.forwarder.resume_waiting()
         cluster = table.clusters.get(self.settings.service)
         if cluster is not None:
             queue.update_limits(cluster.max_conns)
             if not queue.instance and not self._health_checked:
                 self._health_checked = True
                 queue.probe(cluster.health_path, self.heartbeats.on_instance_found)
+        self.key_ranges.update()
         if self._outbound is not None:
             limits = table.limits
             self._outbound.update_limits(
--- a/rehearsal/mesh/play.py
+++ b/rehearsal/mesh/play.py
@@ -6,13 +6,14 @@
 import itertools
 import random
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from rehearsal.mesh.caller import Caller, Operation
-from rehearsal.mesh.field import Field, Machine
+from rehearsal.mesh.field import NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import RECOVER_S, History, Try
+from rehearsal.mesh.key_holds import KeyStates
 from rehearsal.mesh.operator import Operator
 from rehearsal.mesh.server import Server
 from rehearsal.worker import Lateness
@@ -31,19 +32,28 @@
 class Rig:
     """One play, as `async with`."""
 
-    def __init__(self, folder: Path, seed: int = 1, relayed: bool = False) -> None:
+    def __init__(
+        self, folder: Path, seed: int = 1, relayed: bool = False, sharding: Sharding = NO_SHARDING
+    ) -> None:
         draw = random.Random(seed)
         self.history = History()
-        self.field = Field(folder, self.history, relayed=relayed)
+        self.field = Field(folder, self.history, relayed=relayed, sharding=sharding)
         self._late = Lateness()
         versions = itertools.count(1)
         self._operators = [
-            Operator(self.field.controllers, self.history, random.Random(draw.random()), versions)
+            Operator(self.field.controllers, self.history, random.Random(draw.random()), versions, sharding)
             for _ in range(OPERATORS)
         ]
         sidecars = self.field.sidecars
+        key_states: defaultdict[str, KeyStates] = defaultdict(KeyStates)  # by service
         self.servers = {
-            machine.name: Server(machine, self.history, random.Random(draw.random())) for machine in sidecars
+            machine.name: Server(
+                machine,
+                self.history,
+                random.Random(draw.random()),
+                key_states=key_states[machine.service],
+            )
+            for machine in sidecars
         }
         self.keyed: list[Operation] = []
         self.callers = [
@@ -196,6 +206,11 @@
             **dict(sorted(counts.items())),
             "arrivals": len(history.arrivals),
             "runs": len(runs),
+            "arrivals without their key": sum(
+                arrival.shard_key is not None and arrival.status == 421 for arrival in history.arrivals
+            ),
+            "runs on cold keys": sum(arrival.cold for arrival in history.arrivals),
+            "holds and releases": len(history.holds),
             "keys run": sum(run.key != "" for run in runs),
             "changes": len(history.changes),
             "changes acknowledged": sum(change.status == 200 for change in history.changes),
@@ -356,9 +371,9 @@
 RELAYED = frozenset({"cut", "cut-peers"})
 
 
-async def play(folder: Path, seconds: float, seed: int, fault: str) -> Rig:
+async def play(folder: Path, seconds: float, seed: int, fault: str, sharding: Sharding = NO_SHARDING) -> Rig:
     """A third of the time before a fault, one within it and one after; the rig, with its history."""
-    async with Rig(folder, seed, fault in RELAYED) as rig:
+    async with Rig(folder, seed, fault in RELAYED, sharding) as rig:
         await asyncio.sleep(seconds / 3)
         await FAULTS[fault](rig, lambda: asyncio.sleep(seconds / 3))
         await asyncio.sleep(seconds / 3)
--- a/tests/mesh/small_mesh.py
+++ b/tests/mesh/small_mesh.py
@@ -11,8 +11,9 @@
 from pathlib import Path
 
 from rehearsal.mesh import wire
-from rehearsal.mesh.field import KEY_WINDOW_S, Field, Machine
+from rehearsal.mesh.field import KEY_WINDOW_S, NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import Arrival, History
+from rehearsal.mesh.key_holds import KeyStates
 from rehearsal.mesh.operator import HOST, PATHS, Operator
 from rehearsal.mesh.server import Server
 
@@ -28,6 +29,8 @@
     field: Field
     history: History
     servers: dict[str, Server]  # by machine
+    operator: Operator
+    key_states: KeyStates  # of the service that is divided by key, where one is
 
     @property
     def callers(self) -> list[Machine]:
@@ -43,7 +46,7 @@
         """Returns a server for the address of a machine, which is not started yet."""
         draw = random.Random(f"{machine.name} {len(self.servers)}")
         made = self.servers[f"{machine.name} {len(self.servers)}"] = Server(
-            machine, self.history, draw, errs=False, service=service
+            machine, self.history, draw, errs=False, service=service, key_states=self.key_states
         )
         return made
 
@@ -60,12 +63,14 @@
 
 
 @asynccontextmanager
-async def small_mesh(folder: Path, key_window_s: float = KEY_WINDOW_S) -> AsyncIterator[SmallMesh]:
+async def small_mesh(
+    folder: Path, key_window_s: float = KEY_WINDOW_S, sharding: Sharding = NO_SHARDING
+) -> AsyncIterator[SmallMesh]:
     """Starts a mesh with its first configuration, and ends all its processes afterwards."""
     history = History()
-    field = Field(folder, history, key_window_s=key_window_s)
-    made = SmallMesh(field, history, {})
-    operator = Operator(field.controllers, history, random.Random(1), itertools.count(1))
+    field = Field(folder, history, key_window_s=key_window_s, sharding=sharding)
+    operator = Operator(field.controllers, history, random.Random(1), itertools.count(1), sharding)
+    made = SmallMesh(field, history, {}, operator, KeyStates())
     try:
         await field.start_all()
         for machine in field.sidecars:
