The model of leases asks the real ShardFacts when a range may be assigned again

It had its own figure for "released, or waited for", and a rule that a release counts for its fence alone. Both are ShardFacts now, so that a slip there falls too; the mutation of the fence is a subclass of it. The time for a grant's way is held to server_holds.GRANT_TRANSIT_S by a test.

--- a/tests/verify/test_explorer.py
+++ b/tests/verify/test_explorer.py
@@ -4,8 +4,9 @@
 
 import mesh.control.context
 import mesh.proxy.key_claims
+import mesh.proxy.server_holds
 from verify import mutations
-from verify.leases import BY_BEAT, BY_CALL, LeasesModel, holders, unpacked
+from verify.leases import BY_BEAT, BY_CALL, MS, TRANSIT_MS, LeasesModel, holders, unpacked
 from verify.parts import CLAIM_S, TICK_S
 from verify.plays import PLAYS
 from verify.search import Model, search
@@ -31,6 +32,8 @@
 
 def test_times_are_the_mesh_s():
     assert mesh.control.context.CLAIM_TIMEOUT_S == mesh.proxy.key_claims.ROUND_TIMEOUT_S == CLAIM_S
+    assert mesh.proxy.server_holds.GRANT_TRANSIT_S * MS == TRANSIT_MS
+    assert mesh.proxy.server_holds.EARLIER_CALLS_S * MS > TRANSIT_MS
     assert TICK_S <= CLAIM_S < 2 * TICK_S <= CLAIM_S + 0.1 + 1e-9
 
 
--- a/verify/leases.py
+++ b/verify/leases.py
@@ -27,7 +27,7 @@
 from typing import Any, NamedTuple
 
 from mesh.state.key_leases import CLOCK_DRIFT, DEFAULT_HOLD_MAX_S
-from mesh.state.shards import ALL_KEYS, Assignment, FencedRange, Owner, Revocation, Shard
+from mesh.state.shards import ALL_KEYS, Assignment, FencedRange, Owner, ReleasedRange, Revocation, Shard
 from verify.parts import Parts
 from verify.search import Model, Property, State, put
 
@@ -119,8 +119,9 @@
         self.faults, self.way, self.again = tuple(faults.get(kind, 0) for kind in KINDS), way, again
         self.voters = self.parts.voters(1, tuple(str(at) for at in range(voters)))
         times = self.parts.lease_times(DEFAULT_HOLD_MAX_S)
+        self.delay_s = times.reassignment_delay_s
         self.lease_ms = round(times.lease_s * MS)
-        self.wait_ms = math.floor(times.reassignment_delay_s * MS / DRIFT + ROUNDING_MS)
+        self.wait_ms = math.floor(self.delay_s * MS / DRIFT + ROUNDING_MS)
         if not self.parts.waits_out_leases:
             self.wait_ms = 0
         self.needed = self.voters.write_quorum if self.parts.majority_confirms else 1
@@ -128,6 +129,7 @@
         self.confirms = cache(self._confirms)
         self.changed = cache(self._changed)
         self.renewed = cache(self._renewed)
+        self.free = cache(self._free)
 
     def bounds(self) -> dict[str, Any]:
         return {
@@ -163,6 +165,16 @@
             int(shard.revoked),
         )
 
+    def _free(self, row: Row, wait: int, released: int) -> bool:
+        """Whether a proposer may assign a revoked range again. `wait` is what it has still to wait by a clock
+        that is right, and `released` the fence that the owner's sidecar has reported released, or 0."""
+        facts = self.parts.shard_facts("s")
+        facts.learn(0.0, self._table(row))
+        if released:
+            facts.add_releases(owner(row.node, row.life), [ReleasedRange(ALL_KEYS, released, "")])
+        now = self.delay_s - wait * DRIFT / MS if wait else self.delay_s
+        return any(facts.reassignable(now, self.delay_s))
+
     def _renewed(self, lease: tuple[int, ...], fence: int, left: int) -> tuple[int, ...]:
         """A sidecar's lease after a majority has confirmed one."""
         book, held = self.parts.lease_book(), FencedRange(ALL_KEYS, fence)
@@ -375,8 +387,7 @@
         if not base.revoked:
             yield self.changed(base, None, 0)
             return
-        released = world.released >= base.fence or (world.released and not self.parts.release_has_fence)
-        if released or not all(world.waits):
+        if any(self.free(base, wait, world.released) for wait in world.waits):
             for at, node in enumerate(world.nodes):
                 if (at, node.life) != (base.node, base.life):
                     yield self.changed(base, at, node.life)
--- a/verify/mutations.py
+++ b/verify/mutations.py
@@ -15,13 +15,14 @@
 from mesh.control import consensus
 from mesh.control.ballot import Member
 from mesh.control.consensus import Plan, Promise, Replica
+from mesh.control.shard_facts import ShardFacts
 from mesh.state import configuration, key_leases
 from mesh.state.ballots import INITIAL_BALLOT, Ballot, Draft
 from mesh.state.configuration import Conflict, Item, Items, RoutingTable
 from mesh.state.idempotency import Claim, ClaimDecision, Grant, GrantRow, OperationStatus, Registry
 from mesh.state.key_leases import LeaseTimes
 from mesh.state.quorum import Voters
-from mesh.state.shards import FencedRange, Owner, ShardTable
+from mesh.state.shards import FencedRange, Owner, ReleasedRange, ShardTable
 from verify import claims, items, leases, sets
 from verify.claims import ClaimsModel
 from verify.items import ItemsModel
@@ -227,6 +228,16 @@
         )
 
 
+class AnyFence(ShardFacts):
+    """A release counts for any fence."""
+
+    def add_releases(self, owner: Owner, ranges: Iterable[ReleasedRange]) -> bool:
+        fences = {shard.fence for shard in self.table.shards}
+        return super().add_releases(
+            owner, [released._replace(fence=fence) for released in ranges for fence in fences]
+        )
+
+
 def times_without_drift(hold_max_s: float) -> LeaseTimes:
     """A revoked range is assigned again after the time of a lease by the proposer's clock."""
     times = LeaseTimes.of_bound(hold_max_s)
@@ -472,7 +483,7 @@
     Mutation(
         "leases-fence",
         "a release counts for any fence",
-        _leases(Parts(release_has_fence=False), again=True),
+        _leases(Parts(shard_facts=AnyFence), again=True),
         OWNER,
     ),
     Mutation(
--- a/verify/parts.py
+++ b/verify/parts.py
@@ -16,6 +16,7 @@
 from mesh.control import consensus
 from mesh.control.ballot import Member
 from mesh.control.consensus import Plan, Promise, Replica
+from mesh.control.shard_facts import ShardFacts
 from mesh.state import configuration, key_leases
 from mesh.state.configuration import Conflict, Item, Items, RoutingTable
 from mesh.state.idempotency import Claim, Registry
@@ -42,6 +43,7 @@
     plan: Callable[[Mapping[str, Promise], int], Plan] = consensus.plan
     member: Callable[[str], Member] = Member
     shard_table: type[ShardTable] = ShardTable
+    shard_facts: type[ShardFacts] = ShardFacts
     lease_book: type[LeaseBook] = LeaseBook
     lease_times: Callable[[float], LeaseTimes] = LeaseTimes.of_bound
     hold_duration: Callable[[float, float, float], float] = key_leases.hold_duration
@@ -62,7 +64,6 @@
     successor_waits: bool = True  # a proposer that comes later waits as long
     waits_after_start: bool = True  # a sidecar that starts does not take unknown holds for released
     stays_released: bool = True  # what was reported released is not granted again
-    release_has_fence: bool = True  # a release counts for the fence that it names
     awaits_arrival: bool = True  # a release counts once no older grant is on its way to the server
     ends_by_beat: bool = True  # the end of a server frees its ranges only where answers to beats give them
     heeds_earlier_calls: bool = (
