An answer to a heartbeat waits for ranges that the server is promised

Cause: servers that are given keys by heartbeat learn of them in answers only, so a range that was assigned had no server until the next heartbeat of its new owner: up to 1.25 s, mean some 0.7 s of 18 moves.

Change: while the table shows ranges that are being taken from others for this server, its sidecar keeps the answer open until they are leased, for 0.7 s at most (a server takes an answer within a second), half a heartbeat, or what its holds leave. A newer heartbeat, the end of the server or another server at its place ends the wait, and the open one is answered with nothing. Holds are counted from the heartbeat, as before: the time after which it was sent is kept with it.

--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -36,7 +36,7 @@
         self._heartbeats: ServerHeartbeats | None = None
         self._next_probe_at = context.monotonic()
         self.leases = RangeLeases(
-            context, control.connections, lambda: control.key_claims.voters, lambda: self.calls.wake()
+            context, control.connections, lambda: control.key_claims.voters, self._on_leased
         )
         self.holds = ServerHolds(self.leases.times, self.leases.book, context.monotonic())
         self.calls = GrantCalls(context, context.settings.app, self.holds)
@@ -56,6 +56,12 @@
         self.calls.on_contact = self._queue.on_contact = heartbeats.on_contact
         self.reports.on_tick = self._on_tick
 
+    def _on_leased(self) -> None:
+        """Tells the server of ranges that have just been leased, in the way that it is told."""
+        self.calls.wake()
+        if self._heartbeats is not None:
+            self._heartbeats.check_postponed()
+
     def _on_tick(self) -> None:
         """Does what depends on the time alone."""
         if self._heartbeats is not None:
@@ -90,6 +96,7 @@
         queue.recheck_keys()
         self.reports.update(self._owner if is_sharded else None)
         self.calls.update(self._owner.instance if is_sharded and way == GRANTS_BY_INVOCATION else "")
+        heartbeats.check_postponed()
         self._probe_for_earlier_servers()
 
     # --- earlier servers
--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -5,10 +5,14 @@
 
 If the service is sharded and its servers are given keys in the answers to their heartbeats, a heartbeat tells
 what the server holds and has let go of, and the answer all that it is to hold (`mesh.proxy.server_holds`).
+While ranges are being taken from other servers for this one, the answer is postponed for a while, so that a
+range doesn't have to wait for the next heartbeat once it is assigned. No other answer is written meanwhile: a
+newer heartbeat ends the wait, and the older one is answered with nothing.
 """
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -31,6 +35,7 @@
 INSTANCES_PATH = b"/-/instances/"
 EMPTY_ANSWER = b"{}"
 HEARTBEATS_PER_HOLD = 3  # two in a row may be lost
+MAX_ANSWER_DELAY_S = 0.7  # of an answer; a server takes none that comes after a second
 DEFAULT_DRAIN_S = 2.0
 DRAIN_MARGIN_S = 0.4  # before the end of the bound `drain`, in which a draining server gets no more calls
 
@@ -84,6 +89,15 @@
     return json.dumps(answer, separators=(",", ":")).encode()
 
 
+class OpenHeartbeat(NamedTuple):
+    """A heartbeat that has not been answered yet."""
+
+    message: Request
+    instance: str  # that sent it
+    ranges: HeartbeatRanges
+    received_after: float  # it was sent after this time, by the monotonic clock
+
+
 class ServerHeartbeats:
     """Handles requests to the control address of a sidecar, and maintains the sidecar's record.
 
@@ -101,6 +115,8 @@
         self.on_released: Callable[[], None] = lambda: None
         self.on_grants_answered: Callable[[], None] = lambda: None
         self._was_suspected = False
+        self._postponed: OpenHeartbeat | None = None
+        self._postponed_timer: asyncio.TimerHandle | None = None
         self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
         self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
         self._alive: set[str] = set()  # ids whose last heartbeat to this incarnation said that they are ready
@@ -116,27 +132,30 @@
             message.answer(ERROR_RESPONSES[ErrorKind.NOT_HERE].status)
             return
         instance = path[len(INSTANCES_PATH) :].decode("latin-1")
-        answer: Result[bytes, ErrorKind] = Ok(EMPTY_ANSWER)
         if message.method == b"DELETE":
             self._handle_end(instance)
+            message.answer(200, EMPTY_ANSWER, JSON)
+            return
+        handled = self._handle_heartbeat(instance, message.body)
+        if handled.is_error():
+            message.answer(ERROR_RESPONSES[handled.error].status)
+        elif handled.ok is None or not self.grants_by_heartbeat:
+            message.answer(200, EMPTY_ANSWER, JSON)
         else:
-            answer = self._handle_heartbeat(instance, message.body)
-        if answer.is_error():
-            message.answer(ERROR_RESPONSES[answer.error].status)
-        else:
-            message.answer(200, answer.ok, JSON)
+            self._answer_ranges(message, handled.ok)
 
     def _handle_end(self, instance: str) -> None:
         """Handles the end of an instance: it gets no further calls, and late heartbeats of it are ignored."""
         queue = self._queue
+        self._end_wait_unanswered()
         self._alive.discard(instance)
         queue.ended_instances.add(instance)
         if queue.instance == instance:
             queue.on_server_gone()
             self._on_change()
 
-    def _handle_heartbeat(self, instance: str, body: bytes) -> Result[bytes, ErrorKind]:
-        """Applies a heartbeat; returns the body of the answer, or the error if it is rejected."""
+    def _handle_heartbeat(self, instance: str, body: bytes) -> Result[ServerHeartbeat | None, ErrorKind]:
+        """Applies a heartbeat; returns it, None if it is superseded, or the error if it is rejected."""
         queue = self._queue
         parsed = parse_heartbeat(body)
         if parsed.is_error():
@@ -147,7 +166,7 @@
             or instance in queue.ended_instances
         ):
             # It arrived late: it is superseded by a newer heartbeat, or its instance has ended.
-            return Ok(EMPTY_ANSWER)
+            return Ok(None)
         if heartbeat.service != self._context.settings.service:
             logger.warning("rejected a heartbeat of another service", service=heartbeat.service)
             return Error(ErrorKind.BAD)
@@ -162,25 +181,74 @@
         if (queue.instance, queue.open) != before:  # a change of slots alone affects no other sidecar
             self._on_change()
         self.check_suspicion()
-        return Ok(self._answer_ranges(heartbeat.ranges))
+        return Ok(heartbeat)
 
-    def _answer_ranges(self, ranges: HeartbeatRanges) -> bytes:
-        """Learns from a heartbeat what the server holds; returns an answer that tells what it is to hold."""
-        if not self.grants_by_heartbeat:
-            return EMPTY_ANSWER
+    # --- key ranges in answers
+
+    def _answer_ranges(self, message: Request, heartbeat: ServerHeartbeat) -> None:
+        """Learns from a heartbeat what the server holds, and tells it what it is to hold, now or soon."""
         context, holds = self._context, self._holds
-        if holds.on_heartbeat(context.monotonic(), ranges):
+        received_after = context.read_clock.received_after()
+        opened = OpenHeartbeat(message, self._queue.instance, heartbeat.ranges, received_after)
+        self._end_wait_unanswered()
+        if holds.on_heartbeat(context.monotonic(), opened.ranges):
             self.on_released()
-        grants = holds.answer_heartbeat(
-            context.monotonic(),
-            context.read_clock.received_after(),
-            ranges,
-            HEARTBEATS_PER_HOLD * context.settings.beat_s,
+        is_promised = heartbeat.ready and holds.is_promised_ranges()
+        if is_promised and holds.awaits_ranges(context.monotonic(), opened.ranges):
+            self._postpone(opened)
+        else:
+            self._answer(opened)
+
+    def _answer(self, opened: OpenHeartbeat) -> None:
+        """Answers a heartbeat with all that the server is to hold, unless another has taken its place."""
+        if opened.instance != self._queue.instance or not self.grants_by_heartbeat:
+            opened.message.answer(200, EMPTY_ANSWER, JSON)
+            return
+        grants = self._holds.answer_heartbeat(
+            self._context.monotonic(),
+            opened.received_after,
+            opened.ranges,
+            HEARTBEATS_PER_HOLD * self._context.settings.beat_s,
         )
         if grants is None:
-            return EMPTY_ANSWER
+            opened.message.answer(200, EMPTY_ANSWER, JSON)
+            return
         self.on_grants_answered()
-        return _encode_grants(grants)
+        opened.message.answer(200, _encode_grants(grants), JSON)
+
+    def _postpone(self, opened: OpenHeartbeat) -> None:
+        """Keeps a heartbeat open until there is more to tell, for a limited time."""
+        self._postponed = opened
+        self._postponed_timer = self._context.loop.call_later(self._max_delay_s(), self._answer_postponed)
+
+    def _max_delay_s(self) -> float:
+        """Returns how long an answer may wait: what the server holds must not run out meanwhile."""
+        beat_s, lease_s = self._context.settings.beat_s, self._holds.lease_s
+        return max(0.0, min(MAX_ANSWER_DELAY_S, beat_s / 2, lease_s / 2 - beat_s))
+
+    def check_postponed(self) -> None:
+        """Answers the heartbeat that is open unless it is still to wait, after a change of what is leased."""
+        opened, now = self._postponed, self._context.monotonic()
+        if opened is not None and not self._holds.awaits_ranges(now, opened.ranges):
+            self._answer_postponed()
+
+    def _answer_postponed(self) -> None:
+        opened = self._take_postponed()
+        if opened is not None:
+            self._answer(opened)
+
+    def _end_wait_unanswered(self) -> None:
+        """Ends the wait of a heartbeat that a newer one, or the end of the server, has superseded."""
+        opened = self._take_postponed()
+        if opened is not None:
+            opened.message.answer(200, EMPTY_ANSWER, JSON)
+
+    def _take_postponed(self) -> OpenHeartbeat | None:
+        opened, self._postponed = self._postponed, None
+        if self._postponed_timer is not None:
+            self._postponed_timer.cancel()
+            self._postponed_timer = None
+        return opened
 
     # --- suspicion
 
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -43,12 +43,14 @@
 
     owned: tuple[Shard, ...] = ()  # by the present server, unrevoked
     revoked: tuple[Shard, ...] = ()  # by the present server, or earlier ones of the same node
+    promised: tuple[Shard, ...] = ()  # revoked ones of any owner that the present server is to get next
 
     @classmethod
     def of(cls, table: ShardTable, owner: Owner) -> TableView:
         """Returns the ranges of a server and of earlier servers of its node."""
         revoked = [shard for shard in table.shards if shard.revoked and shard.owner.node == owner.node]
-        return cls(tuple(table.owned_by(owner)), tuple(revoked))
+        promised = [shard for shard in table.shards if shard.revoked and shard.successor == owner]
+        return cls(tuple(table.owned_by(owner)), tuple(revoked), tuple(promised))
 
 
 @dataclass(slots=True)
@@ -128,6 +130,11 @@
         self._left_out: dict[FencedRange, int] = {}  # from the answer to the heartbeat of this number on
         self.ended_instances: set[str] = set()  # server processes that have certainly ended
 
+    @property
+    def lease_s(self) -> float:
+        """How long a lease lasts from the sending of its question."""
+        return self._times.lease_s
+
     def update(self, owner: Owner, view: TableView | None, by_call: bool) -> None:
         """Sets the present server, what this sidecar's copy of the table says of it, and how it is told.
 
@@ -412,6 +419,21 @@
         self._leave_out(heartbeat.call_number)
         return HeartbeatGrants(rows, hold_ms)
 
+    def is_promised_ranges(self) -> bool:
+        """Returns whether ranges are being taken from other servers to be given to the present one."""
+        return bool(self._view.promised)
+
+    def awaits_ranges(self, now: float, heartbeat: HeartbeatRanges) -> bool:
+        """Returns whether an answer could soon tell of a range that it can't tell of now.
+
+        It could not if there is a leased range that the server lacks: that one is to be told at once.
+        """
+        wanted = self._wanted()
+        leased = self._leased_for_longest(now, wanted)
+        if not all(_is_listed(shard, heartbeat) for shard in leased):
+            return False
+        return self.is_promised_ranges() or len(leased) < len(wanted)
+
     def _leased_for_longest(self, now: float, shards: Iterable[Shard]) -> list[Shard]:
         """Returns the leased ones of some shards, but none that would shorten the hold of all others by much.
 
@@ -449,10 +471,15 @@
                 self._left_out.setdefault(shard.fenced_range, call_number)
 
 
+def _is_listed(shard: Shard, heartbeat: HeartbeatRanges) -> bool:
+    """Returns whether a server says that it holds a range under its present fence."""
+    return any(row.fence == shard.fence and row.range.contains(shard.range) for row in heartbeat.holds)
+
+
 def _grant_row(shard: Shard, heartbeat: HeartbeatRanges) -> GrantRow:
     """Returns the row of a range, with its handover token unless the server has it already."""
-    is_held = any(row.fence == shard.fence and row.range.contains(shard.range) for row in heartbeat.holds)
-    return GrantRow(*shard.range, shard.fence, "" if is_held else shard.handover)
+    handover = "" if _is_listed(shard, heartbeat) else shard.handover
+    return GrantRow(*shard.range, shard.fence, handover)
 
 
 def _rows_that_fit(rows: Iterable[GrantRow]) -> tuple[GrantRow, ...]:
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -15,10 +15,12 @@
 from hollyport.http.back import Reply
 from mesh import settings
 from mesh.proxy import server_suspicion
+from mesh.proxy.server_heartbeats import MAX_ANSWER_DELAY_S
 from mesh.proxy.server_holds import ANSWER_TRANSIT_S
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
 from mesh.state.configuration import GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION, Item
+from mesh.state.key_leases import CLOCK_DRIFT
 from mesh.state.quorum import Voters
 from mesh.state.shards import NO_KEY, Assignment, KeyRange, Owner, Revocation, ShardTable
 from mesh.transport.messages import LeaseAnswer, RangesReleased, Register, RenewLease, ShardLoad, decode
@@ -141,6 +143,11 @@
         await self.turn()
 
     async def heartbeat(self, holds=(), released=(), state="ready", call_number=None, instance="i-1"):
+        """Sends a heartbeat and returns its answer."""
+        return await self.begin_heartbeat(holds, released, state, call_number, instance)
+
+    def begin_heartbeat(self, holds=(), released=(), state="ready", call_number=None, instance="i-1"):
+        """Sends a heartbeat and returns a task that ends with its answer."""
         self.call_number += 1
         body = {
             "service": SERVICE,
@@ -150,8 +157,12 @@
             "holds": holds,
             "released": released,
         }
-        answer = await call(self.sidecar.heartbeats.serve, "put", f"/-/instances/{instance}", body)
-        return json.loads(answer.body)
+
+        async def ask():
+            answer = await call(self.sidecar.heartbeats.serve, "put", f"/-/instances/{instance}", body)
+            return json.loads(answer.body)
+
+        return asyncio.ensure_future(ask())
 
     async def grant(self):
         """Leases all ranges and lets the server hold them."""
@@ -436,6 +447,60 @@
     world.sidecar.close()
 
 
+HELD_LOW = [[0, 99, 1]]
+
+
+async def postpone(world):
+    """Lets a server that holds LOW be promised HIGH, and send a heartbeat, whose answer waits."""
+    await world.heartbeat()
+    await world.change(assignments=[Assignment(LOW, ME), Assignment(HIGH, OTHER)])
+    await world.grant()
+    await world.change(revocations=[Revocation(HIGH, ME)])
+    waiting = world.begin_heartbeat(holds=HELD_LOW)
+    await world.turn()
+    assert not waiting.done()
+    return waiting
+
+
+@in_event_loop
+async def test_an_answer_waits_for_a_promised_range_and_goes_once_it_is_leased():
+    # guards against a range without an owner until the next heartbeat of its new one
+    world = World(GRANTS_BY_HEARTBEAT)
+    waiting = await postpone(world)
+    sent_at = world.clock
+    await world.change(assignments=[Assignment(HIGH, ME, "token-3")])
+    assert not waiting.done(), "it is not leased"
+    world.clock += 0.5
+    await world.confirm()
+    assert await waiting == {"holds": [[0, 99, 1, ""], [100, 199, 3, "token-3"]], "hold": "4390ms"}
+    world.clock = sent_at + 4.39 / (1 + CLOCK_DRIFT)
+    assert not world.allows(150), "the server has counted since it sent the heartbeat"
+    world.sidecar.close()
+
+
+@pytest.mark.parametrize("event", ["time", "heartbeat", "end", "other server"])
+@in_event_loop
+async def test_an_answer_waits_no_longer_than_is_safe(event):
+    world = World(GRANTS_BY_HEARTBEAT)
+    waiting = await postpone(world)
+    if event == "time":
+        timer = world.sidecar.heartbeats._postponed_timer
+        assert timer.when() - world.sidecar.context.loop.time() <= MAX_ANSWER_DELAY_S
+        timer._run()
+    elif event == "heartbeat":
+        world.begin_heartbeat(holds=HELD_LOW)
+    elif event == "end":
+        await call(world.sidecar.heartbeats.serve, "delete", "/-/instances/i-1")
+    else:
+        world.sidecar.server_queue.on_server_gone()
+        world.sidecar.heartbeats._alive.add("i-2")
+        world.sidecar.heartbeats.on_instance_found("i-2")
+        world.sidecar.key_ranges.update()
+    answer = await waiting
+    assert answer.get("holds") == ([[0, 99, 1, ""]] if event == "time" else None)
+    world.sidecar.close()
+
+
 @pytest.mark.parametrize("row", [[1, 2], ["a", 2, 3], 7])
 @in_event_loop
 async def test_a_heartbeat_with_malformed_rows_is_rejected(row):
