Light calls of an owner use the slots that its server reports

Cause: the budget of the server had not grown to its slots, and grows by one trial at a time; a light call waited behind a heavy trial of up to 1.5 s. It was given up with three service times left, so that another server could still serve it; no other server can where keys are owned.

Change: a light call with a shard key may use slots that the server reports beyond the budget, unless a backoff or a refusal as full is recent, and it is kept until 1.5 service times before its deadline.

--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -517,3 +517,49 @@
     server_queue.submit(keyed_job(server_queue, "leaving", 2, results))
     server_queue.update_server("i-1", 4, 0.0, False)
     assert results[-1] == ("leaving", ErrorKind.LEAVING, False)
+
+
+@pytest.mark.parametrize(
+    ("case", "is_sent"),
+    [
+        ("light", True),
+        ("heavy", False),
+        ("unsharded", False),
+        ("all slots at work", False),
+        ("connection limit", False),
+        ("in backoff", False),
+        ("refused as full", False),
+    ],
+)
+def test_a_light_call_of_an_owner_uses_slots_that_the_budget_has_not_grown_to(server_queue, case, is_sent):
+    # guards against light calls that wait for a heavy trial although the server has free slots
+    run_calls(server_queue, "heavy", 0.2)
+    run_calls(server_queue, "light", 0.01)
+    server_queue.key_gate, budget = {1, NO_KEY}.__contains__, server_queue.budget
+    budget.max_steps, budget.trial_in_flight = 4, True
+    server_queue.submit(keyed_job(server_queue, "heavy", 1, []))
+    if case == "all slots at work":
+        server_queue.in_flight = 4
+    elif case == "connection limit":
+        budget.max_steps = 1
+    elif case == "in backoff":
+        budget.retry_at = int((server_queue._loop.now + 0.2) * 1e9)
+    elif case == "refused as full":
+        budget.lower_concurrency()
+    name, key = "heavy" if case == "heavy" else "light", NO_KEY if case == "unsharded" else 1
+    server_queue.submit(keyed_job(server_queue, name, key, []))
+    assert len(sent_names(server_queue)) == (2 if is_sent else 1)
+
+
+@pytest.mark.parametrize(("key", "is_kept"), [(1, True), (NO_KEY, False)])
+def test_a_light_call_of_an_owner_waits_for_as_long_as_it_may_still_be_served(server_queue, key, is_kept):
+    run_calls(server_queue, "heavy", 1.0)
+    run_calls(server_queue, "light", 0.1)
+    server_queue.key_gate, results = {1, NO_KEY}.__contains__, []
+    server_queue.submit(keyed_job(server_queue, "heavy", 1, []))
+    waiting = job(server_queue, "light", 0.01, deadline=0.5, results=results)
+    waiting.shard_key = key
+    server_queue.submit(waiting)
+    server_queue._loop.now += 0.3  # with two service times left
+    server_queue._on_timer()
+    assert (not results) == is_kept
