Ranges of a server that has ended are reported as soon as they are revoked

Callers saw a sharded service come back late after a loss of all power.

Change: a change of the table that makes a release certain which was not reported yet is followed by a report at once. What counts as released is unchanged.

--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -95,6 +95,7 @@
         self.leases.update(self._owner, () if heartbeats.is_suspected else self.holds.ranges_to_lease())
         queue.recheck_keys()
         self.reports.update(self._owner if is_sharded else None)
+        self.reports.report_new_releases()
         self.calls.update(self._owner.instance if is_sharded and way == GRANTS_BY_INVOCATION else "")
         heartbeats.check_postponed()
         self._probe_for_earlier_servers()
--- a/mesh/proxy/range_reports.py
+++ b/mesh/proxy/range_reports.py
@@ -8,7 +8,7 @@
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.server_holds import ServerHolds
 from mesh.state.shard_load import LoadByBucket
-from mesh.state.shards import Owner
+from mesh.state.shards import Owner, ReleasedRange
 from mesh.transport.messages import BucketLoad, Message, RangesReleased, ShardLoad
 
 RELEASES_INTERVAL_S = 0.5
@@ -29,6 +29,7 @@
         self._owner: Owner | None = None
         self._load = LoadByBucket(context.monotonic())
         self._ticks = 0
+        self._reported: set[tuple[Owner, ReleasedRange]] = set()  # what was released when last looked
         self._timer: asyncio.TimerHandle | None = None
 
     def update(self, owner: Owner | None) -> None:
@@ -45,8 +46,20 @@
 
     def report_releases(self) -> None:
         """Reports the ranges that are certainly not held any more, if there are any."""
-        for owner, ranges in self._holds.released(self._context.monotonic()).items():
+        released = self._holds.released(self._context.monotonic())
+        for owner, ranges in released.items():
             self._send(RangesReleased(self._service, owner, tuple(ranges)))
+        self._reported = {(owner, row) for owner, ranges in released.items() for row in ranges}
+
+    def report_new_releases(self) -> None:
+        """Reports releases at once, after a change of the table, if there is one that was not reported.
+
+        Ranges of a server process that has ended are released as soon as they are revoked.
+        """
+        released = self._holds.released(self._context.monotonic())
+        rows = {(owner, row) for owner, ranges in released.items() for row in ranges}
+        if not rows <= self._reported:
+            self.report_releases()
 
     def _schedule(self) -> None:
         self._timer = self._context.loop.call_later(RELEASES_INTERVAL_S, self._tick)
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -576,6 +576,24 @@
     world.sidecar.close()
 
 
+@in_event_loop
+async def test_the_ranges_of_a_server_known_to_have_ended_are_reported_as_soon_as_they_are_revoked():
+    # guards against a restart of all servers in which each range waits for the next regular report
+    world = World(GRANTS_BY_HEARTBEAT)
+    world.sidecar.server_queue.probe = lambda path, on_result: on_result("i-2")
+    await world.begin()
+    await world.grant()
+    await world.heartbeat(instance="i-2")
+    world.sidecar.key_ranges.update()
+    assert not world.sent(RangesReleased)
+    await world.change(revocations=[Revocation(ALL, OTHER)])
+    (report,) = world.sent(RangesReleased)
+    assert report.owner == ME and report.ranges == ((ALL, 1, ""),)
+    await world.change(assignments=[Assignment(KeyRange(200, 299), OTHER)])
+    assert len(world.sent(RangesReleased)) == 1, "the regular reports repeat it"
+    world.sidecar.close()
+
+
 # --- changes of the table of key ranges
 
 
