--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -25,9 +25,6 @@
 PROBE_TIMEOUT_S = 1.0
 LIGHT_FRACTION = 0.4  # calls that take up to this fraction of the heaviest kind's service time are light
 LIGHT_RESERVE_FACTOR = 3.0  # multiple of its service time that a light call has left at its latest start
-OWNER_RESERVE_FACTOR = (
-    1.5  # the same with a shard key: it can't be served elsewhere, so it is kept for longer
-)
 OVERDUE_FACTOR = 4.0  # multiple of the mean service time of its kind after which a call may be lost
 MAX_KINDS = 256  # kinds of calls whose service times are tracked separately
 FAILURE_SMOOTHING = 0.1  # smoothing factor of the failure rate
@@ -361,9 +358,8 @@
         order = job.due_at
         if self.is_light(job.kind):
             order = now
-            reserve_factor = LIGHT_RESERVE_FACTOR if job.shard_key == NO_KEY else OWNER_RESERVE_FACTOR
             job.due_at = job.latest_start_at = max(
-                job.latest_start_at, job.deadline - reserve_factor * self.expected_service_s(job.kind)
+                job.latest_start_at, job.deadline - LIGHT_RESERVE_FACTOR * self.expected_service_s(job.kind)
             )
         heapq.heappush(self.queued, (order, self._submitted, job))
         self._send_queued()
@@ -441,7 +437,7 @@
         now = self._loop.time()
         while (job := self._next(now)) is not None:
             permitted, trial = self.budget.check_admission(int(now * 1e9), self.in_flight)
-            if not permitted and not self._may_pass_budget(now, job):
+            if not permitted:
                 break
             if self.queued and self.queued[0][2] is job:
                 heapq.heappop(self.queued)
@@ -450,19 +446,6 @@
             self._send(now, job, trial)
         self._set_timer()
 
-    def _may_pass_budget(self, now: float, job: Job) -> bool:
-        """Returns whether a call may be sent although the budget is used up, and not as a trial.
-
-        Exception "light calls of an owner": a light call with a shard key may use the slots that the server
-        reports and the budget has not grown to yet. No other server could run it, and the growth may wait for
-        a heavy trial for longer than the light call has time. Backoff and refusals end the exception.
-        """
-        budget = self.budget
-        is_well = budget.steps > 0 and now * 1e9 >= budget.retry_at
-        is_well = is_well and budget.concurrency >= budget.max_concurrency
-        is_free = self.in_flight < min(self.slots, budget.max_steps)
-        return is_well and is_free and job.shard_key != NO_KEY and self.is_light(job.kind)
-
     def _set_timer(self) -> None:
         """Schedules a check for the earliest time at which a waiting call expires or a trial is due."""
         if self._timer is None and (self.queued or self.late):
