A server that was silent for a moment does not lose its leases for good

Callers saw: after heartbeats had been lost, a server's keys could be held by nobody for as long as the table did not change, although the server and its sidecar were well and the table named it.

Cause: whether a server seems to be dead was computed from the clock at each use. A table that came after the longest silence, but before the next tick had noticed it, took the server's ranges off those to be leased; the heartbeat that came next then found that nothing had changed since the last check. For the same reason a record could say closed under a number that had been published as open.

Change: the suspicion is state that only changes when the record is published. Leases and records go by it.

Result: the new test failed by both ways before, and passes.

--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -100,7 +100,9 @@
         self.suspicion = ServerSuspicion(context.settings.beat_s, context.monotonic())
         self.on_released: Callable[[], None] = lambda: None
         self.on_grants_answered: Callable[[], None] = lambda: None
-        self._was_suspected = False
+        # Whether the server seems to be dead, so that its key ranges are to be moved. All that depends on it
+        # goes by what was published last, as the time alone changes what the signs of life say.
+        self.is_suspected = False
         self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
         self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
         self._alive: set[str] = set()  # ids whose last heartbeat to this incarnation said that they are ready
@@ -133,7 +135,7 @@
         queue.ended_instances.add(instance)
         if queue.instance == instance:
             queue.on_server_gone()
-            self._on_change()
+            self._publish()
 
     def _handle_heartbeat(self, instance: str, body: bytes) -> Result[bytes, ErrorKind]:
         """Applies a heartbeat; returns the body of the answer, or the error if it is rejected."""
@@ -160,7 +162,7 @@
             queue.drain(self._context.now() + drain_s - DRAIN_MARGIN_S)
         queue.update_server(instance, heartbeat.slots, heartbeat.warm_up_s, heartbeat.ready)
         if (queue.instance, queue.open) != before:  # a change of slots alone affects no other sidecar
-            self._on_change()
+            self._publish()
         self.check_suspicion()
         return Ok(self._answer_ranges(heartbeat.ranges))
 
@@ -184,9 +186,8 @@
 
     # --- suspicion
 
-    @property
-    def is_suspected(self) -> bool:
-        """Whether the server of a sharded service seems to be dead, so that its ranges are to be moved."""
+    def _seems_dead(self) -> bool:
+        """Returns whether the signs of life say now that the server of a sharded service is dead."""
         is_watched = self.is_sharded and bool(self._queue.instance)
         return is_watched and self.suspicion.is_suspected(self._context.monotonic())
 
@@ -200,11 +201,16 @@
 
     def check_suspicion(self) -> None:
         """Publishes the record if the server seems to be dead now and did not before, or the reverse."""
-        is_suspected = self.is_suspected
-        if is_suspected != self._was_suspected:
-            self._was_suspected = is_suspected
+        if self._seems_dead() != self.is_suspected:
+            self._publish()
+
+    def _publish(self) -> None:
+        """Publishes the record, which goes by the signs of life as they are now."""
+        is_suspected = self._seems_dead()
+        if is_suspected != self.is_suspected:
             logger.info("the server seems to be dead" if is_suspected else "the server is alive")
-            self._on_change()
+        self.is_suspected = is_suspected
+        self._on_change()
 
     # --- ids that a server gives in other answers
 
@@ -236,7 +242,7 @@
         """Handles the end of the server, at whose address another one with this id answers."""
         self.on_instance_found(instance)
         if not self._queue.instance:
-            self._on_change()
+            self._publish()
 
     def _adopt(self, instance: str) -> None:
         """Uses a server of this service before its heartbeat, unless it has ended or there is another one."""
@@ -245,7 +251,7 @@
             logger.info("learned the instance id from the server", instance=instance)
             self.suspicion.on_contact(self._context.monotonic())
             queue.update_server(instance, MAX_STEPS, 0.0, True)
-            self._on_change()
+            self._publish()
 
     def next_record(self) -> SidecarRecord:
         """Returns the current record under a new number, which supersedes the previous record everywhere."""
@@ -273,4 +279,4 @@
         """Raises the incarnation above one that is already known, as after the clock has stepped back."""
         if incarnation >= self._context.incarnation:
             self._context.incarnation = incarnation + 1
-            self._on_change()
+            self._publish()
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -480,6 +480,21 @@
     world.sidecar.close()
 
 
+@BOTH_WAYS
+@in_event_loop
+async def test_a_server_that_is_heard_before_its_silence_was_noticed_is_leased_on_after_a_change(way):
+    world = World(way)
+    await world.begin()
+    await world.grant()
+    world.clock += 2.5 * 1.5 + 1.1  # until the next tick nothing looks at the clock
+    await world.change(revocations=[Revocation(HIGH, OTHER)])
+    assert world.sidecar.heartbeats.record().is_open  # as in the record of this number that was published
+    await world.heartbeat(holds=[[*ALL, 1]])
+    assert [held.range for held in world.sidecar.key_ranges.leases._ranges] == [LOW]
+    assert world.sidecar.heartbeats.record().is_open
+    world.sidecar.close()
+
+
 # --- earlier servers
 
 
