--- a/tests/mesh/calls_world.py
+++ b/tests/mesh/calls_world.py
@@ -102,8 +102,12 @@
 
     write_eof = close
 
+    def delay(self) -> float:
+        """Returns how long data that is written now is on its way."""
+        return self.world.delay()
+
     def _ship(self, packed: bytes | None) -> None:
-        self._last = max(self._last, self.world.now + self.world.delay())
+        self._last = max(self._last, self.world.now + self.delay())
         self._way.append((self._last, packed))
         if len(self._way) == 1:
             self.world.at(self._last, self._pump)
--- a/tests/mesh/mesh_world.py
+++ b/tests/mesh/mesh_world.py
@@ -133,7 +133,7 @@
         clock = SimpleNamespace(
             time=lambda: DAY + self.now,
             time_ns=lambda: int((DAY + self.now) * 1e9),
-            monotonic=lambda: self.now,
+            monotonic=lambda: self.monotonic(),
         )
         http_servers = SimpleNamespace(open_http_server=open_http_server, HttpServer=HttpServer)
         for module in (context, heartbeats, proxy_context, connection):
@@ -170,6 +170,10 @@
     def after(self, wait: float, work: Callable[[], None]) -> None:
         self.at(self.now + wait, work)
 
+    def monotonic(self) -> float:
+        """Returns the monotonic clock of the process that runs now."""
+        return self.now
+
     def delay(self) -> float:
         return self.random.uniform(*self.delay_s)
 
@@ -214,21 +218,29 @@
         """Returns the class of the ends of connections to a port."""
         return End
 
+    def settings_of(self, name: str, first: bool = False) -> settings.Settings:
+        """Returns the settings of the process of a machine; `first` if the whole system starts."""
+        return read_settings(name, self.seeds, first, **self._settings_options)
+
+    def switch_on(self, name: str) -> None:
+        """Switches a machine on, if it is off: data for earlier processes is answered with a reset."""
+        self.machines[name].up = True
+        for other in self.processes:
+            for end in list(other.ends):
+                if end.lost and end.other is not None and end.other.process.host == name:
+                    self.after(self.delay(), end.ended)
+
     def start_controller(self, name: str, first: bool = False) -> None:
         """Switches a machine on, or starts its next process."""
         machine = self.machines[name]
         if machine.process is not None and machine.process.alive:
             return
-        machine.up = True
-        for other in self.processes:
-            for end in list(other.ends):  # data for the previous process is answered with a reset
-                if end.lost and end.other is not None and end.other.process.host == name:
-                    self.after(self.delay(), end.ended)
+        self.switch_on(name)
         whole = first or any(record[0] == "whole" for record in machine.disk.records())
         process = machine.process = Process(self, machine, not whole)
 
         async def main() -> None:
-            process.role = Controller(read_settings(name, self.seeds, first, **self._settings_options))
+            process.role = Controller(self.settings_of(name, first))
             await process.role.start()
 
         process.run(main())
@@ -238,7 +250,7 @@
         process = machine.process = Process(self, machine)
 
         async def main() -> None:
-            process.role = Sidecar(read_settings(name, self.seeds, False, **self._settings_options))
+            process.role = Sidecar(self.settings_of(name))
             await process.role.start()
 
         process.run(main())
@@ -336,7 +348,7 @@
         self.seeds = tuple(seeds)
         for process in self.processes:
             if process.role is not None:
-                told = read_settings(process.host, self.seeds, False, **self._settings_options)
+                told = self.settings_of(process.host)
                 process.soon(lambda role=process.role, told=told: role.reload_settings(told))
 
     def cut(self, name: str, for_s: float, others: Iterable[str] = ()) -> None:
