An ended server frees nothing that its successor may hold by a call

Callers would see one key run on two servers. A call that grants keys to one server process may be taken by the next one at the same address. Once the service turned from grants by invocation to heartbeats, the end of the first process freed the range at once, though the second held it for up to 4 s more; likewise where an earlier process of the sidecar had made the call.

Cause: the shortcut asked how servers are told now, not how they were told.

Change: the upper bound of what calls gave is kept apart and respected under either way. Calls of an earlier process are waited for by age, as before, or a heartbeat of the present server, sent once they have all arrived, shows what it holds. So after a loss of all power ranges are still free early, about one second and a heartbeat after the start. A revoked range is taken for left out by an answer only if no call that grants it can still arrive; and what a call for an earlier server gave is now left out and noted too.

test_an_end_does_not_free_what_calls_gave_before_the_way_of_granting_changed, test_an_end_does_not_free_what_an_earlier_process_may_have_given_by_call, test_a_heartbeat_shows_no_release_while_a_call_from_before_a_change_of_the_way_may_arrive and test_a_call_taken_by_the_next_server_counts_after_the_way_of_granting_has_changed failed before.

--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -85,7 +85,7 @@
         heartbeats.grants_by_heartbeat = is_sharded and way == GRANTS_BY_HEARTBEAT
         if queue.instance:
             self._owner = self._owner._replace(instance=queue.instance)
-        self.holds.update(self._owner, self._view(), way == GRANTS_BY_INVOCATION)
+        self.holds.update(self._owner, self._view())
         self.leases.update(self._owner, () if heartbeats.is_suspected else self.holds.ranges_to_lease())
         queue.recheck_keys()
         self.reports.update(self._owner if is_sharded else None)
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -10,9 +10,11 @@
 - the server has said so, and no grant that it has not answered can still reach it; or
 - all that this process has told the server has run out, and it has run for the longest lease itself, so that
   all that an earlier process of the sidecar has told the server has run out as well; or
-- the server process has certainly ended.
+- the server process has certainly ended, and its successor has not taken a call for it: answers to heartbeats
+  can't be misdirected, but calls can. An earlier process of the sidecar may have made such calls, so this
+  counts only once they have run out, or have arrived and the successor's heartbeat does not list the range.
 
-A fence belongs to one owner, so a range with its fence also names the server process.
+A key under a fence has one owner, so a range with its fence also names the server process.
 """
 
 from __future__ import annotations
@@ -58,6 +60,7 @@
     hold_s: float = 0.0  # of the last grant
     told_at: float = -math.inf
     may_hold_until: float = -math.inf
+    may_hold_by_call_until: float = -math.inf  # also another server process that has taken the call
     holds_from: float = math.inf
     holds_until: float = -math.inf
     renew_at: float = -math.inf  # by call
@@ -69,6 +72,11 @@
         self.hold_s, self.told_at = hold_s, now
         self.may_hold_until = max(self.may_hold_until, now + transit_s + hold_s / (1 - CLOCK_DRIFT))
 
+    def may_last(self, now: float, has_owner_ended: bool) -> bool:
+        """Returns whether a server may hold the range: its owner, or another one that has taken a call."""
+        until = self.may_hold_by_call_until if has_owner_ended else self.may_hold_until
+        return self.in_flight or until > now
+
     def take(self, holds_from: float, counted_from: float) -> None:
         """Notes that the server holds the range, counted from a time, for as long as it was told last."""
         if self.holds_until <= holds_from:
@@ -120,16 +128,18 @@
         self._times, self._leases, self._started_at = times, leases, started_at
         self._owner = Owner("", "")
         self._view = TableView()
-        self._has_table = self._by_call = False
+        self._has_table = False
         self._grants: dict[FencedRange, Grant] = {}
         self._closed: set[FencedRange] = set()  # no more calls for their keys are sent under these fences
         self._refused: set[FencedRange] = set()  # the server has seen a higher fence
         self._answers: list[tuple[float, ReleasedRange]] = []  # what the server let go of, and since when
+        self._first_number: int | None = None  # of a heartbeat after all calls of earlier processes arrived
+        self._listed: tuple[FencedRange, ...] | None = None  # by the latest heartbeat after that one
         self._left_out: dict[FencedRange, int] = {}  # from the answer to the heartbeat of this number on
         self.ended_instances: set[str] = set()  # server processes that have certainly ended
 
-    def update(self, owner: Owner, view: TableView | None, by_call: bool) -> None:
-        """Sets the present server, what this sidecar's copy of the table says of it, and how it is told.
+    def update(self, owner: Owner, view: TableView | None) -> None:
+        """Sets the present server and what this sidecar's copy of the table says of it.
 
         The view is None while there is no table here.
         """
@@ -137,7 +147,8 @@
             for grant in self._grants.values():
                 grant.holds_until = -math.inf
             self._left_out.clear()
-        self._owner, self._by_call, self._has_table = owner, by_call, view is not None
+            self._first_number = self._listed = None
+        self._owner, self._has_table = owner, view is not None
         self._view = view = view or TableView()
         known = {shard.fence for shard in (*view.owned, *view.revoked)}
         known |= {held.fence for held in self._grants}
@@ -246,6 +257,7 @@
         """Notes a call that is about to be written, for which the clock was read."""
         grant = self._grants.setdefault(held, Grant())
         grant.tell(now, hold_ms / 1000, GRANT_TRANSIT_S)
+        grant.may_hold_by_call_until = grant.may_hold_until
         grant.in_flight = True
         grant.renew_at = now + grant.hold_s / GRANTS_PER_HOLD
 
@@ -284,21 +296,23 @@
         A release waits for a grant of the same range that is on its way, which could arrive after it; also
         for those of an earlier process of this sidecar.
         """
-        if now < self._started_at + EARLIER_CALLS_S:
-            return []
         return [
             held
-            for held in self._unwanted()
-            if not self._is_released(now, held)
-            and not any(_overlap(held, granted) for granted, grant in self._grants.items() if grant.in_flight)
+            for held in (*self._revoked(), *self._refused)
+            if not self._is_released(now, held) and not self._may_be_arriving(now, held)
         ]
 
-    def _unwanted(self) -> Iterator[FencedRange]:
-        """Yields the ranges that the server at the address may hold and is not to."""
+    def _may_be_arriving(self, now: float, held: FencedRange) -> bool:
+        """Returns whether a call that grants a part of a range may be on its way."""
+        return now < self._started_at + EARLIER_CALLS_S or any(
+            grant.in_flight and _overlap(held, granted) for granted, grant in self._grants.items()
+        )
+
+    def _revoked(self) -> Iterator[FencedRange]:
+        """Yields the revoked ranges that the server at the address may hold."""
         for shard in self._view.revoked:
             if shard.owner == self._owner or shard.owner.instance in self.ended_instances:
                 yield shard.fenced_range
-        yield from self._refused
 
     def close(self, held: FencedRange) -> None:
         """Closes the gate for the keys of a range under its fence, for good."""
@@ -354,18 +368,18 @@
         self, now: float, owner: Owner, fence: int, ranges: Iterable[KeyRange]
     ) -> Iterator[KeyRange]:
         """Yields the parts of some ranges that a server can't hold, as its time is over or it has ended."""
-        # A call that was meant for an earlier server may have reached the present one, so that an end alone
-        # shows that a range is not held only where servers are told in answers, which can't be misdirected.
-        if owner.instance in self.ended_instances and not self._by_call:
-            yield from ranges
-        elif now >= self._started_at + self._times.reassignment_delay_s:
-            live = [
-                granted.range
-                for granted, grant in self._grants.items()
-                if granted.fence == fence and (grant.in_flight or grant.may_hold_until > now)
-            ]
-            for keys in ranges:
-                yield from subtract(keys, live)
+        has_ended = owner.instance in self.ended_instances
+        held = [
+            granted.range
+            for granted, grant in self._grants.items()
+            if granted.fence == fence and grant.may_last(now, has_ended)
+        ]
+        if now < self._started_at + self._times.reassignment_delay_s:
+            if not has_ended or self._listed is None:
+                return
+            held += [listed.range for listed in self._listed if listed.fence <= fence]
+        for keys in ranges:
+            yield from subtract(keys, held)
 
     def _handover(self, held: FencedRange) -> str:
         """Returns the token that the server gave for a range, if it gave one."""
@@ -382,6 +396,7 @@
         Only what an answer to an earlier heartbeat has left out counts: the server has read that answer, or
         did not take any, before it sent this heartbeat.
         """
+        self._list(now, heartbeat)
         before = len(self._answers)
         for left_out, number in self._left_out.items():
             if heartbeat.call_number > number:
@@ -389,6 +404,15 @@
                     self._add_answer(now, released)
         return len(self._answers) > before
 
+    def _list(self, now: float, heartbeat: HeartbeatRanges) -> None:
+        """Notes what the server lists, if it did so after all calls of earlier processes had arrived."""
+        if now < self._started_at + EARLIER_CALLS_S:
+            return
+        if self._first_number is None:
+            self._first_number = heartbeat.call_number  # it may have been on its way for long
+        elif heartbeat.call_number > self._first_number:
+            self._listed = heartbeat.holds
+
     def answer_heartbeat(
         self, now: float, received_after: float, heartbeat: HeartbeatRanges, max_hold_s: float
     ) -> HeartbeatGrants | None:
@@ -409,7 +433,7 @@
         if hold_ms <= 0:
             return None
         self._tell_by_answer(now, received_after, told, hold_ms)
-        self._leave_out(heartbeat.call_number)
+        self._leave_out(now, heartbeat.call_number)
         return HeartbeatGrants(rows, hold_ms)
 
     def _leased_for_longest(self, now: float, shards: Iterable[Shard]) -> list[Shard]:
@@ -441,12 +465,16 @@
             for granted in self.held_ranges(now)
         )
 
-    def _leave_out(self, call_number: int) -> None:
-        """Closes the gate for what the server is told to let go of."""
-        for shard in self._view.revoked:
-            if shard.owner == self._owner:
-                self.close(shard.fenced_range)
-                self._left_out.setdefault(shard.fenced_range, call_number)
+    def _leave_out(self, now: float, call_number: int) -> None:
+        """Closes the gate for what the server is told to let go of.
+
+        That includes what a call for an earlier server may have given it. The next heartbeat shows that a
+        range is not held only if no such call could arrive after this answer.
+        """
+        for held in self._revoked():
+            self.close(held)
+            if not self._may_be_arriving(now, held):
+                self._left_out.setdefault(held, call_number)
 
 
 def _grant_row(shard: Shard, heartbeat: HeartbeatRanges) -> GrantRow:
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -511,6 +511,30 @@
     world.sidecar.close()
 
 
+@in_event_loop
+async def test_a_call_taken_by_the_next_server_counts_after_the_way_of_granting_has_changed():
+    world = World(GRANTS_BY_INVOCATION)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.begin()
+    await world.confirm()
+    world.upstream.waiting[0].reply()  # by i-2, which has just started at the address
+    await world.turn()
+    cluster = {"name": SERVICE, "revision": "r2", "sharded": True, "grants": GRANTS_BY_HEARTBEAT}
+    change = json.dumps({"upserts": {"cluster_list": [cluster]}}).encode()
+    world.sidecar.control.apply_items(configuration.parse_change(change).ok)
+    world.clock += 0.2
+    await world.heartbeat(instance="i-2", holds=[[0, 199, 1]])
+    await world.change(revocations=[Revocation(ALL, OTHER)])
+    probes[-1]("i-2")
+    await world.turn()
+    assert not world.sent(RangesReleased)
+    await world.heartbeat(instance="i-2", holds=[[0, 199, 1]])
+    await world.heartbeat(instance="i-2")
+    assert [report.owner for report in world.sent(RangesReleased)] == [ME]
+    world.sidecar.close()
+
+
 # --- changes of the table of key ranges
 
 
--- a/tests/mesh/test_mesh_server_holds.py
+++ b/tests/mesh/test_mesh_server_holds.py
@@ -43,7 +43,7 @@
 
     def see(self, owner=None):
         self.owner = owner or self.owner
-        self.holds.update(self.owner, TableView.of(self.table, self.owner), self.by_call)
+        self.holds.update(self.owner, TableView.of(self.table, self.owner))
 
     def lease(self):
         for held in self.holds.ranges_to_lease():
@@ -168,7 +168,7 @@
     world = World(by_call=False)
     world.see(Owner("n3", "i-3"))
     assert world.heartbeat().rows == ()
-    world.holds.update(world.owner, None, False)
+    world.holds.update(world.owner, None)
     assert world.heartbeat() is None
 
 
@@ -398,6 +398,88 @@
     assert world.released() == [ReleasedRange(ALL, 1, "")]
 
 
+def test_an_end_does_not_free_what_calls_gave_before_the_way_of_granting_changed():
+    world = World(by_call=True)
+    world.grant()
+    called_until = world.holds._grants[FencedRange(ALL, 1)].may_hold_by_call_until
+    world.revoke(ALL)
+    world.by_call = False
+    world.see(Owner("n1", "i-2"))
+    world.holds.on_server_ended("i-1")
+    world.heartbeat([FencedRange(ALL, 1)])
+    world.heartbeat([FencedRange(ALL, 1)])
+    world.now = called_until - 0.01
+    assert not world.released()
+    world.now = called_until
+    assert world.released() == [ReleasedRange(ALL, 1, "")]
+
+
+def test_an_end_does_not_free_what_an_earlier_process_may_have_given_by_call():
+    world = World(by_call=False, now=START)
+    world.revoke(ALL)
+    world.see(Owner("n1", "i-2"))
+    world.holds.on_server_ended("i-1")
+    world.now = START + TIMES.reassignment_delay_s - 0.01
+    assert not world.released()
+    world.now = START + TIMES.reassignment_delay_s
+    assert world.released() == [ReleasedRange(ALL, 1, "")]
+
+
+def test_after_a_restart_of_both_the_heartbeats_of_the_next_server_show_what_it_was_not_given():
+    world = World(by_call=False, now=START)
+    world.revoke(ALL)
+    world.see(Owner("n1", "i-2"))
+    world.holds.on_server_ended("i-1")
+    world.heartbeat()  # a call of an earlier process may arrive after it
+    world.heartbeat()
+    world.now = START + server_holds.EARLIER_CALLS_S
+    world.heartbeat()
+    assert not world.released()
+    world.heartbeat([FencedRange(LOW, 1)])
+    assert world.released() == [ReleasedRange(HIGH, 1, "")]
+    world.heartbeat()
+    assert world.released() == [ReleasedRange(HIGH, 1, ""), ReleasedRange(LOW, 1, "")]
+
+
+def test_after_a_restart_of_both_the_next_server_frees_at_once_what_it_does_not_list():
+    world = World(by_call=False, now=START)
+    world.see(Owner("n1", "i-2"))
+    world.heartbeat()
+    world.now = START + server_holds.EARLIER_CALLS_S
+    world.heartbeat()
+    world.revoke(ALL)
+    world.holds.on_server_ended("i-1")
+    assert not world.released()  # the only heartbeat since may have been sent before
+    world.heartbeat()
+    assert world.released() == [ReleasedRange(ALL, 1, "")]
+
+
+def test_what_the_next_server_lists_is_not_what_a_third_one_holds():
+    world = World(by_call=False, now=START + server_holds.EARLIER_CALLS_S)
+    world.see(Owner("n1", "i-2"))
+    world.heartbeat()
+    world.heartbeat()
+    world.see(Owner("n1", "i-3"))
+    world.revoke(ALL)
+    world.holds.on_server_ended("i-1")
+    assert not world.released()
+
+
+def test_a_heartbeat_shows_no_release_while_a_call_from_before_a_change_of_the_way_may_arrive():
+    world = World(by_call=True)
+    world.lease()
+    world.write(FencedRange(ALL, 1))
+    world.by_call = False
+    world.revoke(ALL)
+    world.heartbeat()
+    world.heartbeat()
+    assert not world.released()
+    world.holds.on_grant_taken(world.now, FencedRange(ALL, 1))
+    world.heartbeat([FencedRange(ALL, 1)])
+    world.heartbeat()
+    assert world.released() == [ReleasedRange(ALL, 1, "")]
+
+
 @pytest.mark.parametrize(
     ("taken", "left"),
     [
@@ -563,3 +645,9 @@
 @given(st.lists(steps_by_heartbeat, max_size=30))
 def test_what_is_reported_as_released_is_never_held_again_by_heartbeat(steps):
     play(False, steps)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.one_of(steps_by_call, steps_by_heartbeat), max_size=30))
+def test_what_is_reported_as_released_is_never_held_again_if_the_way_of_granting_changes(steps):
+    play(True, steps)
