The longest lease on key ranges is agreed with their table

Callers would see one key run on two servers after a change of the bound hold_max: sidecars ask for leases by the bound that they started with, and a controller that restarted with a smaller one assigned a range again before such a lease had ended; likewise where a sidecar restarted first with a greater one.

Cause: the length of a lease and the wait for its end were each taken from the settings of one process.

Change: the table of a service names the longest lease that may be confirmed on its ranges. It never falls; a proposer whose bound is greater raises it by its next change. A question names the length it asks for (a new last field of RenewLease), voters confirm none that is longer than the chosen table and an open change allow, and the wait before a range is assigned again, like that of a sidecar for what an earlier process told, is for the table's length. Both roles read the bound at their start only. So restarts in any order are safe.

--- a/mesh/control/lease_votes.py
+++ b/mesh/control/lease_votes.py
@@ -2,7 +2,8 @@
 
 A range is confirmed only if the server owns it, unrevoked, by the chosen table and also by a change that this
 voter has accepted and does not know to be chosen: a majority that has accepted a revocation then shares a
-voter with every majority that confirms (`mesh.state.key_leases`). Nothing is written to disk.
+voter with every majority that confirms (`mesh.state.key_leases`). Nothing is written to disk. Nor is a lease
+confirmed that is longer than these tables allow, as the range may be assigned again before it ends.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from mesh.control.agreement import Agreement
 from mesh.control.context import Context
 from mesh.control.shard_facts import decode_table
-from mesh.state.shards import ITEM_PREFIX, ShardTable
+from mesh.state.shards import ITEM_PREFIX, FencedRange, ShardTable
 from mesh.transport.connection import PeerConnection
 from mesh.transport.messages import CurrentVoters, LeaseAnswer, RenewLease
 
@@ -34,8 +35,7 @@
         if self._context.member.votes(request.epoch):
             tables = self._tables(request.service)
             confirmed = tuple(
-                all(table is not None and table.confirms(request.owner, held) for table in tables)
-                for held in request.ranges
+                all(_confirms(table, request, held) for table in tables) for held in request.ranges
             )
         elif request.epoch < self._context.voters.epoch:
             link.send(self._current_voters())
@@ -52,3 +52,10 @@
         if draft is not None:
             tables += [decode_table(item) for item in draft.items if item.name == name]
         return tables
+
+
+def _confirms(table: ShardTable | None, request: RenewLease, held: FencedRange) -> bool:
+    """Returns whether a table lets a server hold a range for as long as its sidecar asks."""
+    if table is None or request.lease_ms > table.max_lease_ms:
+        return False
+    return table.confirms(request.owner, held)
--- a/mesh/control/shard_assigner.py
+++ b/mesh/control/shard_assigner.py
@@ -62,7 +62,8 @@
         self._facts: dict[str, ShardFacts] = {}  # by service
         self._sharded: tuple[Items, list[str]] = EMPTY, []  # services, and the items that they are of
         self._in_contact_since: float | None = None
-        self._longest_delay_s = 0.0
+        hold_max_s = context.settings.bound("hold_max", DEFAULT_HOLD_MAX_S)
+        self._lease_ms = LeaseTimes.of_bound(hold_max_s).lease_ms
         self._busy = False
         self._wake = asyncio.Event()
         self.moves = LabelledCounter(
@@ -161,7 +162,8 @@
             planned = plan(self._situation(facts))
             self._busy |= any(shard.revoked or not shard.owner.instance for shard in facts.table.shards)
             if not planned.is_empty:
-                table = facts.table.change(planned.revocations, planned.assignments)
+                table = facts.table.allowing_leases(self._lease_ms)
+                table = table.change(planned.revocations, planned.assignments)
                 yield ProposedChange(Item(table.item_name, table.version, table.encode()), planned)
 
     def _situation(self, facts: ShardFacts) -> Situation:
@@ -171,16 +173,9 @@
             facts=facts,
             nodes=self._publisher.servers.nodes,
             watching_since=self._in_contact_since,
-            reassignment_delay_s=self._reassignment_delay_s(),
+            reassignment_delay_s=LeaseTimes.of_lease(facts.table.max_lease_ms / 1000).reassignment_delay_s,
         )
 
-    def _reassignment_delay_s(self) -> float:
-        """Returns the delay for the greatest bound so far: sidecars may not know of a smaller one yet."""
-        hold_max_s = self._context.settings.bound("hold_max", DEFAULT_HOLD_MAX_S)
-        delay_s = LeaseTimes.of_bound(hold_max_s).reassignment_delay_s
-        self._longest_delay_s = max(self._longest_delay_s, delay_s)
-        return self._longest_delay_s
-
     async def _propose(self, changes: list[ProposedChange]) -> None:
         """Proposes changes of several services as one change of the configuration."""
         self._busy = True
--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -85,8 +85,10 @@
         heartbeats.grants_by_heartbeat = is_sharded and way == GRANTS_BY_HEARTBEAT
         if queue.instance:
             self._owner = self._owner._replace(instance=queue.instance)
-        self.holds.update(self._owner, self._view())
-        self.leases.update(self._owner, () if heartbeats.is_suspected else self.holds.ranges_to_lease())
+        view = self._view()
+        self.holds.update(self._owner, view)
+        ranges = () if heartbeats.is_suspected else self.holds.ranges_to_lease()
+        self.leases.update(self._owner, ranges, (view or TableView()).max_lease_ms)
         queue.recheck_keys()
         self.reports.update(self._owner if is_sharded else None)
         self.calls.update(self._owner.instance if is_sharded and way == GRANTS_BY_INVOCATION else "")
--- a/mesh/proxy/range_leases.py
+++ b/mesh/proxy/range_leases.py
@@ -28,6 +28,7 @@
     sent_at: float  # by the monotonic clock, read before the first byte was written
     ranges: tuple[FencedRange, ...]
     confirmed_by: tuple[set[str], ...]
+    lease_s: float
 
 
 class LeaseQuestions:
@@ -37,20 +38,22 @@
     the epoch that is current when they arrive are counted, each voter once.
     """
 
-    def __init__(self, book: LeaseBook, lease_s: float) -> None:
-        self._book, self._lease_s = book, lease_s
+    def __init__(self, book: LeaseBook) -> None:
+        self._book = book
         self._open: dict[int, LeaseQuestion] = {}
         self.renewed = 0  # number of leases on one range, begun or prolonged
         self.refused = 0  # number of answers that don't confirm a range
 
-    def ask(self, sent_at: float, number: int, voters: Voters, ranges: tuple[FencedRange, ...]) -> None:
-        """Notes a question that is about to be sent."""
+    def ask(
+        self, sent_at: float, number: int, voters: Voters, ranges: tuple[FencedRange, ...], lease_s: float
+    ) -> None:
+        """Notes a question that is about to be sent, for leases of a length."""
         self._open = {
             earlier: question
             for earlier, question in self._open.items()
-            if question.sent_at + self._lease_s > sent_at
+            if question.sent_at + question.lease_s > sent_at
         }
-        self._open[number] = LeaseQuestion(voters, sent_at, ranges, tuple(set() for _ in ranges))
+        self._open[number] = LeaseQuestion(voters, sent_at, ranges, tuple(set() for _ in ranges), lease_s)
 
     def on_answer(self, voter: str, voters: Voters, answer: LeaseAnswer) -> bool:
         """Counts the answer of a voter; returns whether it has made or prolonged a lease."""
@@ -69,7 +72,7 @@
             if confirmed and _completes_majority(names, voter, voters)
         ]
         for held in renewed:
-            self._book.renew(held, question.sent_at + self._lease_s)
+            self._book.renew(held, question.sent_at + question.lease_s)
         self.renewed += len(renewed)
         self.refused += answer.confirmed.count(False)
         return bool(renewed)
@@ -101,7 +104,8 @@
         hold_max_s = context.settings.bound("hold_max", DEFAULT_HOLD_MAX_S)
         self.times = LeaseTimes.of_bound(hold_max_s)
         self.book = LeaseBook()
-        self.questions = LeaseQuestions(self.book, self.times.lease_s)
+        self.questions = LeaseQuestions(self.book)
+        self._lease_ms = self.times.lease_ms
         self._service = context.settings.service
         self._owner = Owner(context.node_name, "")
         self._ranges: tuple[FencedRange, ...] = ()
@@ -109,8 +113,12 @@
         self._renewal: asyncio.TimerHandle | None = None
         self._retry: asyncio.TimerHandle | None = None
 
-    def update(self, owner: Owner, ranges: Iterable[FencedRange]) -> None:
-        """Sets the ranges that are to be leased; new ones without a lease are asked for at once."""
+    def update(self, owner: Owner, ranges: Iterable[FencedRange], max_lease_ms: int) -> None:
+        """Sets the ranges that are to be leased, and the longest lease that their table allows.
+
+        New ranges without a lease are asked for at once.
+        """
+        self._lease_ms = min(self.times.lease_ms, max_lease_ms)
         before = self._ranges if owner == self._owner else ()
         self._owner, self._ranges = owner, tuple(ranges)
         if any(held not in before for held in self._without_lease()):
@@ -154,8 +162,9 @@
 
     def _ask(self, ranges: tuple[FencedRange, ...]) -> None:
         voters, number = self._voters(), self._context.next_number()
-        self.questions.ask(self._context.monotonic(), number, voters, ranges)
-        packed = pack(RenewLease(number, voters.epoch, self._service, self._owner, ranges))
+        self.questions.ask(self._context.monotonic(), number, voters, ranges, self._lease_ms / 1000)
+        question = RenewLease(number, voters.epoch, self._service, self._owner, ranges, self._lease_ms)
+        packed = pack(question)
         for name in voters.names:
             connection = self._connections.get(name)
             if connection is not None:
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -26,7 +26,15 @@
 from typing import NamedTuple
 
 from mesh.state.key_leases import CLOCK_DRIFT, LeaseBook, LeaseTimes, hold_duration
-from mesh.state.shards import FencedRange, KeyRange, Owner, ReleasedRange, Shard, ShardTable
+from mesh.state.shards import (
+    DEFAULT_MAX_LEASE_MS,
+    FencedRange,
+    KeyRange,
+    Owner,
+    ReleasedRange,
+    Shard,
+    ShardTable,
+)
 
 GRANT_TRANSIT_S = 0.25  # the most time from reading the clock until the server counts a grant by call
 ANSWER_TRANSIT_S = 0.02  # after which the server goes by the answer to its heartbeat
@@ -45,12 +53,13 @@
 
     owned: tuple[Shard, ...] = ()  # by the present server, unrevoked
     revoked: tuple[Shard, ...] = ()  # by the present server, or earlier ones of the same node
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS  # that has been allowed on any of them
 
     @classmethod
     def of(cls, table: ShardTable, owner: Owner) -> TableView:
         """Returns the ranges of a server and of earlier servers of its node."""
         revoked = [shard for shard in table.shards if shard.revoked and shard.owner.node == owner.node]
-        return cls(tuple(table.owned_by(owner)), tuple(revoked))
+        return cls(tuple(table.owned_by(owner)), tuple(revoked), table.max_lease_ms)
 
 
 @dataclass(slots=True)
@@ -374,7 +383,7 @@
             for granted, grant in self._grants.items()
             if granted.fence == fence and grant.may_last(now, has_ended)
         ]
-        if now < self._started_at + self._times.reassignment_delay_s:
+        if now < self._started_at + LeaseTimes.of_lease(self._view.max_lease_ms / 1000).reassignment_delay_s:
             if not has_ended or self._listed is None:
                 return
             held += [listed.range for listed in self._listed if listed.fence <= fence]
--- a/mesh/state/key_leases.py
+++ b/mesh/state/key_leases.py
@@ -3,11 +3,15 @@
 The sidecar beside a server asks all voters to confirm the server's ranges at short intervals. A voter
 confirms a range only if the server owns it, unrevoked, by the voter's own copy of the table and by a change
 that it has accepted and does not know to be chosen. A confirmation by a majority of one epoch's voters makes
-a lease that lasts `lease_s` from when the question was *sent*. Each confirming majority shares a voter with
-the majority that accepts a revocation, and that voter confirmed before it accepted. So every lease on a range
-has ended `lease_s` after its revocation was chosen, whatever is cut off or frozen; whoever assigns the range
-again waits for that long by its own clock from when it learned of the revocation, unless it hears of a
-release before.
+a lease of the length that the question names, from when it was *sent*. Each confirming majority shares a
+voter with the majority that accepts a revocation, and that voter confirmed before it accepted. So every lease
+on a range has ended one such length after its revocation was chosen, whatever is cut off or frozen; whoever
+assigns the range again waits for that long by its own clock from when it learned of the revocation, unless it
+hears of a release before.
+
+Processes may have started with different bounds `hold_max`, so the longest lease is agreed: the table of the
+service names it (`mesh.state.shards`). Voters confirm none that is longer, and the wait is for that length.
+It never decreases: otherwise a lease that was confirmed before could outlast the wait.
 
 All times are seconds of one process's monotonic clock, read when they are used. Clocks of two processes run
 at rates that differ by up to `CLOCK_DRIFT`.
@@ -35,10 +39,19 @@
     renewal_interval_s: float
     reassignment_delay_s: float  # from learning of a revocation until all leases on the range have ended
 
+    @property
+    def lease_ms(self) -> int:
+        """The length of a lease in whole milliseconds."""
+        return int(self.lease_s * 1000)
+
     @classmethod
     def of_bound(cls, hold_max_s: float) -> LeaseTimes:
         """Returns the times for the bound `hold_max`."""
-        lease_s = hold_max_s * LEASE_FRACTION
+        return cls.of_lease(hold_max_s * LEASE_FRACTION)
+
+    @classmethod
+    def of_lease(cls, lease_s: float) -> LeaseTimes:
+        """Returns the times for leases of a length."""
         return cls(lease_s, lease_s * RENEWAL_FRACTION, lease_s * (1 + 2 * CLOCK_DRIFT))
 
 
--- a/mesh/state/shards.py
+++ b/mesh/state/shards.py
@@ -24,6 +24,7 @@
 LAST_KEY = KEY_COUNT - 1
 ITEM_PREFIX = "shards/"  # of the names of configuration items
 NO_KEY = -1  # of a request to a service that isn't sharded
+DEFAULT_MAX_LEASE_MS = 5000  # of tables that don't name it
 
 
 class KeyRange(NamedTuple):
@@ -124,11 +125,16 @@
 
 
 class ShardTable(NamedTuple):
-    """The assignment of all keys of one service: an immutable snapshot with a version."""
+    """The assignment of all keys of one service: an immutable snapshot with a version.
+
+    `max_lease_ms` is the longest lease that may be confirmed on its ranges (`mesh.state.key_leases`). It
+    never decreases from one version to the next, so it bounds the leases under all earlier versions too.
+    """
 
     service: str
     version: int = 0
     shards: tuple[Shard, ...] = (Shard(ALL_KEYS),)
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
 
     @property
     def item_name(self) -> str:
@@ -159,6 +165,10 @@
             for shard in self.overlapping(held.range)
         )
 
+    def allowing_leases(self, lease_ms: int) -> ShardTable:
+        """Returns the table with leases of a length allowed; longer ones stay allowed once they were."""
+        return self._replace(max_lease_ms=max(lease_ms, self.max_lease_ms if self.version else 0))
+
     def change(
         self, revocations: Iterable[Revocation] = (), assignments: Iterable[Assignment] = ()
     ) -> ShardTable:
@@ -174,7 +184,7 @@
         for assignment in assignments:
             assigned = Shard(assignment.range, assignment.owner, version, handover=assignment.handover)
             shards = _replaced(shards, assignment.range, partial(_assigned, assigned=assigned))
-        return ShardTable(self.service, version, _merged(shards))
+        return self._replace(version=version, shards=_merged(shards))
 
     # --- encoding
 
@@ -193,7 +203,8 @@
             ]
             for shard in self.shards
         ]
-        return json.dumps({"owners": owners, "shards": rows}, separators=(",", ":"))
+        content = {"owners": owners, "shards": rows, "max_lease_ms": self.max_lease_ms}
+        return json.dumps(content, separators=(",", ":"))
 
     @classmethod
     def decode(cls, name: str, version: int, content: str) -> ShardTable:
@@ -204,6 +215,7 @@
             name.removeprefix(ITEM_PREFIX),
             version,
             tuple(_decode_row(row, owners) for row in raw["shards"]),
+            int(raw.get("max_lease_ms", DEFAULT_MAX_LEASE_MS)),
         )
         next_key = 0
         for shard in table.shards:
--- a/mesh/transport/messages.py
+++ b/mesh/transport/messages.py
@@ -23,7 +23,7 @@
 from mesh.state.configuration import Item
 from mesh.state.idempotency import GrantRow
 from mesh.state.quorum import PeerView, Voters
-from mesh.state.shards import NO_KEY, FencedRange, Owner, ReleasedRange
+from mesh.state.shards import DEFAULT_MAX_LEASE_MS, NO_KEY, FencedRange, Owner, ReleasedRange
 
 VERSION = 5
 """Protocol version of a sidecar, published in its record. Version 2 added chunked bodies and `LoadQuery`,
@@ -359,6 +359,7 @@
     service: str
     owner: Owner
     ranges: tuple[FencedRange, ...]
+    lease_ms: int = DEFAULT_MAX_LEASE_MS  # how long each is to last from when this was sent
 
 
 class LeaseAnswer(Message, frozen=True, tag=81):
--- a/tests/mesh/test_mesh_lease_votes.py
+++ b/tests/mesh/test_mesh_lease_votes.py
@@ -24,7 +24,7 @@
     return Item(table.item_name, table.version, table.encode())
 
 
-def ask(chosen=(OWNED,), drafted=(), owner=A, ranges=ALL_HELD, epoch=EPOCH, votes=True):
+def ask(chosen=(OWNED,), drafted=(), owner=A, ranges=ALL_HELD, epoch=EPOCH, votes=True, lease_ms=5000):
     """Returns a voter's response to a sidecar, and what else it sent."""
     draft = Draft(7, Ballot(1, "x"), tuple(map(item, drafted))) if drafted else None
     replica = SimpleNamespace(items={item(table).name: item(table) for table in chosen}, open_draft=draft)
@@ -32,7 +32,9 @@
     context = SimpleNamespace(member=member, voters=Voters(EPOCH, ("c",)))
     sent = []
     voters = LeaseVotes(context, SimpleNamespace(replica=replica), lambda: CurrentVoters(EPOCH, ("c",)))
-    voters.on_renew(SimpleNamespace(send=sent.append), RenewLease(9, epoch, "baskets", owner, ranges))
+    voters.on_renew(
+        SimpleNamespace(send=sent.append), RenewLease(9, epoch, "baskets", owner, ranges, lease_ms)
+    )
     *others, answer = sent
     assert isinstance(answer, LeaseAnswer) and (answer.number, answer.epoch) == (9, epoch)
     return answer.confirmed, others
@@ -63,6 +65,14 @@
     assert ask(chosen=[], drafted=[OWNED])[0] == (False,)
 
 
+def test_no_lease_is_confirmed_that_is_longer_than_the_chosen_table_and_an_open_draft_allow():
+    longer = OWNED.allowing_leases(6000).change()
+    assert ask(lease_ms=OWNED.max_lease_ms + 1)[0] == (False,)
+    assert ask(drafted=[longer], lease_ms=6000)[0] == (False,)
+    assert ask(chosen=[longer], lease_ms=6000)[0] == (True,)
+    assert ask(chosen=[longer], lease_ms=6001)[0] == (False,)
+
+
 @pytest.mark.parametrize(("epoch", "is_told"), [(EPOCH - 1, True), (EPOCH, False), (EPOCH + 1, False)])
 def test_no_voter_of_the_epoch_confirms_nothing(epoch, is_told):
     confirmed, others = ask(epoch=epoch, votes=False)
--- a/tests/mesh/test_mesh_range_leases.py
+++ b/tests/mesh/test_mesh_range_leases.py
@@ -4,24 +4,27 @@
 
 from types import SimpleNamespace
 
+import cbor2
 import pytest
 
 from mesh.proxy.range_leases import FIRST_RETRY_DELAY_S, LeaseQuestions, RangeLeases
 from mesh.state.key_leases import LeaseBook
 from mesh.state.quorum import Voters
 from mesh.state.shards import FencedRange, KeyRange, Owner
-from mesh.transport.messages import LeaseAnswer
+from mesh.transport.messages import LeaseAnswer, decode
 
 LEASE_S = 5.0
+LEASE_MS = 5000
 VOTERS = Voters(3, ("c1", "c2", "c3"))
 LOW, HIGH = FencedRange(KeyRange(0, 99), 7), FencedRange(KeyRange(100, 199), 8)
 BOTH = (True, True)
+LENGTH_BYTES = 4
 
 
 @pytest.fixture
 def questions():
-    made = LeaseQuestions(LeaseBook(), LEASE_S)
-    made.ask(100.0, 1, VOTERS, (LOW, HIGH))
+    made = LeaseQuestions(LeaseBook())
+    made.ask(100.0, 1, VOTERS, (LOW, HIGH), LEASE_S)
     return made
 
 
@@ -42,7 +45,7 @@
 
 
 def test_confirmations_of_different_questions_are_not_added_up(questions):
-    questions.ask(101.0, 2, VOTERS, (LOW, HIGH))
+    questions.ask(101.0, 2, VOTERS, (LOW, HIGH), LEASE_S)
     questions.on_answer("c1", VOTERS, LeaseAnswer(1, 3, BOTH))
     assert not questions.on_answer("c2", VOTERS, LeaseAnswer(2, 3, BOTH))
 
@@ -71,7 +74,7 @@
 
 
 def test_questions_whose_leases_would_be_over_are_forgotten(questions):
-    questions.ask(100.0 + LEASE_S, 2, VOTERS, (LOW,))
+    questions.ask(100.0 + LEASE_S, 2, VOTERS, (LOW,), LEASE_S)
     assert list(questions._open) == [2]
 
 
@@ -97,6 +100,7 @@
 
     def send_packed(self, packed):
         self.sent += 1
+        self.question = decode(cbor2.loads(packed[LENGTH_BYTES:]))
 
 
 class World:
@@ -132,7 +136,7 @@
 def test_new_ranges_are_asked_for_at_once_and_those_without_a_lease_again_soon():
     world = World()
     owner = Owner("n1", "i-1")
-    world.leases.update(owner, [LOW])
+    world.leases.update(owner, [LOW], LEASE_MS)
     assert world.asked == 1
     delay_s, retry = world.loop.timers[0]
     assert delay_s == FIRST_RETRY_DELAY_S
@@ -140,9 +144,9 @@
     assert world.asked == 2
     world.confirm(1, 1)
     assert world.leased == 1 and world.leases.book.ends_at(world.now, LOW) == world.now + LEASE_S
-    world.leases.update(owner, [LOW])
+    world.leases.update(owner, [LOW], LEASE_MS)
     assert world.asked == 2
-    world.leases.update(owner, [LOW, HIGH])
+    world.leases.update(owner, [LOW, HIGH], LEASE_MS)
     assert world.asked == 3
     world.confirm(3, 1)
     assert world.leases.book.ends_at(world.now, HIGH) == world.now + LEASE_S
@@ -150,7 +154,7 @@
 
 def test_the_same_ranges_are_renewed_at_intervals_until_there_are_none():
     world = World()
-    world.leases.update(Owner("n1", "i-1"), [LOW])
+    world.leases.update(Owner("n1", "i-1"), [LOW], LEASE_MS)
     world.confirm(1, 1)
     delay_s, renew = world.loop.timers[-1]
     assert delay_s == world.leases.times.renewal_interval_s
@@ -159,6 +163,15 @@
     assert world.asked == 2
     world.confirm(2, 1)
     assert world.leases.book.ends_at(world.now, LOW) == world.now + LEASE_S
-    world.leases.update(Owner("n1", "i-1"), [])
+    world.leases.update(Owner("n1", "i-1"), [], LEASE_MS)
     world.loop.timers[-1][1]()
     assert world.asked == 2
+
+
+@pytest.mark.parametrize(("allowed_ms", "asked_ms"), [(3000, 3000), (LEASE_MS, LEASE_MS), (6000, LEASE_MS)])
+def test_no_lease_is_asked_for_that_is_longer_than_the_table_or_the_own_bound_allows(allowed_ms, asked_ms):
+    world = World()
+    world.leases.update(Owner("n1", "i-1"), [LOW], allowed_ms)
+    assert world.voters["c1"].question.lease_ms == asked_ms
+    world.confirm(1, 1)
+    assert world.leases.book.ends_at(world.now, LOW) == world.now + asked_ms / 1000
--- a/tests/mesh/test_mesh_server_holds.py
+++ b/tests/mesh/test_mesh_server_holds.py
@@ -306,6 +306,16 @@
     assert world.released() == [ReleasedRange(LOW, 1, "")]
 
 
+def test_a_young_process_waits_for_the_longest_lease_that_the_table_has_allowed():
+    world = World(by_call=False, now=START)
+    world.table = world.table.allowing_leases(6000)
+    world.revoke(LOW)
+    world.now = START + 6.0
+    assert not world.released()
+    world.now = START + LeaseTimes.of_bound(12.0).reassignment_delay_s
+    assert world.released() == [ReleasedRange(LOW, 1, "")]
+
+
 def test_an_answered_release_does_not_count_while_an_unanswered_grant_may_still_arrive():
     world = World(by_call=True)
     world.grant()
--- a/tests/mesh/test_mesh_shard_assigner.py
+++ b/tests/mesh/test_mesh_shard_assigner.py
@@ -79,6 +79,17 @@
                     released = (ReleasedRange(shard.range, shard.fence, "token"),)
                     made.shards.on_released(None, RangesReleased(SERVICE, shard.owner, released))
 
+    def restart_with(self, bounds: str) -> None:
+        """Restarts all controllers at once with other bounds."""
+        self._settings_options["bounds"] = bounds
+        for name in self.controllers:
+            self.power_off(name)
+        self.run(0.1)
+        for name in self.controllers:
+            self.start_controller(name)
+        until(self, lambda: len(self.caught_up_controllers()) == 3, 10.0)
+        self.tell_records()
+
     def coordinator(self) -> Controller:
         (made,) = [made for made in self.alive() if made.elections.is_coordinator()]
         return made
@@ -150,6 +161,28 @@
     until(world, lambda: all(map(is_stable, world.tables())), 2 * NOTICE_S)
 
 
+def test_a_smaller_bound_does_not_shorten_the_wait_for_leases_that_were_confirmed_before(world):
+    world.begin()
+    world.restart_with('"hold_max=6s"')
+    world.register(2, life=2)
+    until(world, lambda: not any(map(is_stable, world.tables())), 10.0)
+    learned_at = world.now
+    assert not world.run(learned_at + 0.98 * DELAY_S - world.now, lambda: any(map(is_stable, world.tables())))
+    until(world, lambda: all(map(is_stable, world.tables())), 2 * NOTICE_S)
+
+
+def test_a_greater_bound_allows_longer_leases_and_lengthens_the_wait_from_the_next_change_on(world):
+    world.begin()
+    world.restart_with('"hold_max=12s"')
+    assert {table.max_lease_ms for table in world.tables()} == {5000}
+    world.register(2, life=2)
+    until(world, lambda: not any(map(is_stable, world.tables())), 10.0)
+    learned_at = world.now
+    assert {table.max_lease_ms for table in world.tables() if not is_stable(table)} == {6000}
+    delay_s = LeaseTimes.of_bound(12.0).reassignment_delay_s
+    assert not world.run(learned_at + 0.98 * delay_s - world.now, lambda: any(map(is_stable, world.tables())))
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_two_proposers_at_once_never_assign_a_range_that_may_be_held(monkeypatch, seed):
     monkeypatch.setattr(Reconfiguration, "is_coordinator", lambda self: True)
--- a/tests/mesh/test_mesh_shards.py
+++ b/tests/mesh/test_mesh_shards.py
@@ -82,6 +82,13 @@
             assert shard.owner == fences.get(shard.fence, NOBODY)
 
 
+def test_the_longest_lease_of_a_table_is_the_first_proposers_and_never_decreases():
+    table = ShardTable("baskets").allowing_leases(3000).change(assignments=[Assignment(ALL_KEYS, A)])
+    assert table.max_lease_ms == 3000
+    assert ShardTable.decode(table.item_name, table.version, table.encode()) == table
+    assert table.allowing_leases(6000).change().allowing_leases(3000).change().max_lease_ms == 6000
+
+
 def test_a_table_with_a_gap_is_rejected():
     content = json.dumps(
         {"owners": [["", ""]], "shards": [[0, 10, 0, 0, 0, "", 0], [12, LAST_KEY, 0, 0, 0, "", 0]]}
