A grant that is written late counts from when the kernel took it

Callers could see one key run on two servers: a sidecar that got no processor between reading the clock and the write gave the call up, but still took the server's hold to end as if the call had been there 0.25 s after the clock was read. With the release unanswered it reported the range as released too early.

Cause: the time of the write was known, but not heeded.

Change: a call that is given up lasts longer by the time that its write took. What a late call grants can still outlast the lease by that time, less the 4 % that a proposer waits longer; that needs a process which stands still without being stopped, between two lines.

test_a_range_granted_by_a_call_that_was_written_late_is_not_reported_before_it_runs_out failed before.

--- a/mesh/proxy/grant_calls.py
+++ b/mesh/proxy/grant_calls.py
@@ -51,6 +51,10 @@
         """Whether the kernel took the call at once."""
         return self.begun_at is not None and self.done_at - self.begun_at <= MAX_WRITE_DELAY_S
 
+    def delay_s(self, now: float) -> float:
+        """Returns how long the write took; one that is given up now ends now."""
+        return min(self.done_at, now) - self.begun_at if self.begun_at is not None else 0.0
+
 
 class GrantCalls:
     """Grants and releases of key ranges by calls to the server beside.
@@ -150,7 +154,7 @@
             self._holds.on_grant_refused(held)
             self.on_refused()
         else:
-            self._holds.on_grant_unanswered(now, held)
+            self._holds.on_grant_unanswered(now, held, write.delay_s(now))
             if reply is not None:
                 outcome = "rejected"
                 logger.warning("the server rejected a grant", status=reply.status)
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -286,10 +286,15 @@
         self._refused.add(held)
         self._closed.add(held)
 
-    def on_grant_unanswered(self, now: float, held: FencedRange) -> None:
-        """Notes that a call was given up after it was written; the server may have taken it, or may yet."""
+    def on_grant_unanswered(self, now: float, held: FencedRange, write_delay_s: float = 0.0) -> None:
+        """Notes that a call was given up after it was written; the server may have taken it, or may yet.
+
+        `write_delay_s` is from when the clock was read for the call until the kernel took it.
+        """
         grant = self._grants[held]
         grant.in_flight = False
+        grant.may_hold_by_call_until += write_delay_s
+        grant.may_hold_until = max(grant.may_hold_until, grant.may_hold_by_call_until)
         grant.unanswered_until = grant.may_hold_until
         grant.renew_at = now + RETRY_DELAY_S
 
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -15,10 +15,11 @@
 from hollyport.http.back import Reply
 from mesh import settings
 from mesh.proxy import server_suspicion
-from mesh.proxy.server_holds import ANSWER_TRANSIT_S
+from mesh.proxy.server_holds import ANSWER_TRANSIT_S, GRANT_TRANSIT_S
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
 from mesh.state.configuration import GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION, Item
+from mesh.state.key_leases import CLOCK_DRIFT
 from mesh.state.quorum import Voters
 from mesh.state.shards import NO_KEY, Assignment, KeyRange, Owner, Revocation, ShardTable
 from mesh.transport.messages import LeaseAnswer, RangesReleased, Register, RenewLease, ShardLoad, decode
@@ -134,11 +135,14 @@
 
     async def confirm(self):
         """Lets both connected voters confirm the latest question."""
+        self.answer_question()
+        await self.turn()
+
+    def answer_question(self):
         question = self.sent(RenewLease)[-1]
         answer = LeaseAnswer(question.number, question.epoch, (True,) * len(question.ranges))
         for connection in self.connections.values():
             self.sidecar.on_message(connection, answer)
-        await self.turn()
 
     async def heartbeat(self, holds=(), released=(), state="ready", call_number=None, instance="i-1"):
         self.call_number += 1
@@ -347,6 +351,32 @@
     world.sidecar.close()
 
 
+@in_event_loop
+async def test_a_range_granted_by_a_call_that_was_written_late_is_not_reported_before_it_runs_out():
+    world = World(GRANTS_BY_INVOCATION)
+    await world.begin()
+    world.upstream.writable = False
+    world.answer_question()
+    (grant,) = world.upstream.waiting
+    hold_s = int(grant.fields["hold"].removesuffix("ms")) / 1000
+    world.clock += 0.6
+    grant.on_written()
+    taken_at = world.clock
+    await world.turn()
+    assert grant.over
+    await world.change(revocations=[Revocation(ALL, OTHER)])
+    for release in list(world.upstream.waiting):
+        release.end(AttemptOutcome.RESET)
+    holds_until = taken_at + hold_s / (1 - CLOCK_DRIFT)
+    world.clock = holds_until - 0.01
+    world.sidecar.key_ranges.reports.report_releases()
+    assert not world.sent(RangesReleased)
+    world.clock = holds_until + GRANT_TRANSIT_S
+    world.sidecar.key_ranges.reports.report_releases()
+    assert world.sent(RangesReleased)
+    world.sidecar.close()
+
+
 @in_event_loop
 async def test_a_refused_fence_is_not_used_again_and_reported_once_the_server_has_let_go():
     world = World(GRANTS_BY_INVOCATION)
