A call whose connection comes up too late is not written

Callers would see a server get a call after its drain, up to 0.6 s late, or an arrival at a server whose hold on the key had run out, which answers 421 and costs a retry.

Cause: the drain and the key were checked before a connection was opened and never again. The end of the drain emptied the queues only, and the end of a hold is no event.

Change: an exchange asks once more when its new connection is up, before the first byte; the connection is kept. The end of the drain also gives calls back whose connection is still being opened. Both are reported as not arrived, so that the sidecar of the caller may offer them elsewhere.

test_a_call_whose_connection_comes_up_too_late_is_not_written failed before, in all three cases.

--- a/hollyport/nodes/upstream.py
+++ b/hollyport/nodes/upstream.py
@@ -48,6 +48,7 @@
         self._begun = False  # its answer is being passed on: the time to begin has been kept
         self.expect: tuple[bytes, bytes] | None = None  # header and value of its own answer
         self.on_begun: Callable[[Any], None] | None = None  # told of an answer passed on as it comes
+        self.still_wanted: Callable[[], bool] = lambda: True  # asked once a new connection is up
         self.on_written: Callable[[], None] | None = None  # told once the last byte is written, where wanted
 
     def start(self) -> None:
@@ -86,14 +87,20 @@
             return
         if self._over:
             self._upstream.release(target, connection)
-        elif not target.up or target.address != address or self._loop.time() >= self._give_up:
-            # Connecting takes time in which the server may have begun to drain or the call have run out:
-            # look again before the first byte, for a send counts from there.
+        elif not self._may_write(address):
             self._upstream.release(target, connection)
             self._end(AttemptOutcome.MOOT)
         else:
             self._write(connection)
 
+    def _may_write(self, address: Address) -> bool:
+        """Whether to write after all. Connecting takes time in which the server may have begun to drain or
+        the call have run out: look again before the first byte, for a send counts from there."""
+        target = self._target
+        if not target.up or target.address != address or self._loop.time() >= self._give_up:
+            return False
+        return self.still_wanted()
+
     def _write(self, connection: Carrier) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -183,8 +183,13 @@
         self._loop.call_later(until - self._loop.time(), self._reject_unless_serving)
 
     def _reject_unless_serving(self) -> None:
-        if not self.serves:
-            self.reject_all(ErrorKind.LEAVING)
+        """Rejects all calls that have not reached the server, unless it may get them."""
+        if self.serves:
+            return
+        self.reject_all(ErrorKind.LEAVING)
+        for job in self._connecting_jobs():
+            if job.exchange is not None:
+                job.exchange.cancel()
 
     def probe(self, path: str, on_result: Callable[[str], None]) -> None:
         """Requests the server's health page before any heartbeat; `on_result` is called with its instance id,
@@ -246,12 +251,25 @@
             if not self.key_gate(job.shard_key):
                 self._remove(job)
                 self._give_back(job)
-        for job in [job for job in self._exchanging if not self._written(job)]:
-            if job.exchange is not None and not self.key_gate(job.shard_key):
-                self.keys_not_held += 1
-                job.key_lost = True
+        for job in self._connecting_jobs():
+            if job.exchange is not None and self._has_lost_key(job):
                 job.exchange.cancel()
 
+    def _connecting_jobs(self) -> list[Job]:
+        """Returns the calls whose connection is being opened."""
+        return [job for job in self._exchanging if not self._written(job)]
+
+    def _has_lost_key(self, job: Job) -> bool:
+        """Returns whether the server does not hold the key of a call any more, and notes it."""
+        if not job.key_lost and not self.key_gate(job.shard_key):
+            self.keys_not_held += 1
+            job.key_lost = True
+        return job.key_lost
+
+    def _may_write(self, job: Job) -> bool:
+        """Returns whether a call may be written now that its connection is open."""
+        return self.serves and not self._has_lost_key(job)
+
     def _give_back(self, job: Job) -> None:
         """Rejects a call that has not reached the server, as that does not hold its key."""
         self.keys_not_held += 1
@@ -488,6 +506,7 @@
             self._finish(job, ErrorKind.LEAVING, False)
             return
         exchange.expect = (b"x-attempt-id", job.attempt_id)
+        exchange.still_wanted = lambda: self._may_write(job)
         job.trial, job.exchange, job.started_at = trial, exchange, now
         self.budget.trial_in_flight = self.budget.trial_in_flight or trial
         self.in_flight += 1
@@ -537,7 +556,7 @@
             if outcome == AttemptOutcome.TIMEOUT:
                 error = ErrorKind.LATE
             elif outcome in (AttemptOutcome.MOOT, AttemptOutcome.CONNECT_FAILED) and not self._written(job):
-                error, arrived = ErrorKind.NOT_OWNER if job.key_lost else ErrorKind.FULL, False
+                error, arrived = self._error_of_unsent(job), False
             # A call that was cancelled here says nothing about the server.
             if current and outcome != AttemptOutcome.MOOT and not job.cancelled:
                 self._record_outcome(True)
@@ -547,6 +566,12 @@
             self.on_contact(reply is not None)
         self._send_queued()
 
+    def _error_of_unsent(self, job: Job) -> ErrorKind:
+        """Returns the error of a call that was not written."""
+        if job.key_lost:
+            return ErrorKind.NOT_OWNER
+        return ErrorKind.FULL if self.serves else ErrorKind.LEAVING
+
     def _count_misdirected(self, instance: str, reply: Reply) -> None:
         """Counts a 421: the server that a call was for does not hold its key, or another server answered."""
         if reply.header(b"x-instance-id") == instance.encode("latin-1"):
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -517,3 +517,87 @@
     server_queue.submit(keyed_job(server_queue, "leaving", 2, results))
     server_queue.update_server("i-1", 4, 0.0, False)
     assert results[-1] == ("leaving", ErrorKind.LEAVING, False)
+
+
+# --- calls whose connection is still being opened
+
+
+class OpenedConnection:
+    """A connection that has come up, to which nothing should be written."""
+
+    reusable, idle_since = True, 0.0
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, data, on_reply):
+        self.sent.append(data)
+
+    def close(self):
+        """Closes the connection; ignored."""
+
+
+async def play_connecting_call(while_connecting):
+    """Returns whether a call was written whose connection came up after a change, and how it ended."""
+    queue = ServerQueue(asyncio.get_running_loop(), Address("127.0.0.1", 9), 64)
+    connection, is_up, results = OpenedConnection(), asyncio.Event(), []
+
+    async def connect(address, back):
+        await is_up.wait()
+        return connection
+
+    queue.upstream.connect = connect
+    queue.update_server("i-1", 4, 0.0, True)
+    now = queue._loop.time()
+
+    def record(error, arrived, reply):
+        results.append((error, arrived))
+
+    call = Job(lambda left, instance: b"call", b"a-1", now + 9, now + 8, now + 8, record)
+    call.shard_key = 7
+    queue.submit(call)
+    await asyncio.sleep(0)
+    await while_connecting(queue)
+    is_up.set()
+    for _ in range(3):
+        await asyncio.sleep(0)
+    return connection.sent, results
+
+
+async def close_at_the_end_of_the_drain(queue):
+    drain_s = 0.01
+    queue.drain(queue._loop.time() + drain_s)
+    queue.update_server("i-1", 4, 0.0, False)
+    assert queue._exchanging
+    await asyncio.sleep(2 * drain_s)
+    assert not queue._exchanging  # it is given back before its connection is up
+
+
+async def close_unnoticed(queue):
+    queue.open = False
+
+
+async def lose_key(queue):
+    queue.key_gate = lambda key: False
+
+
+@pytest.mark.parametrize(
+    ("change", "error"),
+    [
+        (close_at_the_end_of_the_drain, ErrorKind.LEAVING),
+        (close_unnoticed, ErrorKind.LEAVING),
+        (lose_key, ErrorKind.NOT_OWNER),
+    ],
+)
+def test_a_call_whose_connection_comes_up_too_late_is_not_written(change, error):
+    sent, results = asyncio.run(play_connecting_call(change))
+    assert sent == [] and results == [(error, False)]
+
+
+def test_a_call_whose_connection_comes_up_during_the_drain_is_written():
+    async def drain(queue):
+        queue.drain(queue._loop.time() + 60.0)
+        queue.update_server("i-1", 4, 0.0, False)
+
+    sent, results = asyncio.run(play_connecting_call(drain))
+    assert sent == [b"call"] and results == []
