Where no known way of granting is named, the server's heartbeats tell it

Callers would get no service at all: a sharded service whose item and settings file name no way of granting keys, or an unknown word, was leased its ranges, but no server was ever told to hold one, without a log line.

Cause: an unknown way was taken for neither of the two.

Change: only the two known words count, of the item before the settings. Where neither names one, a server whose heartbeats have the field holds is given keys by heartbeat, any other by invocation. The sidecar logs which way it goes and what told it.

--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -5,7 +5,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from functools import partial
+from typing import NamedTuple
+
+from loguru import logger
 
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.control_client import ControlClient
@@ -18,9 +22,17 @@
 from mesh.state.configuration import GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION
 from mesh.state.shards import NO_KEY, Owner
 
+GRANT_WAYS = frozenset({GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION})
 PROBE_INTERVAL_S = 2.0  # while the table names an earlier server of which the end is not certain
 
 
+class ToldWay(NamedTuple):
+    """How the servers of a service are given keys, and what says so."""
+
+    source: str
+    way: str
+
+
 class KeyRanges:
     """The key ranges of the server beside one sidecar.
 
@@ -35,6 +47,7 @@
         self._owner = Owner(context.node_name, "")
         self._heartbeats: ServerHeartbeats | None = None
         self._next_probe_at = context.monotonic()
+        self._logged_way = ""
         self.leases = RangeLeases(
             context, control.connections, lambda: control.key_claims.voters, lambda: self.calls.wake()
         )
@@ -122,9 +135,28 @@
         self.calls.wake()
 
     def _grants_way(self) -> str:
-        """Returns how the servers of the service are given keys."""
+        """Returns how the servers of the service are given keys; empty until that is known.
+
+        Where neither the configuration nor the settings name a known way, the server's heartbeats tell: one
+        that lists what it holds is given keys by heartbeat.
+        """
+        known = (told for told in self._ways_told() if told.way in GRANT_WAYS)
+        told = next(known, ToldWay("", ""))
+        if told.way != self._logged_way:
+            self._logged_way = told.way
+            logger.info("how the server is given keys", way=told.way, by=told.source)
+        return told.way
+
+    def _ways_told(self) -> Iterator[ToldWay]:
+        """Yields what tells how the servers are given keys, by precedence; a word may be unknown."""
+        assert self._heartbeats is not None
         cluster = self._control.table.clusters.get(self._service)
-        return (cluster.grants if cluster is not None else "") or self._context.settings.grants
+        if cluster is not None:
+            yield ToldWay("configuration", cluster.grants)
+        yield ToldWay("settings", self._context.settings.grants)
+        if self._heartbeats.lists_holds is not None:
+            lists_holds = self._heartbeats.lists_holds
+            yield ToldWay("heartbeats", GRANTS_BY_HEARTBEAT if lists_holds else GRANTS_BY_INVOCATION)
 
     def _view(self) -> TableView | None:
         """Returns the ranges of the server by the table; one that has ended is to hold none."""
--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -45,6 +45,7 @@
     call_number: int  # increases with each heartbeat of an instance
     holds: tuple[FencedRange, ...] = ()
     released: tuple[HandoverRow, ...] = ()
+    lists_holds: bool = False  # even if it holds nothing
 
     @property
     def ranges(self) -> HeartbeatRanges:
@@ -65,6 +66,7 @@
                 call_number=int(fields.get("call_seq", 0)),
                 holds=tuple(_parse_held(*row) for row in fields.get("holds", ())),
                 released=tuple(_parse_released(*row) for row in fields.get("released", ())),
+                lists_holds="holds" in fields,
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
@@ -97,6 +99,7 @@
         self._context, self._queue, self._holds, self._on_change = context, queue, holds, on_change
         self.is_sharded = False  # the service of the server
         self.grants_by_heartbeat = False
+        self.lists_holds: bool | None = None  # whether the latest heartbeat of the server does
         self.suspicion = ServerSuspicion(context.settings.beat_s, context.monotonic())
         self.on_released: Callable[[], None] = lambda: None
         self.on_grants_answered: Callable[[], None] = lambda: None
@@ -154,12 +157,14 @@
         queue.heartbeat_numbers[instance] = heartbeat.call_number
         self.suspicion.on_contact(self._context.monotonic())
         (self._alive.add if heartbeat.ready else self._alive.discard)(instance)
-        before = (queue.instance, queue.open)
-        if self.is_sharded and not heartbeat.ready and before == (instance, True):
+        before = (queue.instance, queue.open, self.lists_holds)
+        self.lists_holds = heartbeat.lists_holds
+        if self.is_sharded and not heartbeat.ready and before[:2] == (instance, True):
             drain_s = self._context.settings.bound("drain", DEFAULT_DRAIN_S)
             queue.drain(self._context.now() + drain_s - DRAIN_MARGIN_S)
         queue.update_server(instance, heartbeat.slots, heartbeat.warm_up_s, heartbeat.ready)
-        if (queue.instance, queue.open) != before:  # a change of slots alone affects no other sidecar
+        after = (queue.instance, queue.open, self.lists_holds)
+        if after != before:  # a change of slots alone affects no other sidecar
             self._on_change()
         self.check_suspicion()
         return Ok(self._answer_ranges(heartbeat.ranges))
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -111,6 +111,7 @@
         listed = {"upserts": {"cluster_list": [cluster]}}
         self.sidecar.control.apply_items(configuration.parse_change(json.dumps(listed).encode()).ok)
         self.table = ShardTable(SERVICE)
+        self.lists_holds = True  # in heartbeats
 
     async def begin(self):
         """Lets the server come up and own the keys from 0 to 199 under fence 1."""
@@ -154,6 +155,8 @@
             "holds": holds,
             "released": released,
         }
+        if not self.lists_holds:
+            del body["holds"], body["released"]
         answer = await call(self.sidecar.heartbeats.serve, "put", f"/-/instances/{instance}", body)
         return json.loads(answer.body)
 
@@ -285,6 +288,23 @@
     world.sidecar.close()
 
 
+@pytest.mark.parametrize("named", ["", "invoke", "Heartbeat"])
+@pytest.mark.parametrize("by_settings", [False, True])
+@pytest.mark.parametrize("lists_holds", [False, True])
+@in_event_loop
+async def test_where_no_known_way_is_named_the_heartbeats_of_the_server_tell_it(
+    named, by_settings, lists_holds
+):
+    world = World(named, by_settings)
+    world.lists_holds = lists_holds
+    await world.begin()
+    world.way = GRANTS_BY_HEARTBEAT if lists_holds else GRANTS_BY_INVOCATION
+    assert not world.allows(50)
+    await world.grant()
+    assert world.allows(50)
+    world.sidecar.close()
+
+
 # --- by call
 
 
