A range whose fence its server refuses is assigned again under a higher one

Callers would be refused for a range for good: a server that has seen a higher fence on a key answers 409, its sidecar never grants the range under that fence again and reports it as released, but the planner only looked at reports of revoked ranges, so the range stayed with its owner under the fence that it refuses.

Cause: a release of an active range led to nothing.

Change: the planner revokes such a part for the same owner, unless that leaves, and as it is released already, the next change assigns it anew. A new fence is higher than all that the table has had. Nothing else of that server is revoked by the same change.

--- a/mesh/control/shard_facts.py
+++ b/mesh/control/shard_facts.py
@@ -162,6 +162,18 @@
                 taken.append(part)
                 yield ReassignableRange(shard.narrowed(part), handover)
 
+    def refused(self) -> Iterator[Shard]:
+        """Yields the parts of active ranges that their owners were reported to have released, each key once.
+
+        The owner has seen a higher fence on them, so it never holds them under this one.
+        """
+        for shard in self.table.shards:
+            taken: list[KeyRange] = []
+            for keys, _ in self._released_parts(shard) if shard.active else ():
+                for part in _without(keys, taken):
+                    taken.append(part)
+                    yield shard.narrowed(part)
+
     def _released_parts(self, shard: Shard) -> Iterator[tuple[KeyRange, str]]:
         for released in self._releases.get(shard.owner, {}).values():
             if released.fence == shard.fence and released.range.overlaps(shard.range):
--- a/mesh/control/shard_planner.py
+++ b/mesh/control/shard_planner.py
@@ -6,6 +6,7 @@
 
 - keys that nobody has owned yet are spread evenly over the servers, once these have stopped arriving;
 - a server that has ended, is missing or closed gives up everything it owns;
+- a server that refuses the fence of a range, as it has seen a higher one, gets it again under a new one;
 - a server that owns nothing although others do is given a fair share;
 - a server that is overloaded gives up its excess, or all but its busiest bucket.
 
@@ -58,6 +59,7 @@
     ENDED = "ended"  # another server has taken the owner's place
     MISSING = "missing"
     CLOSED = "closed"
+    REFUSED = "refused"  # the owner has seen a higher fence; it gets the range again under a new one
     NEW_SERVER = "new_server"
     OVERLOAD = "overload"
     HOT_KEY = "hot_key"
@@ -192,7 +194,12 @@
     assignments = list(_reassign(situation, placement))
     moves = list(_assign_free(situation, placement, assignments))
     revocations: list[Revocation] = []
-    for leave in (_move_off_absent_servers, _move_to_new_servers, _move_off_overloaded_servers):
+    for leave in (
+        _move_off_absent_servers,
+        _renew_refused_fences,
+        _move_to_new_servers,
+        _move_off_overloaded_servers,
+    ):
         for reason, revocation in leave(situation, placement):
             revocations.append(revocation)
             moves.append(Move(reason, revocation.range))
@@ -287,6 +294,14 @@
             yield reason, Revocation(part, successor)
 
 
+def _renew_refused_fences(situation: Situation, placement: Placement) -> Iterator[ReasonedRevocation]:
+    """Revokes what servers have refused to hold under its fence, for the same server."""
+    for shard in situation.facts.refused():
+        if reason_to_leave(situation, shard.owner) is None:
+            placement.moving.add(shard.owner)  # nothing else of it is revoked by the same change
+            yield Reason.REFUSED, Revocation(shard.range, shard.owner)
+
+
 def _successors(
     situation: Situation, placement: Placement, shard: Shard, reason: Reason
 ) -> Iterator[tuple[KeyRange, Owner]]:
--- a/tests/mesh/test_mesh_shard_planner.py
+++ b/tests/mesh/test_mesh_shard_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -363,3 +365,36 @@
         assert all(
             shard.range.first % 64 == 0 and shard.range.last % 64 == 63 for shard in play.facts.table.shards
         )
+
+
+# --- fences that a server refuses
+
+
+def test_a_range_whose_fence_its_owner_refuses_is_assigned_to_it_again_under_a_higher_one():
+    play = Play(servers=3)
+    before = play.facts.table.shards[0]
+    part = KeyRange(before.range.first, before.range.first + 99)
+    play.facts.add_releases(before.owner, [ReleasedRange(part, before.fence, "token")])
+    assert play.step() == [Reason.REFUSED]
+    assert [revocation.range for revocation in play.planned.revocations] == [part]
+    assert play.step() == []
+    after = play.facts.table.find(part.first)
+    assert (after.range, after.owner, after.handover, after.active) == (part, before.owner, "token", True)
+    assert after.fence > before.fence
+    assert play.settle() == set()
+
+
+def test_refused_parts_that_overlap_are_revoked_once_and_those_of_a_server_that_leaves_with_the_rest():
+    play = Play(servers=3)
+    first, second = play.facts.table.shards[:2]
+    for shard in (first, second):
+        keys = shard.range
+        overlapping = [KeyRange(keys.first, keys.first + 99), KeyRange(keys.first + 50, keys.first + 149)]
+        play.facts.add_releases(shard.owner, [ReleasedRange(part, shard.fence, "") for part in overlapping])
+    play.register(int(second.owner.node[1:]), is_open=False)
+    reasons = play.step()
+    assert Reason.REFUSED in reasons and Reason.CLOSED in reasons
+    revoked = sorted(revocation.range for revocation in play.planned.revocations)
+    assert all(one.last < other.first for one, other in itertools.pairwise(revoked))
+    play.settle()
+    assert all(shard.active for shard in play.facts.table.shards)
