A server that a late heartbeat has replaced is used again once it answers

Callers would get no service from a server: a sidecar without memory that hears the late heartbeat of an earlier process after the first one of the present process takes the present one for ended, and ignores its heartbeats for good. In other services the 421 of the next call shows the error, but no call is sent for keys that are not held.

Cause: the answer of the server at the address, which the sidecar asks for every two seconds while the table names an earlier process, was thrown away if it was another one's than expected, and was not asked for at all if the table named none.

Change: a heartbeat of a process that is taken for ended puts the present one in doubt, and the answer at the address settles it: a process that has sent heartbeats for this service to this sidecar, and answers, is the one. An answer counts only if the server has not changed here since it was asked for.

--- a/mesh/proxy/key_ranges.py
+++ b/mesh/proxy/key_ranges.py
@@ -121,12 +121,17 @@
         """Asks who answers at the server's address, if that can show that an earlier server has ended."""
         now, earlier = self._context.monotonic(), self._earlier_instances()
         cluster = self._control.table.clusters.get(self._service)
-        if now < self._next_probe_at or not earlier or not self._queue.instance or cluster is None:
+        is_useful = bool(earlier) or (self._heartbeats is not None and self._heartbeats.is_server_in_doubt)
+        if now < self._next_probe_at or not is_useful or not self._queue.instance or cluster is None:
             return
         self._next_probe_at = now + PROBE_INTERVAL_S
-        self._queue.probe(cluster.health_path, partial(self._on_probe_answered, earlier))
+        asked = self._queue.instance
+        self._queue.probe(cluster.health_path, partial(self._on_probe_answered, earlier, asked))
 
-    def _on_probe_answered(self, earlier: set[str], instance: str) -> None:
+    def _on_probe_answered(self, earlier: set[str], asked: str, instance: str) -> None:
+        """Handles the id of the server that answered while another one, or the same, was used here."""
+        if self._heartbeats is not None and asked == self._queue.instance:
+            self._heartbeats.on_server_answered(instance)
         if instance != self._owner.instance or instance in earlier:
             return
         for ended in earlier:
--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -103,6 +103,7 @@
         self.suspicion = ServerSuspicion(context.settings.beat_s, context.monotonic())
         self.on_released: Callable[[], None] = lambda: None
         self.on_grants_answered: Callable[[], None] = lambda: None
+        self.is_server_in_doubt = False  # whether another server may have replaced the one that is used
         self._was_suspected = False
         self._number = FIRST_RECORD_NUMBER  # of the current record within this incarnation
         self._confirmed: set[str] = set()  # ids of servers of this service, as earlier heartbeats have shown
@@ -145,11 +146,10 @@
         if parsed.is_error():
             return Error(ErrorKind.BAD)
         heartbeat = parsed.ok
-        if (
-            heartbeat.call_number <= queue.heartbeat_numbers.get(instance, -1)
-            or instance in queue.ended_instances
-        ):
-            # It arrived late: it is superseded by a newer heartbeat, or its instance has ended.
+        if heartbeat.call_number <= queue.heartbeat_numbers.get(instance, -1):
+            return Ok(EMPTY_ANSWER)  # it arrived late: it is superseded by a newer heartbeat
+        if instance in queue.ended_instances:
+            self.is_server_in_doubt = True  # it arrived late, or one of an earlier server did
             return Ok(EMPTY_ANSWER)
         if heartbeat.service != self._context.settings.service:
             logger.warning("rejected a heartbeat of another service", service=heartbeat.service)
@@ -229,6 +229,16 @@
             self.unconfirmed += 1
             logger.info("found a server of an unknown service, awaiting its heartbeat", instance=instance)
 
+    def on_server_answered(self, instance: str) -> None:
+        """Handles the id of the server that answers at the address now.
+
+        If a late heartbeat has replaced that server, it is used again.
+        """
+        self.is_server_in_doubt = False
+        if instance != self._queue.instance and instance in self._alive:
+            self._queue.on_server_gone()
+            self._on_replaced(instance)
+
     def on_known_server(self, message: KnownServer) -> None:
         """Handles the message that an earlier incarnation of this sidecar has registered a server."""
         if message.service != self._context.settings.service:
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -15,6 +15,7 @@
 from hollyport.http.back import Reply
 from mesh import settings
 from mesh.proxy import server_suspicion
+from mesh.proxy.key_ranges import PROBE_INTERVAL_S
 from mesh.proxy.server_holds import ANSWER_TRANSIT_S, GRANT_TRANSIT_S
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
@@ -585,6 +586,45 @@
     world.sidecar.close()
 
 
+@pytest.mark.parametrize("assigned_to", ["i-1", "i-2"])
+@BOTH_WAYS
+@in_event_loop
+async def test_a_server_that_a_late_heartbeat_has_replaced_is_used_again_once_it_answers(way, assigned_to):
+    world = World(way)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.heartbeat(instance="i-2")
+    await world.heartbeat(instance="i-1", call_number=1)  # late, of the server before
+    await world.change(assignments=[Assignment(ALL, Owner("n1", assigned_to), "token")])
+    world.clock += PROBE_INTERVAL_S
+    await world.heartbeat(instance="i-2")
+    world.sidecar.key_ranges._on_tick()
+    assert world.sidecar.server_queue.instance == "i-1"
+    probes[-1]("i-2")
+    await world.heartbeat(instance="i-2")
+    assert world.sidecar.server_queue.instance == "i-2"
+    if assigned_to == "i-2":
+        await world.confirm()
+        assert await world.heartbeat(instance="i-2") or world.upstream.waiting
+    world.sidecar.close()
+
+
+@pytest.mark.parametrize("answers", ["", "i-1", "i-9"])
+@in_event_loop
+async def test_a_server_stays_if_it_or_one_that_is_not_known_answers(answers):
+    world = World(GRANTS_BY_HEARTBEAT)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.heartbeat(instance="i-2")
+    await world.heartbeat(instance="i-1")
+    await world.heartbeat(instance="i-2")  # late
+    world.clock += PROBE_INTERVAL_S
+    world.sidecar.key_ranges._on_tick()
+    probes[-1](answers)
+    assert world.sidecar.server_queue.instance == "i-1"
+    world.sidecar.close()
+
+
 # --- changes of the table of key ranges
 
 
