--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -50,6 +50,7 @@
     call_number: int  # increases with each heartbeat of an instance
     holds: tuple[FencedRange, ...] = ()
     released: tuple[HandoverRow, ...] = ()
+    lists_holds: bool = False  # even if it holds nothing
 
     @property
     def ranges(self) -> HeartbeatRanges:
@@ -70,6 +71,7 @@
                 call_number=int(fields.get("call_seq", 0)),
                 holds=tuple(_parse_held(*row) for row in fields.get("holds", ())),
                 released=tuple(_parse_released(*row) for row in fields.get("released", ())),
+                lists_holds="holds" in fields,
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
@@ -111,11 +113,13 @@
         self._context, self._queue, self._holds, self._on_change = context, queue, holds, on_change
         self.is_sharded = False  # the service of the server
         self.grants_by_heartbeat = False
+        self.lists_holds: bool | None = None  # whether the latest heartbeat of the server does
         self.suspicion = ServerSuspicion(context.settings.beat_s, context.monotonic())
         self.on_released: Callable[[], None] = lambda: None
         self.on_grants_answered: Callable[[], None] = lambda: None
         self._postponed: OpenHeartbeat | None = None
         self._postponed_timer: asyncio.TimerHandle | None = None
+        self.is_server_in_doubt = False  # whether another server may have replaced the one that is used
         # Whether the server seems to be dead, so that its key ranges are to be moved. All that depends on it
         # goes by what was published last, as the time alone changes what the signs of life say.
         self.is_suspected = False
@@ -163,11 +167,10 @@
         if parsed.is_error():
             return Error(ErrorKind.BAD)
         heartbeat = parsed.ok
-        if (
-            heartbeat.call_number <= queue.heartbeat_numbers.get(instance, -1)
-            or instance in queue.ended_instances
-        ):
-            # It arrived late: it is superseded by a newer heartbeat, or its instance has ended.
+        if heartbeat.call_number <= queue.heartbeat_numbers.get(instance, -1):
+            return Ok(None)  # it arrived late: it is superseded by a newer heartbeat
+        if instance in queue.ended_instances:
+            self.is_server_in_doubt = True  # it arrived late, or one of an earlier server did
             return Ok(None)
         if heartbeat.service != self._context.settings.service:
             logger.warning("rejected a heartbeat of another service", service=heartbeat.service)
@@ -175,12 +178,14 @@
         queue.heartbeat_numbers[instance] = heartbeat.call_number
         self.suspicion.on_contact(self._context.monotonic())
         (self._alive.add if heartbeat.ready else self._alive.discard)(instance)
-        before = (queue.instance, queue.open)
-        if self.is_sharded and not heartbeat.ready and before == (instance, True):
+        before = (queue.instance, queue.open, self.lists_holds)
+        self.lists_holds = heartbeat.lists_holds
+        if self.is_sharded and not heartbeat.ready and before[:2] == (instance, True):
             drain_s = self._context.settings.bound("drain", DEFAULT_DRAIN_S)
             queue.drain(self._context.now() + drain_s - DRAIN_MARGIN_S)
         queue.update_server(instance, heartbeat.slots, heartbeat.warm_up_s, heartbeat.ready)
-        if (queue.instance, queue.open) != before:  # a change of slots alone affects no other sidecar
+        after = (queue.instance, queue.open, self.lists_holds)
+        if after != before:  # a change of slots alone affects no other sidecar
             self._publish()
         self.check_suspicion()
         return Ok(heartbeat)
@@ -298,6 +303,16 @@
             self.unconfirmed += 1
             logger.info("found a server of an unknown service, awaiting its heartbeat", instance=instance)
 
+    def on_server_answered(self, instance: str) -> None:
+        """Handles the id of the server that answers at the address now.
+
+        If a late heartbeat has replaced that server, it is used again.
+        """
+        self.is_server_in_doubt = False
+        if instance != self._queue.instance and instance in self._alive:
+            self._queue.on_server_gone()
+            self._on_replaced(instance)
+
     def on_known_server(self, message: KnownServer) -> None:
         """Handles the message that an earlier incarnation of this sidecar has registered a server."""
         if message.service != self._context.settings.service:
--- a/mesh/proxy/server_holds.py
+++ b/mesh/proxy/server_holds.py
@@ -10,9 +10,11 @@
 - the server has said so, and no grant that it has not answered can still reach it; or
 - all that this process has told the server has run out, and it has run for the longest lease itself, so that
   all that an earlier process of the sidecar has told the server has run out as well; or
-- the server process has certainly ended.
+- the server process has certainly ended, and its successor has not taken a call for it: answers to heartbeats
+  can't be misdirected, but calls can. An earlier process of the sidecar may have made such calls, so this
+  counts only once they have run out, or have arrived and the successor's heartbeat does not list the range.
 
-A fence belongs to one owner, so a range with its fence also names the server process.
+A key under a fence has one owner, so a range with its fence also names the server process.
 """
 
 from __future__ import annotations
@@ -24,7 +26,15 @@
 from typing import NamedTuple
 
 from mesh.state.key_leases import CLOCK_DRIFT, LeaseBook, LeaseTimes, hold_duration
-from mesh.state.shards import FencedRange, KeyRange, Owner, ReleasedRange, Shard, ShardTable
+from mesh.state.shards import (
+    DEFAULT_MAX_LEASE_MS,
+    FencedRange,
+    KeyRange,
+    Owner,
+    ReleasedRange,
+    Shard,
+    ShardTable,
+)
 
 GRANT_TRANSIT_S = 0.25  # the most time from reading the clock until the server counts a grant by call
 ANSWER_TRANSIT_S = 0.02  # after which the server goes by the answer to its heartbeat
@@ -44,13 +54,14 @@
     owned: tuple[Shard, ...] = ()  # by the present server, unrevoked
     revoked: tuple[Shard, ...] = ()  # by the present server, or earlier ones of the same node
     promised: tuple[Shard, ...] = ()  # revoked ones of any owner that the present server is to get next
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS  # that has been allowed on any of them
 
     @classmethod
     def of(cls, table: ShardTable, owner: Owner) -> TableView:
         """Returns the ranges of a server and of earlier servers of its node."""
         revoked = [shard for shard in table.shards if shard.revoked and shard.owner.node == owner.node]
         promised = [shard for shard in table.shards if shard.revoked and shard.successor == owner]
-        return cls(tuple(table.owned_by(owner)), tuple(revoked), tuple(promised))
+        return cls(tuple(table.owned_by(owner)), tuple(revoked), tuple(promised), table.max_lease_ms)
 
 
 @dataclass(slots=True)
@@ -60,6 +71,7 @@
     hold_s: float = 0.0  # of the last grant
     told_at: float = -math.inf
     may_hold_until: float = -math.inf
+    may_hold_by_call_until: float = -math.inf  # also another server process that has taken the call
     holds_from: float = math.inf
     holds_until: float = -math.inf
     renew_at: float = -math.inf  # by call
@@ -71,6 +83,11 @@
         self.hold_s, self.told_at = hold_s, now
         self.may_hold_until = max(self.may_hold_until, now + transit_s + hold_s / (1 - CLOCK_DRIFT))
 
+    def may_last(self, now: float, has_owner_ended: bool) -> bool:
+        """Returns whether a server may hold the range: its owner, or another one that has taken a call."""
+        until = self.may_hold_by_call_until if has_owner_ended else self.may_hold_until
+        return self.in_flight or until > now
+
     def take(self, holds_from: float, counted_from: float) -> None:
         """Notes that the server holds the range, counted from a time, for as long as it was told last."""
         if self.holds_until <= holds_from:
@@ -122,11 +139,13 @@
         self._times, self._leases, self._started_at = times, leases, started_at
         self._owner = Owner("", "")
         self._view = TableView()
-        self._has_table = self._by_call = False
+        self._has_table = False
         self._grants: dict[FencedRange, Grant] = {}
         self._closed: set[FencedRange] = set()  # no more calls for their keys are sent under these fences
         self._refused: set[FencedRange] = set()  # the server has seen a higher fence
         self._answers: list[tuple[float, ReleasedRange]] = []  # what the server let go of, and since when
+        self._first_number: int | None = None  # of a heartbeat after all calls of earlier processes arrived
+        self._listed: tuple[FencedRange, ...] | None = None  # by the latest heartbeat after that one
         self._left_out: dict[FencedRange, int] = {}  # from the answer to the heartbeat of this number on
         self.ended_instances: set[str] = set()  # server processes that have certainly ended
 
@@ -135,8 +154,8 @@
         """How long a lease lasts from the sending of its question."""
         return self._times.lease_s
 
-    def update(self, owner: Owner, view: TableView | None, by_call: bool) -> None:
-        """Sets the present server, what this sidecar's copy of the table says of it, and how it is told.
+    def update(self, owner: Owner, view: TableView | None) -> None:
+        """Sets the present server and what this sidecar's copy of the table says of it.
 
         The view is None while there is no table here.
         """
@@ -144,7 +163,8 @@
             for grant in self._grants.values():
                 grant.holds_until = -math.inf
             self._left_out.clear()
-        self._owner, self._by_call, self._has_table = owner, by_call, view is not None
+            self._first_number = self._listed = None
+        self._owner, self._has_table = owner, view is not None
         self._view = view = view or TableView()
         known = {shard.fence for shard in (*view.owned, *view.revoked)}
         known |= {held.fence for held in self._grants}
@@ -253,6 +273,7 @@
         """Notes a call that is about to be written, for which the clock was read."""
         grant = self._grants.setdefault(held, Grant())
         grant.tell(now, hold_ms / 1000, GRANT_TRANSIT_S)
+        grant.may_hold_by_call_until = grant.may_hold_until
         grant.in_flight = True
         grant.renew_at = now + grant.hold_s / GRANTS_PER_HOLD
 
@@ -272,10 +293,15 @@
         self._refused.add(held)
         self._closed.add(held)
 
-    def on_grant_unanswered(self, now: float, held: FencedRange) -> None:
-        """Notes that a call was given up after it was written; the server may have taken it, or may yet."""
+    def on_grant_unanswered(self, now: float, held: FencedRange, write_delay_s: float = 0.0) -> None:
+        """Notes that a call was given up after it was written; the server may have taken it, or may yet.
+
+        `write_delay_s` is from when the clock was read for the call until the kernel took it.
+        """
         grant = self._grants[held]
         grant.in_flight = False
+        grant.may_hold_by_call_until += write_delay_s
+        grant.may_hold_until = max(grant.may_hold_until, grant.may_hold_by_call_until)
         grant.unanswered_until = grant.may_hold_until
         grant.renew_at = now + RETRY_DELAY_S
 
@@ -291,21 +317,23 @@
         A release waits for a grant of the same range that is on its way, which could arrive after it; also
         for those of an earlier process of this sidecar.
         """
-        if now < self._started_at + EARLIER_CALLS_S:
-            return []
         return [
             held
-            for held in self._unwanted()
-            if not self._is_released(now, held)
-            and not any(_overlap(held, granted) for granted, grant in self._grants.items() if grant.in_flight)
+            for held in (*self._revoked(), *self._refused)
+            if not self._is_released(now, held) and not self._may_be_arriving(now, held)
         ]
 
-    def _unwanted(self) -> Iterator[FencedRange]:
-        """Yields the ranges that the server at the address may hold and is not to."""
+    def _may_be_arriving(self, now: float, held: FencedRange) -> bool:
+        """Returns whether a call that grants a part of a range may be on its way."""
+        return now < self._started_at + EARLIER_CALLS_S or any(
+            grant.in_flight and _overlap(held, granted) for granted, grant in self._grants.items()
+        )
+
+    def _revoked(self) -> Iterator[FencedRange]:
+        """Yields the revoked ranges that the server at the address may hold."""
         for shard in self._view.revoked:
             if shard.owner == self._owner or shard.owner.instance in self.ended_instances:
                 yield shard.fenced_range
-        yield from self._refused
 
     def close(self, held: FencedRange) -> None:
         """Closes the gate for the keys of a range under its fence, for good."""
@@ -361,18 +389,18 @@
         self, now: float, owner: Owner, fence: int, ranges: Iterable[KeyRange]
     ) -> Iterator[KeyRange]:
         """Yields the parts of some ranges that a server can't hold, as its time is over or it has ended."""
-        # A call that was meant for an earlier server may have reached the present one, so that an end alone
-        # shows that a range is not held only where servers are told in answers, which can't be misdirected.
-        if owner.instance in self.ended_instances and not self._by_call:
-            yield from ranges
-        elif now >= self._started_at + self._times.reassignment_delay_s:
-            live = [
-                granted.range
-                for granted, grant in self._grants.items()
-                if granted.fence == fence and (grant.in_flight or grant.may_hold_until > now)
-            ]
-            for keys in ranges:
-                yield from subtract(keys, live)
+        has_ended = owner.instance in self.ended_instances
+        held = [
+            granted.range
+            for granted, grant in self._grants.items()
+            if granted.fence == fence and grant.may_last(now, has_ended)
+        ]
+        if now < self._started_at + LeaseTimes.of_lease(self._view.max_lease_ms / 1000).reassignment_delay_s:
+            if not has_ended or self._listed is None:
+                return
+            held += [listed.range for listed in self._listed if listed.fence <= fence]
+        for keys in ranges:
+            yield from subtract(keys, held)
 
     def _handover(self, held: FencedRange) -> str:
         """Returns the token that the server gave for a range, if it gave one."""
@@ -389,6 +417,7 @@
         Only what an answer to an earlier heartbeat has left out counts: the server has read that answer, or
         did not take any, before it sent this heartbeat.
         """
+        self._list(now, heartbeat)
         before = len(self._answers)
         for left_out, number in self._left_out.items():
             if heartbeat.call_number > number:
@@ -396,6 +425,15 @@
                     self._add_answer(now, released)
         return len(self._answers) > before
 
+    def _list(self, now: float, heartbeat: HeartbeatRanges) -> None:
+        """Notes what the server lists, if it did so after all calls of earlier processes had arrived."""
+        if now < self._started_at + EARLIER_CALLS_S:
+            return
+        if self._first_number is None:
+            self._first_number = heartbeat.call_number  # it may have been on its way for long
+        elif heartbeat.call_number > self._first_number:
+            self._listed = heartbeat.holds
+
     def answer_heartbeat(
         self, now: float, received_after: float, heartbeat: HeartbeatRanges, max_hold_s: float
     ) -> HeartbeatGrants | None:
@@ -416,7 +454,7 @@
         if hold_ms <= 0:
             return None
         self._tell_by_answer(now, received_after, told, hold_ms)
-        self._leave_out(heartbeat.call_number)
+        self._leave_out(now, heartbeat.call_number)
         return HeartbeatGrants(rows, hold_ms)
 
     def is_promised_ranges(self) -> bool:
@@ -463,12 +501,16 @@
             for granted in self.held_ranges(now)
         )
 
-    def _leave_out(self, call_number: int) -> None:
-        """Closes the gate for what the server is told to let go of."""
-        for shard in self._view.revoked:
-            if shard.owner == self._owner:
-                self.close(shard.fenced_range)
-                self._left_out.setdefault(shard.fenced_range, call_number)
+    def _leave_out(self, now: float, call_number: int) -> None:
+        """Closes the gate for what the server is told to let go of.
+
+        That includes what a call for an earlier server may have given it. The next heartbeat shows that a
+        range is not held only if no such call could arrive after this answer.
+        """
+        for held in self._revoked():
+            self.close(held)
+            if not self._may_be_arriving(now, held):
+                self._left_out.setdefault(held, call_number)
 
 
 def _is_listed(shard: Shard, heartbeat: HeartbeatRanges) -> bool:
--- a/tests/mesh/test_mesh_grants.py
+++ b/tests/mesh/test_mesh_grants.py
@@ -15,8 +15,9 @@
 from hollyport.http.back import Reply
 from mesh import settings
 from mesh.proxy import server_suspicion
+from mesh.proxy.key_ranges import PROBE_INTERVAL_S
 from mesh.proxy.server_heartbeats import MAX_ANSWER_DELAY_S
-from mesh.proxy.server_holds import ANSWER_TRANSIT_S
+from mesh.proxy.server_holds import ANSWER_TRANSIT_S, GRANT_TRANSIT_S
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
 from mesh.state.configuration import GRANTS_BY_HEARTBEAT, GRANTS_BY_INVOCATION, Item
@@ -112,6 +113,7 @@
         listed = {"upserts": {"cluster_list": [cluster]}}
         self.sidecar.control.apply_items(configuration.parse_change(json.dumps(listed).encode()).ok)
         self.table = ShardTable(SERVICE)
+        self.lists_holds = True  # in heartbeats
 
     async def begin(self):
         """Lets the server come up and own the keys from 0 to 199 under fence 1."""
@@ -136,11 +138,14 @@
 
     async def confirm(self):
         """Lets both connected voters confirm the latest question."""
+        self.answer_question()
+        await self.turn()
+
+    def answer_question(self):
         question = self.sent(RenewLease)[-1]
         answer = LeaseAnswer(question.number, question.epoch, (True,) * len(question.ranges))
         for connection in self.connections.values():
             self.sidecar.on_message(connection, answer)
-        await self.turn()
 
     async def heartbeat(self, holds=(), released=(), state="ready", call_number=None, instance="i-1"):
         """Sends a heartbeat and returns its answer."""
@@ -157,6 +162,8 @@
             "holds": holds,
             "released": released,
         }
+        if not self.lists_holds:
+            del body["holds"], body["released"]
 
         async def ask():
             answer = await call(self.sidecar.heartbeats.serve, "put", f"/-/instances/{instance}", body)
@@ -292,6 +299,23 @@
     world.sidecar.close()
 
 
+@pytest.mark.parametrize("named", ["", "invoke", "Heartbeat"])
+@pytest.mark.parametrize("by_settings", [False, True])
+@pytest.mark.parametrize("lists_holds", [False, True])
+@in_event_loop
+async def test_where_no_known_way_is_named_the_heartbeats_of_the_server_tell_it(
+    named, by_settings, lists_holds
+):
+    world = World(named, by_settings)
+    world.lists_holds = lists_holds
+    await world.begin()
+    world.way = GRANTS_BY_HEARTBEAT if lists_holds else GRANTS_BY_INVOCATION
+    assert not world.allows(50)
+    await world.grant()
+    assert world.allows(50)
+    world.sidecar.close()
+
+
 # --- by call
 
 
@@ -358,6 +382,32 @@
     world.sidecar.close()
 
 
+@in_event_loop
+async def test_a_range_granted_by_a_call_that_was_written_late_is_not_reported_before_it_runs_out():
+    world = World(GRANTS_BY_INVOCATION)
+    await world.begin()
+    world.upstream.writable = False
+    world.answer_question()
+    (grant,) = world.upstream.waiting
+    hold_s = int(grant.fields["hold"].removesuffix("ms")) / 1000
+    world.clock += 0.6
+    grant.on_written()
+    taken_at = world.clock
+    await world.turn()
+    assert grant.over
+    await world.change(revocations=[Revocation(ALL, OTHER)])
+    for release in list(world.upstream.waiting):
+        release.end(AttemptOutcome.RESET)
+    holds_until = taken_at + hold_s / (1 - CLOCK_DRIFT)
+    world.clock = holds_until - 0.01
+    world.sidecar.key_ranges.reports.report_releases()
+    assert not world.sent(RangesReleased)
+    world.clock = holds_until + GRANT_TRANSIT_S
+    world.sidecar.key_ranges.reports.report_releases()
+    assert world.sent(RangesReleased)
+    world.sidecar.close()
+
+
 @in_event_loop
 async def test_a_refused_fence_is_not_used_again_and_reported_once_the_server_has_let_go():
     world = World(GRANTS_BY_INVOCATION)
@@ -606,6 +656,68 @@
     assert report.owner == ME and report.ranges == ((ALL, 1, ""),)
     await world.change(assignments=[Assignment(KeyRange(200, 299), OTHER)])
     assert len(world.sent(RangesReleased)) == 1, "the regular reports repeat it"
+
+
+@in_event_loop
+async def test_a_call_taken_by_the_next_server_counts_after_the_way_of_granting_has_changed():
+    world = World(GRANTS_BY_INVOCATION)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.begin()
+    await world.confirm()
+    world.upstream.waiting[0].reply()  # by i-2, which has just started at the address
+    await world.turn()
+    cluster = {"name": SERVICE, "revision": "r2", "sharded": True, "grants": GRANTS_BY_HEARTBEAT}
+    change = json.dumps({"upserts": {"cluster_list": [cluster]}}).encode()
+    world.sidecar.control.apply_items(configuration.parse_change(change).ok)
+    world.clock += 0.2
+    await world.heartbeat(instance="i-2", holds=[[0, 199, 1]])
+    await world.change(revocations=[Revocation(ALL, OTHER)])
+    probes[-1]("i-2")
+    await world.turn()
+    assert not world.sent(RangesReleased)
+    await world.heartbeat(instance="i-2", holds=[[0, 199, 1]])
+    await world.heartbeat(instance="i-2")
+    assert [report.owner for report in world.sent(RangesReleased)] == [ME]
+    world.sidecar.close()
+
+
+@pytest.mark.parametrize("assigned_to", ["i-1", "i-2"])
+@BOTH_WAYS
+@in_event_loop
+async def test_a_server_that_a_late_heartbeat_has_replaced_is_used_again_once_it_answers(way, assigned_to):
+    world = World(way)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.heartbeat(instance="i-2")
+    await world.heartbeat(instance="i-1", call_number=1)  # late, of the server before
+    await world.change(assignments=[Assignment(ALL, Owner("n1", assigned_to), "token")])
+    world.clock += PROBE_INTERVAL_S
+    await world.heartbeat(instance="i-2")
+    world.sidecar.key_ranges._on_tick()
+    assert world.sidecar.server_queue.instance == "i-1"
+    probes[-1]("i-2")
+    await world.heartbeat(instance="i-2")
+    assert world.sidecar.server_queue.instance == "i-2"
+    if assigned_to == "i-2":
+        await world.confirm()
+        assert await world.heartbeat(instance="i-2") or world.upstream.waiting
+    world.sidecar.close()
+
+
+@pytest.mark.parametrize("answers", ["", "i-1", "i-9"])
+@in_event_loop
+async def test_a_server_stays_if_it_or_one_that_is_not_known_answers(answers):
+    world = World(GRANTS_BY_HEARTBEAT)
+    probes = []
+    world.sidecar.server_queue.probe = lambda path, on_result: probes.append(on_result)
+    await world.heartbeat(instance="i-2")
+    await world.heartbeat(instance="i-1")
+    await world.heartbeat(instance="i-2")  # late
+    world.clock += PROBE_INTERVAL_S
+    world.sidecar.key_ranges._on_tick()
+    probes[-1](answers)
+    assert world.sidecar.server_queue.instance == "i-1"
     world.sidecar.close()
 
 
