--- a/rehearsal/mesh/field.py
+++ b/rehearsal/mesh/field.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 from typing import NamedTuple
 
@@ -117,9 +118,12 @@
         relayed: bool = False,
         key_window_s: float = KEY_WINDOW_S,
         sharding: Sharding = NO_SHARDING,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
+        """`limits`: what the settings of each process tell of its machine, by name."""
         self._folder, self._history = folder, history
         self.sharding = sharding
+        self._limits = dict(limits or {})
         self._bounds = [*BOUNDS, f"key_window={key_window_s:g}s"]
         if sharding.services:
             self._bounds.append(f"hold_max={HOLD_MAX_S:g}s")
@@ -156,7 +160,9 @@
             told |= {"app_addr": machine.at("app"), "service": machine.service}
             doors += ["outbound", "ready"]
         lines = [f"{name} = {json.dumps(value)}" for name, value in told.items()]
-        return "\n".join([*lines, "[listen_map]", *(f'{door} = "{machine.at(door)}"' for door in doors), ""])
+        lines += ["[listen_map]", *(f'{door} = "{machine.at(door)}"' for door in doors)]
+        lines += ["[limit_set]", *(f"{name} = {value}" for name, value in self._limits.items())]
+        return "\n".join([*lines, ""])
 
     async def start_all(self) -> None:
         """The first start of the whole system; the machines' settings say so this once."""
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -22,6 +22,7 @@
 SPARE = 12  # routes that no client asks for, set and dropped all the time
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.05, 0.4
 PACE_S = 0.12
+MAX_BODY_BYTES = 1 << 20
 CALL_S = 10.0  # after so long a call is given up
 ENDS = frozenset({200, 400, 409, 412, 413, 422})
 
@@ -84,7 +85,9 @@
         draw: random.Random,
         versions: Iterator[int],
         sharding: Sharding = NO_SHARDING,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        self._max_body_bytes = max_body_bytes  # of a request, as the configuration tells it
         self._controllers, self._history, self._draw, self._versions = controllers, history, draw, versions
         self._sharding = sharding
         self.stopping = False
@@ -124,7 +127,7 @@
         version = next(self._versions)
         rules = [rule(kind, kind, prefix, to, version) for kind, (prefix, to) in PATHS.items()]
         clusters = [cluster(name, version, self._sharding) for name in SERVICES]
-        limits = {"max_body_bytes": 1 << 20, "revision": f"r{version}"}
+        limits = {"max_body_bytes": self._max_body_bytes, "revision": f"r{version}"}
         upserts = {
             "limit_set": limits,
             "listener_list": [{"hostname": HOST, "rule_set": rules}],
--- a/tests/mesh/small_mesh.py
+++ b/tests/mesh/small_mesh.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,7 +14,7 @@
 from rehearsal.mesh.field import KEY_WINDOW_S, NO_SHARDING, Field, Machine, Sharding
 from rehearsal.mesh.judge import Arrival, History
 from rehearsal.mesh.key_holds import KeyStates
-from rehearsal.mesh.operator import HOST, PATHS, Operator
+from rehearsal.mesh.operator import HOST, MAX_BODY_BYTES, PATHS, Operator
 from rehearsal.mesh.server import Server
 
 _, SERVICE = PATHS["idempotent"]
@@ -64,12 +64,18 @@
 
 @asynccontextmanager
 async def small_mesh(
-    folder: Path, key_window_s: float = KEY_WINDOW_S, sharding: Sharding = NO_SHARDING
+    folder: Path,
+    key_window_s: float = KEY_WINDOW_S,
+    sharding: Sharding = NO_SHARDING,
+    limits: Mapping[str, int] | None = None,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> AsyncIterator[SmallMesh]:
     """Starts a mesh with its first configuration, and ends all its processes afterwards."""
     history = History()
-    field = Field(folder, history, key_window_s=key_window_s, sharding=sharding)
-    operator = Operator(field.controllers, history, random.Random(1), itertools.count(1), sharding)
+    field = Field(folder, history, key_window_s=key_window_s, sharding=sharding, limits=limits)
+    operator = Operator(
+        field.controllers, history, random.Random(1), itertools.count(1), sharding, max_body_bytes
+    )
     made = SmallMesh(field, history, {}, operator, KeyStates())
     try:
         await field.start_all()
