One account a process for the memory that clients hold, at every address

What callers saw: a crowd of clients inside the limits, most a byte short of their end, made a process hold all that was sent, and up to 30 times as much where chunks were very small; it ended for want of memory.

Cause: each body was counted by itself and nothing counted all of them. A body was a list of the pieces that came, joined to a second copy, and copied again on its way to the server.

Change: whatever a client makes a process hold is charged to one account by what it costs: heads, bodies, what waits to be parsed, answers that aren't taken, whole requests until they are answered, bodies that other sidecars send, chunks in flight, decoding of JSON. A charge lives as long as the object that holds the bytes. Bodies are kept in blocks, are passed on without a join and go to the server block by block. Beyond what is read freely a body goes on only with a grant, for which all that it may still need has to fit; others are paused, and bodies that have stopped are refused while others wait. Clients whose bytes take long to parse take turns. At control, decoding JSON is refused where its result would not fit.

Two tests of HTTP servers and one of request heads pass the account or the body along now; what they check is unchanged.

--- a/hollyport/http/back.py
+++ b/hollyport/http/back.py
@@ -6,12 +6,12 @@
 import re
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import httptools
 
 from dunefield.interface import AttemptOutcome
-from hollyport.bodies.flow import Flow
+from hollyport.bodies.flow import Flow, Sink
 from hollyport.bodies.ledger import Ledger
 from hollyport.http import heads
 from hollyport.nodes.back import Beside
@@ -67,12 +67,28 @@
     flow: Flow
 
 
+class Feed(Protocol):
+    """Where the body of a request comes from, piece by piece."""
+
+    def attach(self, sink: Sink) -> None:
+        """Give a sink what has come, and all that will."""
+
+    def detach(self, sink: Sink) -> None:
+        """The sink takes no more."""
+
+    def hold(self) -> None:
+        """The sink can't take more for now."""
+
+    def go_on(self) -> None:
+        """It can."""
+
+
 class Outgoing(NamedTuple):
-    """A request whose body is still coming."""
+    """A request whose body goes out piece by piece."""
 
     head: bytes
     chunked: bool
-    flow: Flow
+    flow: Feed
 
 
 class Spoilt(Exception):
@@ -88,15 +104,18 @@
         max_body: int = MAX_BODY,
         stall_s: float = 0.0,
         ledger: Ledger | None = None,
+        unread_s: float = UNREAD_S,
     ) -> None:
+        """`unread_s`: how long a node may take nothing of a body that is being sent; 0 for any time."""
         super().__init__(on_lost, stall_s)
+        self._unread_s = unread_s
         self._max_body = max_body
         self._usual_stall_s, self._ledger = stall_s, ledger
         self._length: int | None = None
         self._until_close = False
         self._since = 0.0  # when the answer's head was there
         self._down: Flow | None = None  # the answer, while it is passed on
-        self._up: Flow | None = None  # the request's body, while it comes
+        self._up: Feed | None = None  # the request's body, while it comes
         self._chunked = False
         self._unread: asyncio.TimerHandle | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -142,7 +161,8 @@
         super().pause_writing()
         if self._up is not None:
             self._up.hold()
-            self._unread = asyncio.get_running_loop().call_later(UNREAD_S, self.abort)
+            if self._unread_s:
+                self._unread = asyncio.get_running_loop().call_later(self._unread_s, self.abort)
 
     def resume_writing(self) -> None:
         self._read_on()
@@ -343,11 +363,13 @@
 class HttpBack:
     """Nodes that speak HTTP/1.1 (hollyport.nodes.back.Back)."""
 
-    def __init__(self, reports: bool, ledger: Ledger | None = None) -> None:
+    def __init__(self, reports: bool, ledger: Ledger | None = None, unread_s: float = UNREAD_S) -> None:
+        """`unread_s`: see Connection."""
+        self._unread_s = unread_s
         self.probe = heads.probe(reports)
         self.beside: Beside | None = None
         self._ledger = ledger or Ledger(0)
 
     def connection(self, on_lost: Callable[[Any], None], stall_s: float) -> Connection:
         """A connection to be opened."""
-        return Connection(on_lost, stall_s=stall_s, ledger=self._ledger)
+        return Connection(on_lost, stall_s=stall_s, ledger=self._ledger, unread_s=self._unread_s)
--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from hollyport.bodies.blocks import Blocks
 from hollyport.bodies.flow import Flow
 from hollyport.core.contract import Service, Terms
 from hollyport.guests.guest import AHEAD, Guest
@@ -66,7 +67,7 @@
         self._raw = 0  # bytes since the message began, while its head is not whole
         self._in_head = True
         self._headed = 0.0  # when the head was whole
-        self._body: list[bytes] = []
+        self._body: Blocks | None = None  # as far as it has come, where it is not passed on
         self._size = 0
         self._error = 0
         self._max_body, self._max_head = MAX_BODY, MAX_HEAD
@@ -134,6 +135,7 @@
 
     def _let_go(self) -> None:
         self._parser = None  # it holds this connection: without the cycle both go at once
+        self._body = None
         message, self._message = self._message, None
         if message is not None and message.flow is not None:
             message.flow.end(False)
@@ -173,7 +175,7 @@
     def on_message_begin(self) -> None:
         self._message = Message(self)
         self._in_head = True
-        self._body, self._size = [], 0
+        self._body, self._size = None, 0
 
     def on_url(self, url: bytes) -> None:
         if self._message is not None:
@@ -228,6 +230,8 @@
         if message.flow is not None:
             message.flow.put(body)
             return
+        if self._body is None:
+            self._body = Blocks()
         self._body.append(body)
         if self._size > HOLD and message.terms is None:
             self._read_terms(message)
@@ -247,10 +251,15 @@
             message.flow.end(True)
             self._service.whole(message)
             return
-        message.body = b"".join(self._body)
-        self._body = []
+        body, self._body = self._body, None
+        if body is not None:
+            self._keep_body(message, body)
         self._came(message)
 
+    def _keep_body(self, message: Message, body: Blocks) -> None:
+        """Give a request its whole body."""
+        message.body = body.join()
+
     # --- a large request
 
     def _read_terms(self, message: Message) -> None:
@@ -274,8 +283,8 @@
         message.came = self._loop.time()
         message.flow = flow = Flow(self, self._ledger, replay=True)
         flow.on_spent = partial(self._service.spent, message)
-        body, self._body = self._body, []
-        for piece in body:
+        body, self._body = self._body, None
+        for piece in body or ():
             flow.put(piece)
         self._paced = self._loop.time(), self._size
         self._loop.call_later(PACE_S, self._pace, message)
@@ -407,9 +416,13 @@
         """Answer what can't be served."""
         transport = self._transport
         if transport is not None and not transport.is_closing():
-            transport.write(head(self._error, 0, [], False))
+            transport.write(head(self._error, 0, self._error_headers(), False))
             self._leave()
 
+    def _error_headers(self) -> Headers:
+        """What goes with the answer to what can't be served."""
+        return []
+
     # --- a large answer
 
     def flow(self, message: Message, answer: Flowing) -> None:
--- a/hollyport/http/heads.py
+++ b/hollyport/http/heads.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Sized
 from functools import lru_cache
 
 Headers = list[tuple[bytes, bytes]]
@@ -22,7 +22,7 @@
 COMMON_LOAD = 256  # bytes; a longer report is not remembered
 
 
-def forwarded(method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
+def forwarded(method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: Sized) -> bytes:
     """The head of a request as it goes on to a node, but for the time that is left and the empty line."""
     parts = [b"%s %s HTTP/1.1\r\n" % (method, target)]
     parts += [b"%s: %s\r\n" % pair for pair in headers if pair[0] not in NOT_FORWARDED]
--- a/hollyport/http/message.py
+++ b/hollyport/http/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, Protocol
 
 from hollyport.http import heads
@@ -9,6 +10,7 @@
 from hollyport.http.heads import Headers
 
 if TYPE_CHECKING:
+    from hollyport.bodies.blocks import Blocks
     from hollyport.bodies.flow import Flow
     from hollyport.core.contract import Terms
     from hollyport.http.back import Flowing, Reply
@@ -48,7 +50,8 @@
     """One request as it came, and where its one answer goes."""
 
     __slots__ = ("method", "target", "headers", "body", "keep_alive", "connection", "came", "request_id",
-                 "_head", "length", "terms", "flow", "old", "sent_after")  # fmt: skip
+                 "_head", "length", "terms", "flow", "old", "sent_after", "blocks",
+                 "charge")  # fmt: skip
 
     def __init__(self, connection: Answering) -> None:
         self.connection = connection
@@ -62,6 +65,8 @@
         self.terms: Terms | None = None  # read from the head alone, where the body is too large to wait for
         self.flow: Flow | None = None  # the body, where it goes on while it comes
         self.old = False  # HTTP/1.0
+        self.blocks: Blocks | None = None  # the whole body, where it is large and its owner takes blocks
+        self.charge: object = None  # accounts for its memory for as long as it lives, where its owner does so
         self.sent_after: float | None = None  # its first byte was sent later than this, where that is known
 
     def header(self, name: bytes) -> bytes | None:
@@ -71,6 +76,19 @@
                 return value
         return None
 
+    @property
+    def size(self) -> int:
+        """The length of a body that is whole."""
+        return len(self.body) if self.blocks is None else self.blocks.size
+
+    def pieces(self) -> Iterable[bytes]:
+        """A whole body as it is kept."""
+        return (self.body,) if self.blocks is None else self.blocks
+
+    def whole_body(self) -> bytes:
+        """A whole body as one object."""
+        return self.body if self.blocks is None else self.blocks.join()
+
     def all(self, name: bytes) -> list[bytes]:
         """All headers of this lower-case name."""
         return [value for key, value in self.headers if key == name]
--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -111,7 +111,7 @@
     if metrics:
         from mesh.transport.metrics_server import start_metrics_server
 
-        await start_metrics_server(role_settings.ip, metrics, process.metrics)
+        await start_metrics_server(role_settings.ip, metrics, process.metrics, process.memory)
     gc.freeze()
     gc.enable()
     watcher = loop.create_task(_watch_settings(process, path, reload))
--- a/mesh/control/admin_api.py
+++ b/mesh/control/admin_api.py
@@ -11,6 +11,7 @@
 from mesh.errors import ERROR_RESPONSES, ErrorKind
 from mesh.figures import LabelledCounter
 from mesh.state import configuration
+from mesh.transport.memory_account import MemoryAccount, decoded_json_bytes
 
 REQUEST_TIMEOUT_S = 0.9  # every configuration request is answered within this time
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -21,7 +22,10 @@
 class AdminApi:
     """The admin API of one controller."""
 
-    def __init__(self, context: Context, agreement: Agreement, heartbeats: Heartbeats) -> None:
+    def __init__(
+        self, context: Context, agreement: Agreement, heartbeats: Heartbeats, account: MemoryAccount
+    ) -> None:
+        self._account = account
         self._context, self._agreement, self._heartbeats = context, agreement, heartbeats
         self.changes = LabelledCounter(
             "mesh_orders", "Operators' changes that were answered, by outcome.", ("outcome",)
@@ -75,7 +79,10 @@
         if not await self._heartbeats.wait_for_contact(max(0.0, REQUEST_TIMEOUT_S - ROUND_TIMEOUT_S)):
             self._refuse_change(message, ErrorKind.NO_QUORUM)
             return
-        change = configuration.parse_change(message.body)
+        if not self._account.fits(decoded_json_bytes(message.pieces())):
+            self._refuse_change(message, ErrorKind.REFUSED)
+            return
+        change = configuration.parse_change(message.whole_body())
         if change.is_error():
             self._refuse_change(message, ErrorKind.INVALID, change.error)
             return
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -32,6 +32,7 @@
 from mesh.state.configuration import Item
 from mesh.state.quorum import Voters
 from mesh.transport import connection, http_server, messages
+from mesh.transport.client_memory import ClientMemory
 from mesh.transport.connection import PeerConnection
 from mesh.transport.messages import Answer, Message
 
@@ -48,6 +49,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.context = context = Context(settings, self._records)
+        self.memory = ClientMemory.of(context.loop, settings)
         heartbeat_s = settings.bound("contact", 3.0) * HEARTBEAT_FRACTION
         self.peers = Peers(context, self, MAX_MISSED_HEARTBEATS * heartbeat_s)
         self.agreement = Agreement(context, self.peers)
@@ -74,7 +76,7 @@
             self._records,
             self._on_caught_up,
         )
-        self.api = AdminApi(context, self.agreement, self.heartbeats)
+        self.api = AdminApi(context, self.agreement, self.heartbeats, self.memory.account)
         self.lease_votes = LeaseVotes(context, self.agreement, self.elections.current_voters)
         self.shards = ShardAssigner(context, self.agreement, self.heartbeats, self.elections, self.publisher)
         self.agreement.on_new_items = self._on_new_items
@@ -175,7 +177,9 @@
             settings.peer_address, self.hear, lambda link: None, self.publisher.on_disconnect
         )
         assert settings.control is not None
-        self._http_server = await http_server.open_http_server(settings.control, self.api.serve)
+        self._http_server = await http_server.open_http_server(
+            settings.control, self.api.serve, memory=self.memory
+        )
         for address in [*settings.seed_peers, *self.voters.names, *self.context.member.previous_voters]:
             self.peers.add(address)
         self.context.spawn(self.recovery.run(disk_empty))
--- a/mesh/proxy/body_receiver.py
+++ b/mesh/proxy/body_receiver.py
@@ -4,14 +4,25 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 
+from hollyport.bodies.blocks import Blocks
 from mesh.proxy.chunked_transfer import ReceiveWindow
 from mesh.proxy.context import ProxyContext
 from mesh.transport.connection import PeerConnection
+from mesh.transport.memory_account import Charge
 from mesh.transport.messages import BodyChunk, BodyDropped, Call, SendBody
 
+
+class CallBody(NamedTuple):
+    """The whole body of a call, and what accounts for it for as long as it is kept."""
+
+    blocks: Blocks
+    charge: object = None
+
+
 CallId = tuple[PeerConnection | None, int]
 """The connection that a call came from, None for calls of this sidecar, and its number there."""
 LINK_BYTES_PER_MBIT = 125_000
@@ -24,12 +35,8 @@
     call: Call
     started_at: float  # by the time of the event loop
     received_at: float  # of the call, by the monotonic clock
-    chunks: list[bytes] = field(default_factory=list)
-
-    @property
-    def received(self) -> int:
-        """Number of bytes received so far."""
-        return sum(map(len, self.chunks))
+    charge: Charge  # for the whole body, as its sender holds nothing back
+    body: Blocks = field(default_factory=Blocks)  # as far as it has come
 
 
 class BodyReceiver:
@@ -42,7 +49,7 @@
     def __init__(
         self,
         context: ProxyContext,
-        on_complete: Callable[[PeerConnection, int, Call], None],
+        on_complete: Callable[[PeerConnection, int, Call, CallBody], None],
         on_reject: Callable[[PeerConnection, int, Call], None],
     ) -> None:
         self._context, self._on_complete, self._on_reject = context, on_complete, on_reject
@@ -61,30 +68,38 @@
         """Requests the body of a call, or rejects the call if the body can't arrive within `timeout_s`.
 
         On an overloaded link all bodies would be late otherwise, and a call that is rejected at once has not
-        used the link yet.
+        used the link yet. It is rejected as well if there is no memory for its body.
         """
-        now, call_id = self._context.now(), (connection, number)
-        if self.receive_window.expected_transfer_s(call.size) > timeout_s:
+        now, call_id, window = self._context.now(), (connection, number), self.receive_window
+        if window.expected_transfer_s(call.size) > timeout_s or not self._has_room(call.size):
             self._on_reject(connection, number, call)
             return
-        self.bodies[call_id] = IncomingBody(call, now, self._context.monotonic())
+        charge = self._context.memory.account.charge(call.size)
+        self.bodies[call_id] = IncomingBody(call, now, self._context.monotonic(), charge)
         self._context.open_calls += 1
-        self.receive_window.add(now, call_id, call.size)
+        window.add(now, call_id, call.size)
         self._context.loop.call_later(timeout_s, self.expire, call_id)
         self._context.loop.call_later(call.remaining_s, self.expire, call_id, True)
         self._send_grants()
 
+    def _has_room(self, size: int) -> bool:
+        """Returns whether there is memory for a body; what is left to small requests is not taken."""
+        memory = self._context.memory
+        return memory.account.held + size <= memory.policy.body_limit
+
     def expire(self, call_id: CallId, final: bool = False) -> None:
         """Rejects a call whose body is less than half complete in time because smaller ones went first.
 
         With `final` it is rejected in any case, as its sender keeps the body until it gets a response.
         """
-        body = self.bodies.get(call_id)
-        if body is not None and (final or body.received < body.call.size / 2):
+        incoming = self.bodies.get(call_id)
+        if incoming is None:
+            return
+        if final or incoming.body.size < incoming.call.size / 2:
             self.drop(call_id)
             connection, number = call_id
             if connection is not None:
-                self._on_reject(connection, number, body.call)
+                self._on_reject(connection, number, incoming.call)
 
     def _send_grants(self) -> None:
         """Permits senders to send as much as the link can take."""
@@ -95,24 +110,24 @@
     def on_chunk(self, connection: PeerConnection, message: BodyChunk) -> None:
         """Handles a chunk of a body."""
         call_id, now = (connection, message.number), self._context.now()
-        body = self.bodies.get(call_id)
-        if body is None:
+        incoming = self.bodies.get(call_id)
+        if incoming is None:
             return
-        body.chunks.append(message.data)
+        incoming.body.append(message.data)
         if not self.receive_window.on_received(now, call_id, len(message.data)):
             self._send_grants()
             return
         self.drop(call_id)
-        elapsed_s, call = now - body.started_at, body.call
+        elapsed_s, call = now - incoming.started_at, incoming.call
+        waited_s = self._context.monotonic() - incoming.received_at
         complete_call = msgspec.structs.replace(
             call,
-            body=b"".join(body.chunks),
             remaining_s=call.remaining_s - elapsed_s,
             target_s=call.target_s - elapsed_s,
             size=0,
-            age_s=None if call.age_s is None else call.age_s + self._context.monotonic() - body.received_at,
+            age_s=None if call.age_s is None else call.age_s + waited_s,
         )
-        self._on_complete(connection, message.number, complete_call)
+        self._on_complete(connection, message.number, complete_call, CallBody(incoming.body, incoming.charge))
 
     def on_dropped(self, connection: PeerConnection, message: BodyDropped) -> None:
         """Handles the abandonment of a body by its sender."""
--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -8,15 +8,17 @@
 
 import msgspec
 
+from hollyport.bodies.blocks import BLOCK_BYTES, Blocks, BlockSource
 from hollyport.http import heads
-from hollyport.http.back import Reply
+from hollyport.http.back import Outgoing, Reply
 from mesh.errors import NOT_EXECUTED_ERRORS, ErrorKind
-from mesh.proxy.body_receiver import BodyReceiver, CallId
+from mesh.proxy.body_receiver import BodyReceiver, CallBody, CallId
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.key_claims import KeyClaims
 from mesh.proxy.server_queue import Job, ServerQueue
 from mesh.state.idempotency import ClaimDecision
 from mesh.transport.connection import PeerConnection
+from mesh.transport.memory_account import request_bytes
 from mesh.transport.messages import Call, Cancel, Forward, ForwardAnswer, LoadQuery, LoadReport, Overdue
 
 MIN_CLAIM_TIMEOUT_S = 0.08
@@ -48,7 +50,7 @@
         if call.age_s is not None:
             call = msgspec.structs.replace(call, age_s=self._age_s(connection, call, call.age_s))
         if not call.size:
-            self._run_remote(connection, number, call)
+            self._run_inline(connection, number, call)
             return
         refusal = self._refusal(call)
         if refusal is not None:
@@ -90,11 +92,21 @@
             queue.failure_rate(),
         )
 
-    def _run_remote(self, connection: PeerConnection, number: int, call: Call) -> None:
+    def _run_inline(self, connection: PeerConnection, number: int, call: Call) -> None:
+        """Runs a call whose body, if any, was sent within it, if there is memory for it."""
+        account = self._context.memory.account
+        size = request_bytes(len(call.headers), len(call.target), len(call.body))
+        if not account.fits(size):
+            self._reject(connection, number, call)
+            return
+        body = CallBody(Blocks(call.body), account.charge(size))
+        self._run_remote(connection, number, msgspec.structs.replace(call, body=b""), body)
+
+    def _run_remote(self, connection: PeerConnection, number: int, call: Call, body: CallBody) -> None:
         def on_answer(answer: ForwardAnswer) -> None:
             connection.send(self._with_load(answer, call.route))
 
-        self._run(call, (connection, number), on_answer, lambda: connection.send(Overdue(number)))
+        self._run(call, body, (connection, number), on_answer, lambda: connection.send(Overdue(number)))
 
     def _reject(self, connection: PeerConnection, number: int, call: Call) -> None:
         connection.send(self._with_load(ForwardAnswer.failed(number, ErrorKind.FULL), call.route))
@@ -116,9 +128,11 @@
         """Maximum bytes of a body that is sent within its call."""
         return self.bodies.receive_window.inline_limit
 
-    def run_local(self, number: int, call: Call, on_answer: OnAnswer, on_overdue: Callable[[], None]) -> None:
-        """Runs a call of this sidecar."""
-        self._run(call, (None, number), on_answer, on_overdue)
+    def run_local(
+        self, number: int, call: Call, body: Blocks, on_answer: OnAnswer, on_overdue: Callable[[], None]
+    ) -> None:
+        """Runs a call of this sidecar, whose client's request accounts for the body."""
+        self._run(call, CallBody(body), (None, number), on_answer, on_overdue)
 
     def withdraw_local(self, number: int) -> None:
         """Cancels a call of this sidecar."""
@@ -131,7 +145,14 @@
 
     # --- running
 
-    def _run(self, call: Call, call_id: CallId, on_answer: OnAnswer, on_overdue: Callable[[], None]) -> None:
+    def _run(
+        self,
+        call: Call,
+        body: CallBody,
+        call_id: CallId,
+        on_answer: OnAnswer,
+        on_overdue: Callable[[], None],
+    ) -> None:
         """Submits a call to the queue of the local server; `on_answer` is called once with the result."""
         queue, context = self._queue, self._context
         refusal = self._refusal(call)
@@ -144,7 +165,7 @@
         now = context.now()
         due_at, latest_start_at = self._latest_starts(now, call)
         job = Job(
-            _request_builder(call),
+            _request_builder(call, body),
             call.attempt_id,
             now + call.remaining_s,
             due_at,
@@ -287,17 +308,22 @@
     return max(MIN_CLAIM_TIMEOUT_S, call.target_s * FREE_WAIT_FRACTION)
 
 
-def _request_builder(call: Call) -> Callable[[float, str], bytes]:
+def _request_builder(call: Call, body: CallBody) -> Callable[[float, str], bytes | Outgoing]:
     """Returns a function that builds a call's HTTP request from the remaining time and the server's instance
-    id, which are known only when it is sent."""
-    head = heads.forwarded(call.method, call.target, list(call.headers), call.body)
+    id, which are known only when it is sent.
+
+    A large body goes out block by block, as the server takes it.
+    """
+    head = heads.forwarded(call.method, call.target, list(call.headers), body.blocks)
 
-    def build_request(remaining_s: float, instance: str) -> bytes:
+    def build_request(remaining_s: float, instance: str) -> bytes | Outgoing:
         headers = b"X-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\nX-Caller-Service: %s\r\n\r\n" % (
             max(1, int(remaining_s * 1000)),
             instance.encode(),
             call.caller.encode(),
         )
-        return head + headers + call.body
+        if body.blocks.size > BLOCK_BYTES:
+            return Outgoing(head + headers, False, BlockSource(body.blocks))
+        return head + headers + body.blocks.join()
 
     return build_request
--- a/mesh/proxy/chunked_transfer.py
+++ b/mesh/proxy/chunked_transfer.py
@@ -2,12 +2,12 @@
 
 A link transmits bytes in the order of their arrival, so a few bodies of hundreds of kilobytes that come
 together would delay every small message behind them by a second. A body that would occupy the link for longer
-than `INLINE_S` is therefore announced by its size and fetched in chunks. The receiver limits the bytes in
-flight to what its link carries in `WINDOW_S`, over all senders, and serves the body with the fewest remaining
-bytes first. On a saturated link most bodies are then in time, and the receiver rejects the large ones that
-are overtaken. (A credit for waiting, of a quarter of the link's capacity meanwhile, made all of them late
-together.) The capacity of the link is taken from the settings. Times are seconds of a monotonic clock, sizes
-are bytes.
+than `INLINE_S`, or that is larger than `MAX_INLINE_BYTES`, is therefore announced by its size and fetched in
+chunks. The receiver limits the bytes in flight to what its link carries in `WINDOW_S`, and to
+`MAX_WINDOW_BYTES`, over all senders, and serves the body with the fewest remaining bytes first. On a
+saturated link most bodies are then in time, and the receiver rejects the large ones that are overtaken. (A
+credit for waiting, of a quarter of the link's capacity meanwhile, made all of them late together.) The
+capacity of the link is taken from the settings. Times are seconds of a monotonic clock, sizes are bytes.
 """
 
 from __future__ import annotations
@@ -18,6 +18,8 @@
 INLINE_S = 0.02  # a body that occupies the link for no longer is sent within its request
 WINDOW_S = 0.05  # transmission time of the bytes that may be in flight
 MIN_WINDOW_BYTES = 16 * 1024
+MAX_WINDOW_BYTES = 1 << 20  # senders and receivers hold copies of what is in flight
+MAX_INLINE_BYTES = 512 * 1024  # messages are buffered whole, on each of many connections
 MAX_CHUNK_BYTES = 16 * 1024  # small enough that other messages are sent in between
 Key = TypeVar("Key", bound=Hashable)
 STALL_TIMEOUT_S = 0.5  # after which a sender without progress no longer delays others
@@ -44,8 +46,8 @@
 
     def __init__(self, bytes_per_s: float) -> None:
         self.bytes_per_s = max(1.0, bytes_per_s)
-        self.inline_limit = int(self.bytes_per_s * INLINE_S)
-        self._window = max(MIN_WINDOW_BYTES, int(self.bytes_per_s * WINDOW_S))
+        self.inline_limit = min(int(self.bytes_per_s * INLINE_S), MAX_INLINE_BYTES)
+        self._window = min(max(MIN_WINDOW_BYTES, int(self.bytes_per_s * WINDOW_S)), MAX_WINDOW_BYTES)
         self._transfers: dict[Key, Transfer] = {}
 
     def __len__(self) -> int:
@@ -105,3 +107,7 @@
             transfer.remaining for transfer in self._transfers.values() if transfer.remaining <= size
         )
         return (earlier + size) / self.bytes_per_s
+
+    def own_transfer_s(self, size: int) -> float:
+        """Returns the transfer time of a body of this size on an idle link."""
+        return size / self.bytes_per_s
--- a/mesh/proxy/context.py
+++ b/mesh/proxy/context.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from mesh.settings import Settings
+from mesh.transport.client_memory import ClientMemory
 from mesh.transport.read_clock import ReadClock
 
 
@@ -18,6 +19,7 @@
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.read_clock = ReadClock(self.loop, self.monotonic)
+        self.memory = ClientMemory.of(self.loop, settings)
         self.node_name = settings.name
         self.incarnation = time.time_ns() // 1_000_000  # greater in each later process of this node
         self.random: Callable[[], float] = random.random
--- a/mesh/proxy/forwarder.py
+++ b/mesh/proxy/forwarder.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
+from hollyport.bodies.blocks import Blocks
 from hollyport.http import heads
 from hollyport.http.message import Message as Request
 from mesh.errors import ERROR_RESPONSES, NOT_EXECUTED_ERRORS, ErrorKind
-from mesh.proxy.chunked_transfer import MAX_CHUNK_BYTES
+from mesh.proxy.chunked_transfer import MAX_CHUNK_BYTES, MAX_WINDOW_BYTES
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.directory import Directory
 from mesh.proxy.endpoints import Endpoint
@@ -20,6 +21,7 @@
 from mesh.proxy.server_queue import NETWORK_MARGIN_S
 from mesh.proxy.shard_router import NoOwner, ShardRouter, wait_until
 from mesh.transport.connection import PeerConnection
+from mesh.transport.memory_account import Charge
 from mesh.transport.messages import (
     BodyChunk,
     BodyDropped,
@@ -55,7 +57,9 @@
     def inline_limit(self) -> int:
         """Largest body, in bytes, that is sent together with its call."""
 
-    def run_local(self, number: int, call: Call, on_answer: OnAnswer, on_overdue: Callable[[], None]) -> None:
+    def run_local(
+        self, number: int, call: Call, body: Blocks, on_answer: OnAnswer, on_overdue: Callable[[], None]
+    ) -> None:
         """Runs a call. `on_answer` is called once, `on_overdue` if the call takes unusually long."""
 
     def withdraw_local(self, number: int) -> None:
@@ -68,13 +72,14 @@
 
     request: PendingRequest
     endpoint: Endpoint
-    body: bytes = b""  # body to send in chunks; empty if it was sent with the call
+    body: Blocks = field(default_factory=Blocks)  # to send in chunks; empty if it was sent with the call
+    charge: Charge | None = None  # for the chunks in flight
     sent: int = 0  # bytes of `body` sent so far
 
     @property
     def incomplete(self) -> bool:
         """Whether part of the body has not been sent, in which case the call cannot have run."""
-        return self.sent < len(self.body)
+        return self.sent < self.body.size
 
 
 class Forwarder:
@@ -224,19 +229,27 @@
         endpoint.in_flight += 1
         number, local = self._context.next_number(), endpoint.node == self._context.node_name
         attempt = self.attempts[number] = Attempt(request, endpoint)
-        body = request.message.body
-        if not local and endpoint.version >= MIN_CHUNKS_VERSION and len(body) > self._local.inline_limit:
-            attempt.body = body
-        call = self._call(request, attempt)
+        message = request.message
+        if not local and endpoint.version >= MIN_CHUNKS_VERSION and message.size > self._local.inline_limit:
+            attempt.body = _blocks(message)
+            in_flight = min(message.size, MAX_WINDOW_BYTES)
+            attempt.charge = self._context.memory.account.charge(in_flight)
+        inline = b"" if local or attempt.body.size else message.whole_body()
+        call = self._call(request, attempt, inline)
         if local:
-            self._local.run_local(number, call, self.finish_attempt, lambda: self.hedge_attempt(number))
+            self._local.run_local(
+                number, call, _blocks(message), self.finish_attempt, lambda: self.hedge_attempt(number)
+            )
         else:
             connection = self._directory.connections[endpoint.node]
             connection.expect_answers(1)
             connection.send(Forward(number, call))
 
-    def _call(self, request: PendingRequest, attempt: Attempt) -> Call:
-        """Returns the message that carries a request to the sidecar beside a server."""
+    def _call(self, request: PendingRequest, attempt: Attempt, body: bytes) -> Call:
+        """Returns the message that carries a request to the sidecar beside a server.
+
+        `body` is empty unless it is sent within the message.
+        """
         message, now = request.message, self._context.now()
         connection = self._directory.connections.get(attempt.endpoint.node)
         dropped = _connection_headers(message) | REPLACED_HEADERS
@@ -246,7 +259,7 @@
             method=message.method,
             target=message.target,
             headers=[pair for pair in message.headers if pair[0] not in dropped],
-            body=b"" if attempt.body else message.body,
+            body=body,
             remaining_s=request.deadline - now,
             target_s=request.target_at - now,
             attempt_id=request.attempt_id,
@@ -255,7 +268,7 @@
             is_retry=request.is_retry,
             repeatable=request.repeatable,
             past_target=request.past_target,
-            size=len(attempt.body),
+            size=attempt.body.size,
             priority=request.route.priority,
             age_s=self._context.monotonic() - request.sent_after if request.key else None,
             sent_at=connection.earliest_peer_time() if request.key and connection is not None else None,
@@ -379,7 +392,7 @@
     def on_send_body(self, connection: PeerConnection, query: SendBody) -> None:
         """Sends more of a body, as far as the sidecar beside the server has asked for it."""
         number, attempt = query.number, self.attempts.get(query.number)
-        if attempt is None or not attempt.body:
+        if attempt is None or not attempt.body.size:
             return
         if (
             attempt.request.finished
@@ -387,8 +400,8 @@
             self.finish_attempt(ForwardAnswer.failed(number, ErrorKind.LEAVING))
             connection.send(BodyDropped(number))
             return
-        while attempt.sent < min(query.end_offset, len(attempt.body)):
-            chunk = attempt.body[attempt.sent : min(attempt.sent + MAX_CHUNK_BYTES, query.end_offset)]
+        while attempt.sent < min(query.end_offset, attempt.body.size):
+            chunk = attempt.body.cut(attempt.sent, min(attempt.sent + MAX_CHUNK_BYTES, query.end_offset))
             attempt.sent += len(chunk)
             connection.send(BodyChunk(number, chunk))
 
@@ -405,6 +418,11 @@
         self._picker.on_load_report(connection.peer, report)
 
 
+def _blocks(message: Request) -> Blocks:
+    """Returns the body of a request in blocks."""
+    return message.blocks or Blocks(message.body)
+
+
 def _connection_headers(message: Request) -> frozenset[bytes]:
     """Returns the names listed in a request's Connection header, which are not forwarded."""
     value = message.header(b"connection")
--- a/mesh/proxy/ingress.py
+++ b/mesh/proxy/ingress.py
@@ -70,7 +70,7 @@
                 return Error(ErrorKind.BAD)
             remaining_s = min(remaining_s, timeout_s)
             age_s = self._ages_of(route).age(timeout_s, route.timeout_s)
-        if len(message.body) > self._control.table.limits.max_body_bytes:
+        if message.size > self._control.table.limits.max_body_bytes:
             return Error(ErrorKind.TOO_LARGE)
         service, shard_key = self._split.choose(route), NO_KEY
         if self._control.table.is_sharded(service):
--- a/mesh/proxy/picker.py
+++ b/mesh/proxy/picker.py
@@ -107,7 +107,7 @@
 
     def _own_zone_preference(self, request: PendingRequest) -> OwnZonePreference:
         """Returns how strongly a request prefers its own zone, by its size and its usual response size."""
-        size = len(request.message.body) + self._sizes.get(request.route.name, 0.0)
+        size = request.message.size + self._sizes.get(request.route.name, 0.0)
         return next(
             (preference for min_size, preference in OWN_ZONE_PREFERENCES.items() if size >= min_size),
             OwnZonePreference(),
@@ -127,7 +127,7 @@
         """Queries the sidecars beside the candidates for how the call would be served there."""
         probe = LoadProbe(request, candidates, now)
         number = self._context.next_number()
-        route, size = request.route.name, len(request.message.body)
+        route, size = request.route.name, request.message.size
         for endpoint in candidates:
             if endpoint.node == self._context.node_name:
                 # The body need not be transferred to the server beside this sidecar.
--- a/mesh/proxy/server_heartbeats.py
+++ b/mesh/proxy/server_heartbeats.py
@@ -29,6 +29,7 @@
 from mesh.proxy.server_suspicion import ServerSuspicion
 from mesh.settings import parse_duration
 from mesh.state.shards import FencedRange, KeyRange
+from mesh.transport.memory_account import decoded_json_bytes
 from mesh.transport.messages import FIRST_RECORD_NUMBER, VERSION, KnownServer, SidecarRecord
 
 JSON = [(b"Content-Type", b"application/json")]
@@ -142,7 +143,10 @@
             self._handle_end(instance)
             message.answer(200, EMPTY_ANSWER, JSON)
             return
-        handled = self._handle_heartbeat(instance, message.body)
+        if not self._context.memory.account.fits(decoded_json_bytes(message.pieces())):
+            message.answer(ERROR_RESPONSES[ErrorKind.REFUSED].status)
+            return
+        handled = self._handle_heartbeat(instance, message.whole_body())
         if handled.is_error():
             message.answer(ERROR_RESPONSES[handled.error].status)
         elif handled.ok is None or not self.grants_by_heartbeat:
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -12,7 +12,7 @@
 
 from dunefield.budget import MAX_STEPS, Budget
 from dunefield.interface import IDLE_TIMEOUT_FRACTION, AttemptOutcome
-from hollyport.http.back import HttpBack, Reply
+from hollyport.http.back import HttpBack, Outgoing, Reply
 from hollyport.nodes.upstream import Exchange, Upstream
 from hollyport.settings.config import Address as NodeAddress
 from mesh.errors import ErrorKind
@@ -65,7 +65,7 @@
 
     def __init__(
         self,
-        build_request: Callable[[float, str], bytes],
+        build_request: Callable[[float, str], bytes | Outgoing],
         attempt_id: bytes,
         deadline: float,
         due_at: float,
@@ -107,7 +107,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, max_connections: int) -> None:
         self._loop = loop
         self._address = NodeAddress(address.host, address.port)
-        self._back = HttpBack(False)
+        self._back = HttpBack(False, unread_s=0.0)  # a busy server may take a body late
         self.upstream = Upstream(
             loop, 1_000_000_000, int(IDLE_TIMEOUT_S * 1e9), max_connections, 2.0, self._back
         )
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -31,6 +31,7 @@
 from mesh.state import configuration
 from mesh.state.quorum import Voters
 from mesh.transport import connection, http_server, messages
+from mesh.transport.client_memory import ClientMemory
 from mesh.transport.connection import PeerConnection, pack
 from mesh.transport.messages import Message, RecordChanged, Register
 
@@ -111,6 +112,11 @@
         """The settings in force."""
         return self.context.settings
 
+    @property
+    def memory(self) -> ClientMemory:
+        """The memory that clients hold."""
+        return self.context.memory
+
     @property
     def items(self) -> configuration.Items:
         """The configuration items in force here."""
@@ -155,11 +161,18 @@
             self.forwarder.on_client_disconnected,
             settings.max_fds // 2,
             self.context.read_clock,
+            memory=self.memory,
         )
         await open_server(
-            settings.control, self.heartbeats.serve, None, max_connections, None, self._control_socket
+            settings.control,
+            self.heartbeats.serve,
+            None,
+            max_connections,
+            None,
+            self._control_socket,
+            memory=self.memory,
         )
-        await open_server(settings.ready, self.readiness, None, max_connections)
+        await open_server(settings.ready, self.readiness, None, max_connections, memory=self.memory)
         record = self.heartbeats.record()
         self.directory.digest.update(
             record.node, record.incarnation, record.number
--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -134,6 +134,7 @@
     "max_fds": Field(("limit_set", "max_fds"), _integer, 1024),
     "link_mbps": Field(("limit_set", "link_mbps"), _number, 1000.0),
     "memory_mb": Field(("limit_set", "memory_mb"), _number, 300.0),
+    "client_memory_mb": Field(("limit_set", "client_memory_mb"), _number, 0.0),
     "disk_mb": Field(("limit_set", "disk_mb"), _number, 0.0),
     "grants": Field(("grants",), _string, ""),
     "losses": Field(("fault_budget", "machine_loss"), _integer, 1),
@@ -164,6 +165,7 @@
     max_fds: int
     link_mbps: float
     memory_mb: float
+    client_memory_mb: float  # the most that clients may hold together; 0: what memory_mb allows
     disk_mb: float
     grants: str  # how servers are given keys, where a service does not say so
     losses: int
--- a/mesh/transport/metrics_server.py
+++ b/mesh/transport/metrics_server.py
@@ -16,6 +16,7 @@
 from hollyport.http.message import Message as Request
 from mesh.figures import MetricFamily, MetricKind, counter, gauge
 from mesh.settings import Address
+from mesh.transport.client_memory import ClientMemory
 from mesh.transport.connection import traffic
 from mesh.transport.http_server import open_http_server
 
@@ -64,7 +65,9 @@
     return int(port), f"/{path}"
 
 
-async def start_metrics_server(host: str, port_path: str, metrics: MetricsSource) -> None:
+async def start_metrics_server(
+    host: str, port_path: str, metrics: MetricsSource, memory: ClientMemory
+) -> None:
     """Serves metrics at `PORT/PATH` of a host. If the port is in use, the process runs without metrics."""
     port, path = parse_port_path(port_path)
 
@@ -72,9 +75,9 @@
         if message.method != b"GET" or message.target.partition(b"?")[0] != path.encode():
             message.answer(404)
             return
-        message.answer(200, render([*process_metrics(), *metrics()]), CONTENT_TYPE)
+        message.answer(200, render([*process_metrics(), *memory.metrics(), *metrics()]), CONTENT_TYPE)
 
     try:
-        await open_http_server(Address(host, port), serve, None, MAX_CONNECTIONS)
+        await open_http_server(Address(host, port), serve, None, MAX_CONNECTIONS, memory=memory)
     except OSError as error:
         logger.warning("metrics are not served at port {}: {}", port, error.strerror)
--- /dev/null
+++ b/mesh/transport/read_policy.py
@@ -0,0 +1,264 @@
+"""Decides which clients are read from when they fill the memory together. No I/O.
+
+Small requests (heads, and bodies of up to one block) are read as long as there is any memory. Larger bodies
+are read freely up to `free_limit`. Beyond it, one goes on only with a grant, for which all that it may still
+need has to fit below `body_limit`: so whoever has a grant can finish, and two bodies never wait for each
+other. The others are paused, and the kernel's window holds their senders; those that need least are granted
+first. While any waits, bodies that have stopped are refused, and so is who has waited for too long. Where
+even small requests don't fit, the clients whose request, or whose reading of answers, has stood still for
+longest go.
+
+All that is refused here is an incomplete request, which no server has begun to get. Times are seconds, sizes
+bytes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from mesh.figures import LabelledCounter
+from mesh.transport.memory_account import MemoryAccount
+
+SMALL_SHARE = 0.125  # of the memory, that larger bodies leave to small requests
+MIN_FREE_SHARE = 0.25  # of what larger bodies may take, that is read freely whatever the greatest body is
+STALL_TIMEOUT_S = 4.0  # without a byte of a body, while other bodies wait
+MIN_STALL_S = 0.25  # a client that sent something since isn't stopped for want of room
+MIN_GRANTED_RATE = 48_000.0  # bytes a second of a body that others wait for
+MAX_PAUSE_S = 10.0
+REQUEST_TIMEOUT, NO_ROOM = 408, 503  # statuses of a refusal
+PAUSED, REFUSED, STALLED, UNREAD = ("paused",), ("refused",), ("stalled",), ("unread",)
+
+
+class Reader(Protocol):
+    """A client's connection."""
+
+    def resume(self) -> None:
+        """Reads on after a pause."""
+
+    def refuse(self, status: int) -> None:
+        """Answers the incomplete request with a status and gives back what it holds."""
+
+    def unsent_bytes(self) -> int:
+        """Returns how much of its answers the client has not taken."""
+
+    def drop(self) -> None:
+        """Closes the connection of a client that doesn't take its answers."""
+
+
+class ClosedReader:
+    """Stands in for a connection that has ended."""
+
+    def resume(self) -> None:
+        """Does nothing."""
+
+    def refuse(self, status: int) -> None:
+        """Does nothing."""
+
+    def unsent_bytes(self) -> int:
+        """Returns 0."""
+        return 0
+
+    def drop(self) -> None:
+        """Does nothing."""
+
+
+CLOSED_READER = ClosedReader()
+
+
+@dataclass(slots=True, eq=False)
+class ReadState:
+    """What one client's connection has under way: an incomplete request, or answers that it doesn't take."""
+
+    reader: Reader
+    progress_at: float = 0.0  # when the client has sent, or taken, something last
+    is_reading: bool = False  # whether a request is incomplete
+    is_body: bool = False  # whether it is beyond the size of a small one
+    received: int = 0  # bytes of the body
+    remaining: int = 0  # bytes that may follow at most
+    expected: int = 0  # bytes that are likely to follow
+    paused_at: float | None = None
+    granted_at: float | None = None
+    granted_received: int = 0  # what had been received then
+    unsent: int = 0  # bytes of answers
+
+
+class ReadPolicy:
+    """The clients of one process that have something under way."""
+
+    def __init__(self, account: MemoryAccount, largest_body: int) -> None:
+        """`largest_body`: the greatest size that a body may have."""
+        self._account, self.largest_body = account, largest_body
+        self._active: dict[ReadState, None] = {}  # in order of progress, the oldest first
+        self._waiting: dict[ReadState, None] = {}  # paused
+        self._granted: dict[ReadState, None] = {}
+        self.outcomes = LabelledCounter(
+            "mesh_clients_stopped", "Clients that were paused, refused or closed for memory.", ("reason",)
+        )
+
+    # --- limits
+
+    @property
+    def body_limit(self) -> int:
+        """What may be held while bodies beyond the size of small requests are read."""
+        return int(self._account.capacity * (1 - SMALL_SHARE))
+
+    @property
+    def free_limit(self) -> int:
+        """What may be held while bodies are read without a grant."""
+        limit = self.body_limit
+        return max(limit - self.largest_body, int(limit * MIN_FREE_SHARE))
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether clients are read from without grants."""
+        return not self._waiting and self._account.held <= self.free_limit
+
+    @property
+    def waiting(self) -> int:
+        """The number of clients that are paused."""
+        return len(self._waiting)
+
+    def __len__(self) -> int:
+        return len(self._active)
+
+    # --- events of connections
+
+    def on_read(self, now: float, state: ReadState) -> bool:
+        """Handles more of an incomplete request, whose memory is charged; returns whether to read on.
+
+        If not, the client is paused, or has been refused.
+        """
+        state.is_reading = True
+        self._on_progress(now, state)
+        if not self.make_room(now, state):
+            self._refuse(state, NO_ROOM, REFUSED)
+            return False
+        return not state.is_body or self._may_read_on(now, state)
+
+    def on_request_ended(self, state: ReadState) -> None:
+        """Handles the end of reading a request: it is complete, refused, or its client has left."""
+        self._forget_reading(state)
+        if not state.unsent:
+            self._active.pop(state, None)
+
+    def on_unsent(self, now: float, state: ReadState, size: int) -> None:
+        """Handles a change of how much of its answers a client has not taken."""
+        self._on_progress(now, state)
+        state.unsent = size
+        if not size and not state.is_reading:
+            self._active.pop(state, None)
+        self.make_room(now, state)
+
+    def on_closed(self, state: ReadState) -> None:
+        """Handles the end of a connection, which is not referred to any more."""
+        state.unsent = 0
+        self.on_request_ended(state)
+        state.reader = CLOSED_READER
+
+    def _on_progress(self, now: float, state: ReadState) -> None:
+        state.progress_at = now
+        self._active.pop(state, None)
+        self._active[state] = None
+
+    def _forget_reading(self, state: ReadState) -> None:
+        self._waiting.pop(state, None)
+        self._granted.pop(state, None)
+        state.paused_at = state.granted_at = None
+        state.is_reading = state.is_body = False
+        state.received = state.remaining = state.expected = 0
+
+    # --- larger bodies
+
+    def _may_read_on(self, now: float, state: ReadState) -> bool:
+        held = self._account.held
+        if held <= self.free_limit or (state in self._granted and held <= self.body_limit):
+            return True
+        self._granted.pop(state, None)
+        if held + self._promised() > self._account.capacity:
+            self._refuse(state, NO_ROOM, REFUSED)
+            return False
+        state.paused_at = now
+        self._waiting[state] = None
+        self._grant(now)
+        if state.paused_at is None:
+            return True
+        self.outcomes.add(PAUSED)
+        return False
+
+    def _promised(self) -> int:
+        return sum(state.remaining for state in self._granted)
+
+    def _grant(self, now: float) -> None:
+        """Has clients read on that can finish, those that need least first."""
+        for state in sorted(self._waiting, key=lambda state: state.expected):
+            held = self._account.held
+            if held > self.free_limit:
+                if held + self._promised() + state.remaining > self.body_limit:
+                    continue
+                self._granted[state] = None
+                state.granted_at, state.granted_received = now, state.received
+            del self._waiting[state]
+            state.paused_at = None
+            self._on_progress(now, state)
+            state.reader.resume()
+
+    def tick(self, now: float) -> bool:
+        """Refuses clients that keep others waiting, and grants; returns whether any still waits."""
+        if not self._waiting:
+            return False
+        for state in list(self._active):
+            if state.is_body and state.paused_at is None and self._keeps_waiting(now, state):
+                self._refuse(state, REQUEST_TIMEOUT, STALLED)
+        for state in list(self._waiting):
+            if state.paused_at is not None and now - state.paused_at >= MAX_PAUSE_S:
+                self._refuse(state, NO_ROOM, REFUSED)
+        self._grant(now)
+        return bool(self._waiting)
+
+    def _keeps_waiting(self, now: float, state: ReadState) -> bool:
+        """Returns whether a body has stopped, or comes too slowly for one that has a grant."""
+        if now - state.progress_at >= STALL_TIMEOUT_S:
+            return True
+        if state.granted_at is None or now - state.granted_at < STALL_TIMEOUT_S:
+            return False
+        return state.received - state.granted_received < MIN_GRANTED_RATE * (now - state.granted_at)
+
+    # --- when memory is short even for small requests
+
+    def make_room(self, now: float, requester: ReadState | None = None) -> bool:
+        """Returns whether what is held fits, after stopping the clients that stood still for longest."""
+        account = self._account
+        if account.held <= account.capacity:
+            return True
+        for state in list(self._active):
+            if now - state.progress_at < MIN_STALL_S:
+                break
+            if state is not requester and state.paused_at is None:
+                self._stop(now, state)
+            if account.held <= account.capacity:
+                return True
+        for state in list(self._waiting):
+            self._refuse(state, NO_ROOM, REFUSED)
+            if account.held <= account.capacity:
+                return True
+        return False
+
+    def _stop(self, now: float, state: ReadState) -> None:
+        if not state.unsent:
+            self._refuse(state, REQUEST_TIMEOUT, STALLED)
+            return
+        unsent = state.reader.unsent_bytes()
+        if unsent < state.unsent:
+            self._on_progress(now, state)
+            state.unsent = unsent
+            return
+        self.outcomes.add(UNREAD)
+        reader = state.reader
+        self.on_closed(state)
+        reader.drop()
+
+    def _refuse(self, state: ReadState, status: int, reason: tuple[str]) -> None:
+        self.outcomes.add(reason)
+        self.on_request_ended(state)
+        state.reader.refuse(status)
--- a/tests/mesh/calls_world.py
+++ b/tests/mesh/calls_world.py
@@ -25,6 +25,7 @@
 from mesh.proxy import sidecar as sidecars
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
+from mesh.transport.client_memory import ClientMemory
 from mesh.transport.http_server import HttpConnection, HttpServer
 from mesh.transport.messages import SidecarRecord
 from mesh.transport.read_clock import ReadTimes
@@ -303,12 +304,14 @@
     max_connections: int = 64,
     read_clock: ReadTimes | None = None,
     listening: None = None,
+    *,
+    memory: ClientMemory,
 ) -> HttpServer:
     """Replaces `mesh.transport.http_server.open_http_server`, without a socket."""
     import asyncio
 
     loop = asyncio.get_running_loop()
-    server = HttpServer(serve, hangup or (lambda message: None), read_clock)
+    server = HttpServer(serve, hangup or (lambda message: None), read_clock, memory=memory)
     server.listener = listener = Listener(
         lambda taken: HttpConnection(taken, loop, server), max_connections, max_connections
     )
--- a/tests/mesh/fake_machines.py
+++ b/tests/mesh/fake_machines.py
@@ -357,7 +357,7 @@
         pass
 
 
-async def open_http_server(*told: Any) -> HttpServer:
+async def open_http_server(*told: Any, memory: Any) -> HttpServer:
     return HttpServer()
 
 
--- a/tests/mesh/test_mesh_read_clock.py
+++ b/tests/mesh/test_mesh_read_clock.py
@@ -18,8 +18,10 @@
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
 from mesh.state.idempotency import MAX_REQUEST_AGE_S
+from mesh.transport.client_memory import ClientMemory
 from mesh.transport.connection import IDLE_PING_INTERVAL_S, PeerConnection, pack
 from mesh.transport.http_server import HttpConnection, HttpServer
+from mesh.transport.memory_account import MB
 from mesh.transport.messages import Call, Forward, ForwardAnswer, Ping, Pong
 from mesh.transport.peer_clock import TIMESTAMP_INTERVAL_S, PeerClock
 from mesh.transport.read_clock import TICK_INTERVAL_S, PausedReads, ReadClock
@@ -95,7 +97,7 @@
 
 def test_a_connection_may_have_waited_in_the_queue_of_its_listener():
     loop, clock = started_clock()
-    server = HttpServer(lambda message: None, lambda message: None, clock)
+    server = HttpServer(lambda message: None, lambda message: None, clock, memory=client_memory(loop))
     server.on_backlog(False)
     for _ in range(3):
         loop.tick()
@@ -118,12 +120,18 @@
         self.write = lambda data: None
         self.get_extra_info = lambda name: None
         self.is_closing = lambda: False
+        self.set_write_buffer_limits = lambda high: None
+        self.get_write_buffer_size = lambda: 0
+
+
+def client_memory(loop):
+    return ClientMemory(loop, 100 * MB)
 
 
 def test_requests_that_were_sent_ahead_may_be_as_old_as_the_pause_in_reading():
     loop, clock = started_clock()
     taken = []
-    server = HttpServer(taken.append, lambda message: None, clock)
+    server = HttpServer(taken.append, lambda message: None, clock, memory=client_memory(loop))
     queues = SimpleNamespace(partial={}, kept={}, visitors={}, leaving={}, stopping=False, whole_s=9.0)
     for name in ("made", "lost", "served", "move"):
         setattr(queues, name, lambda *_: None)
--- a/tests/mesh/test_mesh_rules.py
+++ b/tests/mesh/test_mesh_rules.py
@@ -10,8 +10,10 @@
 from test_mesh_api import BEAT, call
 from test_mesh_sidecar import SETTINGS, FakeConnection, SidecarHarness
 
+from hollyport.bodies.blocks import Blocks
 from mesh import settings
 from mesh.errors import ErrorKind
+from mesh.proxy.body_receiver import CallBody
 from mesh.proxy.call_runner import _request_builder
 from mesh.proxy.sidecar import Sidecar
 from mesh.transport.messages import Call, KnownServer
@@ -129,7 +131,9 @@
 
 
 def test_the_deadline_header_is_computed_when_the_request_is_written():
-    build = _request_builder(Call("a", "b", b"GET", b"/x", [], b"", 9.0, 1.0, b"t", "", "r"))
+    build = _request_builder(
+        Call("a", "b", b"GET", b"/x", [], b"", 9.0, 1.0, b"t", "", "r"), CallBody(Blocks())
+    )
     assert b"X-Deadline-Ms: 250\r\n" in build(0.25, "i-1") and b"X-Deadline-Ms: 1\r\n" in build(-1.0, "i-1")
     assert b"X-Expect-Instance: i-1\r\n" in build(1.0, "i-1") and b"X-Caller-Service: b\r\n" in build(
         1.0, "i"
