A body whose transfer alone takes long has a fraction of its request's time

Cause: the sidecar beside the server refuses a body whose transfer would take longer than a call may wait in a queue, which is 1.5 times its target at most. Such a body misses its target wherever it is sent.

Change: a transfer that would be longer than that even on an idle link may take 0.3 of the remaining time. Others are treated as before.

--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -56,7 +56,8 @@
         if refusal is not None:
             connection.send(ForwardAnswer.failed(number, refusal))
         else:
-            self.bodies.fetch(connection, number, call, _max_wait_s(call))
+            own_transfer_s = self.bodies.receive_window.own_transfer_s(call.size)
+            self.bodies.fetch(connection, number, call, _max_transfer_s(call, own_transfer_s))
 
     def _age_s(self, connection: PeerConnection, call: Call, age_s: float) -> float:
         """Returns the most time since the client of a call that is read now sent its request.
@@ -303,6 +304,16 @@
     return min(call.remaining_s * MAX_WAIT_FRACTION, call.target_s * MAX_WAIT_TARGET_FACTOR)
 
 
+def _max_transfer_s(call: Call, own_transfer_s: float) -> float:
+    """Returns how long the transfer of a call's body may take.
+
+    One that would take longer than the call may wait even on an idle link has the fraction of the remaining
+    time: its target latency is missed wherever it is sent.
+    """
+    max_wait_s = _max_wait_s(call)
+    return max_wait_s if own_transfer_s <= max_wait_s else call.remaining_s * MAX_WAIT_FRACTION
+
+
 def _claim_timeout_s(call: Call) -> float:
     """Returns how long the claim of a call's key may take."""
     return max(MIN_CLAIM_TIMEOUT_S, call.target_s * FREE_WAIT_FRACTION)
