Medium bodies have room beside large ones, and a body past its target is still sent

What callers saw: beside a crowd of large bodies an upload of 300 kB waited for 3.6 to 8.2 s, in chunks beside 500 small crowds for 10 s and then got 503; a body of 64 MiB whose transfer took longer than its target of 300 ms got 503 although the server was free.

Cause: a large body with a grant is promised all the room that is left, and a body in chunks has to be promised the greatest size. And after its transfer a call whose target had passed was due before it came.

Change: bodies of up to 1 MiB go on above what large ones may take. A call whose body took longer than its target counts its target anew, as a request does whose client has spent it. Where no large body can finish, those that wait and hold most are refused.

--- a/mesh/proxy/body_receiver.py
+++ b/mesh/proxy/body_receiver.py
@@ -71,10 +71,11 @@
         used the link yet. It is rejected as well if there is no memory for its body.
         """
         now, call_id, window = self._context.now(), (connection, number), self.receive_window
-        if window.expected_transfer_s(call.size) > timeout_s or not self._has_room(call.size):
+        memory = self._context.memory
+        if window.expected_transfer_s(call.size) > timeout_s or not memory.policy.has_room(call.size):
             self._on_reject(connection, number, call)
             return
-        charge = self._context.memory.account.charge(call.size)
+        charge = memory.account.charge(call.size)
         self.bodies[call_id] = IncomingBody(call, now, self._context.monotonic(), charge)
         self._context.open_calls += 1
         window.add(now, call_id, call.size)
@@ -82,11 +83,6 @@
         self._context.loop.call_later(call.remaining_s, self.expire, call_id, True)
         self._send_grants()
 
-    def _has_room(self, size: int) -> bool:
-        """Returns whether there is memory for a body; what is left to small requests is not taken."""
-        memory = self._context.memory
-        return memory.account.held + size <= memory.policy.body_limit
-
     def expire(self, call_id: CallId, final: bool = False) -> None:
         """Rejects a call whose body is less than half complete in time because smaller ones went first.
 
@@ -120,10 +116,13 @@
         self.drop(call_id)
         elapsed_s, call = now - incoming.started_at, incoming.call
         waited_s = self._context.monotonic() - incoming.received_at
+        is_past_target = elapsed_s >= call.target_s
         complete_call = msgspec.structs.replace(
             call,
             remaining_s=call.remaining_s - elapsed_s,
-            target_s=call.target_s - elapsed_s,
+            # Its target counts anew, as that of a request does whose client has spent it already.
+            target_s=call.target_s if is_past_target else call.target_s - elapsed_s,
+            past_target=call.past_target or is_past_target,
             size=0,
             age_s=None if call.age_s is None else call.age_s + waited_s,
         )
--- a/mesh/proxy/forwarder.py
+++ b/mesh/proxy/forwarder.py
@@ -253,6 +253,9 @@
         message, now = request.message, self._context.now()
         connection = self._directory.connections.get(attempt.endpoint.node)
         dropped = _connection_headers(message) | REPLACED_HEADERS
+        target_s, past_target = request.target_at - now, request.past_target
+        if attempt.body.size and target_s <= 0:  # the transfer of the body at another server has spent it
+            target_s, past_target = request.route.target_s, True
         return Call(
             service=request.service,
             caller=self._context.settings.service,
@@ -261,13 +264,13 @@
             headers=[pair for pair in message.headers if pair[0] not in dropped],
             body=body,
             remaining_s=request.deadline - now,
-            target_s=request.target_at - now,
+            target_s=target_s,
             attempt_id=request.attempt_id,
             key=request.key,
             route=request.route.name,
             is_retry=request.is_retry,
             repeatable=request.repeatable,
-            past_target=request.past_target,
+            past_target=past_target,
             size=attempt.body.size,
             priority=request.route.priority,
             age_s=self._context.monotonic() - request.sent_after if request.key else None,
--- a/mesh/transport/read_policy.py
+++ b/mesh/transport/read_policy.py
@@ -1,12 +1,13 @@
 """Decides which clients are read from when they fill the memory together. No I/O.
 
-Small requests (heads, and bodies of up to one block) are read as long as there is any memory. Larger bodies
-are read freely up to `free_limit`. Beyond it, one goes on only with a grant, for which all that it may still
-need has to fit below `body_limit`: so whoever has a grant can finish, and two bodies never wait for each
-other. The others are paused, and the kernel's window holds their senders; those that need least are granted
-first. While any waits, bodies that have stopped are refused, and so is who has waited for too long. Where
-even small requests don't fit, the clients whose request, or whose reading of answers, has stood still for
-longest go.
+Requests are small (a head, and a body of up to one block), medium or large, by what has come of them. Below
+`free_limit` all are read. Beyond it a large body goes on only with a grant, for which all that it may still
+need has to fit below `large_limit`: so whoever has a grant can finish, and two bodies never wait for each
+other. Medium bodies go on up to `medium_limit`, small requests as long as there is any memory: each kind
+leaves room to the smaller ones. The others are paused, and the kernel's window holds their senders; those
+that need least go on first. While any waits, bodies that have stopped are refused, and so is who has waited
+for too long. Where even small requests don't fit, the clients whose request, or whose reading of answers, has
+stood still for longest go.
 
 All that is refused here is an incomplete request, which no server has begun to get. Times are seconds, sizes
 bytes.
@@ -20,9 +21,12 @@
 from mesh.figures import LabelledCounter
 from mesh.transport.memory_account import MemoryAccount
 
-SMALL_SHARE = 0.125  # of the memory, that larger bodies leave to small requests
-MIN_FREE_SHARE = 0.25  # of what larger bodies may take, that is read freely whatever the greatest body is
-STALL_TIMEOUT_S = 4.0  # without a byte of a body, while other bodies wait
+MEDIUM_BODY_BYTES = 1 << 20  # a larger body is a large one
+LARGE_SHARE = 0.875  # of the memory, that large bodies may take
+MEDIUM_SHARE = 0.9375
+MIN_FREE_SHARE = 0.25  # of what large bodies may take, that is read freely whatever the greatest body is
+STALL_TIMEOUT_S = 3.0  # without a byte of a body, while other bodies wait
+MAX_GRANT_WAIT_S = 2.0  # without any grant, after which those that wait make room for one of them
 MIN_STALL_S = 0.25  # a client that sent something since isn't stopped for want of room
 MIN_GRANTED_RATE = 48_000.0  # bytes a second of a body that others wait for
 MAX_PAUSE_S = 10.0
@@ -92,6 +96,7 @@
         self._active: dict[ReadState, None] = {}  # in order of progress, the oldest first
         self._waiting: dict[ReadState, None] = {}  # paused
         self._granted: dict[ReadState, None] = {}
+        self._no_grant_since = 0.0
         self.outcomes = LabelledCounter(
             "mesh_clients_stopped", "Clients that were paused, refused or closed for memory.", ("reason",)
         )
@@ -99,14 +104,19 @@
     # --- limits
 
     @property
-    def body_limit(self) -> int:
-        """What may be held while bodies beyond the size of small requests are read."""
-        return int(self._account.capacity * (1 - SMALL_SHARE))
+    def large_limit(self) -> int:
+        """What may be held while large bodies are read with a grant."""
+        return int(self._account.capacity * LARGE_SHARE)
+
+    @property
+    def medium_limit(self) -> int:
+        """What may be held while medium bodies are read."""
+        return int(self._account.capacity * MEDIUM_SHARE)
 
     @property
     def free_limit(self) -> int:
-        """What may be held while bodies are read without a grant."""
-        limit = self.body_limit
+        """What may be held while large bodies are read without a grant."""
+        limit = self.large_limit
         return max(limit - self.largest_body, int(limit * MIN_FREE_SHARE))
 
     @property
@@ -168,16 +178,25 @@
         state.is_reading = state.is_body = False
         state.received = state.remaining = state.expected = 0
 
-    # --- larger bodies
+    def has_room(self, size: int) -> bool:
+        """Returns whether a body of this size, whose sender has all of it, can be held."""
+        limit = self.medium_limit if size <= MEDIUM_BODY_BYTES else self.large_limit
+        return self._account.held + size <= limit
+
+    # --- medium and large bodies
 
     def _may_read_on(self, now: float, state: ReadState) -> bool:
         held = self._account.held
-        if held <= self.free_limit or (state in self._granted and held <= self.body_limit):
+        if held <= self.free_limit or (state in self._granted and held <= self.large_limit):
+            return True
+        if self._fits_as_medium(state):
             return True
         self._granted.pop(state, None)
         if held + self._promised() > self._account.capacity:
             self._refuse(state, NO_ROOM, REFUSED)
             return False
+        if not self._waiting:
+            self._no_grant_since = now
         state.paused_at = now
         self._waiting[state] = None
         self._grant(now)
@@ -186,15 +205,18 @@
         self.outcomes.add(PAUSED)
         return False
 
+    def _fits_as_medium(self, state: ReadState) -> bool:
+        is_medium = state.received <= MEDIUM_BODY_BYTES
+        return is_medium and self._account.held + self._promised() <= self.medium_limit
+
     def _promised(self) -> int:
         return sum(state.remaining for state in self._granted)
 
     def _grant(self, now: float) -> None:
-        """Has clients read on that can finish, those that need least first."""
+        """Has clients read on that may, those that need least first."""
         for state in sorted(self._waiting, key=lambda state: state.expected):
-            held = self._account.held
-            if held > self.free_limit:
-                if held + self._promised() + state.remaining > self.body_limit:
+            if self._account.held > self.free_limit and not self._fits_as_medium(state):
+                if not self._can_finish(state):
                     continue
                 self._granted[state] = None
                 state.granted_at, state.granted_received = now, state.received
@@ -203,9 +225,25 @@
             self._on_progress(now, state)
             state.reader.resume()
 
+    def _can_finish(self, state: ReadState) -> bool:
+        return self._account.held + self._promised() + state.remaining <= self.large_limit
+
+    def _make_grant_possible(self, now: float) -> None:
+        """Refuses the large bodies that wait and hold most, until one of the others can finish."""
+        large = [state for state in self._waiting if state.received > MEDIUM_BODY_BYTES]
+        waiting = sorted(large, key=lambda state: state.expected)
+        if self._granted or not waiting or now - self._no_grant_since < MAX_GRANT_WAIT_S:
+            return
+        first, *others = waiting
+        for state in sorted(others, key=lambda state: state.received, reverse=True):
+            if self._can_finish(first):
+                return
+            self._refuse(state, NO_ROOM, REFUSED)
+
     def tick(self, now: float) -> bool:
         """Refuses clients that keep others waiting, and grants; returns whether any still waits."""
         if not self._waiting:
+            self._no_grant_since = now
             return False
         for state in list(self._active):
             if state.is_body and state.paused_at is None and self._keeps_waiting(now, state):
@@ -214,6 +252,9 @@
             if state.paused_at is not None and now - state.paused_at >= MAX_PAUSE_S:
                 self._refuse(state, NO_ROOM, REFUSED)
         self._grant(now)
+        if self._granted or not self._waiting:
+            self._no_grant_since = now
+        self._make_grant_possible(now)
         return bool(self._waiting)
 
     def _keeps_waiting(self, now: float, state: ReadState) -> bool:
