Clients that come slowly, or that took long to pause, no longer keep large bodies waiting

Cause: each short run between two pauses began the wait anew; bodies in chunks went before those of a known length; and bytes that clients had left to be parsed counted as progress, however slow.

Change: the pauses of a request add up; those that may still need least go first; a body of less than 48 kB/s since it began, its pauses left out, is refused while others wait.

--- a/mesh/transport/http_server.py
+++ b/mesh/transport/http_server.py
@@ -84,8 +84,6 @@
         )  # of the connection, and of what waits to be parsed or sent
         self._request_charge: Charge | None = None  # of the request that is being read
         self._events = 0  # of the parser, in this turn
-        self._paused_since = 0.0
-        self._paused_s = 0.0  # for how long the request that is being read was paused
 
     # --- asyncio.Protocol
 
@@ -122,7 +120,6 @@
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self._paused_s = 0.0
         if self._reads is not None and self._message is not None:
             self._message.sent_after = self._reads.received_after()
 
@@ -171,10 +168,7 @@
         state.is_body = size > BLOCK_BYTES
         state.received = size
         state.remaining = (self._max_body if message.length is None else message.length) - size
-        state.expected = size if message.length is None else state.remaining
-        now = self._loop.time()
-        if not self._memory.policy.on_read(now, state) and not self._deaf:
-            self._paused_since = now
+        if not self._memory.policy.on_read(self._loop.time(), state) and not self._deaf:
             self._memory.watch_waiting()
 
     # --- pauses
@@ -219,13 +213,12 @@
         return self._events
 
     def patience(self, since: float) -> float:
-        return super().patience(since) + self._paused_s
+        return super().patience(since) + self._state.paused_s
 
     # --- mesh.transport.read_policy.Reader
 
     def resume(self) -> None:
         """Reads on after a pause."""
-        self._paused_s += self._loop.time() - self._paused_since
         self._memory.turns.enqueue(self)
 
     def refuse(self, status: int) -> None:
--- a/mesh/transport/read_policy.py
+++ b/mesh/transport/read_policy.py
@@ -28,8 +28,8 @@
 STALL_TIMEOUT_S = 3.0  # without a byte of a body, while other bodies wait
 MAX_GRANT_WAIT_S = 2.0  # without any grant, after which those that wait make room for one of them
 MIN_STALL_S = 0.25  # a client that sent something since isn't stopped for want of room
-MIN_GRANTED_RATE = 48_000.0  # bytes a second of a body that others wait for
-MAX_PAUSE_S = 10.0
+MIN_BODY_RATE = 48_000.0  # bytes a second, while other bodies wait
+MAX_PAUSE_S = 10.0  # for which a request is paused in all
 REQUEST_TIMEOUT, NO_ROOM = 408, 503  # statuses of a refusal
 PAUSED, REFUSED, STALLED, UNREAD = ("paused",), ("refused",), ("stalled",), ("unread",)
 
@@ -80,8 +80,9 @@
     is_body: bool = False  # whether it is beyond the size of a small one
     received: int = 0  # bytes of the body
     remaining: int = 0  # bytes that may follow at most
-    expected: int = 0  # bytes that are likely to follow
+    began_at: float = 0.0  # when the request began, later by the time for which it was paused
     paused_at: float | None = None
+    paused_s: float = 0.0  # in earlier pauses of this request
     granted_at: float | None = None
     granted_received: int = 0  # what had been received then
     unsent: int = 0  # bytes of answers
@@ -139,7 +140,8 @@
 
         If not, the client is paused, or has been refused.
         """
-        state.is_reading = True
+        if not state.is_reading:
+            state.is_reading, state.began_at = True, now
         self._on_progress(now, state)
         if not self.make_room(now, state):
             self._refuse(state, NO_ROOM, REFUSED)
@@ -176,7 +178,8 @@
         self._granted.pop(state, None)
         state.paused_at = state.granted_at = None
         state.is_reading = state.is_body = False
-        state.received = state.remaining = state.expected = 0
+        state.received = state.remaining = 0
+        state.paused_s = 0.0
 
     def has_room(self, size: int) -> bool:
         """Returns whether a body of this size, whose sender has all of it, can be held."""
@@ -214,13 +217,15 @@
 
     def _grant(self, now: float) -> None:
         """Has clients read on that may, those that need least first."""
-        for state in sorted(self._waiting, key=lambda state: state.expected):
+        for state in sorted(self._waiting, key=lambda state: state.remaining):
             if self._account.held > self.free_limit and not self._fits_as_medium(state):
                 if not self._can_finish(state):
                     continue
                 self._granted[state] = None
                 state.granted_at, state.granted_received = now, state.received
             del self._waiting[state]
+            state.paused_s += _pause_s(now, state)
+            state.began_at += _pause_s(now, state)
             state.paused_at = None
             self._on_progress(now, state)
             state.reader.resume()
@@ -231,7 +236,7 @@
     def _make_grant_possible(self, now: float) -> None:
         """Refuses the large bodies that wait and hold most, until one of the others can finish."""
         large = [state for state in self._waiting if state.received > MEDIUM_BODY_BYTES]
-        waiting = sorted(large, key=lambda state: state.expected)
+        waiting = sorted(large, key=lambda state: state.remaining)
         if self._granted or not waiting or now - self._no_grant_since < MAX_GRANT_WAIT_S:
             return
         first, *others = waiting
@@ -249,7 +254,7 @@
             if state.is_body and state.paused_at is None and self._keeps_waiting(now, state):
                 self._refuse(state, REQUEST_TIMEOUT, STALLED)
         for state in list(self._waiting):
-            if state.paused_at is not None and now - state.paused_at >= MAX_PAUSE_S:
+            if state.paused_s + _pause_s(now, state) >= MAX_PAUSE_S:
                 self._refuse(state, NO_ROOM, REFUSED)
         self._grant(now)
         if self._granted or not self._waiting:
@@ -258,12 +263,12 @@
         return bool(self._waiting)
 
     def _keeps_waiting(self, now: float, state: ReadState) -> bool:
-        """Returns whether a body has stopped, or comes too slowly for one that has a grant."""
-        if now - state.progress_at >= STALL_TIMEOUT_S:
+        """Returns whether a body has stopped, or comes too slowly, if only as it takes long to parse."""
+        if now - state.progress_at >= STALL_TIMEOUT_S or _is_slow(now - state.began_at, state.received):
             return True
-        if state.granted_at is None or now - state.granted_at < STALL_TIMEOUT_S:
+        if state.granted_at is None:
             return False
-        return state.received - state.granted_received < MIN_GRANTED_RATE * (now - state.granted_at)
+        return _is_slow(now - state.granted_at, state.received - state.granted_received)
 
     # --- when memory is short even for small requests
 
@@ -303,3 +308,12 @@
         self.outcomes.add(reason)
         self.on_request_ended(state)
         state.reader.refuse(status)
+
+
+def _pause_s(now: float, state: ReadState) -> float:
+    """Returns how long the current pause, if there is one, has taken."""
+    return now - state.paused_at if state.paused_at is not None else 0.0
+
+
+def _is_slow(took_s: float, size: int) -> bool:
+    return took_s >= STALL_TIMEOUT_S and size < MIN_BODY_RATE * took_s
