Trailers and chunk extensions that never end are refused like heads that never do

What callers saw: 24 clients that sent a trailer without an end at outbound made a sidecar hang: in a trial it answered nobody for two minutes.

Cause: only heads were bounded. The parser keeps the beginning of a field until its end comes, and appends each piece to it, which costs the square of its length.

Change: what comes between two pieces of a body may be as long as a head; then 431.

--- a/hollyport/http/front.py
+++ b/hollyport/http/front.py
@@ -65,6 +65,7 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._message: Message | None = None  # being read
         self._raw = 0  # bytes since the message began, while its head is not whole
+        self._framing = 0  # bytes between two pieces of the body: sizes and extensions of chunks, trailers
         self._in_head = True
         self._headed = 0.0  # when the head was whole
         self._body: Blocks | None = None  # as far as it has come, where it is not passed on
@@ -112,12 +113,14 @@
     def _parse(self, piece: bytes) -> None:
         assert self._parser is not None
         self._raw += len(piece)
+        size = self._size
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserError:  # also what a callback refused, CONNECT and upgrades
             self._error = self._error or 400
-        # Counted raw: a header that never ends would only grow inside the parser.
-        if self._in_head and self._raw > self._max_head:
+        self._framing = self._framing + len(piece) if self._size == size else 0
+        # Counted raw: a header or a trailer that never ends would only grow inside the parser.
+        if (self._raw if self._in_head else self._framing) > self._max_head:
             self._error = self._error or 431
         # Where a request in this piece was answered with an error, what follows it gets no second one.
         if self._error and not self._deaf:
@@ -175,7 +178,7 @@
     def on_message_begin(self) -> None:
         self._message = Message(self)
         self._in_head = True
-        self._body, self._size = None, 0
+        self._body, self._size, self._framing = None, 0, 0
 
     def on_url(self, url: bytes) -> None:
         if self._message is not None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -49,6 +49,8 @@
         (HEAD % b"s" + b"X-Odd : 1\r\n\r\n", 400),
         (HEAD % b"e" + b"X-Pad: " + b"p" * (MAX_HEAD + 1), 431),
         (b"GET /" + b"p" * (MAX_HEAD + 1), 431),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Pad: " + b"p" * (MAX_HEAD + 8192), 431),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\n1;x=" + b"p" * (MAX_HEAD + 8192), 431),
         (HEAD % b"t" + b"X-Timeout: 5\r\n\r\n", 400),
         (HEAD % b"" + b"\r\n", 400),
         (HEAD.replace(b"free", b"nosuch") % b"c" + b"\r\n", 404),
