Bodies that wait are refused for another one only where that makes enough room

What callers saw: while whole requests held most of the memory, bodies that waited were refused after 2 s for one that could not finish even then.

Cause: those that hold most were refused until one could finish, without a look at whether that would do.

Change: nobody is refused where it would not. What grants promise is a running sum now, as hundreds of clients may have one.

--- a/mesh/transport/read_policy.py
+++ b/mesh/transport/read_policy.py
@@ -85,6 +85,7 @@
     paused_s: float = 0.0  # in earlier pauses of this request
     granted_at: float | None = None
     granted_received: int = 0  # what had been received then
+    promised: int = 0  # what its grant leaves room for
     unsent: int = 0  # bytes of answers
 
 
@@ -97,6 +98,7 @@
         self._active: dict[ReadState, None] = {}  # in order of progress, the oldest first
         self._waiting: dict[ReadState, None] = {}  # paused
         self._granted: dict[ReadState, None] = {}
+        self._promised = 0  # of all grants together
         self._no_grant_since = 0.0
         self.outcomes = LabelledCounter(
             "mesh_clients_stopped", "Clients that were paused, refused or closed for memory.", ("reason",)
@@ -143,6 +145,8 @@
         if not state.is_reading:
             state.is_reading, state.began_at = True, now
         self._on_progress(now, state)
+        if state in self._granted:
+            self._promise(state, state.remaining)
         if not self.make_room(now, state):
             self._refuse(state, NO_ROOM, REFUSED)
             return False
@@ -175,7 +179,7 @@
 
     def _forget_reading(self, state: ReadState) -> None:
         self._waiting.pop(state, None)
-        self._granted.pop(state, None)
+        self._end_grant(state)
         state.paused_at = state.granted_at = None
         state.is_reading = state.is_body = False
         state.received = state.remaining = 0
@@ -194,8 +198,8 @@
             return True
         if self._fits_as_medium(state):
             return True
-        self._granted.pop(state, None)
-        if held + self._promised() > self._account.capacity:
+        self._end_grant(state)
+        if held + self._promised > self._account.capacity:
             self._refuse(state, NO_ROOM, REFUSED)
             return False
         if not self._waiting:
@@ -210,10 +214,15 @@
 
     def _fits_as_medium(self, state: ReadState) -> bool:
         is_medium = state.received <= MEDIUM_BODY_BYTES
-        return is_medium and self._account.held + self._promised() <= self.medium_limit
+        return is_medium and self._account.held + self._promised <= self.medium_limit
 
-    def _promised(self) -> int:
-        return sum(state.remaining for state in self._granted)
+    def _promise(self, state: ReadState, size: int) -> None:
+        self._promised += size - state.promised
+        state.promised = size
+
+    def _end_grant(self, state: ReadState) -> None:
+        self._promise(state, 0)
+        self._granted.pop(state, None)
 
     def _grant(self, now: float) -> None:
         """Has clients read on that may, those that need least first."""
@@ -222,6 +231,7 @@
                 if not self._can_finish(state):
                     continue
                 self._granted[state] = None
+                self._promise(state, state.remaining)
                 state.granted_at, state.granted_received = now, state.received
             del self._waiting[state]
             state.paused_s += _pause_s(now, state)
@@ -231,7 +241,7 @@
             state.reader.resume()
 
     def _can_finish(self, state: ReadState) -> bool:
-        return self._account.held + self._promised() + state.remaining <= self.large_limit
+        return self._account.held + self._promised + state.remaining <= self.large_limit
 
     def _make_grant_possible(self, now: float) -> None:
         """Refuses the large bodies that wait and hold most, until one of the others can finish."""
@@ -240,6 +250,9 @@
         if self._granted or not waiting or now - self._no_grant_since < MAX_GRANT_WAIT_S:
             return
         first, *others = waiting
+        room = self.large_limit - self._account.held - first.remaining
+        if room + sum(state.received for state in others) < 0:
+            return
         for state in sorted(others, key=lambda state: state.received, reverse=True):
             if self._can_finish(first):
                 return
