--- a/tests/mesh/crowd.py
+++ b/tests/mesh/crowd.py
@@ -31,6 +31,10 @@
 ENDLESS_CROWD = 12
 ENDLESS_BYTES = 56 << 20  # more than any address takes
 ANNOUNCED_BYTES = 1 << 30
+NARROW_LIMITS = {"memory_mb": 80, "max_fds": 2400}  # for crowds whose requests are small
+HEAD_FIELDS = 3000  # four bytes each, and an object or two here
+SMALL_BODY_BYTES = 60_000  # below what counts as a larger body
+SENT_AHEAD = 40  # requests on each connection
 SEND_S = 15.0  # a client that still isn't through is stopped by the process, as it may be
 ASK_S = 60.0  # only keeps a test from hanging
 RETRY_S = 0.1
@@ -81,6 +85,7 @@
     pieces: Callable[[], Iterator[bytes]]
     crowd: int = CROWD
     pause_s: float = 0.0  # between two pieces
+    ends_head: bool = True
 
 
 def _repeated(piece: bytes, size: int) -> Iterator[bytes]:
@@ -129,9 +134,35 @@
 )
 
 
+def _many_fields() -> Iterator[bytes]:
+    """Yields header fields of a head that doesn't end."""
+    yield b"a:b\r\n" * HEAD_FIELDS
+
+
+def _small_body() -> Iterator[bytes]:
+    """Yields a small body, but for its last byte."""
+    yield b"x" * (SMALL_BODY_BYTES - 1)
+
+
+def _sent_ahead() -> Iterator[bytes]:
+    """Yields the body of a request, and whole requests after it."""
+    body = b"x" * SMALL_BODY_BYTES
+    yield body
+    for _ in range(SENT_AHEAD):
+        yield DOORS[0].head(SMALL_LENGTH) + body
+
+
+SMALL_LENGTH = f"Content-Length: {SMALL_BODY_BYTES}"
+SMALL_FORMS = (
+    Form("many-fields", "X-First: 1", _many_fields, crowd=200, ends_head=False),
+    Form("small-bodies", SMALL_LENGTH, _small_body, crowd=900),
+    Form("sent-ahead", SMALL_LENGTH, _sent_ahead, crowd=150),
+)
+
+
 async def _send_all(writer: asyncio.StreamWriter, form: Form, head: bytes) -> None:
     """Sends a client's request as far as the process takes it."""
-    writer.write(head)
+    writer.write(head if form.ends_head else head.removesuffix(b"\r\n"))
     for piece in form.pieces():
         writer.write(piece)
         await writer.drain()
