Connections of clients have a module; what goes to another sidecar counts twice

What callers saw: nothing yet. Found by reading: a small body that waits on its way to a sidecar that doesn't take it is held twice, by its request and by the connection, and was charged once.

Change: an attempt at another sidecar is charged for what may be on its way. HttpConnection moves to http_connection.py.

--- a/hollyport/bodies/blocks.py
+++ b/hollyport/bodies/blocks.py
@@ -22,7 +22,8 @@
         self._full: list[bytes] = []
         self._last = bytearray()
         self.size = 0
-        self.append(data)
+        if data:
+            self.append(data)
 
     def __len__(self) -> int:
         return self.size
--- a/mesh/proxy/forwarder.py
+++ b/mesh/proxy/forwarder.py
@@ -73,7 +73,7 @@
     request: PendingRequest
     endpoint: Endpoint
     body: Blocks = field(default_factory=Blocks)  # to send in chunks; empty if it was sent with the call
-    charge: Charge | None = None  # for the chunks in flight
+    charge: Charge | None = None  # for what is on its way of the body
     sent: int = 0  # bytes of `body` sent so far
 
     @property
@@ -232,8 +232,9 @@
         message = request.message
         if not local and endpoint.version >= MIN_CHUNKS_VERSION and message.size > self._local.inline_limit:
             attempt.body = _blocks(message)
-            in_flight = min(message.size, MAX_WINDOW_BYTES)
-            attempt.charge = self._context.memory.account.charge(in_flight)
+        if message.size and not local:
+            on_its_way = min(message.size, MAX_WINDOW_BYTES)
+            attempt.charge = self._context.memory.account.charge(on_its_way)
         inline = b"" if local or attempt.body.size else message.whole_body()
         call = self._call(request, attempt, inline)
         if local:
--- a/mesh/transport/memory_account.py
+++ b/mesh/transport/memory_account.py
@@ -37,6 +37,11 @@
         if self.held > self.peak:
             self.peak = self.held
 
+    @property
+    def is_overdrawn(self) -> bool:
+        """Whether more is held than may be."""
+        return self.held > self.capacity
+
     def fits(self, size: int) -> bool:
         """Returns whether so many bytes more can be held."""
         return self.held + size <= self.capacity
--- a/mesh/transport/read_policy.py
+++ b/mesh/transport/read_policy.py
@@ -288,18 +288,18 @@
     def make_room(self, now: float, requester: ReadState | None = None) -> bool:
         """Returns whether what is held fits, after stopping the clients that stood still for longest."""
         account = self._account
-        if account.held <= account.capacity:
+        if not account.is_overdrawn:
             return True
         for state in list(self._active):
             if now - state.progress_at < MIN_STALL_S:
                 break
             if state is not requester and state.paused_at is None:
                 self._stop(now, state)
-            if account.held <= account.capacity:
+            if not account.is_overdrawn:
                 return True
         for state in list(self._waiting):
             self._refuse(state, NO_ROOM, REFUSED)
-            if account.held <= account.capacity:
+            if not account.is_overdrawn:
                 return True
         return False
 
--- a/tests/mesh/calls_world.py
+++ b/tests/mesh/calls_world.py
@@ -26,7 +26,8 @@
 from mesh.proxy.sidecar import Sidecar
 from mesh.state import configuration
 from mesh.transport.client_memory import ClientMemory
-from mesh.transport.http_server import HttpConnection, HttpServer
+from mesh.transport.http_connection import HttpConnection
+from mesh.transport.http_server import HttpServer
 from mesh.transport.messages import SidecarRecord
 from mesh.transport.read_clock import ReadTimes
 
--- a/tests/mesh/test_mesh_read_clock.py
+++ b/tests/mesh/test_mesh_read_clock.py
@@ -20,7 +20,8 @@
 from mesh.state.idempotency import MAX_REQUEST_AGE_S
 from mesh.transport.client_memory import ClientMemory
 from mesh.transport.connection import IDLE_PING_INTERVAL_S, PeerConnection, pack
-from mesh.transport.http_server import HttpConnection, HttpServer
+from mesh.transport.http_connection import HttpConnection
+from mesh.transport.http_server import HttpServer
 from mesh.transport.memory_account import MB
 from mesh.transport.messages import Call, Forward, ForwardAnswer, Ping, Pong
 from mesh.transport.peer_clock import TIMESTAMP_INTERVAL_S, PeerClock
