--- a/tests/mesh/test_mesh_checksums.py
+++ b/tests/mesh/test_mesh_checksums.py
@@ -15,6 +15,7 @@
 from test_mesh_sidecar import FakeConnection, with_sidecar
 
 from mesh.proxy import control_client
+from mesh.state.ballots import Ballot
 from mesh.state.configuration import Item
 from mesh.state.idempotency import GrantRow
 from mesh.transport import messages
@@ -46,7 +47,7 @@
     sent = Items(1, tuple(items), checksum(items))
     found = decode(cbor2.loads(cbor2.dumps(encode(sent))))
     assert isinstance(found, Items) and matches_checksum(found.items, found.checksum)
-    answer = GrantsAnswer(1, True, tuple(grants), 1, messages.Ballot(0, ""), False, checksum(grants))
+    answer = GrantsAnswer(1, True, tuple(grants), 1, Ballot(0, ""), False, checksum(grants))
     told = decode(cbor2.loads(cbor2.dumps(encode(answer))))
     assert isinstance(told, GrantsAnswer) and matches_checksum(told.rows, told.checksum)
 
