The queue of a server: its calls, service times and failures have modules

One test fills the service times by recording them in place of setting a private field.

A changed client_memory_mb or memory_mb is taken over without a restart, and refusals without a pause are logged as well.

--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -215,6 +215,7 @@
     def reload_settings(self, settings: Settings) -> None:
         """Applies the settings that can change at run time: seeds and bounds. Others need a restart."""
         self.context.settings = settings
+        self.memory.apply(settings)
         for seed in settings.seed_peers:
             self.peers.add(seed)
 
--- a/mesh/proxy/call_runner.py
+++ b/mesh/proxy/call_runner.py
@@ -15,7 +15,8 @@
 from mesh.proxy.body_receiver import BodyReceiver, CallBody, CallId
 from mesh.proxy.context import ProxyContext
 from mesh.proxy.key_claims import KeyClaims
-from mesh.proxy.server_queue import Job, ServerQueue
+from mesh.proxy.server_job import Job
+from mesh.proxy.server_queue import ServerQueue
 from mesh.state.idempotency import ClaimDecision
 from mesh.transport.connection import PeerConnection
 from mesh.transport.memory_account import request_bytes
@@ -88,7 +89,7 @@
             number,
             queue.accepts_calls(),
             queue.expected_wait_s(),
-            queue.measured_service_s(route),
+            queue.service_times.measured_s(route),
             transfer_s,
             queue.failure_rate(),
         )
@@ -118,7 +119,7 @@
         return msgspec.structs.replace(
             answer,
             wait_s=queue.expected_wait_s(),
-            work_s=queue.measured_service_s(route),
+            work_s=queue.service_times.measured_s(route),
             failure_rate=queue.failure_rate(),
         )
 
@@ -207,7 +208,7 @@
         if call.past_target:
             return now, max(now, latest_start_at)
         wait_s = max(
-            call.target_s - SERVICE_TIME_SPREAD * self._queue.expected_service_s(call.route),
+            call.target_s - SERVICE_TIME_SPREAD * self._queue.service_times.expected_s(call.route),
             call.target_s * FREE_WAIT_FRACTION,
         )
         # Retried requests go first: if rejected again, their clients would have waited in vain.
--- a/mesh/proxy/server_queue.py
+++ b/mesh/proxy/server_queue.py
@@ -12,10 +12,12 @@
 
 from dunefield.budget import MAX_STEPS, Budget
 from dunefield.interface import IDLE_TIMEOUT_FRACTION, AttemptOutcome
-from hollyport.http.back import HttpBack, Outgoing, Reply
-from hollyport.nodes.upstream import Exchange, Upstream
+from hollyport.http.back import HttpBack, Reply
+from hollyport.nodes.upstream import Upstream
 from hollyport.settings.config import Address as NodeAddress
 from mesh.errors import ErrorKind
+from mesh.proxy.server_job import Job
+from mesh.proxy.service_times import FailureRate, ServiceTimes
 from mesh.settings import Address
 from mesh.state.shards import NO_KEY
 
@@ -23,76 +25,12 @@
 IDLE_TIMEOUT_S = 15.0  # applies unless the server announces a shorter one; see IDLE_TIMEOUT_FRACTION
 NOT_RUN_STATUSES = frozenset({b"503", b"429", b"421", b"408", b"400"})
 PROBE_TIMEOUT_S = 1.0
-LIGHT_FRACTION = 0.4  # calls that take up to this fraction of the heaviest kind's service time are light
 LIGHT_RESERVE_FACTOR = 3.0  # multiple of its service time that a light call has left at its latest start
 OVERDUE_FACTOR = 4.0  # multiple of the mean service time of its kind after which a call may be lost
-MAX_KINDS = 256  # kinds of calls whose service times are tracked separately
-FAILURE_SMOOTHING = 0.1  # smoothing factor of the failure rate
-FAILURE_HALF_LIFE_S = 3.0
 CONNECTION_FAILURES = frozenset({AttemptOutcome.CONNECT_FAILED, AttemptOutcome.RESET})
 NETWORK_MARGIN_S = 0.008  # part of a deadline reserved for the way back of the response
 
 
-class Job:
-    """One call for the local server.
-
-    `on_done` is called once, with the error (None if the server has answered), whether the call reached the
-    server, and the reply. A call that starts by `due_at` is likely to be answered within its target latency,
-    and one that starts by `latest_start_at` within its deadline.
-    """
-
-    __slots__ = (
-        "build_request",
-        "attempt_id",
-        "deadline",
-        "due_at",
-        "latest_start_at",
-        "on_done",
-        "kind",
-        "priority",
-        "trial",
-        "exchange",
-        "started_at",
-        "finished",
-        "on_overdue",
-        "repeatable",
-        "timer",
-        "cancelled",
-        "shard_key",
-        "key_lost",
-        "key_wait_until",
-    )
-
-    def __init__(
-        self,
-        build_request: Callable[[float, str], bytes | Outgoing],
-        attempt_id: bytes,
-        deadline: float,
-        due_at: float,
-        latest_start_at: float,
-        on_done: Callable[[ErrorKind | None, bool, Reply | None], None],
-        kind: str = "",
-    ) -> None:
-        self.build_request, self.attempt_id, self.on_done, self.kind = (
-            build_request,
-            attempt_id,
-            on_done,
-            kind,
-        )
-        self.deadline, self.due_at, self.latest_start_at = deadline, due_at, latest_start_at
-        self.priority = 0  # of its route; 0 is the highest
-        self.trial = self.finished = False
-        self.repeatable = False  # whether it may run more than once
-        self.cancelled = False  # nobody waits for its answer any more
-        self.on_overdue: Callable[[], None] | None = None  # called once if the server takes unusually long
-        self.timer: asyncio.TimerHandle | None = None
-        self.exchange: Exchange | None = None
-        self.started_at = 0.0
-        self.shard_key = NO_KEY  # if its service is sharded
-        self.key_wait_until = due_at  # by then the server must have been given its shard key
-        self.key_lost = False  # taken back before it reached the server, which holds its shard key no more
-
-
 class ServerQueue:
     """The local server of a sidecar, with its connections, concurrency budget and queue.
 
@@ -123,11 +61,10 @@
         self.queued: list[tuple[float, int, Job]] = []  # a heap, by due time
         # Calls past their due time, in order of arrival; they are sent when no other call is waiting.
         self.late: deque[Job] = deque()
-        self._submitted = self._samples = 0
+        self._submitted = 0
         self.in_flight = 0
-        self.mean_service_s = 0.05  # moving average of the time from sending a call to its answer
-        self._service_times: dict[str, tuple[float, int]] = {}  # by kind of call: mean and number of samples
-        self._failure_rate, self._failure_rate_at = 0.0, 0.0  # the rate and when it was updated
+        self.service_times = ServiceTimes()
+        self._failures = FailureRate()
         # Calls answered with 421, by which server gave the answer.
         self.misdirected_by_same_server = self.misdirected_by_other_server = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -165,7 +102,8 @@
             if is_new:
                 self._drains_until = -math.inf
                 self.budget = self._new_budget(slots if warm_up_s <= 0 or is_first else 1)
-                self._samples, self._failure_rate = 0, 0.0
+                self.service_times.restart()
+                self._failures.restart()
                 self.upstream.update(instance, self._address, 0, True)
             self.budget.max_steps = min(MAX_STEPS, slots, self.max_conns)
         self.open = is_open
@@ -304,29 +242,12 @@
 
     # --- queueing
 
-    def expected_service_s(self, kind: str) -> float:
-        """Returns the expected time from sending a call of a kind to its answer."""
-        return self._service_times.get(kind, (self.mean_service_s, 0))[0]
-
-    def measured_service_s(self, kind: str) -> float:
-        """Returns the mean service time of a kind as reported to other sidecars; 0 without samples."""
-        return self._service_times.get(kind, (0.0, 0))[0]
-
-    def is_light(self, kind: str) -> bool:
-        """Returns whether calls of a kind are short compared with others here.
-
-        Light calls are sent first and are not rejected for being late: they hardly delay others, and most of
-        them are made by running calls that would fail without them.
-        """
-        heaviest_s = max((mean for mean, _ in self._service_times.values()), default=0.0)
-        return kind in self._service_times and self._service_times[kind][0] <= LIGHT_FRACTION * heaviest_s
-
     def expected_wait_s(self) -> float:
         """Returns the expected queueing time of a new call."""
         concurrency = self.budget.limit
         if self.in_flight < concurrency:
             return 0.0
-        return (len(self.queued) + len(self.late) + 1) * self.mean_service_s / max(1, concurrency)
+        return (len(self.queued) + len(self.late) + 1) * self.service_times.mean_s / max(1, concurrency)
 
     def accepts_calls(self) -> bool:
         """Returns whether a new call would be queued or sent instead of rejected at once."""
@@ -335,24 +256,13 @@
         return bool(self.budget.steps) or self.budget.trial_allowed(int(self._loop.time() * 1e9))
 
     def failure_rate(self) -> float:
-        """Returns the recent fraction of failed calls.
-
-        It decays with time: a server that gets no calls because of it could not show that it has recovered.
-        """
-        return self._failure_rate * math.exp2(
-            (self._failure_rate_at - self._loop.time()) / FAILURE_HALF_LIFE_S
-        )
-
-    def _record_outcome(self, failed: bool) -> None:
-        """Updates the failure rate by one call. What a server reports of its own health is not considered."""
-        rate = self.failure_rate()
-        self._failure_rate = rate + (failed - rate) * FAILURE_SMOOTHING
-        self._failure_rate_at = self._loop.time()
+        """Returns the recent fraction of failed calls."""
+        return self._failures.value(self._loop.time())
 
     def _expected_wait_before(self, due_at: float) -> float:
         """Returns the expected queueing time of a call behind all calls that are due earlier."""
         earlier = sum(1 for entry in self.queued if entry[0] <= due_at)
-        return (earlier + 1) * self.mean_service_s / max(1, self.budget.limit)
+        return (earlier + 1) * self.service_times.mean_s / max(1, self.budget.limit)
 
     def submit(self, job: Job) -> None:
         """Sends a call at once, queues it by its due time, or rejects it."""
@@ -366,7 +276,11 @@
         if not self.budget.steps and (self.budget.trial_in_flight or now * 1e9 < self.budget.retry_at):
             self._finish(job, ErrorKind.FULL, False)  # the server has no capacity in the near future
             return
-        if self.in_flight >= self.budget.limit and not self.is_light(job.kind) and not self._fits(now, job):
+        if (
+            self.in_flight >= self.budget.limit
+            and not self.service_times.is_light(job.kind)
+            and not self._fits(now, job)
+        ):
             # A call that can't be served in time is rejected at once: queueing it would cost its client time.
             self._send_queued()
             if self.in_flight >= self.budget.limit and not self._displace(now, job):
@@ -374,10 +288,11 @@
                 return
         self._submitted += 1
         order = job.due_at
-        if self.is_light(job.kind):
+        if self.service_times.is_light(job.kind):
             order = now
             job.due_at = job.latest_start_at = max(
-                job.latest_start_at, job.deadline - LIGHT_RESERVE_FACTOR * self.expected_service_s(job.kind)
+                job.latest_start_at,
+                job.deadline - LIGHT_RESERVE_FACTOR * self.service_times.expected_s(job.kind),
             )
         heapq.heappush(self.queued, (order, self._submitted, job))
         self._send_queued()
@@ -397,10 +312,12 @@
         """
         waiting = [*(entry[2] for entry in self.queued), *self.late]
         candidates = [
-            other for other in waiting if other.priority > job.priority and not self.is_light(other.kind)
+            other
+            for other in waiting
+            if other.priority > job.priority and not self.service_times.is_light(other.kind)
         ]
         candidates.sort(key=lambda other: (other.priority, other.due_at))
-        slot_s = self.mean_service_s / max(1, self.budget.limit)
+        slot_s = self.service_times.mean_s / max(1, self.budget.limit)
         earlier = sum(1 for other in candidates if other.due_at <= job.due_at)
         if (
             now + self._expected_wait_before(job.due_at) - earlier * slot_s > job.due_at
@@ -513,7 +430,7 @@
         self._exchanging.add(job)
         if job.on_overdue is not None:
             job.timer = self._loop.call_later(
-                OVERDUE_FACTOR * self.expected_service_s(job.kind), job.on_overdue
+                OVERDUE_FACTOR * self.service_times.expected_s(job.kind), job.on_overdue
             )
         exchange.start()
 
@@ -548,7 +465,7 @@
         elif reply is not None and (reply.header(b"x-server-seal") is not None or reply.status >= 400):
             if current:
                 self._learn_keep_alive(reply)
-                self._record_outcome(reply.status >= 500)
+                self._failures.record(now, reply.status >= 500)
                 self._on_answer(now, job, trial, reply.status < 500)
             self._finish(job, None, True, reply)
         else:
@@ -559,7 +476,7 @@
                 error, arrived = self._error_of_unsent(job), False
             # A call that was cancelled here says nothing about the server.
             if current and outcome != AttemptOutcome.MOOT and not job.cancelled:
-                self._record_outcome(True)
+                self._failures.record(now, True)
                 self._on_failure(now, trial, outcome in CONNECTION_FAILURES)
             self._finish(job, error, arrived)
         if current and (reply is not None or outcome in CONNECTION_FAILURES):
@@ -590,13 +507,7 @@
             self.budget.add_step()
         if not succeeded:
             return
-        self._samples += 1
-        service_s = now - job.started_at
-        self.mean_service_s += (service_s - self.mean_service_s) * max(0.1, 1.0 / self._samples)
-        mean_s, samples = self._service_times.get(job.kind, (0.0, 0))
-        mean_s += (service_s - mean_s) * max(0.05, 1.0 / (samples + 1))
-        if samples or len(self._service_times) < MAX_KINDS:
-            self._service_times[job.kind] = (mean_s, samples + 1)
+        self.service_times.record(job.kind, now - job.started_at)
 
     def _on_failure(self, now: float, trial: bool, connection_failed: bool = False) -> None:
         """Updates the budget after a refusal, a failed connection, a reset or a timeout."""
--- a/mesh/proxy/sidecar.py
+++ b/mesh/proxy/sidecar.py
@@ -183,6 +183,7 @@
     def reload_settings(self, settings: Settings) -> None:
         """Applies the settings that may change at run time: seeds, bounds, limits. Others need a restart."""
         self.context.settings = settings
+        self.memory.apply(settings)
         self.control.start()
 
     async def stop(self) -> None:
--- a/mesh/proxy/sidecar_figures.py
+++ b/mesh/proxy/sidecar_figures.py
@@ -55,7 +55,7 @@
     yield gauge("mesh_server_slots", "What the server says it serves together.", queue.slots)
     yield gauge("mesh_server_budget", "Calls that may be at the server together.", queue.budget.limit)
     yield gauge("mesh_server_failing", "Part of its calls that fail of late.", queue.failure_rate())
-    yield gauge("mesh_server_call_seconds", "What a call takes there of late.", queue.mean_service_s)
+    yield gauge("mesh_server_call_seconds", "What a call takes there of late.", queue.service_times.mean_s)
     misdirected: dict[Labels, float] = {
         ("same",): float(queue.misdirected_by_same_server),
         ("other",): float(queue.misdirected_by_other_server),
--- a/mesh/transport/client_memory.py
+++ b/mesh/transport/client_memory.py
@@ -16,7 +16,7 @@
 from mesh.transport.read_policy import ReadPolicy
 
 TICK_INTERVAL_S = 0.05  # while clients wait to be read from
-LOG_INTERVAL_S = 10.0  # between two lines on clients that wait
+LOG_INTERVAL_S = 10.0  # between two lines on clients that are paused or refused
 
 
 class ClientMemory:
@@ -40,8 +40,12 @@
         """Learns the greatest size that an address allows a body to have."""
         self.policy.largest_body = max(size, self.policy.largest_body)
 
-    def watch_waiting(self) -> None:
-        """Looks after the clients that are paused, until none is."""
+    def apply(self, settings: Settings) -> None:
+        """Takes over the limit of changed settings."""
+        self.account.capacity = client_capacity(settings.memory_mb, settings.client_memory_mb)
+
+    def on_stopped(self) -> None:
+        """Handles a client that is paused or refused: says so, and looks after those that wait."""
         if not self._ticking:
             self._ticking = True
             self._loop.call_later(TICK_INTERVAL_S, self._tick)
@@ -51,10 +55,10 @@
         if now >= self._next_log_at:
             self._next_log_at = now + LOG_INTERVAL_S
             held, waiting = self.account.held, self.policy.waiting
-            logger.warning("clients wait to be read from", held_bytes=held, waiting=waiting)
+            logger.warning("clients fill the memory", held_bytes=held, waiting=waiting)
         self._ticking = False
         if self.policy.tick(now):
-            self.watch_waiting()
+            self.on_stopped()
 
     def metrics(self) -> Iterator[MetricFamily]:
         """Returns the metric families."""
--- a/mesh/transport/http_connection.py
+++ b/mesh/transport/http_connection.py
@@ -151,8 +151,8 @@
         state.is_body = size > BLOCK_BYTES
         state.received = size
         state.remaining = (self._max_body if message.length is None else message.length) - size
-        if not self._memory.policy.on_read(self._loop.time(), state) and not self._deaf:
-            self._memory.watch_waiting()
+        if not self._memory.policy.on_read(self._loop.time(), state):
+            self._memory.on_stopped()
 
     # --- pauses
 
--- a/tests/mesh/test_mesh_answers.py
+++ b/tests/mesh/test_mesh_answers.py
@@ -28,7 +28,8 @@
 from hollyport.http.back import Connection, Reply
 from hollyport.nodes.upstream import Upstream
 from mesh.errors import ErrorKind
-from mesh.proxy.server_queue import Job, ServerQueue
+from mesh.proxy.server_job import Job
+from mesh.proxy.server_queue import ServerQueue
 from mesh.settings import Address
 
 ATTEMPT_ID = re.compile(rb"x-attempt-id: (\S+)\r\n")
--- a/tests/mesh/test_mesh_offers.py
+++ b/tests/mesh/test_mesh_offers.py
@@ -413,7 +413,7 @@
     sidecar.server_queue.update_server("i-1", 5, 0.0, True)
     budget = sidecar.server_queue.budget
     budget.max_steps, sidecar.server_queue.in_flight = budget.steps, budget.limit  # the budget is used up
-    sidecar.server_queue.mean_service_s = 0.001
+    sidecar.server_queue.service_times.mean_s = 0.001
     sidecar.on_message(connection, message(kind_of(messages.Forward), 7, _call(True)))
     sidecar.on_message(connection, message(kind_of(messages.Forward), 8, _call(True)))
     sidecar.on_message(connection, message(kind_of(messages.Cancel), 9))
--- a/tests/mesh/test_mesh_server_queue.py
+++ b/tests/mesh/test_mesh_server_queue.py
@@ -7,7 +7,8 @@
 from dunefield.interface import AttemptOutcome
 from hollyport.http.back import Reply
 from mesh.errors import ErrorKind
-from mesh.proxy.server_queue import Job, ServerQueue
+from mesh.proxy.server_job import Job
+from mesh.proxy.server_queue import ServerQueue
 from mesh.settings import Address
 from mesh.state.shards import NO_KEY
 
@@ -102,7 +103,7 @@
 
 
 def test_calls_are_sent_by_due_time_and_then_in_order_of_arrival(server_queue):
-    server_queue.mean_service_s = 0.001
+    server_queue.service_times.mean_s = 0.001
     for name, due in (("running", 1), ("slow", 5), ("call", 0.5), ("second", 5), ("third", 5)):
         server_queue.submit(job(server_queue, name, due))
     seen = sent_names(server_queue)
@@ -113,7 +114,7 @@
 
 
 def test_calls_past_their_due_time_are_sent_after_all_others(server_queue):
-    server_queue.mean_service_s = 0.001
+    server_queue.service_times.mean_s = 0.001
     server_queue.submit(job(server_queue, "running", 1))
     server_queue.submit(job(server_queue, "late", 0.1, latest_start=5))
     server_queue._loop.now += 0.2
@@ -126,7 +127,7 @@
 
 def test_a_call_past_its_latest_start_is_rejected_unsent(server_queue):
     results = []
-    server_queue.mean_service_s = 0.001
+    server_queue.service_times.mean_s = 0.001
     server_queue.submit(job(server_queue, "running", 1))
     server_queue.submit(job(server_queue, "late", 0.1, latest_start=0.3, results=results))
     server_queue._loop.now += 0.31
@@ -137,14 +138,14 @@
 def test_a_call_that_would_wait_too_long_is_rejected_at_once(server_queue):
     results = []
     server_queue.submit(job(server_queue, "running", 1))
-    server_queue.mean_service_s = 1.0
+    server_queue.service_times.mean_s = 1.0
     server_queue.submit(job(server_queue, "hopeless", 0.2, results=results))
     assert results == [("hopeless", ErrorKind.FULL, False)]
 
 
 def test_a_draining_server_gets_no_calls_and_waiting_ones_are_rejected(server_queue):
     results = []
-    server_queue.mean_service_s = 0.001
+    server_queue.service_times.mean_s = 0.001
     server_queue.submit(job(server_queue, "running", 1, results=results))
     server_queue.submit(job(server_queue, "waiting", 1, results=results))
     server_queue.update_server("i-1", 4, 0.0, False)
@@ -196,7 +197,7 @@
 def test_a_421_for_a_key_that_is_not_held_does_not_end_the_server_s_life(server_queue):
     results, recorded = [], []
     server_queue.on_replaced = recorded.append
-    server_queue.mean_service_s = 0.001
+    server_queue.service_times.mean_s = 0.001
     server_queue.submit(job(server_queue, "misdirected", 1, results=results))
     server_queue.submit(job(server_queue, "waiting", 1, results=results))
     server_queue.upstream.sent[0].reply(421, [(b"x-not-run", b"1"), (b"x-instance-id", b"i-1")])
@@ -318,7 +319,7 @@
 def test_fast_failures_do_not_lower_the_service_time(server_queue):
     _calls(server_queue, 200, 30, service_s=0.2)
     _calls(server_queue, 500, 30, service_s=0.001)
-    assert server_queue.measured_service_s("a call") == pytest.approx(0.2)
+    assert server_queue.service_times.measured_s("a call") == pytest.approx(0.2)
 
 
 def test_a_queue_without_capacity_accepts_no_calls(server_queue):
@@ -393,7 +394,7 @@
 def test_a_call_of_higher_priority_displaces_one_of_lower_priority(server_queue):
     results = []
     server_queue.submit(job(server_queue, "running", 9))
-    server_queue.mean_service_s = 1.0
+    server_queue.service_times.mean_s = 1.0
     for at in range(3):
         server_queue.submit(job_with_priority(server_queue, f"low {at}", 3.5 + at / 10, 2, results))
     assert not results and len(server_queue.queued) == 3
@@ -412,8 +413,9 @@
 def test_a_light_call_is_not_displaced(server_queue):
     results = []
     server_queue.submit(job(server_queue, "running", 9))
-    server_queue._service_times = {"light": (0.01, 5), "heavy": (1.0, 5)}
-    server_queue.mean_service_s = 1.0
+    server_queue.service_times.record("light", 0.01)
+    server_queue.service_times.record("heavy", 1.0)
+    server_queue.service_times.mean_s = 1.0
     for _ in range(3):
         created = job_with_priority(server_queue, "light", 3.5, 2, results)
         server_queue.submit(created)
@@ -432,7 +434,7 @@
 
 def test_calls_whose_keys_are_lost_are_given_back_wherever_they_wait(server_queue):
     results, held = [], {1, 2, NO_KEY}
-    server_queue.mean_service_s, server_queue.key_gate = 0.001, held.__contains__
+    server_queue.service_times.mean_s, server_queue.key_gate = 0.001, held.__contains__
     server_queue.submit(keyed_job(server_queue, "connecting", 1, results))
     (exchange,) = server_queue.upstream.sent
     exchange.touched, exchange.cancel = False, lambda: exchange.end(AttemptOutcome.MOOT, False)
