Clients that wait for memory no longer keep the connections of an address

What callers saw, in trials: while 100 clients with large bodies stood at ready, or at a sidecar's control, which take 64 connections each, readiness and heartbeats got no answer for 5 s: enough for a machine to lose its clients.

Cause: where an address is full, the connection of a request that has been coming for over a second gives way, unless something of it lies unread; a paused client's always does.

Change: what lies unread of a paused client doesn't count, as its request is not whole.

--- a/mesh/transport/http_connection.py
+++ b/mesh/transport/http_connection.py
@@ -196,7 +196,12 @@
         return self._events
 
     def patience(self, since: float) -> float:
-        return super().patience(since) + self._state.paused_s
+        return super().patience(since) + self._state.pauses_s(self._loop.time())
+
+    def quiet(self) -> bool:
+        """Whether nothing is cut off by closing. What a paused client has sent is part of a request that is
+        not whole, so it does not keep its connection from others."""
+        return self._state.paused_at is not None or super().quiet()
 
     # --- mesh.transport.read_policy.Reader
 
--- a/mesh/transport/read_policy.py
+++ b/mesh/transport/read_policy.py
@@ -88,6 +88,14 @@
     promised: int = 0  # what its grant leaves room for
     unsent: int = 0  # bytes of answers
 
+    def pause_s(self, now: float) -> float:
+        """Returns how long the current pause, if there is one, has taken."""
+        return now - self.paused_at if self.paused_at is not None else 0.0
+
+    def pauses_s(self, now: float) -> float:
+        """Returns for how long the request has been paused in all."""
+        return self.paused_s + self.pause_s(now)
+
 
 class ReadPolicy:
     """The clients of one process that have something under way."""
@@ -234,8 +242,8 @@
                 self._promise(state, state.remaining)
                 state.granted_at, state.granted_received = now, state.received
             del self._waiting[state]
-            state.paused_s += _pause_s(now, state)
-            state.began_at += _pause_s(now, state)
+            state.began_at += state.pause_s(now)
+            state.paused_s = state.pauses_s(now)
             state.paused_at = None
             self._on_progress(now, state)
             state.reader.resume()
@@ -267,7 +275,7 @@
             if state.is_body and state.paused_at is None and self._keeps_waiting(now, state):
                 self._refuse(state, REQUEST_TIMEOUT, STALLED)
         for state in list(self._waiting):
-            if state.paused_s + _pause_s(now, state) >= MAX_PAUSE_S:
+            if state.pauses_s(now) >= MAX_PAUSE_S:
                 self._refuse(state, NO_ROOM, REFUSED)
         self._grant(now)
         if self._granted or not self._waiting:
@@ -323,10 +331,5 @@
         state.reader.refuse(status)
 
 
-def _pause_s(now: float, state: ReadState) -> float:
-    """Returns how long the current pause, if there is one, has taken."""
-    return now - state.paused_at if state.paused_at is not None else 0.0
-
-
 def _is_slow(took_s: float, size: int) -> bool:
     return took_s >= STALL_TIMEOUT_S and size < MIN_BODY_RATE * took_s
