--- a/tests/mesh/test_mesh_offers.py
+++ b/tests/mesh/test_mesh_offers.py
@@ -303,6 +303,39 @@
     _body_too_slow()
 
 
+@with_probing_sidecar
+def _body_longer_than_target(harness):
+    connection, jobs = _receive_forward(harness, target=0.1)
+    (incoming,) = harness.sidecar.calls.bodies.bodies.values()
+    incoming.started_at -= 0.5  # it takes longer than its target
+    now = harness.sidecar.context.now()
+    harness.sidecar.on_message(connection, message(kind_of(messages.BodyChunk), 7, BODY))
+    (job,) = jobs
+    assert job.due_at >= now and job.latest_start_at > now + 0.1
+
+
+def test_a_body_whose_transfer_takes_longer_than_its_target_is_fetched_and_its_call_may_still_start():
+    _body_longer_than_target()
+
+
+@with_probing_sidecar
+def _no_memory(harness):
+    harness.sidecar.context.memory.account.capacity = len(BODY)
+    connection, jobs = _receive_forward(harness)
+    ((kind, number, error, arrived, *_),) = connection.sent
+    assert (kind, number, ErrorKind(error), arrived) == (
+        kind_of(messages.ForwardAnswer),
+        7,
+        ErrorKind.FULL,
+        False,
+    )
+    assert not jobs and not harness.sidecar.calls.bodies.bodies
+
+
+def test_a_body_for_which_there_is_no_memory_is_refused_before_it_is_sent():
+    _no_memory()
+
+
 @with_probing_sidecar
 def _shutdown_during_body(harness, end_offset, status):
     recorder, node, number = _send_in_chunks(harness)
