An announced body that a process can never hold is refused at once

What callers saw: a body whose announced length is above what the settings leave for one waited for 10 s before its 503. Change: it is refused at its first bytes. Result: the new case of test_mesh_read_policy.py failed before.

--- a/mesh/transport/http_connection.py
+++ b/mesh/transport/http_connection.py
@@ -149,7 +149,7 @@
         self._request_charge.resize(self._request_bytes(message))
         state, size = self._state, self._size
         state.is_body = size > BLOCK_BYTES
-        state.received = size
+        state.received, state.is_announced = size, message.length is not None
         state.remaining = (self._max_body if message.length is None else message.length) - size
         if not self._memory.policy.on_read(self._loop.time(), state):
             self._memory.on_stopped()
--- a/mesh/transport/read_policy.py
+++ b/mesh/transport/read_policy.py
@@ -80,6 +80,7 @@
     is_body: bool = False  # whether it is beyond the size of a small one
     received: int = 0  # bytes of the body
     remaining: int = 0  # bytes that may follow at most
+    is_announced: bool = False  # whether `remaining` is the client's own word
     began_at: float = 0.0  # when the request began, later by the time for which it was paused
     paused_at: float | None = None
     paused_s: float = 0.0  # in earlier pauses of this request
@@ -155,7 +156,8 @@
         self._on_progress(now, state)
         if state in self._granted:
             self._promise(state, state.remaining)
-        if not self.make_room(now, state):
+        is_too_large = state.is_announced and state.received + state.remaining > self.large_limit
+        if is_too_large or not self.make_room(now, state):
             self._refuse(state, NO_ROOM, REFUSED)
             return False
         return not state.is_body or self._may_read_on(now, state)
--- a/tests/mesh/test_mesh_read_policy.py
+++ b/tests/mesh/test_mesh_read_policy.py
@@ -54,6 +54,7 @@
         self.charge.resize(self.sent)
         state = self.state
         state.is_body, state.received = self.sent > BLOCK_BYTES, self.sent
+        state.is_announced = self._tells_size
         state.remaining = (self.size if self._tells_size else LARGEST_BODY) - self.sent
         if self.sent == self.size:
             self._policy.on_request_ended(state)
@@ -117,6 +118,12 @@
         assert body.state.paused_at is None and not body.status
 
 
+def test_an_announced_body_that_can_never_be_held_is_refused_at_once():
+    clients = Clients()
+    body = clients.client(CAPACITY, BLOCK_BYTES)
+    assert body.status == NO_ROOM and body.sent == BLOCK_BYTES
+
+
 def test_medium_bodies_and_small_requests_go_on_while_large_ones_wait():
     clients = Clients()
     large = clients.fill(6, 5 * MB)
